--- /dev/null
+++ b/aspencroft/disk/store.py
@@ -0,0 +1,252 @@
+"""A crash-safe store over dbm.dumb: only new keys, every value checked, the index rebuilt by scan."""
+
+import dataclasses
+import dbm.dumb
+import enum
+import os
+import pathlib
+import shutil
+import struct
+import zlib
+
+import aspencroft.seam.surroundings as surroundings
+
+HEADER = struct.Struct(">4sQIQ")
+CHECK = struct.Struct(">I")
+OVERHEAD = HEADER.size + CHECK.size
+MAGIC = b"acv1"
+BLOCK = 512
+CURRENT = "current"
+
+
+class Condition(enum.Enum):
+    """What opening a store found."""
+
+    EMPTY = "empty"
+    SOUND = "sound"
+    DAMAGED = "damaged"
+
+
+@dataclasses.dataclass(frozen=True)
+class Item:
+    """One stored value under its epoch.
+
+    Example: ``Item(3, b"payload")``
+    """
+
+    epoch: int
+    payload: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Scan:
+    """What a data file holds: items with their places, the end of the last, and its soundness."""
+
+    items: tuple[Item, ...]
+    places: tuple[tuple[int, int], ...]
+    end: int
+    condition: Condition
+
+
+def value(index: int, item: Item) -> bytes:
+    """The bytes stored under the key of an index.
+
+    Example: ``value(0, Item(1, b"x"))``
+    """
+    header = HEADER.pack(MAGIC, index, len(item.payload), item.epoch)
+    return header + CHECK.pack(zlib.crc32(item.payload, zlib.crc32(header))) + item.payload
+
+
+def value_at(data: bytes, place: int) -> tuple[int, Item, int] | None:
+    """Index, item and end of the value at a place, or nothing when it is not whole.
+
+    Example: ``value_at(value(0, item), 0) == (0, item, OVERHEAD + len(item.payload))``
+    """
+    if place + OVERHEAD > len(data) or data[place:place + 4] != MAGIC:
+        return None
+    _, index, length, epoch = HEADER.unpack_from(data, place)
+    end = place + OVERHEAD + length
+    if end > len(data):
+        return None
+    payload = data[place + OVERHEAD:end]
+    expected = CHECK.unpack_from(data, place + HEADER.size)[0]
+    if zlib.crc32(payload, zlib.crc32(data[place:place + HEADER.size])) != expected:
+        return None
+    return index, Item(epoch, payload), end
+
+
+def scan(data: bytes) -> Scan:
+    """Read a data file front to back; a torn tail is dropped, damage before it is told.
+
+    Example: ``scan(b"").condition is Condition.EMPTY``
+    """
+    items, places, end, place = [], [], 0, 0
+    while (found := value_at(data, place)) is not None and found[0] == len(items):
+        items.append(found[1])
+        places.append((place, found[2] - place))
+        end = found[2]
+        place = (end + BLOCK - 1) // BLOCK * BLOCK
+    for later in range(place, len(data), BLOCK):
+        if value_at(data, later) is not None:
+            return Scan(tuple(items), tuple(places), end, Condition.DAMAGED)
+    return Scan(tuple(items), tuple(places), end, Condition.SOUND if items else Condition.EMPTY)
+
+
+class Store:
+    """An append-only list of items in generations of dbm.dumb files.
+
+    Example: ``kept, items, condition = store.load(folder, disk)``, then ``kept.append(items)``
+    inside ``disk.perform``.
+    """
+
+    def __init__(self, folder: pathlib.Path, disk: surroundings.Disk, generation: int):
+        self.folder = folder
+        self.disk = disk
+        self.generation = generation
+        self.count = 0
+        self.database = None
+
+    def home(self) -> pathlib.Path:
+        """The folder of the generation in force.
+
+        Example: ``store.home() / "journal.dat"``
+        """
+        return self.folder / f"generation-{self.generation}"
+
+    def open(self, found: Scan) -> None:
+        """Make index and data agree with the scan, then open the files.
+
+        Example: ``store.open(scan(data))``
+        """
+        data_file, index_file = self.home() / "journal.dat", self.home() / "journal.dir"
+        if data_file.stat().st_size != found.end:
+            os.truncate(data_file, found.end)
+            self.disk.synchronise(data_file)
+        index = "".join(f"{format(number, '016x')!r}, {place!r}\n"
+                        for number, place in enumerate(found.places))
+        if not index_file.exists() or index_file.read_text("latin-1", errors="replace") != index:
+            fresh = self.home() / "journal.fresh"
+            fresh.write_text(index, "latin-1")
+            self.disk.synchronise(fresh)
+            os.replace(fresh, index_file)
+            self.disk.synchronise(self.home())
+        self.database = dbm.dumb.open(str(self.home() / "journal"), "c")
+        self.count = len(found.items)
+
+    def append(self, items: tuple[Item, ...]) -> None:
+        """Add items and make them last.
+
+        Example: ``await disk.perform(kept.append, (Item(1, b"x"),))``
+        """
+        self.add(items)
+        for name in ("journal.dat", "journal.dir"):
+            self.disk.synchronise(self.home() / name)
+
+    def add(self, items: tuple[Item, ...]) -> None:
+        """Write items under new keys; the index that dbm.dumb would rewrite at its end stays unused.
+
+        Example: ``kept.add((Item(1, b"x"),))``
+        """
+        for item in items:
+            self.database[format(self.count, "016x")] = value(self.count, item)
+            self.count += 1
+        self.database._modified = False
+
+    def replace(self, items: tuple[Item, ...]) -> None:
+        """Write a new generation that holds just these items, then point to it.
+
+        Example: ``await disk.perform(kept.replace, (picture, *tail))``
+        """
+        old = self.home()
+        self.generation += 1
+        shutil.rmtree(self.home(), ignore_errors=True)
+        self.home().mkdir(parents=True)
+        (self.home() / "journal.dat").touch()
+        self.open(Scan((), (), 0, Condition.EMPTY))
+        self.append(items)
+        self.disk.synchronise(self.home())
+        self.disk.synchronise(self.folder)
+        fresh = self.folder / "current.fresh"
+        fresh.write_text(str(self.generation))
+        self.disk.synchronise(fresh)
+        os.replace(fresh, self.folder / CURRENT)
+        self.disk.synchronise(self.folder)
+        shutil.rmtree(old, ignore_errors=True)
+
+
+def load(folder: pathlib.Path, disk: surroundings.Disk) -> tuple[Store, tuple[Item, ...], Condition]:
+    """Open the store in a folder; a damaged one is handed back with no items and starts anew.
+
+    Example: ``kept, items, condition = await disk.perform(store.load, folder, disk)``
+    """
+    folder.mkdir(parents=True, exist_ok=True)
+    pointer = folder / CURRENT
+    generations = [int(path.name.rsplit("-", 1)[1]) for path in folder.glob("generation-*")]
+    if not pointer.exists():
+        kept = Store(folder, disk, max(generations, default=0))
+        kept.replace(())
+        return kept, (), Condition.EMPTY
+    text = pointer.read_text(errors="replace")
+    data_file = folder / f"generation-{text}" / "journal.dat"
+    found = scan(data_file.read_bytes()) if text.isdigit() and data_file.exists() else None
+    if found is None or found.condition is Condition.DAMAGED:
+        kept = Store(folder, disk, max(generations, default=0))
+        kept.replace(())
+        return kept, (), Condition.DAMAGED
+    kept = Store(folder, disk, int(text))
+    kept.open(found)
+    for number in generations:
+        if number != kept.generation:
+            shutil.rmtree(folder / f"generation-{number}", ignore_errors=True)
+    return kept, found.items, found.condition
+
+
+class Inline:
+    """A disk that syncs nothing, for the tests below."""
+
+    def synchronise(self, path: pathlib.Path) -> None:
+        """Nothing to do.
+
+        Example: ``Inline().synchronise(path)``
+        """
+
+
+def test_cut_at_every_byte_keeps_all_whole_items(tmp_path):
+    written = tuple(Item(number, bytes([number]) * (number * 40)) for number in range(1, 8))
+    kept, _, condition = load(tmp_path / "a", Inline())
+    assert condition is Condition.EMPTY
+    kept.append(written)
+    home = kept.home()
+    data, index = (home / "journal.dat").read_bytes(), (home / "journal.dir").read_bytes()
+    ends = [place + length for place, length in scan(data).places]
+    for cut in range(ends[4], ends[6] + 1):
+        (home / "journal.dat").write_bytes(data[:cut])
+        (home / "journal.dir").write_bytes(index[:cut % len(index)])
+        again, items, _ = load(tmp_path / "a", Inline())
+        assert items == written[:sum(end <= cut for end in ends)]
+        again.append((Item(99, b"after"),))
+        assert load(tmp_path / "a", Inline())[1] == items + (Item(99, b"after"),)
+
+
+def test_damage_before_the_tail_is_told_not_served(tmp_path):
+    kept, _, _ = load(tmp_path / "a", Inline())
+    kept.append(tuple(Item(1, b"x" * 700) for _ in range(5)))
+    path = kept.home() / "journal.dat"
+    sound = path.read_bytes()
+    for place in (0, 5, 30, 700, 1024, 2100):
+        changed = bytearray(sound)
+        changed[place] ^= 1
+        path.write_bytes(changed)
+        assert scan(bytes(changed)).condition is Condition.DAMAGED
+    again, items, condition = load(tmp_path / "a", Inline())
+    assert condition is Condition.DAMAGED and items == ()
+    again.append((Item(2, b"new"),))
+    assert load(tmp_path / "a", Inline())[1:] == ((Item(2, b"new"),), Condition.SOUND)
+
+
+def test_new_generation_replaces_the_old(tmp_path):
+    kept, _, _ = load(tmp_path / "a", Inline())
+    kept.append((Item(1, b"old"),))
+    kept.replace((Item(2, b"picture"),))
+    kept.append((Item(2, b"tail"),))
+    assert load(tmp_path / "a", Inline())[1] == (Item(2, b"picture"), Item(2, b"tail"))
--- /dev/null
+++ b/aspencroft/edge/callers.py
@@ -0,0 +1,138 @@
+"""HTTP for callers: one address for requests of every lane; turns stream back as lines of JSON."""
+
+import collections.abc
+import json
+
+import litestar
+import litestar.response
+import voluptuous
+
+import aspencroft.code.result as result
+import aspencroft.edge.call as call
+import aspencroft.edge.path as path
+import aspencroft.node.operator as operator
+import aspencroft.plan.lane as lane
+import aspencroft.seam.moment as moment
+import aspencroft.worker.adapter as adapter
+
+SLACK = moment.seconds(0.3)
+IDENTITY = voluptuous.All(str, voluptuous.Length(min=1, max=200))
+COUNT = voluptuous.All(int, voluptuous.Range(min=0, max=1 << 40))
+SCHEMA = voluptuous.Schema({
+    voluptuous.Required("lane"): lane.NAME,
+    voluptuous.Required("input"): object,
+    voluptuous.Optional("program", default=""): voluptuous.Any("", IDENTITY),
+    voluptuous.Optional("helper", default=""): voluptuous.Any("", IDENTITY),
+    voluptuous.Optional("after", default=0): COUNT,
+    voluptuous.Optional("operation", default=""): voluptuous.Any("", IDENTITY),
+    voluptuous.Optional("most", default=0): COUNT,
+    voluptuous.Optional("budget", default=0): COUNT,
+    voluptuous.Optional("tool", default=""): voluptuous.Any("", lane.NAME),
+})
+
+
+def request_of(body, lanes: dict[str, lane.Lane]) -> call.Request:
+    """A checked request; output and budget never exceed the lane's.
+
+    Example: ``request_of({"lane": "chat", "input": "hello", "program": "p1"}, lanes)``
+    """
+    try:
+        full = SCHEMA(body)
+    except voluptuous.MultipleInvalid as error:
+        detail = "; ".join(f"{'/'.join(str(part) for part in one.path)}: {one.msg}" for one in error.errors)
+        raise result.Refusal(result.Result.MALFORMED, detail=detail) from None
+    known = lanes.get(full["lane"])
+    if known is None:
+        raise result.Refusal(result.Result.UNKNOWN_LANE, detail=full["lane"])
+    most = min(full["most"] or known.turn_output, known.turn_output)
+    budget = min(full["budget"] or known.budget, known.budget)
+    return call.Request(path.new_identity(), full["lane"], full["program"], full["helper"], full["after"],
+                        full["input"], full["operation"], most, budget, full["tool"])
+
+
+async def next_event(one: call.Call):
+    """The call's next event; at the deadline the call is given up at once.
+
+    Example: ``event = await next_event(one)``
+    """
+    try:
+        async with moment.limit(one.end + (SLACK if one.sent else moment.ZERO) - moment.now()):
+            return await one.out.get()
+    except TimeoutError:
+        if one.sent and moment.now() < one.end + SLACK:
+            return await next_event(one)
+        one.abandoned = one.deaf = True
+        ran = result.Ran.UNKNOWN if one.sent else result.Ran.NOT_RUN
+        return call.Ended(0, 0, 0, None, result.Refusal(result.Result.DEADLINE, ran, retry=moment.seconds(1)))
+
+
+def final_line(one: call.Call, end: call.Ended) -> bytes:
+    """The explicit end of a stream: an end with its count of pieces, or an error.
+
+    Example: ``yield final_line(one, end)``
+    """
+    if end.refusal is not None:
+        shown = {"error": end.refusal.document(), "request": one.request.identity}
+    else:
+        shown = {"end": True, "request": one.request.identity, "turn": end.turn, "pieces": end.pieces,
+                 "used": end.used}
+    return json.dumps(shown).encode() + b"\n"
+
+
+async def lines(one: call.Call, first) -> collections.abc.AsyncIterator[bytes]:
+    """A streamed turn: numbered pieces, then the end.
+
+    Example: ``Stream(lines(one, first))``
+    """
+    event = first
+    try:
+        while not isinstance(event, call.Ended):
+            yield json.dumps({"piece": event.number, "text": event.text}).encode() + b"\n"
+            event = await next_event(one)
+        yield final_line(one, event)
+    finally:
+        one.deaf = True
+
+
+def handlers(edge: path.Path) -> list:
+    """The handlers that data-plane nodes serve besides the operators'.
+
+    Example: ``operator.application(own, callers.handlers(edge))``
+    """
+    @litestar.post("/requests", status_code=200)
+    async def take(request: litestar.Request) -> litestar.Response:
+        body = operator.json_body(await request.body())
+        edge.check_open()
+        one = edge.take_in(request_of(body, edge.node.relay.plan.lanes))
+        event = await next_event(one)
+        headers = {"X-Request": one.request.identity}
+        if isinstance(event, call.Ended) and event.refusal is not None:
+            response = operator.refusal_response(event.refusal)
+            response.headers.update(headers)
+            return response
+        if one.lane.kind == lane.TURNS:
+            return litestar.response.Stream(lines(one, event), media_type="application/x-ndjson", headers=headers)
+        return litestar.Response({"request": one.request.identity, "done": True, "answer": event.answer},
+                                 headers=headers)
+
+    @litestar.get("/path", sync_to_thread=False)
+    def show_path() -> dict:
+        return {"counts": dict(edge.counts), "active": len(edge.active),
+                "workers": [one.name for one in edge.workers], "demand": dict(edge.demand),
+                "mean": edge.mean.total_seconds()}
+
+    return [take, show_path]
+
+
+def test_requests_are_checked_and_bounded_by_the_lane():
+    lanes = {"chat": lane.of("chat", {"kind": "turns", "services": ["a"], "budget": 100, "turn_output": 10})}
+    asked = request_of({"lane": "chat", "input": "x", "program": "p", "most": 50, "budget": 70}, lanes)
+    assert asked.most == 10 and asked.budget == 70
+    for body in ({}, [], {"lane": "chat"}, {"lane": "other", "input": 1}, {"lane": "chat", "input": 1, "x": 1},
+                 {"lane": "chat", "input": 1, "after": -1}):
+        try:
+            request_of(body, lanes)
+        except result.Refusal as refusal:
+            assert refusal.ran is result.Ran.NOT_RUN
+            continue
+        raise AssertionError(body)
--- /dev/null
+++ b/aspencroft/keep/candidate.py
@@ -0,0 +1,76 @@
+"""What a worker may keep: identity, size, chance of reuse and cheapest cost of getting it back."""
+
+import dataclasses
+import datetime
+
+import aspencroft.seam.moment as moment
+
+MODEL, ADAPTER, KV = "model", "adapter", "kv"
+BANDWIDTH = 24.3e9
+WEIGHT_STARTUP = moment.ZERO
+KV_STARTUP = moment.seconds(0.000707)
+KV_BYTES = 131_072
+LINEAR, SQUARE = 6.2e-5, 1.24e-9
+
+
+@dataclasses.dataclass(frozen=True)
+class Candidate:
+    """One thing that could stay in a worker's memory.
+
+    Example: ``Candidate(MODEL, "coder", 15_200_000_000, 0.9, moment.seconds(0.63), "")``
+    """
+
+    kind: str
+    name: str
+    size: int
+    chance: float
+    cost: datetime.timedelta
+    base: str
+
+    @property
+    def value(self) -> float:
+        """Expected recovery work avoided, in seconds.
+
+        Example: ``candidate.value == candidate.chance * candidate.cost.total_seconds()``
+        """
+        return self.chance * self.cost.total_seconds()
+
+    @property
+    def density(self) -> float:
+        """Value for each byte.
+
+        Example: ``sorted(candidates, key=lambda one: -one.density)``
+        """
+        return self.value / self.size
+
+
+def reload_cost(size: int, startup: datetime.timedelta) -> datetime.timedelta:
+    """Startup and transfer of so many bytes from the host.
+
+    Example: ``reload_cost(15_200_000_000, WEIGHT_STARTUP)`` is about 0.63 s.
+    """
+    return startup + moment.seconds(size / BANDWIDTH)
+
+
+def recompute_cost(tokens: int) -> datetime.timedelta:
+    """Prefill anew, fitted to the paper's 0.18, 2.64 and 8.89 s at 2.7K, 27.5K and 61.8K tokens.
+
+    Example: ``recompute_cost(27_500)`` is about 2.64 s.
+    """
+    return moment.seconds(LINEAR * tokens + SQUARE * tokens * tokens)
+
+
+def recovery_cost(tokens: int, on_host: bool) -> datetime.timedelta:
+    """The cheaper of reload and recompute for parked KV.
+
+    Example: ``recovery_cost(27_500, True) < recovery_cost(27_500, False)``
+    """
+    recompute = recompute_cost(tokens)
+    return min(recompute, reload_cost(tokens * KV_BYTES, KV_STARTUP)) if on_host else recompute
+
+
+def test_costs_agree_with_the_paper():
+    for tokens, seconds in ((2_700, 0.18), (27_500, 2.64), (61_800, 8.89)):
+        assert abs(recompute_cost(tokens).total_seconds() - seconds) / seconds < 0.06
+    assert abs(reload_cost(15_200_000_000, WEIGHT_STARTUP).total_seconds() - 0.63) < 0.01
+    assert recovery_cost(27_500, True) < moment.seconds(0.2) < recovery_cost(27_500, False)
--- /dev/null
+++ b/aspencroft/keep/keepplan.py
@@ -0,0 +1,126 @@
+"""A worker's keep plan: target and ready sets, and the row of orders between them."""
+
+import dataclasses
+import random
+
+import aspencroft.keep.candidate as candidate
+import aspencroft.keep.selection as selection
+import aspencroft.seam.moment as moment
+import aspencroft.worker.adapter as adapter
+
+DEVICE, HOST, LOADING, OFFLOADING = "device", "host", "loading", "offloading"
+
+
+@dataclasses.dataclass(frozen=True)
+class KeepPlan:
+    """What one worker is to hold, what it holds ready, and what is protected.
+
+    Example: ``KeepPlan("m1", ("model:coder",), (), (), 0)``: coder is wanted and not yet ready.
+    """
+
+    worker: str
+    target: tuple[str, ...]
+    ready: tuple[str, ...]
+    protected: tuple[str, ...]
+    shortfall: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Step:
+    """The orders that may be given now; those that wait for an offload's end come in a later step."""
+
+    release: tuple[str, ...]
+    offload: tuple[str, ...]
+    load: tuple[str, ...]
+    restore: tuple[str, ...]
+
+    def empty(self) -> bool:
+        """Whether there is nothing to order.
+
+        Example: ``Step((), (), (), ()).empty()``
+        """
+        return not (self.release or self.offload or self.load or self.restore)
+
+
+def key(kind: str, name: str) -> str:
+    """How orders and reports name a thing.
+
+    Example: ``key("model", "coder") == "model:coder"``
+    """
+    return f"{kind}:{name}"
+
+
+def step(held: dict[str, adapter.Kept], wanted: dict[str, int], protected: frozenset[str], memory: int) -> Step:
+    """The orders that lead from what is held to what is wanted without ever overfilling the memory.
+
+    A KV part without a host copy is offloaded, never just released; its bytes count as taken until
+    the worker says that the offload ended. What is protected stays.
+
+    Example: ``step({}, {"model:coder": 15}, frozenset(), 72).load == ("model:coder",)``
+    """
+    used = sum(one.size for one in held.values() if one.place != HOST)
+    release, offload, load, restore = [], [], [], []
+    for name, one in sorted(held.items()):
+        if name in wanted or name in protected or one.busy or one.place != DEVICE:
+            continue
+        if name.startswith(candidate.KV):
+            offload.append(name)
+        else:
+            release.append(name)
+            used -= one.size
+    for name, size in wanted.items():
+        one = held.get(name)
+        if one is not None and one.place != HOST:
+            continue
+        if used + size > memory:
+            continue
+        used += size
+        if one is None:
+            if not name.startswith(candidate.KV):
+                load.append(name)
+        else:
+            restore.append(name) if name.startswith(candidate.KV) else load.append(name)
+    return Step(tuple(release), tuple(offload), tuple(load), tuple(restore))
+
+
+def wanted_of(chosen: selection.Selection, protected: dict[str, int]) -> dict[str, int]:
+    """Names and sizes of the target set, protected things first, then by density.
+
+    Example: ``wanted_of(select(candidates, budget), {})``
+    """
+    wanted = dict(protected)
+    for one in sorted(chosen.chosen, key=lambda single: -single.density):
+        wanted[key(one.kind, one.name)] = one.size
+    return wanted
+
+
+def test_offload_ends_before_its_buffer_is_used():
+    for seed in range(300):
+        chance = random.Random(seed)
+        memory, held, wanted = 100, {}, {}
+        for number in range(8):
+            name = key(chance.choice([candidate.MODEL, candidate.KV]), f"x{number}")
+            size = chance.randrange(1, 30)
+            place = chance.choice([DEVICE, DEVICE, HOST, OFFLOADING, LOADING])
+            if sum(one.size for one in held.values()) + size <= memory and chance.random() < 0.7:
+                held[name] = adapter.Kept(name, size, 0, place, chance.random() < 0.2)
+            if sum(wanted.values()) + size <= memory and chance.random() < 0.5:
+                wanted[name] = size
+        protected = frozenset(name for name in held if chance.random() < 0.2)
+        one = step(held, wanted, protected, memory)
+        moved = {*one.release, *one.offload}
+        assert not moved & (protected | set(wanted)) and not any(held[name].busy for name in moved)
+        assert not any(name.startswith(candidate.KV) for name in one.release)
+        taken = sum(kept.size for name, kept in held.items() if kept.place != HOST and name not in one.release)
+        sizes = {**{name: kept.size for name, kept in held.items()}, **wanted}
+        assert taken + sum(sizes[name] for name in (*one.load, *one.restore)) <= memory
+
+
+def test_plan_reaches_its_target_step_by_step():
+    held = {"kv:p": adapter.Kept("kv:p", 40, 0, DEVICE, 0), "model:a": adapter.Kept("model:a", 50, 0, DEVICE, 0)}
+    first = step(held, {"model:b": 60}, frozenset(), 100)
+    assert first.release == ("model:a",) and first.offload == ("kv:p",) and first.load == ("model:b",)
+    second = step(held, {"model:b": 70}, frozenset(), 100)
+    assert second.load == ()
+    chosen = selection.select((candidate.Candidate(candidate.MODEL, "b", 60, 0.5, moment.seconds(1), ""),), 100)
+    assert wanted_of(chosen, {"model:a": 50}) == {"model:a": 50, "model:b": 60}
--- /dev/null
+++ b/aspencroft/keep/word.py
@@ -0,0 +1,33 @@
+"""What edges tell the holders of the residency and rest duties: one family of records."""
+
+import dataclasses
+
+import aspencroft.link.record as record
+
+
+@record.kind(160)
+@dataclasses.dataclass(frozen=True)
+class Called:
+    """A call went to a worker; its KV there grew to so many tokens."""
+
+    program: str
+    service: str
+    worker: str
+    tokens: int
+
+
+@record.kind(161)
+@dataclasses.dataclass(frozen=True)
+class Intended:
+    """A planner's header named the models that a program calls next."""
+
+    program: str
+    models: tuple[str, ...]
+
+
+@record.kind(162)
+@dataclasses.dataclass(frozen=True)
+class Wanted:
+    """A resting worker was needed."""
+
+    worker: str
--- /dev/null
+++ b/aspencroft/link/frame.py
@@ -0,0 +1,109 @@
+"""Frames of the link between nodes: length, kind, version, way, number, epoch, checksum."""
+
+import dataclasses
+import struct
+import zlib
+
+import aspencroft.link.record as record
+import aspencroft.seam.surroundings as surroundings
+
+HEADER = struct.Struct(">IHBBQQI")
+VERSION = 1
+LARGEST = 64 << 20
+TELL, ASK, ANSWER, FAULT = range(4)
+
+
+class BrokenFrame(ValueError):
+    """Bytes that are no frame of this version."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Frame:
+    """One message on a link.
+
+    Example: ``Frame(ASK, 17, 3, message)``
+    """
+
+    way: int
+    number: int
+    epoch: int
+    message: object
+
+
+def encode(frame: Frame) -> bytes:
+    """The frame's bytes.
+
+    Example: ``await channel.write(frame.encode(one))``
+    """
+    body = record.pack(frame.message)
+    if len(body) > LARGEST:
+        raise BrokenFrame(f"a body of {len(body)} bytes is over the limit")
+    start = HEADER.pack(len(body), record.NUMBERS[type(frame.message)], VERSION, frame.way,
+                        frame.number, frame.epoch, 0)[:-4]
+    return start + struct.pack(">I", zlib.crc32(body, zlib.crc32(start))) + body
+
+
+async def receive(channel: surroundings.Channel) -> Frame:
+    """The next frame of a channel; BrokenFrame when the bytes are none.
+
+    Example: ``one = await frame.receive(channel)``
+    """
+    header = await channel.read(HEADER.size)
+    length, kind, version, way, number, epoch, checksum = HEADER.unpack(header)
+    if version != VERSION:
+        raise BrokenFrame(f"version {version}")
+    if length > LARGEST or way > FAULT:
+        raise BrokenFrame("length or way out of range")
+    body = await channel.read(length)
+    if zlib.crc32(body, zlib.crc32(header[:-4])) != checksum:
+        raise BrokenFrame("checksum")
+    record_type = record.KINDS.get(kind)
+    if record_type is None:
+        raise BrokenFrame(f"kind {kind}")
+    try:
+        return Frame(way, number, epoch, record.unpack(record_type, body))
+    except record.Broken as error:
+        raise BrokenFrame(str(error)) from error
+
+
+class Buffer:
+    """A channel over bytes, for the test below."""
+
+    def __init__(self, data: bytes):
+        self.data = data
+
+    async def read(self, count: int) -> bytes:
+        """Bytes from the front.
+
+        Example: ``await Buffer(b"abc").read(2) == b"ab"``
+        """
+        piece, self.data = self.data[:count], self.data[count:]
+        if len(piece) < count:
+            raise EOFError
+        return piece
+
+
+@record.kind(1)
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    """A refusal on the link: result number, whether anything ran, detail, microseconds to wait."""
+
+    result: int
+    ran: str
+    detail: str
+    retry: int
+
+
+def test_any_flipped_byte_is_found():
+    import asyncio
+    one = Frame(FAULT, 7, 3, Fault(1401, "not run", "detail", 5))
+    data = encode(one)
+    assert asyncio.run(receive(Buffer(data))) == one
+    for place in range(len(data)):
+        changed = bytearray(data)
+        changed[place] ^= 0x41
+        try:
+            asyncio.run(receive(Buffer(bytes(changed))))
+        except (BrokenFrame, EOFError):
+            continue
+        raise AssertionError(f"byte {place} changed unseen")
--- /dev/null
+++ b/aspencroft/link/link.py
@@ -0,0 +1,251 @@
+"""The node's links: one task for each fellow and each accepted connection."""
+
+import asyncio
+import collections
+import datetime
+import itertools
+import typing
+
+import logbook
+
+import aspencroft.code.result as result
+import aspencroft.link.frame as frame
+import aspencroft.seam.moment as moment
+import aspencroft.seam.surroundings as surroundings
+
+LOG = logbook.Logger("link")
+WAITING = 1024
+SERVED_AT_ONCE = 512
+CONNECT = moment.seconds(1)
+REST = moment.seconds(0.2)
+IDLE = moment.seconds(60)
+
+
+class Server(typing.Protocol):
+    """Whoever answers the messages that reach a node."""
+
+    async def answer(self, message): ...
+
+
+class Fellow:
+    """The way to one other node: a bounded queue out, a table of answers awaited."""
+
+    def __init__(self, address: str, link: "Link"):
+        self.address = address
+        self.link = link
+        self.outward: asyncio.Queue[frame.Frame] = asyncio.Queue(WAITING)
+        self.awaited: dict[int, asyncio.Future] = {}
+
+    async def run(self) -> None:
+        """Connect, send and receive until idle for long.
+
+        Example: ``group.create_task(fellow.run())``
+        """
+        while True:
+            try:
+                async with moment.limit(IDLE):
+                    first = await self.outward.get()
+            except TimeoutError:
+                if self.outward.empty():
+                    self.link.fellows.pop(self.address, None)
+                    return
+                continue
+            channel = None
+            try:
+                async with moment.limit(CONNECT):
+                    channel = await self.link.surroundings.network.connect(self.address)
+                async with asyncio.TaskGroup() as group:
+                    group.create_task(self.send(channel, first))
+                    group.create_task(self.receive(channel))
+            except* (OSError, EOFError, TimeoutError, frame.BrokenFrame) as group_error:
+                if any(isinstance(error, frame.BrokenFrame) for error in group_error.exceptions):
+                    self.link.counts["broken frames"] += 1
+            finally:
+                if channel is not None:
+                    channel.close()
+                self.fail()
+            await moment.pause(REST)
+
+    async def send(self, channel: surroundings.Channel, first: frame.Frame) -> None:
+        """Write frames as they come.
+
+        Example: ``group.create_task(fellow.send(channel, first))``
+        """
+        one = first
+        while True:
+            await channel.write(frame.encode(one))
+            one = await self.outward.get()
+
+    async def receive(self, channel: surroundings.Channel) -> None:
+        """Match answers with whoever awaits them.
+
+        Example: ``group.create_task(fellow.receive(channel))``
+        """
+        while True:
+            one = await frame.receive(channel)
+            waiting = self.awaited.pop(one.number, None)
+            if waiting is not None and not waiting.done():
+                waiting.set_result(one)
+
+    def fail(self) -> None:
+        """The connection is gone: nobody who waits gets an answer any more.
+
+        Example: ``fellow.fail()``
+        """
+        while not self.outward.empty():
+            self.outward.get_nowait()
+        for waiting in self.awaited.values():
+            if not waiting.done():
+                waiting.set_exception(result.Refusal(result.Result.UNREACHABLE, result.Ran.UNKNOWN,
+                                                     self.address))
+        self.awaited.clear()
+
+
+class Link:
+    """All links of one node.
+
+    Example: ``await link.ask("127.0.0.1:7000", message, moment.seconds(1))``
+    """
+
+    def __init__(self, around: surroundings.Surroundings, address: str, server: Server):
+        self.surroundings = around
+        self.address = address
+        self.server = server
+        self.fellows: dict[str, Fellow] = {}
+        self.numbers = itertools.count(1)
+        self.counts: collections.Counter = collections.Counter()
+        self.group: asyncio.TaskGroup | None = None
+
+    async def run(self, ready: asyncio.Event) -> None:
+        """Listen, and serve every connection in a task of its own.
+
+        Example: ``group.create_task(link.run(ready))``
+        """
+        accepted = await self.surroundings.network.listen(self.address)
+        async with asyncio.TaskGroup() as group:
+            self.group = group
+            ready.set()
+            while True:
+                channel = await accepted.get()
+                group.create_task(self.serve(channel))
+
+    async def serve(self, channel: surroundings.Channel) -> None:
+        """Answer the frames of one accepted connection until it ends.
+
+        Example: ``group.create_task(link.serve(channel))``
+        """
+        places = asyncio.Semaphore(SERVED_AT_ONCE)
+        answers: asyncio.Queue[frame.Frame] = asyncio.Queue(SERVED_AT_ONCE)
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self.send_answers(channel, answers))
+                while True:
+                    one = await frame.receive(channel)
+                    self.counts["frames in"] += 1
+                    await places.acquire()
+                    group.create_task(self.handle(one, answers, places))
+        except* (OSError, EOFError):
+            pass
+        except* frame.BrokenFrame as broken:
+            self.counts["broken frames"] += 1
+            LOG.warning("closed a connection: {}", broken.exceptions)
+        finally:
+            channel.close()
+
+    async def send_answers(self, channel: surroundings.Channel, answers: asyncio.Queue) -> None:
+        """Write a connection's answers in the order in which they come to be.
+
+        Example: ``group.create_task(link.send_answers(channel, answers))``
+        """
+        while True:
+            await channel.write(frame.encode(await answers.get()))
+
+    async def handle(self, one: frame.Frame, answers: asyncio.Queue, places: asyncio.Semaphore) -> None:
+        """Have one message answered.
+
+        Example: ``group.create_task(link.handle(one, answers, places))``
+        """
+        try:
+            reply = await self.server.answer(one.message)
+            if one.way == frame.ASK:
+                await answers.put(frame.Frame(frame.ANSWER, one.number, 0, reply))
+        except result.Refusal as refusal:
+            if one.way == frame.ASK:
+                await answers.put(frame.Frame(frame.FAULT, one.number, 0, to_fault(refusal)))
+        except Exception as error:
+            self.counts["internal faults"] += 1
+            LOG.exception("a message could not be answered: {}", type(one.message).__name__)
+            if one.way == frame.ASK:
+                refusal = result.Refusal(result.Result.INTERNAL, result.Ran.UNKNOWN, repr(error))
+                await answers.put(frame.Frame(frame.FAULT, one.number, 0, to_fault(refusal)))
+        finally:
+            places.release()
+
+    def queue(self, address: str, one: frame.Frame) -> Fellow:
+        """Put a frame into a fellow's bounded queue; refused at once when it is full.
+
+        Example: ``link.queue(address, one)``
+        """
+        fellow = self.fellows.get(address)
+        if fellow is None:
+            if self.group is None:
+                raise result.Refusal(result.Result.UNREACHABLE, detail="the link is not up")
+            fellow = self.fellows[address] = Fellow(address, self)
+            self.group.create_task(fellow.run())
+        if fellow.outward.full():
+            self.counts["refused"] += 1
+            raise result.Refusal(result.Result.UNREACHABLE, detail=f"queue to {address} is full")
+        self.counts["frames out"] += 1
+        fellow.outward.put_nowait(one)
+        return fellow
+
+    def tell(self, address: str, message, epoch: int = 0) -> None:
+        """Send without awaiting an answer; it may be lost.
+
+        Example: ``link.tell(address, Beat(...))``
+        """
+        try:
+            self.queue(address, frame.Frame(frame.TELL, 0, epoch, message))
+        except result.Refusal:
+            self.counts["tells lost"] += 1
+
+    async def ask(self, address: str, message, within: datetime.timedelta, epoch: int = 0):
+        """Send and await the answer; a Refusal when there is none in time.
+
+        Example: ``reply = await link.ask(address, Raise(...), moment.seconds(1))``
+        """
+        if address == self.address:
+            return await self.server.answer(message)
+        number = next(self.numbers)
+        waiting = asyncio.get_running_loop().create_future()
+        fellow = self.queue(address, frame.Frame(frame.ASK, number, epoch, message))
+        fellow.awaited[number] = waiting
+        try:
+            async with moment.limit(within):
+                one = await waiting
+        except TimeoutError:
+            raise result.Refusal(result.Result.UNREACHABLE, result.Ran.UNKNOWN,
+                                 f"{address} did not answer in time") from None
+        finally:
+            fellow.awaited.pop(number, None)
+        if one.way == frame.FAULT:
+            raise from_fault(one.message)
+        return one.message
+
+
+def to_fault(refusal: result.Refusal) -> frame.Fault:
+    """A refusal as a record.
+
+    Example: ``from_fault(to_fault(refusal)).result is refusal.result``
+    """
+    retry = -1 if refusal.retry is None else int(refusal.retry.total_seconds() * 1e6)
+    return frame.Fault(refusal.result.number, refusal.ran.value, refusal.detail, retry)
+
+
+def from_fault(fault: frame.Fault) -> result.Refusal:
+    """The refusal that a record holds.
+
+    Example: ``raise from_fault(message)``
+    """
+    retry = None if fault.retry < 0 else datetime.timedelta(microseconds=fault.retry)
+    return result.Refusal(result.by_number(fault.result), result.Ran(fault.ran), fault.detail, retry)
--- /dev/null
+++ b/aspencroft/node/node.py
@@ -0,0 +1,338 @@
+"""One node: link, ring, witness, copies of pairs and relay, the same in both programs."""
+
+import asyncio
+import time
+
+import logbook
+
+import aspencroft.code.result as result
+import aspencroft.edge.story as story
+import aspencroft.link.link as link
+import aspencroft.link.record as record
+import aspencroft.node.settings as settings
+import aspencroft.pair.copy as copy
+import aspencroft.pair.electorate as electorate
+import aspencroft.pair.exchange as exchange
+import aspencroft.pair.holding as holding
+import aspencroft.pair.host as host
+import aspencroft.pair.seat as seat
+import aspencroft.pair.witness as witness
+import aspencroft.plan.control as control
+import aspencroft.relay.news as news
+import aspencroft.relay.relay as relay
+import aspencroft.ring.fellow as fellow
+import aspencroft.ring.ring as ring
+import aspencroft.seam.moment as moment
+import aspencroft.seam.surroundings as surroundings
+import aspencroft.talk.talk as talk
+
+LOG = logbook.Logger("node")
+STEP = moment.seconds(0.25)
+GO = moment.seconds(1.2)
+AGAIN = moment.seconds(0.15)
+FIRST_ROSTER = 1
+
+
+class Node:
+    """What every process of the fleet is, whatever its program.
+
+    Example: ``await Node(place, around).run()``
+    """
+
+    def __init__(self, place: settings.Settings, around: surroundings.Surroundings):
+        self.settings = place
+        self.surroundings = around
+        self.address = place.address
+        self.incarnation = int(time.time() * 1000)
+        self.link = link.Link(around, place.address, self)
+        roster = holding.Roster(FIRST_ROSTER, place.seeds, ())
+        self.electorate = electorate.Electorate(around, self.link, roster)
+        data = place.data
+        me = fellow.Fellow(place.address, self.incarnation, 0, fellow.LIVE, place.area, place.role, place.http,
+                           data is not None)
+        self.ring = ring.Ring(around, self.link, me, place.seeds, self.electorate)
+        self.witness = witness.Witness(around, data / "witness" if data else None, self.incarnation, roster)
+        self.seat = seat.Seat(self.witness, self.link, self.electorate, place.address, place.pairs,
+                              self.candidates)
+        self.relay = relay.Relay(self.link, self.ring)
+        self.hosts: dict[int, host.Host] = {}
+        if data is not None:
+            for pair in range(place.pairs):
+                held = copy.Copy(around, data / f"pair-{pair}", pair, talk.Talk if pair else control.Control)
+                self.hosts[pair] = host.Host(held, self.link, self.electorate, place.address, place.area,
+                                             self.candidates, self.emptied, self.ring.hold)
+        self.started = asyncio.Event()
+        self.stopping = asyncio.Event()
+        self.opened = False
+        self.stories: story.Stories | None = None
+
+    # -- what is known of others -----------------------------------------------------------------
+
+    def candidates(self) -> tuple[host.Candidate, ...]:
+        """Live nodes with a disk.
+
+        Example: ``node.candidates()``
+        """
+        return tuple(host.Candidate(one.address, one.area) for one in self.ring.fellows.values()
+                     if one.disk and one.state == fellow.LIVE)
+
+    def emptied(self, address: str) -> bool:
+        """Whether a node is to hold no copies: emptied by an operator, or stopping.
+
+        Example: ``node.emptied("127.0.0.1:7001")``
+        """
+        return (address in self.relay.plan.emptied or self.ring.state(address) == fellow.LEAVING)
+
+    # -- messages --------------------------------------------------------------------------------
+
+    async def answer(self, message):
+        """Answer a message of another node.
+
+        Example: ``reply = await node.answer(holding.Survey("a:1"))``
+        """
+        match message:
+            case fellow.Beat():
+                return await self.ring.beat(message)
+            case news.Pull():
+                return self.relay.answer_pull(message, self.rooted())
+            case fellow.Join():
+                return self.ring.join(message)
+            case news.Push():
+                self.relay.hurry.set()
+                return holding.Okay()
+            case fellow.Confirm():
+                return await self.ring.confirm(message)
+            case exchange.Append():
+                return await self.host(message.holding.pair).append(message)
+            case exchange.Submit():
+                return await self.answer_submit(message)
+            case holding.Claim():
+                return await self.witness.claim(message)
+            case holding.Raise():
+                return await self.witness.raise_ballot(message)
+            case holding.Accept():
+                return await self.witness.accept(message)
+            case holding.Survey():
+                return self.witness.survey()
+            case holding.SeedWitness():
+                await self.witness.learn(message.roster, message.ballots)
+                return holding.Okay()
+            case holding.Report():
+                return self.report()
+            case exchange.Compare():
+                return self.host(message.pair).compare(message)
+            case exchange.Mend():
+                return await self.host(message.holding.pair).mend(message)
+            case exchange.Appoint():
+                return await self.host(message.holding.pair).appoint(message)
+            case news.WriteEverywhere():
+                return await self.write_here(message)
+            case news.ReadEverywhere():
+                return await self.host(0).submit(control.ReadPlan(message.after), GO)
+            case story.TellStory():
+                held = self.stories.held.get(message.request) if self.stories is not None else None
+                if held is None:
+                    raise result.Refusal(result.Result.UNKNOWN_REQUEST, result.Ran.UNKNOWN)
+                return held
+            case news.Publish():
+                if not self.rooted():
+                    raise result.Refusal(result.Result.NOT_PRIMARY)
+                self.relay.learn(message.news)
+                return holding.Okay()
+        raise result.Refusal(result.Result.FRAME_BROKEN, detail=type(message).__name__)
+
+    def host(self, pair: int) -> host.Host:
+        """This node's part in a pair; refused without a disk or before the disk was read.
+
+        Example: ``node.host(0).claimed()``
+        """
+        found = self.hosts.get(pair)
+        if found is None or not self.opened:
+            raise result.Refusal(result.Result.NOT_PRIMARY, detail="no copy is open here", retry=moment.seconds(1))
+        return found
+
+    def report(self) -> holding.Reported:
+        """The copies on this node's disk.
+
+        Example: ``node.report().copies``
+        """
+        copies = tuple(holding.CopyReport(pair, self.host(pair).copy.identity, self.host(pair).copy.holding,
+                                          self.host(pair).copy.last().sequence) for pair in self.hosts)
+        return holding.Reported(self.settings.area, copies)
+
+    async def answer_submit(self, message: exchange.Submit) -> exchange.Submitted:
+        """Have a command decided here, if this node is the pair's primary.
+
+        Example: ``await node.answer_submit(exchange.Submit(1, within, body))``
+        """
+        held = self.host(message.pair)
+        reply = await held.submit(record.untagged(message.body), message.within)
+        return exchange.Submitted(record.tagged(reply), held.known)
+
+    async def submit(self, pair: int, command, within=2 * GO):
+        """Have a command decided by a pair's primary, wherever it is; commands bear being said twice.
+
+        Example: ``reply = await node.submit(1, speech.OpenTurn(...))``
+        """
+        end = moment.now() + within
+        unknown = None
+        while True:
+            held = self.ring.holdings.get(pair)
+            left = end - moment.now()
+            try:
+                if held is None:
+                    raise result.Refusal(result.Result.NOT_PRIMARY, detail=f"pair {pair} is not known yet")
+                message = exchange.Submit(pair, min(GO, left), record.tagged(command))
+                reply = await self.link.ask(held.primary.address, message, min(GO, left))
+                return record.untagged(reply.body)
+            except result.Refusal as refusal:
+                if refusal.ran is result.Ran.UNKNOWN and refusal.result is not result.Result.INTERNAL:
+                    unknown = refusal
+                elif refusal.result not in (result.Result.NOT_PRIMARY, result.Result.NO_BACKUP):
+                    raise
+                if moment.now() + AGAIN >= end:
+                    raise unknown or refusal from None
+            await moment.pause(AGAIN)
+
+    # -- the plan --------------------------------------------------------------------------------
+
+    def rooted(self) -> bool:
+        """Whether this node is the root of the relay tree: the control pair's primary under a claim.
+
+        Example: ``node.rooted()``
+        """
+        return self.relay.root and 0 in self.hosts and self.hosts[0].claimed()
+
+    async def root(self) -> None:
+        """While primary of the control pair, feed the relay tree with what both copies hold.
+
+        Example: ``group.create_task(node.root())``
+        """
+        while True:
+            held = self.hosts[0]
+            if not held.claimed():
+                self.relay.root = False
+                await moment.pause(STEP / 2)
+                continue
+            if not self.relay.root:
+                self.relay.become_root()
+            held.committed.clear()
+            try:
+                self.relay.take_committed(await held.submit(control.ReadPlan(self.relay.revision), GO))
+            except result.Refusal:
+                await moment.pause(STEP / 5)
+            if self.rooted():
+                self.relay.currency_end = max(self.relay.currency_end, held.claim_end)
+            try:
+                async with moment.limit(STEP):
+                    await held.committed.wait()
+            except TimeoutError:
+                pass
+
+    async def write_here(self, message: news.WriteEverywhere) -> news.Written:
+        """As root: store an operator's write, then wait until it is in force everywhere.
+
+        Example: ``await node.write_here(message)``
+        """
+        started = moment.now()
+        written = await self.host(0).submit(message.write, message.within)
+        try:
+            async with moment.limit(message.within + 2 * relay.CURRENCY):
+                await self.relay.everywhere(written.revision)
+        except TimeoutError:
+            raise result.Refusal(result.Result.OUTCOME_UNKNOWN, result.Ran.UNKNOWN,
+                                 "stored, but not known to be in force everywhere") from None
+        if not self.rooted():
+            raise result.Refusal(result.Result.OUTCOME_UNKNOWN, result.Ran.UNKNOWN, "the primary changed")
+        return news.Written(written.revision, written.changed, moment.now() - started)
+
+    async def write_plan(self, write: control.WritePlan) -> news.Written:
+        """Send an operator's write on to the root, wherever it is.
+
+        Example: ``await node.write_plan(control.WritePlan("merge", "", "", body, None))``
+        """
+        end = moment.now() + moment.seconds(8)
+        message = news.WriteEverywhere(write, 2 * GO)
+        while True:
+            held = self.ring.holdings.get(0)
+            try:
+                if held is None:
+                    raise result.Refusal(result.Result.NOT_PRIMARY, detail="the control pair is not known yet",
+                                         retry=moment.seconds(1))
+                return await self.link.ask(held.primary.address, message, 2 * GO + 3 * relay.CURRENCY)
+            except result.Refusal as refusal:
+                retried = refusal.result in (result.Result.NOT_PRIMARY, result.Result.NO_BACKUP)
+                if not retried or moment.now() > end:
+                    raise
+            await moment.pause(AGAIN)
+
+    # -- life ------------------------------------------------------------------------------------
+
+    async def run(self) -> None:
+        """Be a node until stopped.
+
+        Example: ``await node.run()``
+        """
+        ready = asyncio.Event()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.link.run(ready))
+            await ready.wait()
+            await self.witness.start()
+            for held in self.hosts.values():
+                await held.copy.open()
+            self.opened = True
+            group.create_task(self.ring.run())
+            group.create_task(self.seat.run())
+            group.create_task(self.relay.run())
+            for held in self.hosts.values():
+                group.create_task(held.run())
+            if self.hosts:
+                group.create_task(self.root())
+            group.create_task(self.share_holdings())
+            self.started.set()
+
+    async def share_holdings(self) -> None:
+        """Let this node's copies hear of newer records of holders.
+
+        Example: ``group.create_task(node.share_holdings())``
+        """
+        while True:
+            for pair, held in self.ring.holdings.items():
+                if pair in self.hosts:
+                    self.hosts[pair].learn(held)
+            if not self.ring.holdings and self.witness.voting:
+                for ballot in list(self.witness.ballots.values()):
+                    if ballot.value and ballot.register != holding.ROSTER:
+                        self.ring.hold(record.untagged(ballot.value))
+            try:
+                async with moment.limit(STEP):
+                    await self.ring.changed.wait()
+            except TimeoutError:
+                pass
+            self.ring.changed.clear()
+
+    def status(self) -> dict:
+        """What an operator should see of this node.
+
+        Example: ``node.status()["pairs"]``
+        """
+        return {
+            "address": self.address, "area": self.settings.area, "role": self.settings.role,
+            "incarnation": self.incarnation, "leaving": self.stopping.is_set(),
+            "plan": {"revision": self.relay.revision.text(), "current": self.relay.current(),
+                     "root": self.relay.root, "parent": self.relay.parent(),
+                     "children": sorted(self.relay.children)},
+            "witness": {"voting": self.witness.voting, "why": self.seat.why,
+                        "roster": list(self.electorate.roster.everyone()),
+                        "roster_number": self.electorate.roster.number},
+            "fellows": [{"address": one.address, "state": fellow.STATES[one.state], "area": one.area,
+                         "role": one.role, "http": one.http, "disk": one.disk}
+                        for one in self.ring.table().fellows],
+            "holders": {str(pair): {"epoch": held.epoch, "primary": held.primary.address,
+                                    "backup": held.backup.address if held.backup else None}
+                        for pair, held in sorted(self.ring.holdings.items())},
+            "pairs": {str(pair): {"why": held.why, "claimed": held.claimed(),
+                                  "sequence": held.copy.last().sequence, "disk": held.copy.condition.value,
+                                  **held.counts} for pair, held in self.hosts.items()},
+            "counts": {"link": dict(self.link.counts), "ring": self.ring.counts, "relay": self.relay.counts},
+        }
--- /dev/null
+++ b/aspencroft/node/operator.py
@@ -0,0 +1,220 @@
+"""HTTP for operators, the same on every node: plan resources, what is observed, health and status."""
+
+import asyncio
+import collections.abc
+import json
+
+import litestar
+import litestar.exceptions
+import litestar.response
+
+import aspencroft.code.result as result
+import aspencroft.edge.story as story
+import aspencroft.node.node as node
+import aspencroft.plan.control as control
+import aspencroft.plan.plan as plan
+import aspencroft.relay.news as news
+import aspencroft.ring.fellow as fellow
+import aspencroft.seam.moment as moment
+
+OBSERVED = ("workers", "keeps", "quiet")
+LONGEST_WATCH = moment.seconds(300)
+STORY_ASK = moment.seconds(1)
+
+
+def refusal_response(refusal: result.Refusal) -> litestar.Response:
+    """A refusal as HTTP: number, whether anything ran, and when to come back.
+
+    Example: ``return refusal_response(refusal)``
+    """
+    headers = {}
+    if refusal.retry is not None:
+        headers["Retry-After"] = str(max(1, round(refusal.retry.total_seconds())))
+    shown = refusal.document()
+    if refusal.result is result.Result.PLAN_INVALID:
+        shown["faults"] = json.loads(refusal.detail)
+        shown["detail"] = f"{len(shown['faults'])} faults; nothing was stored"
+    return litestar.Response({"error": shown}, status_code=refusal.result.status, headers=headers,
+                             media_type="application/json")
+
+
+def on_refusal(_: litestar.Request, refusal: Exception) -> litestar.Response:
+    """What litestar does with a Refusal.
+
+    Example: ``exception_handlers={result.Refusal: on_refusal}``
+    """
+    return refusal_response(refusal)
+
+
+def on_http(_: litestar.Request, error: Exception) -> litestar.Response:
+    """What litestar does with requests that it refuses itself: too large, no such path, wrong method.
+
+    Example: ``exception_handlers={litestar.exceptions.HTTPException: on_http}``
+    """
+    known = {404: result.Result.UNKNOWN_RESOURCE, 405: result.Result.READ_ONLY, 413: result.Result.TOO_LARGE}
+    refusal = result.Refusal(known.get(error.status_code, result.Result.MALFORMED), detail=str(error.detail))
+    if error.status_code >= 500:
+        refusal = result.Refusal(result.Result.INTERNAL, result.Ran.UNKNOWN, str(error.detail))
+    return refusal_response(refusal)
+
+
+def json_body(raw: bytes):
+    """The JSON of a body, or a Refusal.
+
+    Example: ``json_body(b"{}") == {}``
+    """
+    try:
+        return json.loads(raw)
+    except (ValueError, UnicodeDecodeError, RecursionError) as error:
+        raise result.Refusal(result.Result.MALFORMED, detail=str(error)) from None
+
+
+def condition_of(request: litestar.Request) -> control.Revision | None:
+    """The revision that If-Match names, if any; If-None-Match: * means that there is none yet.
+
+    Example: ``condition_of(request)``
+    """
+    named = request.headers.get("if-match")
+    if named is not None:
+        return control.revision_of(named)
+    return control.NEVER if request.headers.get("if-none-match") == "*" else None
+
+
+def handlers(own: node.Node) -> list:
+    """The handlers that every node serves.
+
+    Example: ``litestar.Litestar(handlers(own))``
+    """
+    async def write(way: str, kind: str, name: str, request: litestar.Request) -> litestar.Response:
+        raw = await request.body()
+        body = "" if way == "delete" else json.dumps(json_body(raw))
+        if way in ("whole", "merge") and not body.startswith("{"):
+            raise result.Refusal(result.Result.MALFORMED, detail="expected an object")
+        written = await own.write_plan(control.WritePlan(way, kind, name, body, condition_of(request)))
+        return litestar.Response({"revision": written.revision.text(), "changed": written.changed,
+                                  "waited": written.waited.total_seconds()}, status_code=200,
+                                 headers={"ETag": f'"{written.revision.text()}"'})
+
+    def resource(kind: str, name: str) -> dict:
+        spec = own.relay.document.get(kind, {}).get(name)
+        if spec is None:
+            raise result.Refusal(result.Result.UNKNOWN_RESOURCE, detail=f"{kind}/{name}")
+        return {"kind": kind, "name": name, "spec": spec,
+                "revision": own.relay.revisions.get(f"{kind}/{name}", control.NEVER.text()),
+                "status": {"in_force": own.relay.current(), "plan_revision": own.relay.revision.text()}}
+
+    async def watch_plan(after: control.Revision) -> collections.abc.AsyncIterator[bytes]:
+        end, held, known = moment.now() + LONGEST_WATCH, {}, after
+        if after == control.NEVER or after == own.relay.revision:
+            held = {} if after == control.NEVER else own.relay.document
+        else:
+            raise result.Refusal(result.Result.WATCH_GONE, detail=after.text())
+        while moment.now() < end and not own.stopping.is_set():
+            if known < own.relay.revision:
+                changes = [{"kind": kind, "name": name, "spec": json.loads(spec) if spec else None}
+                           for kind, name, spec in plan.differences(held, own.relay.document)]
+                held, known = own.relay.document, own.relay.revision
+                yield json.dumps({"revision": known.text(), "changes": changes}).encode() + b"\n"
+            await wait_change(news.PLAN)
+
+    async def watch_topic(topic: str) -> collections.abc.AsyncIterator[bytes]:
+        end, known = moment.now() + LONGEST_WATCH, control.NEVER
+        while moment.now() < end and not own.stopping.is_set():
+            held = own.relay.topics.get(topic)
+            if held is not None and known < held.revision:
+                known = held.revision
+                yield json.dumps({"revision": known.text(), topic: json.loads(held.body)}).encode() + b"\n"
+            await wait_change(topic)
+
+    async def wait_change(topic: str) -> None:
+        try:
+            async with moment.limit(moment.seconds(1)):
+                await own.relay.changed(topic)
+        except TimeoutError:
+            pass
+
+    @litestar.get("/health", sync_to_thread=False)
+    def health() -> dict:
+        return {"alive": True, "address": own.address}
+
+    @litestar.get("/ready", sync_to_thread=False)
+    def ready() -> litestar.Response:
+        good = own.relay.current() and not own.stopping.is_set()
+        return litestar.Response({"ready": good, "plan": own.relay.revision.text(),
+                                  "leaving": own.stopping.is_set()}, status_code=200 if good else 503)
+
+    @litestar.get("/status", sync_to_thread=False)
+    def status() -> dict:
+        return own.status()
+
+    @litestar.get("/plan")
+    async def read_plan(watch: bool = False, after: str = "0.0") -> litestar.Response:
+        if watch:
+            from_revision = control.revision_of(after)
+            if from_revision not in (control.NEVER, own.relay.revision):
+                raise result.Refusal(result.Result.WATCH_GONE, detail=f"here it is {own.relay.revision.text()}")
+            return litestar.response.Stream(watch_plan(from_revision), media_type="application/x-ndjson")
+        return litestar.Response({"plan": own.relay.document, "revision": own.relay.revision.text(),
+                                  "revisions": own.relay.revisions, "current": own.relay.current()},
+                                 headers={"ETag": f'"{own.relay.revision.text()}"'})
+
+    @litestar.put("/plan")
+    async def put_plan(request: litestar.Request) -> litestar.Response:
+        return await write("whole", "", "", request)
+
+    @litestar.patch("/plan")
+    async def patch_plan(request: litestar.Request) -> litestar.Response:
+        return await write("merge", "", "", request)
+
+    @litestar.get("/plan/{kind:str}/{name:str}", sync_to_thread=False)
+    def read_resource(kind: str, name: str) -> dict:
+        return resource(kind, name)
+
+    @litestar.put("/plan/{kind:str}/{name:str}")
+    async def put_resource(kind: str, name: str, request: litestar.Request) -> litestar.Response:
+        return await write("put", kind, name, request)
+
+    @litestar.delete("/plan/{kind:str}/{name:str}", status_code=200)
+    async def delete_resource(kind: str, name: str, request: litestar.Request) -> litestar.Response:
+        return await write("delete", kind, name, request)
+
+    @litestar.get("/observed/{topic:str}", sync_to_thread=False)
+    def read_topic(topic: str, watch: bool = False) -> litestar.Response:
+        if topic not in OBSERVED:
+            raise result.Refusal(result.Result.UNKNOWN_RESOURCE, detail=topic)
+        if watch:
+            return litestar.response.Stream(watch_topic(topic), media_type="application/x-ndjson")
+        held = own.relay.topics.get(topic)
+        shown = json.loads(held.body) if held is not None else {}
+        return litestar.Response({"revision": (held.revision if held else control.NEVER).text(), topic: shown})
+
+    @litestar.get("/requests/{identity:str}")
+    async def read_story(identity: str) -> dict:
+        found = []
+
+        async def ask(address: str) -> None:
+            try:
+                found.append(await own.link.ask(address, story.TellStory(identity), STORY_ASK))
+            except result.Refusal:
+                pass
+
+        async with asyncio.TaskGroup() as group:
+            for one in own.ring.fellows.values():
+                if one.state != fellow.DOWN and one.role == "edge":
+                    group.create_task(ask(one.address))
+        if not found:
+            raise result.Refusal(result.Result.UNKNOWN_REQUEST, result.Ran.UNKNOWN, identity)
+        return {"request": identity, "stories": [story.document(one) for one in found]}
+
+    return [health, ready, status, read_plan, put_plan, patch_plan, read_resource, put_resource, delete_resource,
+            read_topic, read_story]
+
+
+def application(own: node.Node, more: list) -> litestar.Litestar:
+    """The whole HTTP face of a node.
+
+    Example: ``operator.application(own, [])``
+    """
+    return litestar.Litestar([*handlers(own), *more], openapi_config=None, request_max_body_size=plan.LARGEST,
+                             exception_handlers={result.Refusal: on_refusal,
+                                                 litestar.exceptions.HTTPException: on_http})
--- /dev/null
+++ b/aspencroft/program/daemon.py
@@ -0,0 +1,126 @@
+"""What both programs share: settings, the log ring, the HTTP server, signals, a graceful stop."""
+
+import asyncio
+import collections.abc
+import contextlib
+import signal
+import sys
+
+import litestar
+import logbook
+import uvicorn
+
+import aspencroft.node.node as node
+import aspencroft.node.operator as operator
+import aspencroft.node.settings as settings
+import aspencroft.seam.boottime as boottime
+import aspencroft.seam.moment as moment
+import aspencroft.seam.surroundings as surroundings
+
+RING = 2000
+HAND_OVER = moment.seconds(4)
+LAST_WORDS = moment.seconds(0.3)
+
+
+class Server(uvicorn.Server):
+    """uvicorn without its own signal handling: the daemon decides when to stop."""
+
+    @contextlib.contextmanager
+    def capture_signals(self):
+        """Leave signals alone.
+
+        Example: ``with server.capture_signals(): ...``
+        """
+        yield
+
+
+def server_of(own: node.Node, more: list) -> Server:
+    """The HTTP server of a node, not yet started.
+
+    Example: ``await server_of(own, []).serve()``
+    """
+    host, port = own.settings.http.rsplit(":", 1)
+    return Server(uvicorn.Config(operator.application(own, more), host=host, port=int(port), log_config=None,
+                                 access_log=False, lifespan="off", timeout_keep_alive=20,
+                                 timeout_graceful_shutdown=1, backlog=1024))
+
+
+async def live(own: node.Node, more: list, works: list[collections.abc.Callable],
+               drain: collections.abc.Callable) -> None:
+    """Run a node, its HTTP server and its program's own work until a signal comes, then stop gracefully.
+
+    Example: ``await live(own, [], [duty.run], drain)``
+    """
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    server = server_of(own, more)
+    async with asyncio.TaskGroup() as group:
+        tasks = [group.create_task(own.run())]
+        await own.started.wait()
+        serving = group.create_task(server.serve())
+        tasks.extend(group.create_task(work()) for work in works)
+        await stop.wait()
+        own.stopping.set()
+        own.ring.leave()
+        async with asyncio.TaskGroup() as ending:
+            ending.create_task(drain())
+            ending.create_task(hand_over(own))
+        await moment.pause(LAST_WORDS)
+        server.should_exit = True
+        await serving
+        for task in tasks:
+            task.cancel()
+
+
+async def hand_over(own: node.Node) -> None:
+    """Wait until this node leads no pair, or the time for it is over.
+
+    Example: ``await hand_over(own)``
+    """
+    end = moment.now() + HAND_OVER
+    while moment.now() < end and any(held.known is not None and held.known.primary == held.me()
+                                     for held in own.hosts.values()):
+        await moment.pause(LAST_WORDS / 4)
+
+
+def log_ring(place: settings.Settings) -> logbook.Handler:
+    """A ring of log lines in memory, written out once something goes wrong.
+
+    Example: ``with log_ring(place).applicationbound(): ...``
+    """
+    if place.log is not None:
+        place.log.parent.mkdir(parents=True, exist_ok=True)
+        inner = logbook.FileHandler(str(place.log), level=logbook.DEBUG, delay=True)
+    else:
+        inner = logbook.StreamHandler(sys.stderr, level=logbook.DEBUG)
+    return logbook.FingersCrossedHandler(inner, action_level=logbook.WARNING, buffer_size=RING,
+                                         pull_information=False, reset=True)
+
+
+def start(place_file: str, flags: dict,
+          build: collections.abc.Callable[[node.Node], tuple[list, list, collections.abc.Callable]]) -> None:
+    """Check settings, then live; bad settings end the program with a clear line.
+
+    Example: ``start("node.toml", {}, build)``
+    """
+    try:
+        place = settings.read(place_file, {name: value for name, value in flags.items() if value})
+    except settings.BadSettings as error:
+        sys.exit(f"bad settings: {error}")
+
+    async def whole() -> None:
+        own = node.Node(place, surroundings.machine())
+        more, works, drain = build(own)
+        await live(own, more, works, drain)
+
+    with log_ring(place).applicationbound():
+        try:
+            with asyncio.Runner(loop_factory=boottime.BoottimeLoop) as runner:
+                runner.run(whole())
+        except BaseException as error:
+            if isinstance(error, KeyboardInterrupt):
+                return
+            logbook.Logger("daemon").exception("the program ends")
+            sys.exit(f"ended by a fault: {error!r}")
--- /dev/null
+++ b/aspencroft/relay/news.py
@@ -0,0 +1,100 @@
+"""What goes down the relay tree and what comes up: one family of records."""
+
+import dataclasses
+import datetime
+
+import aspencroft.link.record as record
+import aspencroft.plan.control as control
+
+PLAN = "plan"
+
+
+@record.kind(130)
+@dataclasses.dataclass(frozen=True)
+class News:
+    """A topic's state under a revision; with a base it is a merge patch upon that revision."""
+
+    topic: str
+    revision: control.Revision
+    base: control.Revision | None
+    body: str
+
+
+@record.kind(131)
+@dataclasses.dataclass(frozen=True)
+class Have:
+    """A revision of a topic that a node holds."""
+
+    topic: str
+    revision: control.Revision
+
+
+@record.kind(132)
+@dataclasses.dataclass(frozen=True)
+class Confirmation:
+    """The plan revision that a node of the subtree has in force."""
+
+    address: str
+    revision: control.Revision
+
+
+@record.kind(133)
+@dataclasses.dataclass(frozen=True)
+class Pull:
+    """A child asks its parent for news and for plan currency, naming its whole subtree."""
+
+    address: str
+    have: tuple[Have, ...]
+    subtree: tuple[Confirmation, ...]
+
+
+@record.kind(134)
+@dataclasses.dataclass(frozen=True)
+class Pulled:
+    """News that the child lacks, and how long the plan may be trusted from when the child asked."""
+
+    news: tuple[News, ...]
+    revision: control.Revision
+    currency: datetime.timedelta
+    counted: tuple[str, ...]
+
+
+@record.kind(135)
+@dataclasses.dataclass(frozen=True)
+class Push:
+    """There is something new: pull at once."""
+
+
+@record.kind(136)
+@dataclasses.dataclass(frozen=True)
+class Publish:
+    """A duty's holder gives the root a topic's new state."""
+
+    news: News
+
+
+@record.kind(137)
+@dataclasses.dataclass(frozen=True)
+class WriteEverywhere:
+    """An operator's write; answered once it is in force on every node that may act on a plan."""
+
+    write: control.WritePlan
+    within: datetime.timedelta
+
+
+@record.kind(138)
+@dataclasses.dataclass(frozen=True)
+class Written:
+    """The write is stored on both copies and in force everywhere."""
+
+    revision: control.Revision
+    changed: int
+    waited: datetime.timedelta
+
+
+@record.kind(139)
+@dataclasses.dataclass(frozen=True)
+class ReadEverywhere:
+    """Ask the root's node for the newest plan."""
+
+    after: control.Revision
--- /dev/null
+++ b/aspencroft/ring/fellow.py
@@ -0,0 +1,116 @@
+"""What nodes know of each other: one entry a node, newer ones win."""
+
+import dataclasses
+import hashlib
+
+import aspencroft.link.record as record
+import aspencroft.pair.holding as holding
+
+LIVE, LEAVING, DOWN = range(3)
+STATES = ("live", "leaving", "down")
+
+
+@record.kind(60)
+@dataclasses.dataclass(frozen=True)
+class Fellow:
+    """A node as others know it; a restart is a new incarnation, a denial of its death a new serial.
+
+    Example: ``Fellow("127.0.0.1:7001", 5, 0, LIVE, "north", "core", "127.0.0.1:8001", True)``
+    """
+
+    address: str
+    incarnation: int
+    serial: int
+    state: int
+    area: str
+    role: str
+    http: str
+    disk: bool
+
+    def age(self) -> tuple[int, int, int]:
+        """What orders two entries of one address.
+
+        Example: ``max(entries, key=Fellow.age)``
+        """
+        return self.incarnation, self.serial, self.state
+
+
+@record.kind(61)
+@dataclasses.dataclass(frozen=True)
+class Table:
+    """Entries of nodes, holders of pairs and the witnesses' roster, as one node knows them."""
+
+    fellows: tuple[Fellow, ...]
+    holdings: tuple[holding.Holding, ...]
+    roster: holding.Roster
+
+
+@record.kind(62)
+@dataclasses.dataclass(frozen=True)
+class Beat:
+    """A sign of life to a watcher, with the digest of the sender's table."""
+
+    fellow: Fellow
+    digest: bytes
+
+
+@record.kind(63)
+@dataclasses.dataclass(frozen=True)
+class Join:
+    """Ask for the table, giving one's own."""
+
+    table: Table
+
+
+@record.kind(64)
+@dataclasses.dataclass(frozen=True)
+class Confirm:
+    """Ask a second watcher whether it misses a fellow too."""
+
+    address: str
+    incarnation: int
+
+
+@record.kind(65)
+@dataclasses.dataclass(frozen=True)
+class Confirmed:
+    """Whether the second watcher misses it."""
+
+    missing: bool
+
+
+def position(address: str) -> int:
+    """A node's place on the ring.
+
+    Example: ``sorted(addresses, key=position)``
+    """
+    return int.from_bytes(hashlib.blake2b(address.encode(), digest_size=6).digest(), "big")
+
+
+def watchers(of: str, fellows: dict[str, Fellow], count: int) -> tuple[str, ...]:
+    """The nodes that the ring names as watchers of a node: next ones first, areas spread.
+
+    Example: ``watchers("a:1", fellows, 3)``
+    """
+    own = position(of)
+    around = sorted((one for one in fellows.values() if one.address != of and one.state != DOWN),
+                    key=lambda one: (position(one.address) - own) % (1 << 48))
+    named: list[str] = []
+    areas: set[str] = set()
+    for one in around:
+        if one.area not in areas and len(named) < count:
+            areas.add(one.area)
+            named.append(one.address)
+    for one in around:
+        if one.address not in named and len(named) < count:
+            named.append(one.address)
+    return tuple(named)
+
+
+def test_watchers_spread_over_areas_and_everyone_is_watched():
+    fellows = {f"n:{number}": Fellow(f"n:{number}", 1, 0, LIVE, "abc"[number % 3], "core", "", False)
+               for number in range(16)}
+    for address in fellows:
+        named = watchers(address, fellows, 3)
+        assert len(set(named)) == 3 and address not in named
+        assert {fellows[one].area for one in named} == {"a", "b", "c"}
--- /dev/null
+++ b/aspencroft/seam/boottime.py
@@ -0,0 +1,25 @@
+"""The daemons' event loop: its clock goes on counting while a machine is suspended."""
+
+import asyncio
+import time
+
+
+class BoottimeLoop(asyncio.SelectorEventLoop):
+    """A selector loop on CLOCK_BOOTTIME, so that a claim ends during a suspension too.
+
+    Example: ``asyncio.Runner(loop_factory=boottime.BoottimeLoop)``
+    """
+
+    def time(self) -> float:
+        """Seconds since the machine's boot, suspended time included.
+
+        Example: ``loop.time()``
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def test_clock_never_steps_back():
+    loop = BoottimeLoop()
+    readings = [loop.time() for _ in range(100)]
+    loop.close()
+    assert readings == sorted(readings)
--- /dev/null
+++ b/aspencroft/seam/moment.py
@@ -0,0 +1,38 @@
+"""Time on the loop's clock, as standard library time types."""
+
+import asyncio
+import datetime
+
+ZERO = datetime.timedelta()
+
+
+def now() -> datetime.timedelta:
+    """Time of the running loop's clock; it never steps back and counts suspension.
+
+    Example: ``claim_end = moment.now() + datetime.timedelta(seconds=2)``
+    """
+    return datetime.timedelta(seconds=asyncio.get_running_loop().time())
+
+
+async def pause(span: datetime.timedelta) -> None:
+    """Wait for a span on the loop's clock.
+
+    Example: ``await moment.pause(datetime.timedelta(milliseconds=300))``
+    """
+    await asyncio.sleep(max(0.0, span.total_seconds()))
+
+
+def limit(span: datetime.timedelta) -> asyncio.Timeout:
+    """An asynchronous context that raises TimeoutError after the span.
+
+    Example: ``async with moment.limit(datetime.timedelta(seconds=1)): ...``
+    """
+    return asyncio.timeout(max(0.0, span.total_seconds()))
+
+
+def seconds(count: float) -> datetime.timedelta:
+    """A span of so many seconds.
+
+    Example: ``moment.seconds(0.5)`` is half a second.
+    """
+    return datetime.timedelta(seconds=count)
--- /dev/null
+++ b/aspencroft/seam/surroundings.py
@@ -0,0 +1,143 @@
+"""What a node takes from its machine: the one seam between real machines and simulation."""
+
+import asyncio
+import concurrent.futures
+import dataclasses
+import os
+import pathlib
+import random
+import typing
+
+import httpx
+
+CHUNK_LIMIT = 1 << 20
+
+
+class Channel(typing.Protocol):
+    """One byte stream to a fellow."""
+
+    async def read(self, count: int) -> bytes: ...
+    async def write(self, data: bytes) -> None: ...
+    def close(self) -> None: ...
+
+
+class Network(typing.Protocol):
+    """Streams between nodes."""
+
+    async def listen(self, address: str) -> "asyncio.Queue[Channel]": ...
+    async def connect(self, address: str) -> Channel: ...
+
+
+class Disk(typing.Protocol):
+    """Work on files, done off the loop, and the means to make them last."""
+
+    async def perform(self, function: typing.Callable, *arguments): ...
+    def synchronise(self, path: pathlib.Path) -> None: ...
+
+
+@dataclasses.dataclass(frozen=True)
+class Surroundings:
+    """Network, disk, HTTP transport and source of randomness of one node.
+
+    Example: ``surroundings.machine()`` for the real ones.
+    """
+
+    network: Network
+    disk: Disk
+    transport: typing.Callable[[], httpx.AsyncBaseTransport]
+    randomness: random.Random
+
+
+class StreamChannel:
+    """A TCP stream as a channel."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
+        self.reader = reader
+        self.writer = writer
+
+    async def read(self, count: int) -> bytes:
+        """Exactly so many bytes, or IncompleteReadError.
+
+        Example: ``header = await channel.read(28)``
+        """
+        return await self.reader.readexactly(count)
+
+    async def write(self, data: bytes) -> None:
+        """Write and wait while the fellow is slow.
+
+        Example: ``await channel.write(frame)``
+        """
+        self.writer.write(data)
+        await self.writer.drain()
+
+    def close(self) -> None:
+        """Close the stream at once.
+
+        Example: ``channel.close()``
+        """
+        self.writer.close()
+
+
+class SocketNetwork:
+    """TCP between machines."""
+
+    def __init__(self):
+        self.servers: list[asyncio.Server] = []
+
+    async def listen(self, address: str) -> "asyncio.Queue[Channel]":
+        """Accept streams at host:port into a bounded queue.
+
+        Example: ``accepted = await network.listen("127.0.0.1:7000")``
+        """
+        accepted: asyncio.Queue[Channel] = asyncio.Queue(128)
+
+        async def arrive(reader, writer):
+            await accepted.put(StreamChannel(reader, writer))
+
+        host, port = address.rsplit(":", 1)
+        self.servers.append(await asyncio.start_server(arrive, host, int(port)))
+        return accepted
+
+    async def connect(self, address: str) -> Channel:
+        """Open a stream to host:port.
+
+        Example: ``channel = await network.connect("127.0.0.1:7000")``
+        """
+        host, port = address.rsplit(":", 1)
+        return StreamChannel(*await asyncio.open_connection(host, int(port)))
+
+
+class FileDisk:
+    """The machine's own disk; its work runs in a few threads."""
+
+    def __init__(self):
+        self.threads = concurrent.futures.ThreadPoolExecutor(8, "disk")
+
+    async def perform(self, function: typing.Callable, *arguments):
+        """Run file work off the loop and hand back its result.
+
+        Example: ``await disk.perform(path.read_bytes)``
+        """
+        return await asyncio.get_running_loop().run_in_executor(self.threads, function, *arguments)
+
+    def synchronise(self, path: pathlib.Path) -> None:
+        """Make a file or folder last; called inside ``perform``.
+
+        Example: ``disk.synchronise(folder / "current")``
+        """
+        descriptor = os.open(path, os.O_RDONLY)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+
+
+def machine() -> Surroundings:
+    """The real surroundings of a daemon.
+
+    Example: ``node.Node(settings, surroundings.machine())``
+    """
+    limits = httpx.Limits(max_connections=512, max_keepalive_connections=64, keepalive_expiry=20)
+    return Surroundings(SocketNetwork(), FileDisk(),
+                        lambda: httpx.AsyncHTTPTransport(limits=limits, retries=0),
+                        random.SystemRandom())
--- /dev/null
+++ b/aspencroft/stand/backend.py
@@ -0,0 +1,280 @@
+"""Stand-ins for the platform's list, model workers and plain workers, by their HTTP forms."""
+
+import asyncio
+import collections
+import collections.abc
+import dataclasses
+import json
+import random
+
+import litestar
+import litestar.response
+
+import aspencroft.keep.candidate as candidate
+import aspencroft.keep.keepplan as keepplan
+import aspencroft.seam.moment as moment
+
+PIECE = moment.seconds(0.01)
+SHRINK = 20.0
+
+
+@dataclasses.dataclass
+class Faults:
+    """What a stand-in does wrong, and how often, in shares of requests.
+
+    Example: ``Faults(put_back=0.1, lose_answer=0.02)``
+    """
+
+    put_back: float = 0.0
+    lose_answer: float = 0.0
+    cut_stream: float = 0.0
+    drop_kept: float = 0.0
+    late_report: bool = False
+
+
+class ModelWorker:
+    """A model worker: memory, models, parked KV, streaming answers; counts what it ran.
+
+    Times are the paper's, shrunk by ``SHRINK`` so that runs stay short.
+
+    Example: ``ModelWorker("m1", ("planner",), sizes, random.Random(1))``
+    """
+
+    def __init__(self, name: str, services: tuple[str, ...], sizes: dict[str, int], chance: random.Random,
+                 faults: Faults | None = None, memory: int = 72_000_000_000):
+        self.name = name
+        self.services = services
+        self.sizes = sizes
+        self.chance = chance
+        self.faults = faults or Faults()
+        self.memory = memory
+        self.kept: dict[str, dict] = {}
+        self.ready: dict[str, asyncio.Event] = {}
+        self.epoch = 0
+        self.asleep = False
+        self.ran: collections.Counter = collections.Counter()
+        self.seen: list[dict] = []
+        self.counts: collections.Counter = collections.Counter()
+        self.awake_seconds = 0.0
+        self.old_report: dict = {"memory": memory, "kept": []}
+
+    def row(self, url: str, leaving: bool = False) -> dict:
+        """This worker's row in the platform's list.
+
+        Example: ``stand.row("http://127.0.0.1:9001")``
+        """
+        return {"name": self.name, "url": url, "kind": "model", "services": list(self.services),
+                "leaving": leaving, "memory": self.memory, "places": 8}
+
+    def used(self) -> int:
+        """Bytes taken on the device.
+
+        Example: ``stand.used() <= stand.memory``
+        """
+        return sum(one["size"] for one in self.kept.values() if one["place"] != keepplan.HOST)
+
+    def report(self) -> dict:
+        """What the report page shows; a late one shows the state before.
+
+        Example: ``stand.report()["kept"]``
+        """
+        fresh = {"memory": self.memory,
+                 "kept": [{"name": name, **one} for name, one in sorted(self.kept.items())]}
+        shown = self.old_report if self.faults.late_report else fresh
+        self.old_report = fresh
+        return shown
+
+    async def load(self, name: str) -> None:
+        """Bring a model in, making room by dropping idle things as an engine left alone would.
+
+        Example: ``await stand.load("model:planner")``
+        """
+        if name in self.kept and self.kept[name]["place"] in (keepplan.DEVICE, keepplan.LOADING):
+            await self.ready[name].wait()
+            return
+        size = self.sizes.get(name.partition(":")[2], 15_200_000_000)
+        for other in [one for one in self.kept if not self.kept[one]["busy"]]:
+            if self.used() + size > self.memory and other != name:
+                self.counts["dropped"] += 1
+                del self.kept[other]
+        self.kept[name] = {"size": size, "tokens": 0, "place": keepplan.LOADING, "busy": 0}
+        self.ready[name] = asyncio.Event()
+        await moment.pause(candidate.reload_cost(size, candidate.WEIGHT_STARTUP) / SHRINK * 2)
+        if name in self.kept:
+            self.kept[name]["place"] = keepplan.DEVICE
+        self.ready[name].set()
+
+    async def order(self, order: dict) -> tuple[int, dict]:
+        """Take an order; those of an epoch that passed are refused, those seen before do no harm.
+
+        Example: ``await stand.order({"epoch": 1, "load": ["model:a"]})``
+        """
+        if order["epoch"] < self.epoch:
+            return 409, {"error": "lower epoch"}
+        self.epoch = order["epoch"]
+        self.counts["orders"] += 1
+        for name in order["release"]:
+            if name in self.kept and not self.kept[name]["busy"]:
+                del self.kept[name]
+        for name in order["offload"]:
+            if name in self.kept and not self.kept[name]["busy"]:
+                self.kept[name]["place"] = keepplan.HOST
+        for name in order["load"]:
+            if name not in self.kept:
+                self.counts["loads ordered"] += 1
+                task = asyncio.ensure_future(self.load(name))
+                self.loading = task
+        for name in order["restore"]:
+            if name in self.kept:
+                self.kept[name]["place"] = keepplan.DEVICE
+        return 200, {"held": sorted(self.kept)}
+
+    async def generate(self, body: dict) -> collections.abc.AsyncIterator[bytes]:
+        """Run one request and stream numbered pieces with an explicit end.
+
+        Example: ``async for line in stand.generate(body): ...``
+        """
+        name = keepplan.key(candidate.MODEL, body["model"])
+        if name not in self.kept:
+            self.counts["cold"] += 1
+        await self.load(name)
+        if name in self.kept:
+            self.kept[name]["busy"] += 1
+        try:
+            words = answer_words(body)[:body["max_output"]]
+            cut = self.chance.randrange(len(words)) if self.chance.random() < self.faults.cut_stream else None
+            for number, text in enumerate(words):
+                if number == cut:
+                    raise ConnectionError("cut in the middle")
+                await moment.pause(PIECE)
+                yield line({"request": body["request"], "piece": number, "text": text, "tokens": 1})
+            yield line({"request": body["request"], "end": True, "pieces": len(words)})
+        finally:
+            if name in self.kept:
+                self.kept[name]["busy"] -= 1
+            tokens = sum(len(part) for turn in body["history"] for part in turn) // 4
+            self.kept[keepplan.key(candidate.KV, body["program"])] = {
+                "size": max(1, tokens) * candidate.KV_BYTES, "tokens": tokens, "place": keepplan.DEVICE, "busy": 0}
+            while self.used() > self.memory:
+                victim = next(iter(one for one in self.kept if one.startswith(candidate.KV)))
+                del self.kept[victim]
+            if self.chance.random() < self.faults.drop_kept and self.kept:
+                idle = [one for one in self.kept if not self.kept[one]["busy"]]
+                if idle:
+                    del self.kept[self.chance.choice(idle)]
+
+    def handlers(self) -> list:
+        """The pages that a model worker serves.
+
+        Example: ``litestar.Litestar(stand.handlers())``
+        """
+        @litestar.post("/api/generate", status_code=200)
+        async def generate(request: litestar.Request) -> litestar.Response:
+            body = await request.json()
+            if self.asleep or self.chance.random() < self.faults.put_back:
+                self.counts["put back"] += 1
+                return litestar.Response({"put_back": True}, status_code=503)
+            self.ran[body["request"]] += 1
+            self.seen.append(body)
+            if self.chance.random() < self.faults.lose_answer:
+                self.counts["answers lost"] += 1
+                return litestar.Response({"lost": True}, status_code=500)
+            return litestar.response.Stream(self.generate(body), media_type="application/x-ndjson")
+
+        @litestar.get("/api/report", sync_to_thread=False)
+        def report() -> dict:
+            self.counts["reports read"] += 1
+            return self.report()
+
+        @litestar.post("/api/orders", status_code=200)
+        async def orders(request: litestar.Request) -> litestar.Response:
+            status, shown = await self.order(await request.json())
+            return litestar.Response(shown, status_code=status)
+
+        @litestar.post("/api/rest", status_code=200)
+        async def rest(request: litestar.Request) -> dict:
+            self.asleep = bool((await request.json())["asleep"])
+            self.counts["put to rest" if self.asleep else "woken"] += 1
+            return {"asleep": self.asleep}
+
+        return [generate, report, orders, rest]
+
+
+class PlainWorker:
+    """A plain worker for notices, images and signalling; counts what it ran.
+
+    Example: ``PlainWorker("p1", ("notice",), random.Random(1))``
+    """
+
+    def __init__(self, name: str, services: tuple[str, ...], chance: random.Random, faults: Faults | None = None):
+        self.name = name
+        self.services = services
+        self.chance = chance
+        self.faults = faults or Faults()
+        self.ran: collections.Counter = collections.Counter()
+        self.seen: list[dict] = []
+        self.counts: collections.Counter = collections.Counter()
+
+    def row(self, url: str, leaving: bool = False) -> dict:
+        """This worker's row in the platform's list.
+
+        Example: ``stand.row("http://127.0.0.1:9101")``
+        """
+        return {"name": self.name, "url": url, "kind": "plain", "services": list(self.services),
+                "leaving": leaving, "places": 16}
+
+    def handlers(self) -> list:
+        """The pages that a plain worker serves.
+
+        Example: ``litestar.Litestar(stand.handlers())``
+        """
+        @litestar.post("/api/run", status_code=200)
+        async def run(request: litestar.Request) -> litestar.Response:
+            body = await request.json()
+            if self.chance.random() < self.faults.put_back:
+                self.counts["put back"] += 1
+                return litestar.Response({"put_back": True}, status_code=503)
+            self.ran[body["request"]] += 1
+            self.seen.append(body)
+            await moment.pause(PIECE)
+            if self.chance.random() < self.faults.lose_answer:
+                self.counts["answers lost"] += 1
+                return litestar.Response({"lost": True}, status_code=500)
+            return litestar.Response({"request": body["request"], "done": True,
+                                      "answer": {"by": self.name, "service": body["service"]}})
+
+        return [run]
+
+
+def line(shown: dict) -> bytes:
+    """One line of a stream.
+
+    Example: ``line({"end": True})``
+    """
+    return json.dumps(shown).encode() + b"\n"
+
+
+def answer_words(body: dict) -> list[str]:
+    """What a model says: a digest of all it was given, and a tool call if the input asks for one.
+
+    Example: ``answer_words({"model": "a", "history": [], "input": "x", "turn": 1})``
+    """
+    given = json.dumps([body["history"], body["input"]])
+    mark = format(sum(given.encode()) % 65536, "04x")
+    words = [f"{body['model']}", f" turn {body['turn']}", f" mark {mark}"]
+    wanted = str(body["input"]).partition("calls ")[2].split(" ")[0]
+    if wanted:
+        words += ["<call", ' model="', wanted, '">']
+    return words
+
+
+def test_a_model_worker_drops_idle_things_but_never_overfills():
+    async def scene():
+        stand = ModelWorker("m1", ("a", "b"), {"a": 40, "b": 70}, random.Random(1), memory=100)
+        await stand.load("model:a")
+        await stand.load("model:b")
+        assert stand.used() <= 100 and "model:b" in stand.kept and "model:a" not in stand.kept
+        assert (await stand.order({"epoch": 2, "release": ["model:b"], "offload": [], "load": [],
+                                   "restore": []}))[0] == 200
+        assert (await stand.order({"epoch": 1, "release": [], "offload": [], "load": [], "restore": []}))[0] == 409
+    asyncio.run(scene())
--- /dev/null
+++ b/aspencroft/stand/caller.py
@@ -0,0 +1,149 @@
+"""Stand-ins for callers: programs with turns, tools and helpers; signals and fetches; all is noted down."""
+
+import collections
+import dataclasses
+import json
+import random
+
+import httpx
+
+import aspencroft.seam.moment as moment
+import aspencroft.stand.backend as backend
+import aspencroft.stand.shape as shape
+
+
+@dataclasses.dataclass(frozen=True)
+class Noted:
+    """What a caller saw of one request.
+
+    Example: ``Noted("chat", "", "p", "", 1, "hi", "done", 1001, "text", 12)``
+    """
+
+    lane: str
+    request: str
+    program: str
+    helper: str
+    after: int
+    operation: str
+    ran: str
+    result: int
+    text: str
+    used: int
+    status: int
+
+
+class Caller:
+    """Asks nodes for work as the platform's clients do, and notes each answer.
+
+    Example: ``await Caller(shape, addresses, transport, random.Random(1)).program("p1")``
+    """
+
+    def __init__(self, mix: shape.Shape, addresses: tuple[str, ...], transport: httpx.AsyncBaseTransport,
+                 chance: random.Random):
+        self.shape = mix
+        self.addresses = addresses
+        self.chance = chance
+        self.client = httpx.AsyncClient(transport=transport, timeout=30, trust_env=False)
+        self.noted: list[Noted] = []
+        self.faults: list[str] = []
+        self.counts: collections.Counter = collections.Counter()
+
+    async def ask(self, lane: str, given, program: str = "", helper: str = "", after: int = 0,
+                  operation: str = "", tool: str = "", budget: int = 0) -> Noted:
+        """One request to a node at random; never asked twice by itself.
+
+        Example: ``noted = await caller.ask("alert", {"text": "nova"}, operation="k1")``
+        """
+        body = {"lane": lane, "input": given, "program": program, "helper": helper, "after": after,
+                "operation": operation, "tool": tool, "budget": budget}
+        address = self.chance.choice(self.addresses)
+        self.counts["asked"] += 1
+        request, ran, number, parts, used, status = "", "unknown", -1, [], 0, 0
+        try:
+            async with self.client.stream("POST", f"http://{address}/requests", json=body) as response:
+                request, status = response.headers.get("x-request", ""), response.status_code
+                if response.headers.get("content-type", "").startswith("application/x-ndjson"):
+                    async for line in response.aiter_lines():
+                        shown = json.loads(line)
+                        if "piece" in shown:
+                            if shown["piece"] != len(parts):
+                                self.faults.append(f"{request}: piece {shown['piece']} after {len(parts)}")
+                            parts.append(shown["text"])
+                        elif shown.get("end"):
+                            ran, number, used = "done", 0, shown["used"]
+                        else:
+                            ran, number = shown["error"]["ran"], shown["error"]["result"]
+                else:
+                    shown = json.loads(await response.aread())
+                    if shown.get("done"):
+                        ran, number = "done", 0
+                    else:
+                        ran, number = shown["error"]["ran"], shown["error"]["result"]
+        except (httpx.ConnectError, httpx.ConnectTimeout):
+            ran = "not run"
+        except (httpx.HTTPError, ValueError):
+            pass
+        noted = Noted(lane, request, program, helper, after, operation, ran, number, "".join(parts), used, status)
+        self.noted.append(noted)
+        self.counts[f"{ran} {number}" if number > 0 else ran if number == 0 else f"{ran}, no answer"] += 1
+        return noted
+
+    async def one(self, name: str) -> None:
+        """One program or signal by the mix.
+
+        Example: ``await caller.one("p17")``
+        """
+        kind = shape.draw_kind(self.shape, self.chance)
+        if kind.turns:
+            await self.program(name, kind)
+        else:
+            await self.signal(name, kind)
+
+    async def signal(self, name: str, kind: shape.Kind) -> None:
+        """A signal or fetch with a key; said again after a loss, as its callers do.
+
+        Example: ``await caller.signal("s1", kind)``
+        """
+        operation = name if self.chance.random() < 0.8 else ""
+        for _ in range(3):
+            noted = await self.ask(kind.lane, {"name": name}, operation=operation)
+            if noted.ran == "done" or not operation:
+                return
+            await moment.pause(moment.seconds(1 + self.chance.random()))
+
+    async def program(self, name: str, kind: shape.Kind) -> None:
+        """Turns that build on each other; a planner's tool call is followed by a helper's turn.
+
+        Example: ``await caller.program("p1", kind)``
+        """
+        after, tries, said = 0, 0, []
+        turns = 1 + min(int(self.chance.expovariate(1 / kind.turns)), 12)
+        while len(said) < turns and tries < turns + 6:
+            tries += 1
+            tool = self.chance.choice(kind.tools) if self.chance.random() < 0.5 else ""
+            given = f"{name} turn {after + 1}" + (f" calls {tool} now" if tool else "")
+            noted = await self.ask(kind.lane, given, program=name, after=after)
+            if noted.ran == "done":
+                self.check(noted, said, given)
+                said.append([given, noted.text])
+                after += 1
+                if tool:
+                    await moment.pause(moment.seconds(self.chance.random() * 0.3))
+                    await self.ask(kind.lane, f"{name} helps {after}", program=name, helper=f"{tool}-{after}",
+                                   tool=tool)
+            elif noted.result in (1007, 1005):
+                return
+            elif noted.result == 1006 and tries > 1:
+                return
+            else:
+                await moment.pause(moment.seconds(0.5 + self.chance.random()))
+            await moment.pause(moment.seconds(self.chance.random() * 0.3))
+
+    def check(self, noted: Noted, said: list, given: str) -> None:
+        """A turn must be built from its own earlier turns and the new input, and be whole.
+
+        Example: ``caller.check(noted, said, given)``
+        """
+        mark = backend.answer_words({"model": "m", "history": said, "input": given, "turn": len(said) + 1})[1:3]
+        if "".join(mark) not in noted.text:
+            self.faults.append(f"{noted.request}: {noted.text!r} is not built from {said!r}")
--- /dev/null
+++ b/aspencroft/talk/talk.py
@@ -0,0 +1,289 @@
+"""A talk pair's view: conversations with history and budget, and operation keys."""
+
+import collections
+import dataclasses
+import datetime
+import random
+
+import aspencroft.code.result as result
+import aspencroft.link.record as record
+import aspencroft.seam.moment as moment
+import aspencroft.talk.speech as speech
+
+MINUTE = moment.seconds(60)
+BEYOND = moment.seconds(10)
+LARGEST_ANSWER = 256 << 10
+LARGEST_PAST = 4 << 20
+MOST_PROGRAMS = 100_000
+MOST_OPERATIONS = 400_000
+
+
+class Talk:
+    """Programs and operation keys, folded from events.
+
+    Times count from when this primary first saw a thing, so a takeover never shortens them.
+
+    Example: ``events, reply = talk.decide(speech.OpenTurn(...), now, epoch)``
+    """
+
+    def __init__(self):
+        self.programs: dict[str, speech.Program] = {}
+        self.operations: dict[str, speech.Operation] = {}
+        self.touched: dict[str, datetime.timedelta] = {}
+        self.opened: dict[str, datetime.timedelta] = {}
+        self.noted: dict[str, datetime.timedelta] = {}
+
+    def decide(self, command, now: datetime.timedelta, epoch: int) -> tuple[tuple, object]:
+        """Events and reply for a command, or a Refusal.
+
+        Example: ``talk.decide(speech.ForgetProgram("p"), now, 1)``
+        """
+        if isinstance(command, speech.OpenTurn):
+            return self.open_turn(command, now)
+        if isinstance(command, speech.CloseTurn):
+            return self.close_turn(command, now)
+        if isinstance(command, speech.ClaimOperation):
+            return self.claim_operation(command, now)
+        if isinstance(command, speech.CloseOperation):
+            return self.close_operation(command, now)
+        if isinstance(command, speech.ForgetProgram):
+            known = self.programs.get(command.program)
+            due = known is not None and not known.under_way and self.kept_out(known, now)
+            return ((speech.ProgramForgotten(command.program),) if due else ()), speech.Closed("")
+        if isinstance(command, speech.ForgetOperation):
+            known = self.operations.get(command.key)
+            due = known is not None and self.remembered_out(known, now)
+            return ((speech.OperationForgotten(command.key),) if due else ()), speech.Closed("")
+        raise result.Refusal(result.Result.MALFORMED, detail=type(command).__name__)
+
+    def kept_out(self, program: speech.Program, now: datetime.timedelta) -> bool:
+        """Whether the keep time since the last turn ran out.
+
+        Example: ``talk.kept_out(program, now)``
+        """
+        return now - self.touched.setdefault(program.name, now) > program.keep
+
+    def remembered_out(self, operation: speech.Operation, now: datetime.timedelta) -> bool:
+        """Whether a key was held a full minute beyond the last moment in which its work could run.
+
+        Example: ``talk.remembered_out(operation, now)``
+        """
+        span = max(MINUTE, operation.keep) + BEYOND
+        if operation.outcome != speech.DONE:
+            span += operation.within + MINUTE / 2
+        return now - self.noted.setdefault(operation.key, now) > span
+
+    def open_turn(self, command: speech.OpenTurn, now: datetime.timedelta) -> tuple[tuple, object]:
+        """A turn starts behind the last one of its chain while used plus reserved is under the budget.
+
+        Example: ``talk.open_turn(command, now)``
+        """
+        known = self.programs.get(command.program)
+        if known is None:
+            if command.after != 0:
+                raise result.Refusal(result.Result.UNKNOWN_PROGRAM, detail=command.program)
+            if len(self.programs) >= MOST_PROGRAMS:
+                raise result.Refusal(result.Result.OVERLOADED, detail="too many programs", retry=MINUTE)
+            known = speech.Program(command.program, command.lane, command.budget, 0, command.keep, (), ())
+        past = known.chain(command.helper).past
+        last = past[-1].number if past else 0
+        if any(one.go == command.go for one in known.under_way):
+            return (), speech.TurnGranted(last + 1, past, command.reserve)
+        if any(one.helper == command.helper for one in known.under_way):
+            raise result.Refusal(result.Result.TURN_UNDER_WAY, detail=f"after turn {last}",
+                                 retry=moment.seconds(1))
+        if command.after != last:
+            raise result.Refusal(result.Result.STALE_TURN, detail=f"the last turn is {last}")
+        if known.used + known.reserved() >= known.budget:
+            raise result.Refusal(result.Result.OUT_OF_BUDGET,
+                                 detail=f"{known.used} used, {known.reserved()} reserved of {known.budget}")
+        if sum(len(one.input) + len(one.output) for one in past) > LARGEST_PAST:
+            raise result.Refusal(result.Result.TOO_LARGE, detail="the history is at its limit")
+        event = speech.TurnOpened(**{field.name: getattr(command, field.name)
+                                     for field in dataclasses.fields(command)})
+        self.touched[command.program] = now
+        self.opened[command.go] = now
+        return (event,), speech.TurnGranted(last + 1, past, command.reserve)
+
+    def close_turn(self, command: speech.CloseTurn, now: datetime.timedelta) -> tuple[tuple, object]:
+        """A turn under way ends once; saying it again does no harm.
+
+        Example: ``talk.close_turn(command, now)``
+        """
+        known = self.programs.get(command.program)
+        if known is None:
+            raise result.Refusal(result.Result.UNKNOWN_PROGRAM, result.Ran.UNKNOWN, command.program)
+        if not any(one.go == command.go for one in known.under_way):
+            if any(one.go == command.go for one in known.chain(command.helper).past[-1:]):
+                return (), speech.Closed(speech.DONE)
+            raise result.Refusal(result.Result.STALE_TURN, result.Ran.UNKNOWN, "the turn was closed before")
+        event = speech.TurnClosed(command.program, command.helper, command.go, command.outcome,
+                                  command.input, command.output, command.used)
+        self.touched[command.program] = now
+        return (event,), speech.Closed(command.outcome)
+
+    def claim_operation(self, command: speech.ClaimOperation, now: datetime.timedelta) -> tuple[tuple, object]:
+        """The first request takes the key; others get its state and never run.
+
+        Example: ``talk.claim_operation(command, now)``
+        """
+        known = self.operations.get(command.key)
+        if known is not None:
+            if known.lane != command.lane:
+                raise result.Refusal(result.Result.OPERATION_DIFFERS, detail=f"used for lane {known.lane}")
+            return (), dataclasses.replace(known, mine=known.go == command.go and not known.outcome)
+        if len(self.operations) >= MOST_OPERATIONS:
+            raise result.Refusal(result.Result.OVERLOADED, detail="too many operations", retry=MINUTE)
+        event = speech.OperationClaimed(command.key, command.lane, command.go, command.within, command.keep)
+        self.noted[command.key] = now
+        return (event,), speech.Operation(command.key, command.lane, command.go, True, "", b"",
+                                          command.within, command.keep)
+
+    def close_operation(self, command: speech.CloseOperation, now: datetime.timedelta) -> tuple[tuple, object]:
+        """The go that holds the key tells how it ended.
+
+        Example: ``talk.close_operation(command, now)``
+        """
+        known = self.operations.get(command.key)
+        if known is None or known.go != command.go or known.outcome:
+            return (), speech.Closed("" if known is None else known.outcome)
+        answer = command.answer if len(command.answer) <= LARGEST_ANSWER else b""
+        self.noted[command.key] = now
+        return (speech.OperationClosed(command.key, command.go, command.outcome, answer),), speech.Closed(
+            command.outcome)
+
+    def fold(self, event) -> None:
+        """Take an event in.
+
+        Example: ``talk.fold(speech.ProgramForgotten("p"))``
+        """
+        if isinstance(event, speech.TurnOpened):
+            known = self.programs.get(event.program) or speech.Program(
+                event.program, event.lane, event.budget, 0, event.keep, (), ())
+            go = speech.OpenGo(event.helper, event.after, event.go, event.reserve, event.within)
+            self.programs[event.program] = dataclasses.replace(
+                known, keep=max(known.keep, event.keep), under_way=known.under_way + (go,))
+        elif isinstance(event, speech.TurnClosed):
+            self.programs[event.program] = closed(self.programs[event.program], event)
+            self.opened.pop(event.go, None)
+        elif isinstance(event, speech.ProgramForgotten):
+            self.programs.pop(event.program, None)
+            self.touched.pop(event.program, None)
+        elif isinstance(event, speech.OperationClaimed):
+            self.operations[event.key] = speech.Operation(
+                event.key, event.lane, event.go, False, "", b"", event.within, event.keep)
+        elif isinstance(event, speech.OperationClosed):
+            if event.outcome == speech.NOT_RUN:
+                self.operations.pop(event.key, None)
+                self.noted.pop(event.key, None)
+            elif event.key in self.operations:
+                self.operations[event.key] = dataclasses.replace(
+                    self.operations[event.key], outcome=event.outcome, answer=event.answer)
+        elif isinstance(event, speech.OperationForgotten):
+            self.operations.pop(event.key, None)
+            self.noted.pop(event.key, None)
+
+    def due(self, now: datetime.timedelta) -> tuple:
+        """Clock events: turns whose edge never came back, programs and keys kept long enough.
+
+        Example: ``for command in talk.due(now): ...``
+        """
+        found = []
+        for program in self.programs.values():
+            for one in program.under_way:
+                if now - self.opened.setdefault(one.go, now) > one.within + BEYOND:
+                    found.append(speech.CloseTurn(program.name, one.helper, one.go, speech.UNKNOWN, "", "", 0))
+            if not program.under_way and self.kept_out(program, now):
+                found.append(speech.ForgetProgram(program.name))
+        found.extend(speech.ForgetOperation(one.key) for one in self.operations.values()
+                     if self.remembered_out(one, now))
+        return tuple(found[:256])
+
+    def picture(self) -> bytes:
+        """All of it as bytes.
+
+        Example: ``Talk().restore(talk.picture())``
+        """
+        return record.pack(speech.TalkPicture(tuple(self.programs.values()), tuple(self.operations.values())))
+
+    def restore(self, body: bytes) -> None:
+        """Become what a picture shows.
+
+        Example: ``talk.restore(body)``
+        """
+        shown = record.unpack(speech.TalkPicture, body)
+        self.programs = {one.name: one for one in shown.programs}
+        self.operations = {one.key: one for one in shown.operations}
+
+
+def closed(program: speech.Program, event: speech.TurnClosed) -> speech.Program:
+    """A program once a turn of it ended.
+
+    Example: ``closed(program, event).used``
+    """
+    ended = next(one for one in program.under_way if one.go == event.go)
+    under_way = tuple(one for one in program.under_way if one.go != event.go)
+    if event.outcome == speech.NOT_RUN:
+        return dataclasses.replace(program, under_way=under_way)
+    if event.outcome == speech.UNKNOWN:
+        return dataclasses.replace(program, under_way=under_way, used=program.used + ended.reserve)
+    chain = program.chain(event.helper)
+    turn = speech.Past(ended.after + 1, event.go, event.input, event.output, event.used)
+    chains = tuple(one for one in program.chains if one.helper != event.helper)
+    return dataclasses.replace(program, under_way=under_way, used=program.used + event.used,
+                               chains=chains + (speech.Chain(event.helper, chain.past + (turn,)),))
+
+
+def test_budget_and_history_agree_with_a_plain_model():
+    for seed in range(200):
+        chance, talk, now = random.Random(seed), Talk(), moment.ZERO
+        plain = collections.defaultdict(list)
+        put_out, under_way = 0, {}
+        for step in range(60):
+            now += moment.seconds(0.1)
+            helper = chance.choice(["", "one", "two"])
+            if helper in under_way and chance.random() < 0.7:
+                go, turn_input = under_way.pop(helper)
+                outcome = chance.choice([speech.DONE, speech.DONE, speech.NOT_RUN, speech.UNKNOWN])
+                used = chance.randrange(11)
+                command = speech.CloseTurn("p", helper, go, outcome, turn_input, f"out {go}", used)
+                if outcome == speech.DONE:
+                    plain[helper].append((turn_input, f"out {go}"))
+                put_out += {speech.DONE: used, speech.NOT_RUN: 0, speech.UNKNOWN: 10}[outcome]
+            else:
+                go = f"go {step}"
+                after = len(plain[helper]) + chance.choice([0, 0, 0, 1])
+                command = speech.OpenTurn("p", helper, after, "chat", go, 10, 60, moment.seconds(9), moment.seconds(5))
+            try:
+                events, reply = talk.decide(command, now, 1)
+            except result.Refusal as refusal:
+                expected = (helper in under_way or after != len(plain[helper])
+                            or put_out + 10 * len(under_way) >= 60)
+                assert expected, refusal
+                continue
+            if isinstance(command, speech.OpenTurn):
+                assert [(one.input, one.output) for one in reply.past] == plain[helper]
+                under_way[helper] = (go, f"in {go}")
+            for event in events:
+                talk.fold(event)
+            if chance.random() < 0.2:
+                again = Talk()
+                again.restore(talk.picture())
+                assert again.picture() == talk.picture()
+        assert put_out <= 60 + 10
+        assert not talk.programs or talk.programs["p"].used == put_out
+
+
+def test_a_key_runs_once_and_is_free_only_after_a_minute_beyond():
+    talk, now = Talk(), moment.ZERO
+    claim = speech.ClaimOperation("key", "void", "go 1", moment.seconds(5), moment.ZERO)
+    events, reply = talk.decide(claim, now, 1)
+    talk.fold(events[0])
+    assert reply.mine
+    _, second = talk.decide(dataclasses.replace(claim, go="go 2"), now, 1)
+    assert not second.mine and second.outcome == ""
+    later = Talk()
+    later.restore(talk.picture())
+    assert later.due(now + moment.seconds(1000)) == ()
+    assert later.due(now + moment.seconds(1060)) == ()
+    assert later.due(now + moment.seconds(1000) + 2 * MINUTE) != ()
--- /dev/null
+++ b/aspencroft/worker/worker.py
@@ -0,0 +1,53 @@
+"""A back end as the platform's list shows it."""
+
+import dataclasses
+
+import voluptuous
+
+import aspencroft.plan.lane as lane
+
+MODEL, PLAIN = "model", "plain"
+SCHEMA = voluptuous.Schema({
+    voluptuous.Required("name"): lane.NAME,
+    voluptuous.Required("url"): voluptuous.Match(r"^https?://[^/\s]+$"),
+    voluptuous.Required("kind"): voluptuous.Any(MODEL, PLAIN),
+    voluptuous.Required("services"): lane.NAMES,
+    voluptuous.Optional("leaving", default=False): bool,
+    voluptuous.Optional("memory", default=72_000_000_000): voluptuous.All(int, voluptuous.Range(min=1)),
+    voluptuous.Optional("places", default=8): voluptuous.All(int, voluptuous.Range(min=1, max=4096)),
+}, extra=voluptuous.REMOVE_EXTRA)
+
+
+@dataclasses.dataclass(frozen=True)
+class Worker:
+    """One model worker or plain worker.
+
+    Example: ``Worker("m1", "http://127.0.0.1:9001", "model", ("planner",), False, 72_000_000_000, 8)``
+    """
+
+    name: str
+    url: str
+    kind: str
+    services: tuple[str, ...]
+    leaving: bool
+    memory: int
+    places: int
+
+
+def of(raw) -> Worker | None:
+    """The worker that one row of the list shows; a row that cannot be read is none.
+
+    Example: ``of({"name": "m1", "url": "http://127.0.0.1:9001", "kind": "model", "services": ["a"]})``
+    """
+    try:
+        full = SCHEMA(raw)
+    except voluptuous.Invalid:
+        return None
+    return Worker(full["name"], full["url"], full["kind"], tuple(full["services"]), full["leaving"],
+                  full["memory"], full["places"])
+
+
+def test_unreadable_rows_are_left_out():
+    assert of({"name": "m1"}) is None and of(3) is None
+    row = {"name": "m1", "url": "http://127.0.0.1:1", "kind": "plain", "services": ["a"], "new": 1}
+    assert of(row).services == ("a",)
