--- a/aspencroft/edge/call.py
+++ b/aspencroft/edge/call.py
@@ -50,6 +50,7 @@
     deaf: bool = False
     tried: frozenset[str] = frozenset()
     goes: int = 0
+    sent_at: datetime.timedelta = moment.ZERO
     worker: object = None
     service: str = ""
 
--- a/aspencroft/edge/path.py
+++ b/aspencroft/edge/path.py
@@ -364,7 +364,9 @@
         work = adapter.Work(asked.identity, one.service, asked.program, asked.helper,
                             one.granted.number if one.granted else 0, past, asked.input, asked.most,
                             one.end - moment.now())
-        one.sent, one.goes = True, one.goes + 1
+        one.sent, one.goes, one.sent_at = True, one.goes + 1, moment.now()
+        if one.worker.name in self.quiet():
+            self.tell_duty("quiet", word.Wanted(one.worker.name))
         self.tell(one, "sent on", f"go {one.goes} to {one.worker.name}")
         self.counts["goes"] += 1
         try:
@@ -456,8 +458,10 @@
                 self.tell(one, "key not closed", str(refusal))
         past = sum(len(before.input) + len(before.output) for before in one.granted.past) if one.granted else 0
         letters = past + len(json.dumps(asked.input)) + len(text)
-        self.tell_duty("keeps", word.Called(self.session(one), one.service, one.worker.name,
-                                            letters // TOKEN_LETTERS))
+        called = word.Called(self.session(one), one.service, one.worker.name, letters // TOKEN_LETTERS,
+                             moment.now() - one.sent_at)
+        self.tell_duty("keeps", called)
+        self.tell_duty("quiet", called)
         self.mean += (moment.now() - one.began - self.mean) / 16
         await self.last(one, call.Ended(turn, end.pieces, end.used, end.answer, None))
 
--- /dev/null
+++ b/aspencroft/keep/residency.py
@@ -0,0 +1,331 @@
+"""The residency duty: turns intent into what each model worker keeps, offloads and restores."""
+
+import asyncio
+import dataclasses
+import datetime
+import json
+import math
+
+import logbook
+
+import aspencroft.code.result as result
+import aspencroft.duty.duty as duty
+import aspencroft.keep.candidate as candidate
+import aspencroft.keep.keepplan as keepplan
+import aspencroft.keep.selection as selection
+import aspencroft.keep.signals as signals
+import aspencroft.keep.tap as tap
+import aspencroft.keep.word as word
+import aspencroft.node.node as node
+import aspencroft.plan.control as control
+import aspencroft.plan.plan as plan
+import aspencroft.relay.news as news
+import aspencroft.seam.moment as moment
+import aspencroft.worker.adapter as adapter
+import aspencroft.worker.worker as worker
+
+LOG = logbook.Logger("residency")
+TOPIC = "keeps"
+WINDOW = moment.seconds(10)
+RESOLVE = moment.seconds(0.5)
+PROBE = moment.seconds(0.25)
+LIST = moment.seconds(0.5)
+LIVE = moment.seconds(3)
+ORDERED = moment.seconds(1.5)
+REPLICA = 4.0
+MOST_KV = 200
+EPOCH_UNIT = 1 << 32
+
+
+@dataclasses.dataclass
+class Belief:
+    """What the duty believes a worker holds: its reports, overlaid by newer orders and first tokens."""
+
+    kept: dict[str, adapter.Kept] = dataclasses.field(default_factory=dict)
+    ordered: dict[str, datetime.timedelta] = dataclasses.field(default_factory=dict)
+    memory: int = 0
+    known: bool = False
+
+    def take(self, report: adapter.Report, now: datetime.timedelta) -> None:
+        """Take a report, except for what was ordered so lately that the report may be older.
+
+        Example: ``belief.take(report, now)``
+        """
+        late = {name for name, end in self.ordered.items() if end > now}
+        self.ordered = {name: end for name, end in self.ordered.items() if end > now}
+        fresh = {one.name: one for one in report.kept if one.name not in late}
+        fresh.update({name: one for name, one in self.kept.items() if name in late})
+        self.kept, self.memory, self.known = fresh, report.memory, True
+
+    def ordered_now(self, step: keepplan.Step, sizes: dict[str, int], now: datetime.timedelta) -> None:
+        """Believe that an order taken by the worker is under way.
+
+        Example: ``belief.ordered_now(step, sizes, now)``
+        """
+        for name in step.release:
+            self.kept.pop(name, None)
+        for name in step.offload:
+            self.kept[name] = dataclasses.replace(self.kept[name], place=keepplan.OFFLOADING)
+        for name in (*step.load, *step.restore):
+            tokens = self.kept[name].tokens if name in self.kept else 0
+            self.kept[name] = adapter.Kept(name, sizes[name], tokens, keepplan.LOADING, 0)
+        for name in (*step.release, *step.offload, *step.load, *step.restore):
+            self.ordered[name] = now + ORDERED
+
+
+class Residency:
+    """The work of the duty's holder; all it knows is heard or read anew, so it may move at any time.
+
+    Example: ``group.create_task(Residency(own, back).run())``
+    """
+
+    def __init__(self, own: node.Node, back: adapter.Adapter):
+        self.node = own
+        self.adapter = back
+        self.duty = duty.Duty("residency", own.address, own.incarnation, lambda: own.ring.fellows, own.submit)
+        own.duties["residency"] = self.duty
+        self.signals = signals.Signals()
+        self.beliefs: dict[str, Belief] = {}
+        self.workers: tuple[worker.Worker, ...] = ()
+        self.keeps: dict[str, keepplan.KeepPlan] = {}
+        self.hurry = asyncio.Event()
+        self.number = 0
+        self.published: tuple[str, datetime.timedelta] = ("", moment.ZERO)
+        self.counts = {"probes": 0, "orders": 0, "orders refused": 0, "intents": 0, "solved": 0}
+
+    async def run(self) -> None:
+        """Compete for the duty; while it is held hear, probe, solve, order and publish.
+
+        Example: ``group.create_task(residency.run())``
+        """
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.duty.run())
+            group.create_task(self.hear())
+            group.create_task(self.read_list())
+            group.create_task(self.probe())
+            group.create_task(self.solve())
+
+    async def hear(self) -> None:
+        """Take word from edges: calls served and intents locked.
+
+        Example: ``group.create_task(residency.hear())``
+        """
+        while True:
+            message = await self.duty.words.get()
+            now = moment.now()
+            if isinstance(message, word.Intended):
+                self.counts["intents"] += 1
+                self.signals.intend(message.program, tap.Intent(message.models), now)
+                self.hurry.set()
+            elif isinstance(message, word.Called):
+                self.signals.called(message.program, message.service, now)
+                self.note_served(message)
+
+    def note_served(self, message: word.Called) -> None:
+        """A served call shows that the worker holds the model, and the program's KV.
+
+        Example: ``residency.note_served(message)``
+        """
+        service = self.node.relay.plan.services.get(message.service)
+        belief = self.beliefs.get(message.worker)
+        if service is None or belief is None or service.kind != worker.MODEL:
+            return
+        name = keepplan.key(candidate.ADAPTER if service.base else candidate.MODEL, service.name)
+        if name not in belief.kept or belief.kept[name].place != keepplan.DEVICE:
+            belief.kept[name] = adapter.Kept(name, service.size, 0, keepplan.DEVICE, 0)
+
+    async def read_list(self) -> None:
+        """Read the platform's list while the duty is held.
+
+        Example: ``group.create_task(residency.read_list())``
+        """
+        while True:
+            if self.duty.held() and self.node.settings.workers:
+                try:
+                    self.workers = await self.adapter.workers(self.node.settings.workers)
+                except result.Refusal as refusal:
+                    LOG.info("{}", refusal)
+            await moment.pause(LIST)
+
+    def models(self) -> list[worker.Worker]:
+        """The model workers that are neither leaving nor at rest.
+
+        Example: ``residency.models()``
+        """
+        leaving = self.node.relay.plan.leaving
+        held = self.node.relay.topics.get("quiet")
+        quiet = json.loads(held.body).get("workers", ()) if held is not None else ()
+        return [one for one in self.workers if one.kind == worker.MODEL and not one.leaving
+                and one.name not in leaving and one.name not in quiet]
+
+    async def probe(self) -> None:
+        """Read one worker's report at a time, on a budget: a report is priced as a probe.
+
+        Example: ``group.create_task(residency.probe())``
+        """
+        place = 0
+        while True:
+            await moment.pause(PROBE)
+            found = self.models()
+            if not self.duty.held() or not found:
+                continue
+            place = (place + 1) % len(found)
+            target = found[place]
+            self.counts["probes"] += 1
+            try:
+                report = await self.adapter.report(target)
+                self.beliefs.setdefault(target.name, Belief()).take(report, moment.now())
+            except result.Refusal as refusal:
+                LOG.info("report of {}: {}", target.name, refusal)
+
+    async def solve(self) -> None:
+        """Solve for every worker now and then, at once after an intent; order, then publish.
+
+        Example: ``group.create_task(residency.solve())``
+        """
+        while True:
+            try:
+                async with moment.limit(RESOLVE):
+                    await self.hurry.wait()
+            except TimeoutError:
+                pass
+            self.hurry.clear()
+            if not self.duty.held():
+                self.beliefs, self.keeps, self.published = {}, {}, ("", moment.ZERO)
+                continue
+            steps = self.decide(moment.now())
+            async with asyncio.TaskGroup() as group:
+                for target, step in steps:
+                    group.create_task(self.order(target, step))
+            await self.publish()
+
+    def decide(self, now: datetime.timedelta) -> list[tuple[worker.Worker, keepplan.Step]]:
+        """The target set and next orders of each worker whose report was read.
+
+        Example: ``for target, step in residency.decide(now): ...``
+        """
+        current = self.node.relay.plan
+        allowed = frozenset(name for lane in current.lanes.values() for name in lane.services)
+        services = tuple(sorted(name for name in allowed if current.services[name].kind == worker.MODEL))
+        chances = {name: self.signals.reuse(name, services, WINDOW, now) for name in services}
+        copies = {name: 0 for name in services}
+        steps, self.keeps = [], {}
+        self.counts["solved"] += 1
+        targets = self.models()
+        holding = {one.name: sum(keepplan.key(candidate.MODEL, name) in self.beliefs[one.name].kept
+                                 for name in services) if one.name in self.beliefs else 0 for one in targets}
+        for target in sorted(targets, key=lambda one: (-holding[one.name], one.name)):
+            belief = self.beliefs.get(target.name)
+            if belief is None or not belief.known:
+                continue
+            keep, sizes = self.target(target, belief, current, chances, copies, now)
+            self.keeps[target.name] = keep
+            step = keepplan.step(belief.kept, {name: sizes[name] for name in keep.target},
+                                 frozenset(keep.protected), belief.memory)
+            if not step.empty() and not keep.shortfall:
+                steps.append((target, step))
+                belief.ordered_now(step, sizes, now)
+        return steps
+
+    def target(self, target: worker.Worker, belief: Belief, current: plan.Plan, chances: dict[str, float],
+               copies: dict[str, int], now: datetime.timedelta) -> tuple[keepplan.KeepPlan, dict[str, int]]:
+        """One worker's joint selection of models, adapters and parked KV beside what is protected.
+
+        A model that other workers are to hold already counts for less here, as calls prefer holders.
+
+        Example: ``keep, sizes = residency.target(target, belief, current, chances, copies, now)``
+        """
+        protected = {name: one.size for name, one in belief.kept.items() if one.place != keepplan.HOST
+                     and (one.busy or one.place in (keepplan.LOADING, keepplan.OFFLOADING)
+                          or self.live(name, now))}
+        candidates, sizes = [], dict(protected)
+        for name, chance in chances.items():
+            service = current.services[name]
+            kind = candidate.ADAPTER if service.base else candidate.MODEL
+            if name not in target.services or keepplan.key(kind, name) in protected:
+                continue
+            share = 1.0 - math.exp(math.log1p(-min(chance, 0.9999)) / REPLICA ** copies[name])
+            cost = candidate.reload_cost(service.size, candidate.WEIGHT_STARTUP) + service.startup
+            candidates.append(candidate.Candidate(kind, name, service.size, share, cost, service.base))
+        parked = [one for name, one in belief.kept.items()
+                  if name.startswith(candidate.KV) and name not in protected]
+        for one in sorted(parked, key=lambda part: -part.tokens)[:MOST_KV]:
+            program = one.name.partition(":")[2]
+            candidates.append(candidate.Candidate(
+                candidate.KV, program, one.size, self.signals.returns(program, WINDOW, now),
+                candidate.recovery_cost(one.tokens, one.place == keepplan.HOST), ""))
+        kv_bytes = sum(size for name, size in protected.items() if name.startswith(candidate.KV))
+        weight_bytes = sum(protected.values()) - kv_bytes
+        chosen = selection.select(tuple(candidates), belief.memory, weight_bytes, kv_bytes,
+                                  frozenset(name.partition(":")[2] for name in protected))
+        wanted = keepplan.wanted_of(chosen, protected)
+        sizes.update(wanted)
+        for name in wanted:
+            service = name.partition(":")[2]
+            if service in copies and not name.startswith(candidate.KV):
+                copies[service] += 1
+        ready = tuple(sorted(name for name, one in belief.kept.items() if one.place == keepplan.DEVICE))
+        keep = keepplan.KeepPlan(target.name, tuple(wanted), ready, tuple(sorted(protected)), chosen.shortfall)
+        return keep, sizes
+
+    def live(self, name: str, now: datetime.timedelta) -> bool:
+        """Whether parked KV belongs to a program that spoke just now.
+
+        Example: ``residency.live("kv:p1", now)``
+        """
+        kind, _, program = name.partition(":")
+        session = self.signals.sessions.get(program) if kind == candidate.KV else None
+        return session is not None and now - session.seen < LIVE
+
+    async def order(self, target: worker.Worker, step: keepplan.Step) -> None:
+        """Send one order under the duty's epoch; a worker that refuses the epoch ends the duty here.
+
+        Example: ``await residency.order(target, step)``
+        """
+        if not self.duty.held():
+            return
+        self.number += 1
+        order = adapter.Order(self.duty.epoch, self.number, step.release, step.offload, step.load, step.restore)
+        self.counts["orders"] += 1
+        try:
+            await self.adapter.order(target, order)
+        except result.Refusal as refusal:
+            self.counts["orders refused"] += 1
+            if refusal.result is result.Result.LOWER_EPOCH:
+                self.duty.end = moment.ZERO
+            belief = self.beliefs[target.name]
+            for name in (*step.release, *step.offload, *step.load, *step.restore):
+                belief.ordered.pop(name, None)
+            belief.known = False
+
+    async def publish(self) -> None:
+        """Give the keep plan to the root of the relay tree when it changed, or now and then.
+
+        Example: ``await residency.publish()``
+        """
+        workers = {name: {"target": list(one.target), "ready": list(one.ready),
+                          "protected": list(one.protected), "shortfall": one.shortfall}
+                   for name, one in sorted(self.keeps.items())}
+        body = json.dumps({"holder": self.node.address, "epoch": self.duty.epoch, "workers": workers})
+        now = moment.now()
+        if body == self.published[0] and now - self.published[1] < 4 * RESOLVE:
+            return
+        self.published = (body, now)
+        await publish(self.node, self.duty, TOPIC, body)
+
+
+async def publish(own: node.Node, held: duty.Duty, topic: str, body: str) -> None:
+    """Give a topic's new state to the root, under a revision that grows with the duty's epoch.
+
+    Example: ``await publish(own, duty, "quiet", "{}")``
+    """
+    holders = own.ring.holdings.get(0)
+    if holders is None or not held.held():
+        return
+    known = own.relay.topics.get(topic)
+    number = max(held.epoch * EPOCH_UNIT, known.revision.number if known else 0) + 1
+    one = news.News(topic, control.Revision(held.epoch, number), None, body)
+    try:
+        await own.link.ask(holders.primary.address, news.Publish(one), moment.seconds(1))
+    except result.Refusal as refusal:
+        LOG.info("publishing {}: {}", topic, refusal)
--- a/aspencroft/keep/word.py
+++ b/aspencroft/keep/word.py
@@ -1,6 +1,7 @@
 """What edges tell the holders of the residency and rest duties: one family of records."""
 
 import dataclasses
+import datetime
 
 import aspencroft.link.record as record
 
@@ -8,12 +9,13 @@
 @record.kind(160)
 @dataclasses.dataclass(frozen=True)
 class Called:
-    """A call went to a worker; its KV there grew to so many tokens."""
+    """A call was served by a worker in so much time; its KV there grew to so many tokens."""
 
     program: str
     service: str
     worker: str
     tokens: int
+    took: datetime.timedelta
 
 
 @record.kind(161)
--- a/aspencroft/node/node.py
+++ b/aspencroft/node/node.py
@@ -6,7 +6,9 @@
 import logbook
 
 import aspencroft.code.result as result
+import aspencroft.duty.duty as duty
 import aspencroft.edge.story as story
+import aspencroft.keep.word as word
 import aspencroft.link.link as link
 import aspencroft.link.record as record
 import aspencroft.node.settings as settings
@@ -65,6 +67,7 @@
         self.stopping = asyncio.Event()
         self.opened = False
         self.stories: story.Stories | None = None
+        self.duties: dict[str, duty.Duty] = {}
 
     # -- what is known of others -----------------------------------------------------------------
 
@@ -134,6 +137,9 @@
                 if held is None:
                     raise result.Refusal(result.Result.UNKNOWN_REQUEST, result.Ran.UNKNOWN)
                 return held
+            case word.Called() | word.Intended() | word.Wanted():
+                self.hear(message)
+                return holding.Okay()
             case news.Publish():
                 if not self.rooted():
                     raise result.Refusal(result.Result.NOT_PRIMARY)
@@ -141,6 +147,15 @@
                 return holding.Okay()
         raise result.Refusal(result.Result.FRAME_BROKEN, detail=type(message).__name__)
 
+    def hear(self, message) -> None:
+        """Give word from an edge to the duties that asked for its kind; what no queue has room for is lost.
+
+        Example: ``node.hear(word.Wanted("m1"))``
+        """
+        for listening in self.duties.values():
+            if not listening.words.full():
+                listening.words.put_nowait(message)
+
     def host(self, pair: int) -> host.Host:
         """This node's part in a pair; refused without a disk or before the disk was read.
 
@@ -334,5 +349,6 @@
             "pairs": {str(pair): {"why": held.why, "claimed": held.claimed(),
                                   "sequence": held.copy.last().sequence, "disk": held.copy.condition.value,
                                   **held.counts} for pair, held in self.hosts.items()},
+            "duties": {name: {"held": one.held(), "epoch": one.epoch} for name, one in self.duties.items()},
             "counts": {"link": dict(self.link.counts), "ring": self.ring.counts, "relay": self.relay.counts},
         }
--- a/aspencroft/program/cplane.py
+++ b/aspencroft/program/cplane.py
@@ -2,9 +2,12 @@
 
 import defopt
 
+import aspencroft.keep.residency as residency
 import aspencroft.node.node as node
 import aspencroft.program.daemon as daemon
+import aspencroft.rest.rest as rest
 import aspencroft.seam.moment as moment
+import aspencroft.worker.adapter as adapter
 
 
 def build(own: node.Node) -> tuple:
@@ -15,7 +18,8 @@
     async def nothing_under_way() -> None:
         await moment.pause(moment.ZERO)
 
-    return [], [], nothing_under_way
+    back = adapter.Adapter(own.surroundings)
+    return [], [residency.Residency(own, back).run, rest.Rest(own, back).run], nothing_under_way
 
 
 def cplane(settings: str = "", *, address: str = "", http: str = "", area: str = "", seeds: list[str] = (),
--- a/aspencroft/program/fleet.py
+++ b/aspencroft/program/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import json
+import logging
 import os
 import pathlib
 import random
@@ -209,6 +210,11 @@
         survivor = next(one for one, process in fleet.processes.items() if process.poll() is None)
         shown = (await client.get(f"http://{fleet.http(survivor)}/status")).json()
         report["plan at the end"] = shown["plan"]["revision"]
+        keeps = (await client.get(f"http://{fleet.http(survivor)}/observed/keeps")).json()
+        report["keep plans"] = {name: kept["target"][:4] for name, kept in keeps["keeps"].get("workers", {}).items()}
+        quiet = (await client.get(f"http://{fleet.http(survivor)}/observed/quiet")).json()
+        report["quiet list"] = quiet["quiet"].get("workers")
+        report["workers' counts"] = dict(sum((one.counts for one in around.models), collections.Counter()))
     return report
 
 
@@ -258,6 +264,7 @@
     :param seed: seed of the traffic
     :param keep: keep the data of an earlier run instead of starting empty
     """
+    logging.disable(logging.INFO)
     if deployment not in (shape.ARCHIVE, shape.TILLS):
         sys.exit("deployment: archive or tills")
     place = pathlib.Path(folder)
