--- a/aspencroft/edge/callers.py
+++ b/aspencroft/edge/callers.py
@@ -31,10 +31,10 @@
 })
 
 
-def request_of(body, lanes: dict[str, lane.Lane]) -> call.Request:
+def request_of(body, lanes: dict[str, lane.Lane], identity: str) -> call.Request:
     """A checked request; output and budget never exceed the lane's.
 
-    Example: ``request_of({"lane": "chat", "input": "hello", "program": "p1"}, lanes)``
+    Example: ``request_of({"lane": "chat", "input": "hello", "program": "p1"}, lanes, "id")``
     """
     try:
         full = SCHEMA(body)
@@ -46,7 +46,7 @@
         raise result.Refusal(result.Result.UNKNOWN_LANE, detail=full["lane"])
     most = min(full["most"] or known.turn_output, known.turn_output)
     budget = min(full["budget"] or known.budget, known.budget)
-    return call.Request(path.new_identity(), full["lane"], full["program"], full["helper"], full["after"],
+    return call.Request(identity, full["lane"], full["program"], full["helper"], full["after"],
                         full["input"], full["operation"], most, budget, full["tool"])
 
 
@@ -103,7 +103,8 @@
     async def take(request: litestar.Request) -> litestar.Response:
         body = operator.json_body(await request.body())
         edge.check_open()
-        one = edge.take_in(request_of(body, edge.node.relay.plan.lanes))
+        one = edge.take_in(request_of(
+            body, edge.node.relay.plan.lanes, path.new_identity(edge.node.surroundings.randomness)))
         event = await next_event(one)
         headers = {"X-Request": one.request.identity}
         if isinstance(event, call.Ended) and event.refusal is not None:
@@ -126,12 +127,12 @@
 
 def test_requests_are_checked_and_bounded_by_the_lane():
     lanes = {"chat": lane.of("chat", {"kind": "turns", "services": ["a"], "budget": 100, "turn_output": 10})}
-    asked = request_of({"lane": "chat", "input": "x", "program": "p", "most": 50, "budget": 70}, lanes)
+    asked = request_of({"lane": "chat", "input": "x", "program": "p", "most": 50, "budget": 70}, lanes, "id")
     assert asked.most == 10 and asked.budget == 70
     for body in ({}, [], {"lane": "chat"}, {"lane": "other", "input": 1}, {"lane": "chat", "input": 1, "x": 1},
                  {"lane": "chat", "input": 1, "after": -1}):
         try:
-            request_of(body, lanes)
+            request_of(body, lanes, "id")
         except result.Refusal as refusal:
             assert refusal.ran is result.Ran.NOT_RUN
             continue
--- a/aspencroft/edge/path.py
+++ b/aspencroft/edge/path.py
@@ -4,7 +4,7 @@
 import collections
 import datetime
 import json
-import uuid
+import random
 
 import logbook
 
@@ -524,9 +524,9 @@
             await moment.pause(PARK / 4)
 
 
-def new_identity() -> str:
+def new_identity(randomness: random.Random) -> str:
     """A request's identity.
 
-    Example: ``new_identity() != new_identity()``
+    Example: ``new_identity(around.randomness)``
     """
-    return uuid.uuid4().hex
+    return format(randomness.getrandbits(128), "032x")
--- a/aspencroft/node/node.py
+++ b/aspencroft/node/node.py
@@ -1,7 +1,6 @@
 """One node: link, ring, witness, copies of pairs and relay, the same in both programs."""
 
 import asyncio
-import time
 
 import logbook
 
@@ -45,7 +44,7 @@
         self.settings = place
         self.surroundings = around
         self.address = place.address
-        self.incarnation = int(time.time() * 1000)
+        self.incarnation = int(around.wall().timestamp() * 1000)
         self.link = link.Link(around, place.address, self)
         roster = holding.Roster(FIRST_ROSTER, place.seeds, ())
         self.electorate = electorate.Electorate(around, self.link, roster)
--- a/aspencroft/node/operator.py
+++ b/aspencroft/node/operator.py
@@ -215,6 +215,6 @@
 
     Example: ``operator.application(own, [])``
     """
-    return litestar.Litestar([*handlers(own), *more], openapi_config=None, request_max_body_size=plan.LARGEST,
+    return litestar.Litestar([*handlers(own), *more], openapi_config=None, logging_config=None, request_max_body_size=plan.LARGEST,
                              exception_handlers={result.Refusal: on_refusal,
                                                  litestar.exceptions.HTTPException: on_http})
--- a/aspencroft/pair/electorate.py
+++ b/aspencroft/pair/electorate.py
@@ -77,10 +77,11 @@
             except result.Refusal:
                 pass
 
-        waiting = {asyncio.ensure_future(ask(address, message)) for address, message in messages.items()}
+        waiting = [asyncio.ensure_future(ask(address, message)) for address, message in messages.items()]
         try:
             while waiting and not enough(answers):
-                _, waiting = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+                await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+                waiting = [task for task in waiting if not task.done()]
         finally:
             for task in waiting:
                 task.cancel()
--- a/aspencroft/rest/rest.py
+++ b/aspencroft/rest/rest.py
@@ -121,7 +121,7 @@
         wanted, self.wanted = frozenset(self.wanted) & self.quiet, set()
         calm = now - max(self.changed, self.started) > quiet.CALM
         fresh = quiet.next_list(machines, self.quiet & {one.name for one in machines}, wanted, WINDOW, calm)
-        woken = [targets[name] for name in self.quiet - fresh if name in targets]
+        woken = [targets[name] for name in sorted(self.quiet - fresh) if name in targets]
         if fresh != self.quiet:
             self.changed = now
             self.since.update({name: now for name in fresh - self.quiet})
--- a/aspencroft/seam/surroundings.py
+++ b/aspencroft/seam/surroundings.py
@@ -3,6 +3,7 @@
 import asyncio
 import concurrent.futures
 import dataclasses
+import datetime
 import os
 import pathlib
 import random
@@ -37,7 +38,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Surroundings:
-    """Network, disk, HTTP transport and source of randomness of one node.
+    """Network, disk, HTTP transport, source of randomness and wall clock of one node.
 
     Example: ``surroundings.machine()`` for the real ones.
     """
@@ -46,6 +47,7 @@
     disk: Disk
     transport: typing.Callable[[], httpx.AsyncBaseTransport]
     randomness: random.Random
+    wall: typing.Callable[[], datetime.datetime]
 
 
 class StreamChannel:
@@ -140,4 +142,4 @@
     limits = httpx.Limits(max_connections=512, max_keepalive_connections=64, keepalive_expiry=20)
     return Surroundings(SocketNetwork(), FileDisk(),
                         lambda: httpx.AsyncHTTPTransport(limits=limits, retries=0),
-                        random.SystemRandom())
+                        random.SystemRandom(), lambda: datetime.datetime.now(datetime.timezone.utc))
--- /dev/null
+++ b/aspencroft/sim/campaign.py
@@ -0,0 +1,370 @@
+"""Seeded campaigns: traffic, operators and faults at once, then the plain model's verdict."""
+
+import asyncio
+import collections
+import concurrent.futures
+import dataclasses
+import random
+import sys
+import time
+
+import defopt
+import httpx
+
+import aspencroft.sim.judge as judge
+import aspencroft.sim.scene as scene
+import aspencroft.sim.wire as wire
+import aspencroft.stand.backend as backend
+import aspencroft.stand.shape as shape
+
+RETURN = 12.0
+FAULTS = ("kill", "power", "freeze", "cut", "area", "swap", "slow", "restart", "blackout", "edge", "workers",
+          "damage", "jump", "leader", "replace")
+
+
+@dataclasses.dataclass
+class Day:
+    """One campaign's course: what operators got acknowledged, and how long service took to return.
+
+    Example: ``await Day(one, chance).run()``
+    """
+
+    scene: scene.Scene
+    chance: random.Random
+    kinds: tuple[str, ...] = FAULTS
+    count: int = 3
+    acknowledged: dict[str, dict] = dataclasses.field(default_factory=dict)
+    told: list[str] = dataclasses.field(default_factory=list)
+    done: list[str] = dataclasses.field(default_factory=list)
+    returned: list[float] = dataclasses.field(default_factory=list)
+    waits: list[float] = dataclasses.field(default_factory=list)
+    swaps: int = 0
+    over: bool = False
+
+    async def run(self) -> None:
+        """Form, write the plan, let traffic and operators run beside faults, end, ask once more.
+
+        Example: ``await day.run()``
+        """
+        await self.scene.until(self.scene.formed, 30, "formed")
+        self.client = httpx.AsyncClient(transport=wire.SimTransport(self.scene.wire, scene.OUTSIDE))
+        await self.put_first_plan()
+        await self.scene.until(self.scene.ready, 20, "ready")
+        asking = self.scene.caller(1)
+        self.asking = asking
+        async with asyncio.TaskGroup() as group:
+            traffic = [group.create_task(self.traffic()), group.create_task(self.operate("a")),
+                       group.create_task(self.operate("b"))]
+            watching = group.create_task(self.watch_revisions())
+            for _ in range(self.count):
+                await asyncio.sleep(0.5 + 2 * self.chance.random())
+                await self.fault(self.chance.choice(self.kinds))
+                self.returned.append(await self.scene.until(self.serves, RETURN, "back in service"))
+            self.over = True
+            for task in traffic:
+                await task
+            watching.cancel()
+        await self.ask_once_more()
+
+    async def put_first_plan(self) -> None:
+        """An operator writes the deployment's plan; said again until it is acknowledged.
+
+        Example: ``await day.put_first_plan()``
+        """
+        for _ in range(10):
+            try:
+                response = await self.client.put("http://core-1/plan", json=self.scene.mix.document)
+                if response.status_code == 200:
+                    return
+            except httpx.HTTPError:
+                pass
+            await asyncio.sleep(1)
+        raise AssertionError("the first plan was never acknowledged")
+
+    def serves(self) -> bool:
+        """Whether every pair is served with two copies, and every edge holds a current plan.
+
+        Example: ``await scene.until(day.serves, 12, "back in service")``
+        """
+        return self.scene.ready() and all(
+            self.scene.nodes[self.scene.leader(pair)].hosts[pair].known.backup is not None for pair in range(3))
+
+    async def traffic(self) -> None:
+        """Programs and signals by the mix until the day is over.
+
+        Example: ``group.create_task(day.traffic())``
+        """
+        number = 0
+        async with asyncio.TaskGroup() as group:
+            while not self.over:
+                number += 1
+                group.create_task(self.asking.one(f"n{number}"))
+                await asyncio.sleep(self.chance.expovariate(4))
+
+    async def operate(self, name: str) -> None:
+        """An operator that adds and changes resources through any node, racing the other one.
+
+        Example: ``group.create_task(day.operate("a"))``
+        """
+        number = 0
+        while not self.over:
+            number += 1
+            resource, spec = f"extra-{name}-{number % 5}", {"kind": "plain", "size": number}
+            node = self.chance.choice([one for one in self.scene.names() if self.scene.alive(one)])
+            began = self.scene.loop.time()
+            try:
+                response = await self.client.put(f"http://{node}/plan/services/{resource}", json=spec)
+            except httpx.HTTPError:
+                self.acknowledged.pop(resource, None)
+                continue
+            if response.status_code == 200:
+                self.acknowledged[resource] = spec
+                self.waits.append(self.scene.loop.time() - began)
+                self.check_in_force(response.json()["revision"])
+            else:
+                self.acknowledged.pop(resource, None)
+            await asyncio.sleep(0.3 + self.chance.random())
+
+    def check_in_force(self, revision: str) -> None:
+        """An acknowledged plan must be in force on every node that may act on one.
+
+        Example: ``day.check_in_force("1.4")``
+        """
+        number = int(revision.split(".")[1])
+        for name, own in self.scene.nodes.items():
+            if self.scene.alive(name) and name not in self.scene.loop.frozen and own.relay.current():
+                if own.relay.revision.number < number:
+                    self.told.append(f"{revision} was acknowledged while {name} acts on {own.relay.revision.text()}")
+
+    async def watch_revisions(self) -> None:
+        """No node steps back.
+
+        Example: ``group.create_task(day.watch_revisions())``
+        """
+        newest: dict[str, int] = collections.defaultdict(int)
+        while True:
+            for name, own in self.scene.nodes.items():
+                if self.scene.alive(name) and own.relay.current():
+                    if own.relay.revision.number < newest[name]:
+                        self.told.append(f"{name} stepped back to {own.relay.revision.text()}")
+                    newest[name] = own.relay.revision.number
+            await asyncio.sleep(0.2)
+
+    async def fault(self, kind: str) -> None:
+        """Cause one kind of failure, and end it.
+
+        Example: ``await day.fault("kill")``
+        """
+        one, chance = self.scene, self.chance
+        self.done.append(f"{one.loop.time():.1f} {kind}")
+        victim = chance.choice(one.storages)
+        long = 0.5 + 5 * chance.random()
+        if kind == "leader":
+            victim = one.leader(chance.randrange(3)) or victim
+            kind = chance.choice(["kill", "power", "freeze"])
+        if kind == "edge":
+            victim, kind = chance.choice(one.edges), chance.choice(["kill", "freeze", "restart"])
+        if kind in ("kill", "power", "freeze", "restart") and chance.random() < 0.3:
+            victim = chance.choice(one.cores)
+        if kind == "kill":
+            one.kill(victim)
+            await asyncio.sleep(long)
+            one.start(victim)
+        elif kind == "power":
+            one.power_off(victim)
+            await asyncio.sleep(long)
+            one.start(victim)
+        elif kind == "freeze":
+            one.loop.freeze(victim)
+            await asyncio.sleep(long)
+            one.loop.thaw(victim)
+        elif kind == "restart":
+            await one.stop(victim)
+            await asyncio.sleep(0.5)
+            one.start(victim)
+        elif kind == "cut":
+            left = [name for name in one.names() if chance.random() < 0.5]
+            one.wire.cut(left, [name for name in one.names() if name not in left])
+            await asyncio.sleep(long)
+            one.wire.heal()
+        elif kind == "area":
+            area = chance.randrange(3)
+            left = [name for name in one.names() if int(name.split("-")[1]) % 3 == area]
+            one.wire.cut(left, [name for name in one.names() if name not in left])
+            await asyncio.sleep(long)
+            one.wire.heal()
+        elif kind == "slow":
+            one.disks[victim].delay = 0.2 + 0.4 * chance.random()
+            await asyncio.sleep(long)
+            one.disks[victim].delay = 0.002
+        elif kind == "workers":
+            await self.hurt_workers(long)
+        elif kind == "jump":
+            one.clock_jump += chance.choice([-1, 1]) * (scene.EPOCH.resolution * 3_600_000_000)
+            one.kill(victim)
+            one.start(victim)
+        elif kind == "blackout":
+            for name in one.names():
+                one.power_off(name)
+            await asyncio.sleep(long / 3)
+            for name in sorted(one.names(), key=lambda name: chance.random()):
+                one.start(name)
+                await asyncio.sleep(0.3 * chance.random())
+        elif kind in ("swap", "damage"):
+            await one.until(self.serves, RETURN, "whole before a disk is lost")
+            one.power_off(victim)
+            if kind == "damage":
+                one.disks[victim].damage()
+                one.start(victim)
+            else:
+                one.disks[victim].wipe()
+                self.swaps += 1
+                fresh = f"storage-{2 + self.swaps}"
+                one.storages[one.storages.index(victim)] = fresh
+                await asyncio.sleep(long)
+                one.start(fresh)
+        elif kind == "replace":
+            worker = chance.choice(one.world.models)
+            one.world.leaving.add(worker.name)
+            one.marked[worker.name] = one.loop.time()
+            await asyncio.sleep(long)
+
+    async def hurt_workers(self, long: float) -> None:
+        """Workers hand requests back, lose answers, cut streams and drop what they keep, for a while.
+
+        Example: ``await day.hurt_workers(3)``
+        """
+        one, chance = self.scene, self.chance
+        for target in one.world.workers():
+            target.faults = backend.Faults(0.2 * chance.random(), 0.2 * chance.random(), 0.2 * chance.random(),
+                                           0.3, chance.random() < 0.5)
+        victim = chance.choice(one.world.workers())
+        one.kill(victim.name)
+        await asyncio.sleep(long)
+        one.loop.begin(victim.name)
+        one.wire.pages[f"{victim.name}:80"] = (victim.name, one.world.application(victim))
+        for target in one.world.workers():
+            target.faults = backend.Faults()
+
+    async def ask_once_more(self) -> None:
+        """Every program whose turn was answered still has its history; every kind of request is served.
+
+        Example: ``await day.ask_once_more()``
+        """
+        said: dict[str, list] = collections.defaultdict(list)
+        unsure: set[str] = set()
+        for one in self.asking.noted:
+            if one.program and not one.helper:
+                if one.ran == "done":
+                    said[one.program].append(one)
+                elif one.ran != "not run":
+                    unsure.add(one.program)
+        for program, turns in sorted(said.items()):
+            if program in unsure:
+                continue
+            noted = await self.asking.ask(turns[-1].lane, f"{program} last", program=program,
+                                          after=turns[-1].after + 1)
+            if noted.ran != "done" and noted.result != 1007:
+                self.told.append(f"{program}: a turn after {len(turns)} was answered {noted.ran} {noted.result}")
+        for kind in self.scene.mix.kinds:
+            noted = await self.asking.ask(kind.lane, {"name": f"last-{kind.lane}", "keyed": False},
+                                          program=f"last-{kind.lane}" if kind.turns else "")
+            if noted.ran != "done":
+                self.told.append(f"{kind.lane} is not served at the end: {noted.ran} {noted.result}")
+
+    def verdict(self) -> list[str]:
+        """The plain model's word on the whole day.
+
+        Example: ``assert day.verdict() == []``
+        """
+        one = self.scene
+        leader = one.leader(0)
+        document = one.nodes[leader].hosts[0].copy.view.document if leader else {"lanes": {}, "services": {}}
+        allowed = frozenset((lane, service) for lane, spec in one.mix.document["lanes"].items()
+                            for service in spec["services"])
+        history = judge.History(tuple(self.asking.noted), tuple(one.world.seen()), one.world.ran(),
+                                one.world.put_out(), document, self.acknowledged, one.marked,
+                                (*self.told, *self.asking.faults), allowed)
+        return judge.faults(history)
+
+
+def run_day(seed: int, kinds: tuple[str, ...] = FAULTS, count: int = 3) -> dict:
+    """One seeded campaign; what was wrong, what was done to the fleet, how long service took to return.
+
+    Example: ``run_day(7)["wrong"] == []``
+    """
+    held: list[Day] = []
+
+    async def story(one: scene.Scene) -> None:
+        held.append(Day(one, random.Random(seed * 7 + 1), kinds, count))
+        await held[0].run()
+
+    weather = wire.Weather(jitter=0.004, double=0.002, reset=0.0005)
+    wrong = []
+    began = time.perf_counter()
+    played = None
+    try:
+        played = scene.play(seed, story, name=(shape.TILLS, shape.ARCHIVE)[seed % 2], weather=weather)
+        wrong = held[0].verdict()
+    except* Exception as group:
+        wrong = [f"{type(error).__name__}: {error}" for error in flat(group)]
+    day = held[0] if held else None
+    if played is not None:
+        wrong.extend(f"unhandled: {one}" for one in played.loop.exceptions[:3])
+        wrong.extend(f"ended: {one}" for one in played.ended[:3])
+    return {"seed": seed, "wrong": wrong, "done": day.done if day else [], "returned": day.returned if day else [],
+            "waits": day.waits if day else [], "counts": dict(day.asking.counts) if day and hasattr(day, "asking") else {},
+            "seconds": time.perf_counter() - began}
+
+
+def flat(group: BaseExceptionGroup) -> list[BaseException]:
+    """The exceptions in a group of groups.
+
+    Example: ``flat(ExceptionGroup("", [ValueError()]))``
+    """
+    found = []
+    for error in group.exceptions:
+        found.extend(flat(error) if isinstance(error, BaseExceptionGroup) else [error])
+    return found
+
+
+def campaign(*, first: int = 1, seeds: int = 40, faults: list[str] = FAULTS, count: int = 3,
+             processes: int = 8) -> None:
+    """Run many seeded campaigns and print those that went wrong.
+
+    :param first: first seed
+    :param seeds: how many
+    :param faults: kinds of faults to draw from
+    :param count: faults a day
+    :param processes: how many at once
+    """
+    total: collections.Counter = collections.Counter()
+    returned, waits, bad = [], [], 0
+    with concurrent.futures.ProcessPoolExecutor(processes) as pool:
+        work = [pool.submit(run_day, seed, tuple(faults), count) for seed in range(first, first + seeds)]
+        for future in concurrent.futures.as_completed(work):
+            shown = future.result()
+            total.update(shown["counts"])
+            returned.extend(shown["returned"])
+            waits.extend(shown["waits"])
+            if shown["wrong"]:
+                bad += 1
+                print(shown["seed"], shown["done"], *[str(one)[:1500] for one in shown["wrong"][:4]], sep="\n  ",
+                      flush=True)
+    returned.sort()
+    waits.sort()
+    print(f"{seeds} seeds, {bad} wrong; answers {dict(sorted(total.items()))}")
+    for name, row in (("service returned after a fault's end", returned), ("plan writes took", waits)):
+        if row:
+            print(f"{name}: median {row[len(row) // 2]:.2f} s, 95 % {row[int(len(row) * .95)]:.2f} s, "
+                  f"most {row[-1]:.2f} s, of {len(row)}")
+    sys.exit(1 if bad else 0)
+
+
+if __name__ == "__main__":
+    defopt.run(campaign)
+
+
+def test_days_of_faults_break_none_of_the_promises():
+    for seed in (1, 2, 3, 4):
+        assert run_day(seed)["wrong"] == []
--- /dev/null
+++ b/aspencroft/sim/judge.py
@@ -0,0 +1,138 @@
+"""The slow plain model: what callers, workers and operators saw, held against what must never happen."""
+
+import collections
+import dataclasses
+import json
+
+import aspencroft.stand.backend as backend
+import aspencroft.stand.caller as caller
+
+
+@dataclasses.dataclass(frozen=True)
+class History:
+    """All that was recorded of a run.
+
+    Example: ``faults(History(noted, seen, ran, put_out, document, acknowledged, leaving, stream_faults))``
+    """
+
+    noted: tuple[caller.Noted, ...]
+    seen: tuple[dict, ...]
+    ran: dict[str, int]
+    put_out: dict[str, int]
+    document: dict
+    acknowledged: dict[str, dict]
+    leaving: dict[str, float]
+    told: tuple[str, ...]
+    allowed: frozenset[tuple[str, str]]
+
+
+def faults(history: History) -> list[str]:
+    """Everything that must never happen and did.
+
+    Example: ``assert faults(history) == []``
+    """
+    return [*history.told, *run_twice(history), *keys_twice(history), *not_run_yet_ran(history),
+            *over_budget(history), *foreign_turns(history), *foreign_services(history),
+            *to_leaving(history), *lost_plans(history)]
+
+
+def run_twice(history: History) -> list[str]:
+    """Requests that ran more than once.
+
+    Example: ``run_twice(history) == []``
+    """
+    return [f"{request} ran {count} times" for request, count in history.ran.items() if count > 1]
+
+
+def keys_twice(history: History) -> list[str]:
+    """Operation keys under which more than one run began (a run is told by its input's name)."""
+    names = collections.Counter(body["input"]["name"] for body in history.seen
+                                if isinstance(body["input"], dict) and body["input"].get("keyed"))
+    return [f"key {name} ran {count} times" for name, count in names.items() if count > 1]
+
+
+def not_run_yet_ran(history: History) -> list[str]:
+    """Requests refused as not run that some worker ran, before or after the refusal."""
+    return [f"{one.request} was refused as not run ({one.result}) and ran" for one in history.noted
+            if one.ran == "not run" and one.request in history.ran]
+
+
+def over_budget(history: History) -> list[str]:
+    """Programs whose turns together put out more than the budget plus one turn."""
+    lanes = history.document["lanes"]
+    put_out: collections.Counter = collections.Counter()
+    limit: dict[str, int] = {}
+    lane_of = {one.program: one.lane for one in history.noted if one.program}
+    for body in history.seen:
+        if body.get("program") in lane_of:
+            put_out[body["program"]] += history.put_out.get(body["request"], 0)
+            lane = lanes[lane_of[body["program"]]]
+            limit[body["program"]] = lane["budget"] + lane["turn_output"]
+    return [f"{program} put out {count} of {limit[program]}" for program, count in put_out.items()
+            if count > limit[program]]
+
+
+def foreign_turns(history: History) -> list[str]:
+    """Turns whose history is not the row of answers that workers gave to the chain's earlier turns."""
+    found = []
+    given: dict[tuple[str, str], dict[str, set[str]]] = collections.defaultdict(lambda: collections.defaultdict(set))
+    turns = sorted((body for body in history.seen if "history" in body), key=lambda body: body["at"])
+    for body in turns:
+        chain = given[body["program"], body["helper"]]
+        if len(body["history"]) != body["turn"] - 1:
+            found.append(f"{body['request']}: turn {body['turn']} was given {len(body['history'])} turns")
+        for before, (said, answer) in enumerate(body["history"]):
+            if answer not in chain[json.dumps([before, said])]:
+                found.append(f"{body['request']}: {answer!r} is no answer to turn {before + 1} {said!r}")
+        whole = "".join(backend.answer_words(body)[:body["max_output"]])
+        chain[json.dumps([body["turn"] - 1, body["input"]])].add(whole)
+    return found
+
+
+def foreign_services(history: History) -> list[str]:
+    """Runs of services that no plan ever allowed to the lane."""
+    lane_of = {one.request: one.lane for one in history.noted if one.request}
+    return [f"{body['request']} of {lane_of[body['request']]} went to {service}" for body in history.seen
+            if body["request"] in lane_of
+            and (lane_of[body["request"]], service := body.get("model") or body.get("service")) not in history.allowed]
+
+
+def to_leaving(history: History) -> list[str]:
+    """Runs that began on a worker more than 3 s after it was marked as leaving."""
+    return [f"{body['request']} went to {body['worker']} {body['at'] - history.leaving[body['worker']]:.2f} s late"
+            for body in history.seen if body["worker"] in history.leaving
+            and body["at"] > history.leaving[body["worker"]] + 3.0]
+
+
+def lost_plans(history: History) -> list[str]:
+    """Acknowledged resources that the plan at the end does not hold as written."""
+    services = history.document["services"]
+    return [f"acknowledged {name} reads back {services.get(name)}" for name, spec in history.acknowledged.items()
+            if services.get(name) != spec]
+
+
+def sample(**changes) -> History:
+    """A sound history with some things changed, for the tests.
+
+    Example: ``sample(ran={"r1": 2})``
+    """
+    noted = caller.Noted("chat", "r1", "p", "", 0, "", "done", 0, "m turn 1 mark 0000", 3, 200)
+    body = {"request": "r1", "program": "p", "helper": "", "turn": 1, "history": [], "input": "hi", "model": "m",
+            "max_output": 40, "worker": "w", "at": 1.0}
+    lanes = {"chat": {"budget": 10, "turn_output": 5}}
+    sound = History((noted,), (body,), {"r1": 1}, {"r1": 3}, {"lanes": lanes, "services": {"x": {}}},
+                    {"x": {}}, {}, (), frozenset({("chat", "m")}))
+    return dataclasses.replace(sound, **changes)
+
+
+def test_the_judge_sees_each_fault():
+    sound = sample()
+    assert faults(sound) == []
+    body, noted = sound.seen[0], sound.noted[0]
+    signal = {"request": "r2", "service": "m", "input": {"name": "k", "keyed": True}, "worker": "w", "at": 1.0}
+    wrong = [sample(ran={"r1": 2}), sample(seen=(body, signal, {**signal, "request": "r3"})),
+             sample(noted=(dataclasses.replace(noted, ran="not run"),)), sample(put_out={"r1": 16}),
+             sample(seen=({**body, "history": [["a", "b"]], "turn": 2},)), sample(allowed=frozenset()),
+             sample(leaving={"w": -3.0}), sample(acknowledged={"y": {}}), sample(told=("piece",))]
+    for one in wrong:
+        assert len(faults(one)) == 1, faults(one)
--- /dev/null
+++ b/aspencroft/sim/scene.py
@@ -0,0 +1,273 @@
+"""A simulated fleet: the daemons' own code, stand-ins around it, and the means to hurt it."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import datetime
+import pathlib
+import random
+import shutil
+import tempfile
+
+import aspencroft.edge.callers as callers
+import aspencroft.edge.path as path
+import aspencroft.keep.residency as residency
+import aspencroft.node.node as node
+import aspencroft.node.operator as operator
+import aspencroft.node.settings as settings
+import aspencroft.program.daemon as daemon
+import aspencroft.rest.rest as rest
+import aspencroft.seam.surroundings as surroundings
+import aspencroft.sim.disk as disk
+import aspencroft.sim.loop as loop
+import aspencroft.sim.wire as wire
+import aspencroft.stand.caller as caller
+import aspencroft.stand.shape as shape
+import aspencroft.stand.world as world
+import aspencroft.worker.adapter as adapter
+
+AREAS = ("north", "middle", "south")
+OUTSIDE = "outside"
+EPOCH = datetime.datetime(2030, 1, 1, tzinfo=datetime.timezone.utc)
+
+
+@dataclasses.dataclass(frozen=True)
+class Size:
+    """How many nodes of each role, and which have disks.
+
+    Example: ``Size(edges=2, storages=3, cores=3)``
+    """
+
+    edges: int = 2
+    storages: int = 3
+    cores: int = 3
+
+
+class Scene:
+    """One simulated world.
+
+    Example: ``play(seed, story)`` where ``story`` is a coroutine function of the scene.
+    """
+
+    def __init__(self, seed: int, size: Size, mix: shape.Shape, weather: wire.Weather, folder: pathlib.Path):
+        self.chance = random.Random(seed)
+        self.seed = seed
+        self.folder = folder
+        self.loop = loop.SimLoop()
+        self.wire = wire.Wire(self.loop, random.Random(seed + 1), weather)
+        self.mix = mix
+        self.world = world.World(mix, random.Random(seed + 2))
+        self.storages = [f"storage-{number}" for number in range(size.storages)]
+        self.cores = [f"core-{number}" for number in range(size.cores)]
+        self.edges = [f"edge-{number}" for number in range(size.edges)]
+        self.seeds = tuple(f"{name}:1" for name in self.cores[:3])
+        self.disks: dict[str, disk.SimDisk] = {}
+        self.nodes: dict[str, node.Node] = {}
+        self.edge_paths: dict[str, path.Path] = {}
+        self.clock_jump = datetime.timedelta()
+        self.ended: list[str] = []
+        self.marked: dict[str, float] = {}
+
+    def names(self) -> list[str]:
+        """All nodes.
+
+        Example: ``scene.names()``
+        """
+        return [*self.edges, *self.storages, *self.cores]
+
+    def begin_world(self) -> None:
+        """Start the stand-ins outside the fleet.
+
+        Example: ``scene.begin_world()``
+        """
+        self.loop.begin(OUTSIDE)
+        self.loop.begin("platform")
+        self.wire.pages["platform:80"] = ("platform", self.world.platform())
+        for one in self.world.workers():
+            self.loop.begin(one.name)
+            self.world.addresses[one.name] = f"{one.name}:80"
+            self.wire.pages[f"{one.name}:80"] = (one.name, self.world.application(one))
+
+    def place(self, name: str) -> settings.Settings:
+        """A node's settings.
+
+        Example: ``scene.place("core-0").role``
+        """
+        role = name.split("-")[0]
+        data = self.folder / name if role == settings.STORAGE else None
+        area = AREAS[int(name.split("-")[1]) % 3]
+        return settings.Settings(f"{name}:1", f"{name}:80", area, self.seeds, role, data,
+                                 "http://platform:80/api/workers", 2, None)
+
+    def start(self, name: str) -> None:
+        """Start a node's process.
+
+        Example: ``scene.start("core-0")``
+        """
+        self.loop.begin(name)
+        place = self.place(name)
+        if name not in self.disks and place.data is not None:
+            self.disks[name] = disk.SimDisk(place.data, random.Random(f"{self.seed} {name}"))
+        around = surroundings.Surroundings(
+            wire.SimNetwork(self.wire, name), self.disks.get(name),
+            lambda: wire.SimTransport(self.wire, name),
+            random.Random(f"{self.seed} {name} {self.loop.lives[name]}"),
+            lambda: EPOCH + datetime.timedelta(seconds=self.loop.time()) + self.clock_jump)
+        self.loop.create_task(self.live(name, place, around), context=self.loop.context_of(name))
+
+    async def live(self, name: str, place: settings.Settings, around: surroundings.Surroundings) -> None:
+        """A node's process.
+
+        Example: ``loop.create_task(scene.live(name, place, around), context=context)``
+        """
+        own = node.Node(place, around)
+        self.nodes[name] = own
+        back = adapter.Adapter(around)
+        more, works = [], []
+        if place.role == settings.EDGE:
+            edge = path.Path(own, back)
+            own.stories = edge.stories
+            self.edge_paths[name] = edge
+            more, works = callers.handlers(edge), [edge.run]
+        else:
+            works = [residency.Residency(own, back).run, rest.Rest(own, back).run]
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(own.run())
+                await own.started.wait()
+                self.wire.pages[f"{name}:80"] = (name, operator.application(own, more))
+                for work in works:
+                    group.create_task(work())
+        except BaseExceptionGroup as error:
+            self.ended.append(f"{name}: {error!r} {error.exceptions!r}")
+            raise
+
+    def kill(self, name: str) -> None:
+        """End a node's process without a word from itself; its machine goes on.
+
+        Example: ``scene.kill("core-0")``
+        """
+        self.loop.end(name)
+        self.wire.drop(name, silent=False)
+        self.wire.pages.pop(f"{name}:80", None)
+
+    def power_off(self, name: str) -> None:
+        """The machine loses power: unsynced bytes go, nobody is told.
+
+        Example: ``scene.power_off("storage-0")``
+        """
+        self.loop.end(name)
+        self.wire.drop(name, silent=True)
+        self.wire.pages.pop(f"{name}:80", None)
+        if name in self.disks:
+            self.disks[name].power_loss()
+
+    async def stop(self, name: str) -> None:
+        """Stop a node gracefully, as SIGTERM does.
+
+        Example: ``await scene.stop("edge-0")``
+        """
+        own = self.nodes[name]
+
+        async def whole() -> None:
+            own.stopping.set()
+            own.ring.leave()
+            async with asyncio.TaskGroup() as group:
+                if name in self.edge_paths:
+                    group.create_task(self.edge_paths[name].drain())
+                group.create_task(daemon.hand_over(own))
+
+        ending = self.loop.create_task(whole(), context=self.loop.context_of(name))
+        await asyncio.wait([ending], timeout=8)
+        self.kill(name)
+
+    async def until(self, condition: collections.abc.Callable[[], bool], within: float, what: str) -> float:
+        """Wait in simulated time until something holds; fails after so many seconds.
+
+        Example: ``await scene.until(scene.ready, 20, "ready")``
+        """
+        began = self.loop.time()
+        while not condition():
+            if self.loop.time() - began > within:
+                raise AssertionError(f"seed {self.seed}: not {what} within {within} s: {self.show()}")
+            await asyncio.sleep(0.05)
+        return self.loop.time() - began
+
+    def show(self) -> dict:
+        """The state of all nodes, for a failed run.
+
+        Example: ``scene.show()``
+        """
+        return {name: {"pairs": {pair: (held.why, str(held.known), held.claimed())
+                                 for pair, held in own.hosts.items()},
+                       "seat": own.seat.why, "plan": own.relay.revision.text(), "current": own.relay.current()}
+                for name, own in self.nodes.items() if self.alive(name)} | {"ended": self.ended}
+
+    def alive(self, name: str) -> bool:
+        """Whether a node's process runs.
+
+        Example: ``scene.alive("core-0")``
+        """
+        return self.loop.lives.get(name, 0) > 0
+
+    def leader(self, pair: int) -> str:
+        """The node that may act as a pair's primary now, or nothing.
+
+        Example: ``scene.leader(0)``
+        """
+        for name, own in self.nodes.items():
+            if self.alive(name) and name not in self.loop.frozen and pair in own.hosts:
+                if own.hosts[pair].claimed() and own.hosts[pair].why == "serving":
+                    return name
+        return ""
+
+    def formed(self) -> bool:
+        """Whether all pairs are served.
+
+        Example: ``await scene.until(scene.formed, 20, "formed")``
+        """
+        return all(self.leader(pair) for pair in range(3))
+
+    def ready(self) -> bool:
+        """Whether all pairs are served and all living edges hold a current plan.
+
+        Example: ``await scene.until(scene.ready, 20, "ready")``
+        """
+        return self.formed() and all(self.nodes[name].relay.current() for name in self.edges
+                                     if self.alive(name) and name not in self.loop.frozen)
+
+    def caller(self, seed: int) -> caller.Caller:
+        """Callers outside the fleet.
+
+        Example: ``asking = scene.caller(1)``
+        """
+        return caller.Caller(self.mix, tuple(f"{name}:80" for name in self.edges),
+                             wire.SimTransport(self.wire, OUTSIDE), random.Random(self.seed * 1000 + seed))
+
+
+def play(seed: int, story: collections.abc.Callable, size: Size = Size(), name: str = shape.TILLS,
+         weather: wire.Weather = wire.Weather()) -> Scene:
+    """Play a story in a fresh simulated world.
+
+    Example: ``play(7, story)``
+    """
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="aspencroft-"))
+    scene = Scene(seed, size, shape.shape_of(name), weather, folder)
+
+    async def whole() -> None:
+        scene.begin_world()
+        for one in scene.names():
+            scene.start(one)
+        await scene.loop.create_task(story(scene), context=scene.loop.context_of(OUTSIDE))
+
+    try:
+        scene.loop.run_until_complete(whole())
+    finally:
+        for one in list(scene.loop.lives):
+            if scene.loop.lives[one] > 0:
+                scene.loop.end(one)
+        for task in asyncio.all_tasks(scene.loop):
+            task._log_destroy_pending = False
+        scene.loop.bury()
+        shutil.rmtree(folder, ignore_errors=True)
+    return scene
--- a/aspencroft/stand/backend.py
+++ b/aspencroft/stand/backend.py
@@ -55,7 +55,7 @@
         self.ran: collections.Counter = collections.Counter()
         self.seen: list[dict] = []
         self.counts: collections.Counter = collections.Counter()
-        self.awake_seconds = 0.0
+        self.put_out: collections.Counter = collections.Counter()
         self.old_report: dict = {"memory": memory, "kept": []}
 
     def row(self, url: str, leaving: bool = False) -> dict:
@@ -147,6 +147,7 @@
                 if number == cut:
                     raise ConnectionError("cut in the middle")
                 await moment.pause(PIECE)
+                self.put_out[body["request"]] += 1
                 yield line({"request": body["request"], "piece": number, "text": text, "tokens": 1})
             yield line({"request": body["request"], "end": True, "pieces": len(words)})
         finally:
@@ -175,7 +176,7 @@
                 self.counts["put back"] += 1
                 return litestar.Response({"put_back": True}, status_code=503)
             self.ran[body["request"]] += 1
-            self.seen.append(body)
+            self.seen.append({**body, "at": moment.now().total_seconds()})
             if self.chance.random() < self.faults.lose_answer:
                 self.counts["answers lost"] += 1
                 return litestar.Response({"lost": True}, status_code=500)
@@ -235,7 +236,7 @@
                 self.counts["put back"] += 1
                 return litestar.Response({"put_back": True}, status_code=503)
             self.ran[body["request"]] += 1
-            self.seen.append(body)
+            self.seen.append({**body, "at": moment.now().total_seconds()})
             await moment.pause(PIECE)
             if self.chance.random() < self.faults.lose_answer:
                 self.counts["answers lost"] += 1
--- a/aspencroft/stand/caller.py
+++ b/aspencroft/stand/caller.py
@@ -106,7 +106,7 @@
         """
         operation = name if self.chance.random() < 0.8 else ""
         for _ in range(3):
-            noted = await self.ask(kind.lane, {"name": name}, operation=operation)
+            noted = await self.ask(kind.lane, {"name": name, "keyed": bool(operation)}, operation=operation)
             if noted.ran == "done" or not operation:
                 return
             await moment.pause(moment.seconds(1 + self.chance.random()))
--- a/aspencroft/stand/world.py
+++ b/aspencroft/stand/world.py
@@ -54,14 +54,32 @@
         def workers() -> dict:
             return {"workers": self.rows()}
 
-        return litestar.Litestar([workers], openapi_config=None)
+        return litestar.Litestar([workers], openapi_config=None, logging_config=None)
 
     def application(self, worker) -> litestar.Litestar:
         """A back end's pages.
 
         Example: ``world.application(world.models[0])``
         """
-        return litestar.Litestar(worker.handlers(), openapi_config=None)
+        return litestar.Litestar(worker.handlers(), openapi_config=None, logging_config=None)
+
+    def put_out(self) -> dict[str, int]:
+        """Tokens that back ends put out for each request.
+
+        Example: ``sum(world.put_out().values())``
+        """
+        found: dict[str, int] = {}
+        for one in self.models:
+            for request, count in one.put_out.items():
+                found[request] = found.get(request, 0) + count
+        return found
+
+    def seen(self) -> list[dict]:
+        """All that back ends were asked to run, each with the worker's name and the time.
+
+        Example: ``world.seen()[0]["worker"]``
+        """
+        return [{**body, "worker": one.name} for one in self.workers() for body in one.seen]
 
     def ran(self) -> dict[str, int]:
         """How often each request ran on any back end.
