Witnesses can be changed while the fleet runs; disks remember the roster and each other

A changed seed list goes through a joint roster recorded with majorities of both sets. A witness answers only those that use the very roster in force at it. Also: simulated tasks of killed nodes are cancelled and unwound at the end.

--- a/aspencroft/duty/duty.py
+++ b/aspencroft/duty/duty.py
@@ -69,7 +69,7 @@
 
 
 def test_every_node_agrees_on_the_first():
-    fellows = {f"n:{number}": fellow.Fellow(f"n:{number}", 1, 0, fellow.LIVE, "a", "core", "", False)
+    fellows = {f"n:{number}": fellow.Fellow(f"n:{number}", 1, 0, fellow.LIVE, "a", "core", "", False, ())
                for number in range(9)}
     first = first_of("residency", fellows)
     turned = dict(reversed(fellows.items()))
--- a/aspencroft/node/node.py
+++ b/aspencroft/node/node.py
@@ -16,6 +16,7 @@
 import aspencroft.pair.exchange as exchange
 import aspencroft.pair.holding as holding
 import aspencroft.pair.host as host
+import aspencroft.pair.reseat as reseat
 import aspencroft.pair.seat as seat
 import aspencroft.pair.witness as witness
 import aspencroft.plan.control as control
@@ -31,7 +32,6 @@
 STEP = moment.seconds(0.25)
 GO = moment.seconds(1.2)
 AGAIN = moment.seconds(0.15)
-FIRST_ROSTER = 1
 
 
 class Node:
@@ -46,16 +46,18 @@
         self.address = place.address
         self.incarnation = int(around.wall().timestamp() * 1000)
         self.link = link.Link(around, place.address, self)
-        roster = holding.Roster(FIRST_ROSTER, place.seeds, ())
+        roster = holding.Roster(0, place.seeds, ())
         self.electorate = electorate.Electorate(around, self.link, roster)
         data = place.data
         me = fellow.Fellow(place.address, self.incarnation, 0, fellow.LIVE, place.area, place.role, place.http,
-                           data is not None)
+                           data is not None, place.seeds)
         self.ring = ring.Ring(around, self.link, me, place.seeds, self.electorate)
-        self.witness = witness.Witness(around, data / "witness" if data else None, self.incarnation, roster)
+        self.witness = witness.Witness(around, data / "witness" if data else None,
+                                       place.address, self.incarnation, roster)
         self.seat = seat.Seat(self.witness, self.link, self.electorate, place.address, place.pairs,
                               self.candidates)
         self.relay = relay.Relay(self.link, self.ring)
+        self.reseat = reseat.Reseat(self.link, self.electorate, place.address, self.rooted, self.wished_seeds)
         self.hosts: dict[int, host.Host] = {}
         if data is not None:
             for pair in range(place.pairs):
@@ -78,6 +80,18 @@
         return tuple(host.Candidate(one.address, one.area) for one in self.ring.fellows.values()
                      if one.disk and one.state == fellow.LIVE)
 
+    def wished_seeds(self) -> tuple[str, ...]:
+        """The witnesses wished for: by the plan, else by the settings of all live nodes if they agree.
+
+        Example: ``node.wished_seeds()``
+        """
+        wished = self.relay.plan.seeds
+        if not wished:
+            named = {one.seeds for one in self.ring.fellows.values() if one.state == fellow.LIVE}
+            wished = named.pop() if len(named) == 1 else ()
+        alive = all(self.ring.state(address) == fellow.LIVE for address in wished)
+        return wished if alive else ()
+
     def emptied(self, address: str) -> bool:
         """Whether a node is to hold no copies: emptied by an operator, or stopping.
 
@@ -119,6 +133,10 @@
             case holding.SeedWitness():
                 await self.witness.learn(message.roster, message.ballots)
                 return holding.Okay()
+            case holding.ChosenRoster():
+                self.electorate.learn(message.roster)
+                await self.witness.adopt(message.roster)
+                return holding.Okay()
             case holding.Report():
                 return self.report()
             case exchange.Compare():
@@ -172,7 +190,9 @@
         """
         copies = tuple(holding.CopyReport(pair, self.host(pair).copy.identity, self.host(pair).copy.holding,
                                           self.host(pair).copy.last().sequence) for pair in self.hosts)
-        return holding.Reported(self.settings.area, copies)
+        return holding.Reported(self.settings.area, copies, holding.Known(
+            max(self.electorate.roster, self.witness.known.roster, key=lambda one: one.number),
+            self.witness.known.disks))
 
     async def answer_submit(self, message: exchange.Submit) -> exchange.Submitted:
         """Have a command decided here, if this node is the pair's primary.
@@ -292,6 +312,7 @@
             group.create_task(self.link.run(ready))
             await ready.wait()
             await self.witness.start()
+            self.electorate.learn(self.witness.known.roster)
             for held in self.hosts.values():
                 await held.copy.open()
             self.opened = True
@@ -302,6 +323,7 @@
                 group.create_task(held.run())
             if self.hosts:
                 group.create_task(self.root())
+                group.create_task(self.reseat.run())
             group.create_task(self.share_holdings())
             self.started.set()
 
--- a/aspencroft/pair/holding.py
+++ b/aspencroft/pair/holding.py
@@ -39,6 +39,8 @@
 class Roster:
     """The witnesses: the set in force and, while it changes, the set to come.
 
+    Number zero is what settings name before any roster is in force; later numbers are never used twice.
+
     Example: ``Roster(1, ("a:1", "b:1", "c:1"), ())``
     """
 
@@ -161,6 +163,23 @@
     """Ask a node which copies its disk holds."""
 
 
+@record.kind(35)
+@dataclasses.dataclass(frozen=True)
+class ChosenRoster:
+    """A roster that the witnesses chose, for those that had no part in the ballot."""
+
+    roster: Roster
+
+
+@record.kind(36)
+@dataclasses.dataclass(frozen=True)
+class Known:
+    """What a node's disk remembers of the fleet: the roster in force and the nodes with disks."""
+
+    roster: Roster
+    disks: tuple[str, ...]
+
+
 @record.kind(33)
 @dataclasses.dataclass(frozen=True)
 class CopyReport:
@@ -179,6 +198,7 @@
 
     area: str
     copies: tuple[CopyReport, ...]
+    known: Known
 
 
 def test_joint_roster_needs_both_majorities():
--- a/aspencroft/pair/seat.py
+++ b/aspencroft/pair/seat.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import datetime
+import random
 
 import logbook
 
@@ -21,6 +22,7 @@
 SETTLED = moment.seconds(1.5)
 ALL_KNOWN = moment.seconds(5)
 FIRST_BALLOT = 1
+COUNTER_UNIT = 1 << 32
 
 
 class Seat:
@@ -49,6 +51,9 @@
             if self.witness.voting:
                 self.why = "voting"
                 self.electorate.learn(self.witness.roster)
+                if self.electorate.roster.number == self.witness.roster.number:
+                    await self.witness.remember(holding.Known(
+                        self.witness.roster, tuple(sorted(one.address for one in self.candidates()))))
             elif self.address in self.electorate.roster.everyone():
                 try:
                     await self.try_to_vote()
@@ -106,12 +111,15 @@
             self.why = "blank; another seat starts from the disks"
             return
         found = await self.from_disks(ballots)
-        if found is None:
+        if found is None or self.electorate.roster.number != roster.number:
             return
+        if roster.number == 0:
+            roster = holding.Roster(numbered(1, self.electorate.surroundings.randomness), roster.present, ())
         message = holding.SeedWitness(roster, found)
         seeded = await self.ask_each(others, message)
         if len(seeded) == len(others):
             await self.witness.learn(roster, found)
+            self.electorate.learn(roster)
 
     async def from_disks(self, ballots: tuple[holding.Ballot, ...]) -> tuple[holding.Ballot, ...] | None:
         """First state of the registers out of what disks report; none while too few answered.
@@ -130,7 +138,10 @@
         if len(reports) < len(names):
             self.why = f"disks that do not answer: {sorted(set(names) - set(reports))}"
             return None
+        for report in reports.values():
+            self.electorate.learn(report.known.roster)
         holdings = newest_holdings(reports, ballots)
+        known = {address for report in reports.values() for address in report.known.disks}
         if not holdings:
             return first_ballots(reports, self.pairs)
         found = []
@@ -141,8 +152,9 @@
                 return None
             present = present_members(standing, reports)
             wanted = [one for one in (standing.primary, standing.backup) if one is not None]
-            if len(present) < len(wanted) and (not present or waited < ALL_KNOWN):
-                self.why = f"pair {pair} waits for {[one.address for one in wanted if one not in present]}"
+            missing = [one.address for one in wanted if one not in present]
+            if missing and (not present or waited < ALL_KNOWN or not known <= set(reports)):
+                self.why = f"pair {pair} waits for {sorted({*missing, *(known - set(reports))})}"
                 return None
             found.append(holding.Ballot(pair, FIRST_BALLOT, FIRST_BALLOT, record.tagged(standing)))
         for one in ballots:
@@ -151,6 +163,14 @@
         return tuple(found)
 
 
+def numbered(counter: int, randomness: random.Random) -> int:
+    """A roster's number: it grows with the counter and is nobody else's.
+
+    Example: ``numbered(2, randomness) > numbered(1, randomness)``
+    """
+    return counter * COUNTER_UNIT + randomness.randrange(COUNTER_UNIT)
+
+
 def newest_holdings(reports: dict[str, holding.Reported],
                     ballots: tuple[holding.Ballot, ...]) -> dict[int, holding.Holding]:
     """The newest record of holders of each pair, from disks and from witnesses that still vote.
@@ -194,9 +214,12 @@
     return tuple(found)
 
 
+NOTHING = holding.Known(holding.Roster(0, (), ()), ())
+
+
 def test_first_holders_are_spread_over_areas():
     reports = {f"s:{number}": holding.Reported("abc"[number % 3], tuple(
-        holding.CopyReport(pair, f"{number}-{pair}", None, 0) for pair in range(5))) for number in range(4)}
+        holding.CopyReport(pair, f"{number}-{pair}", None, 0) for pair in range(5)), NOTHING) for number in range(4)}
     for one in first_ballots(reports, 5):
         standing = record.untagged(one.value)
         assert reports[standing.primary.address].area != reports[standing.backup.address].area
@@ -204,7 +227,7 @@
 
 def test_a_lost_disk_is_not_taken_for_the_member_it_held():
     standing = holding.Holding(0, 4, holding.Member("s:0", "old"), holding.Member("s:1", "kept"))
-    reports = {"s:0": holding.Reported("a", (holding.CopyReport(0, "new", None, 0),)),
-               "s:1": holding.Reported("b", (holding.CopyReport(0, "kept", standing, 9),))}
+    reports = {"s:0": holding.Reported("a", (holding.CopyReport(0, "new", None, 0),), NOTHING),
+               "s:1": holding.Reported("b", (holding.CopyReport(0, "kept", standing, 9),), NOTHING)}
     assert present_members(standing, reports) == [standing.backup]
     assert newest_holdings(reports, ()) == {0: standing}
--- a/aspencroft/pair/witness.py
+++ b/aspencroft/pair/witness.py
@@ -36,14 +36,16 @@
     """
 
     def __init__(self, around: surroundings.Surroundings, folder: pathlib.Path | None,
-                 incarnation: int, first_roster: holding.Roster):
+                 address: str, incarnation: int, first_roster: holding.Roster):
         self.surroundings = around
+        self.address = address
         self.folder = folder
         self.incarnation = incarnation
         self.roster = first_roster
         self.ballots: dict[int, holding.Ballot] = {}
         self.grants: dict[int, Grant] = {}
         self.voting = False
+        self.known = holding.Known(first_roster, ())
         self.awake = moment.ZERO
         self.kept: store.Store | None = None
         self.writing = asyncio.Lock()
@@ -62,9 +64,11 @@
             value = record.untagged(item.payload)
             if isinstance(value, holding.Roster):
                 self.roster = value
-                self.voting = True
+            elif isinstance(value, holding.Known):
+                self.known = value
             else:
                 self.ballots[value.register] = value
+        self.voting = self.roster.number > 0 and self.address in self.roster.everyone()
         if condition is store.Condition.DAMAGED:
             LOG.warning("the witness's store was damaged; it starts blank")
 
@@ -77,7 +81,7 @@
             return
         async with self.writing:
             if self.kept.count > COMPACT:
-                values = (self.roster, *self.ballots.values())
+                values = (self.known, self.roster, *self.ballots.values())
             items = tuple(store.Item(0, record.tagged(value)) for value in values)
             work = self.kept.replace if self.kept.count > COMPACT else self.kept.append
             await self.surroundings.disk.perform(work, items)
@@ -97,13 +101,13 @@
         return holding.Raised(granted, self.incarnation, self.ballot(register), self.roster, wait)
 
     def check(self, roster: int) -> bool:
-        """Whether the asker knows the roster in force; a blank witness answers nobody.
+        """Whether the asker uses the very roster in force here; a blank witness answers nobody.
 
         Example: ``witness.check(message.roster)``
         """
         if not self.voting:
             raise result.Refusal(result.Result.WITNESS_BLANK)
-        return roster >= self.roster.number
+        return roster == self.roster.number
 
     async def raise_ballot(self, message: holding.Raise) -> holding.Raised:
         """First phase; refused while somebody else's claim may be in force.
@@ -166,10 +170,22 @@
 
         Example: ``await witness.adopt(roster)``
         """
-        if roster.number > self.roster.number:
+        if roster.number > self.roster.number and self.voting:
             self.roster = roster
+            if self.address not in roster.everyone():
+                self.voting = False
+                self.ballots.clear()
             await self.keep(roster)
 
+    async def remember(self, known: holding.Known) -> None:
+        """Keep what this node knows of the fleet, for the start after a full stop.
+
+        Example: ``await witness.remember(holding.Known(roster, disks))``
+        """
+        if known != self.known:
+            self.known = known
+            await self.keep(known)
+
     async def claim(self, message: holding.Claim) -> holding.Raised:
         """Renew a claim under the record that stands; nobody's while a higher ballot is raised.
 
--- a/aspencroft/plan/plan.py
+++ b/aspencroft/plan/plan.py
@@ -12,7 +12,7 @@
 LARGEST = 8 << 20
 WORKER = voluptuous.Schema({voluptuous.Optional("leaving", default=False): bool})
 MACHINE = voluptuous.Schema({voluptuous.Optional("emptied", default=False): bool})
-ADDRESS = voluptuous.All(str, voluptuous.Match(r"^[0-9A-Fa-f.:\[\]]+:[0-9]{1,5}$"))
+ADDRESS = voluptuous.All(str, voluptuous.Match(r"^[0-9A-Za-z.:\[\]-]+:[0-9]{1,5}$"))
 SEEDS = voluptuous.Schema({voluptuous.Required("addresses"):
                            voluptuous.All([ADDRESS], voluptuous.Length(min=3, max=7), voluptuous.Unique())})
 SCHEMAS = {"services": service.SCHEMA, "lanes": lane.SCHEMA, "routes": mapping.SCHEMA,
--- a/aspencroft/ring/fellow.py
+++ b/aspencroft/ring/fellow.py
@@ -15,7 +15,7 @@
 class Fellow:
     """A node as others know it; a restart is a new incarnation, a denial of its death a new serial.
 
-    Example: ``Fellow("127.0.0.1:7001", 5, 0, LIVE, "north", "core", "127.0.0.1:8001", True)``
+    Example: ``Fellow("127.0.0.1:7001", 5, 0, LIVE, "north", "core", "127.0.0.1:8001", True, ())``
     """
 
     address: str
@@ -26,6 +26,7 @@
     role: str
     http: str
     disk: bool
+    seeds: tuple[str, ...]
 
     def age(self) -> tuple[int, int, int]:
         """What orders two entries of one address.
@@ -108,7 +109,7 @@
 
 
 def test_watchers_spread_over_areas_and_everyone_is_watched():
-    fellows = {f"n:{number}": Fellow(f"n:{number}", 1, 0, LIVE, "abc"[number % 3], "core", "", False)
+    fellows = {f"n:{number}": Fellow(f"n:{number}", 1, 0, LIVE, "abc"[number % 3], "core", "", False, ())
                for number in range(16)}
     for address in fellows:
         named = watchers(address, fellows, 3)
--- a/aspencroft/sim/campaign.py
+++ b/aspencroft/sim/campaign.py
@@ -19,7 +19,7 @@
 
 RETURN = 12.0
 FAULTS = ("kill", "power", "freeze", "cut", "area", "swap", "slow", "restart", "blackout", "edge", "workers",
-          "damage", "jump", "leader", "replace")
+          "damage", "jump", "leader", "replace", "seeds", "empty")
 
 
 @dataclasses.dataclass
@@ -226,12 +226,76 @@
                 one.storages[one.storages.index(victim)] = fresh
                 await asyncio.sleep(long)
                 one.start(fresh)
+        elif kind == "seeds":
+            await self.change_seeds()
+        elif kind == "empty":
+            await self.empty_machine(victim)
         elif kind == "replace":
             worker = chance.choice(one.world.models)
             one.world.leaving.add(worker.name)
             one.marked[worker.name] = one.loop.time()
             await asyncio.sleep(long)
 
+    async def change_seeds(self) -> None:
+        """An operator names other witnesses; one of the former ones is lost for good afterwards.
+
+        Example: ``await day.change_seeds()``
+        """
+        one = self.scene
+        roster = one.nodes[one.leader(0) or "storage-0"].electorate.roster
+        able = [f"{name}:1" for name in (*one.cores, *one.edges)]
+        wished = sorted(self.chance.sample(able, 3))
+        for _ in range(8):
+            try:
+                response = await self.client.put("http://core-0/plan/seeds/control", json={"addresses": wished})
+                if response.status_code == 200:
+                    break
+            except httpx.HTTPError:
+                pass
+            await asyncio.sleep(0.5)
+
+        def changed() -> bool:
+            return all(set(one.nodes[name].electorate.roster.present) == set(wished)
+                       and not one.nodes[name].electorate.roster.coming for name in one.storages)
+
+        await one.until(changed, 20, f"witnessed by {wished} instead of {roster.present}")
+        for address in roster.present:
+            name = address.split(":")[0]
+            if address not in wished:
+                one.kill(name)
+                await asyncio.sleep(1)
+                one.start(name)
+
+    async def empty_machine(self, victim: str) -> None:
+        """An operator has a storage machine emptied; once it holds nothing it is switched off for good.
+
+        Example: ``await day.empty_machine("storage-0")``
+        """
+        one = self.scene
+        fresh = f"storage-{3 + self.swaps}"
+        self.swaps += 1
+        one.storages.append(fresh)
+        one.start(fresh)
+        path = f"http://core-0/plan/machines/{victim}:1"
+        for _ in range(8):
+            try:
+                response = await self.client.put(path, json={"emptied": True})
+                if response.status_code == 200:
+                    break
+            except httpx.HTTPError:
+                pass
+            await asyncio.sleep(0.5)
+
+        def empty() -> bool:
+            held = one.nodes[one.cores[0]].ring.holdings.values()
+            return bool(held) and not any(f"{victim}:1" in (two.primary.address, two.backup.address if two.backup else "")
+                                          for two in held)
+
+        await one.until(empty, RETURN, f"{victim} emptied")
+        one.storages.remove(victim)
+        one.power_off(victim)
+        one.disks[victim].wipe()
+
     async def hurt_workers(self, long: float) -> None:
         """Workers hand requests back, lose answers, cut streams and drop what they keep, for a while.
 
--- a/aspencroft/sim/loop.py
+++ b/aspencroft/sim/loop.py
@@ -7,6 +7,7 @@
 
 import simpy
 
+UNWIND = 2000
 LIFE: contextvars.ContextVar["Life | None"] = contextvars.ContextVar("life", default=None)
 
 
@@ -52,6 +53,8 @@
         self.set_task_factory(self.make_task)
         self.set_exception_handler(self.note_exception)
         self.exceptions: list[str] = []
+        self.burying = False
+        self.dropped: list[asyncio.Handle] = []
 
     @staticmethod
     def make_task(loop: "SimLoop", coroutine, context: contextvars.Context | None = None) -> asyncio.Task:
@@ -71,7 +74,7 @@
 
         Example: ``loop.exceptions == []``
         """
-        if context.get("exception") is not None:
+        if context.get("exception") is not None and not self.burying:
             self.exceptions.append(repr(context["exception"]))
 
     def time(self) -> float:
@@ -98,8 +101,9 @@
         if handle.cancelled():
             return
         life = handle._context.get(LIFE)
-        if life is not None:
+        if life is not None and not self.burying:
             if self.lives.get(life.node) != life.number:
+                self.dropped.append(handle)
                 return
             if life.node in self.frozen:
                 self.frozen[life.node].append(handle)
@@ -159,7 +163,7 @@
         """
         ended = Life(node, self.lives[node])
         self.lives[node] = -self.lives[node]
-        self.frozen.pop(node, None)
+        self.dropped.extend(self.frozen.pop(node, ()))
         for task in list(self.tasks.pop(ended, ())):
             task._log_destroy_pending = False
             self.graveyard.append(task)
@@ -180,15 +184,23 @@
             self.plan_handle(handle, 0.0)
 
     def bury(self) -> None:
-        """Close what is left of ended lives.
+        """Cancel all that is left, ended lives too, and let it unwind, so that nothing is torn down later.
 
         Example: ``loop.bury()``
         """
-        for task in self.graveyard:
-            try:
-                task.get_coro().close()
-            except (RuntimeError, BaseExceptionGroup, Exception):
-                continue
+        self.burying = True
+        left = {task for task in (*asyncio.all_tasks(self), *self.graveyard) if not task.done()}
+        for task in sorted(left, key=lambda one: one.number):
+            task.cancel()
+        for node in list(self.frozen):
+            self.dropped.extend(self.frozen.pop(node))
+        for handle in self.dropped:
+            self.plan_handle(handle, 0.0)
+        for _ in range(UNWIND):
+            left = {task for task in left if not task.done()}
+            if not left:
+                break
+            self.run_until_complete(asyncio.sleep(0))
         self.graveyard.clear()
 
 
--- a/aspencroft/sim/scene.py
+++ b/aspencroft/sim/scene.py
@@ -263,11 +263,6 @@
     try:
         scene.loop.run_until_complete(whole())
     finally:
-        for one in list(scene.loop.lives):
-            if scene.loop.lives[one] > 0:
-                scene.loop.end(one)
-        for task in asyncio.all_tasks(scene.loop):
-            task._log_destroy_pending = False
         scene.loop.bury()
         shutil.rmtree(folder, ignore_errors=True)
     return scene
