--- a/aspencroft/edge/path.py
+++ b/aspencroft/edge/path.py
@@ -33,7 +33,7 @@
 CLOSE = moment.seconds(5)
 SOON = moment.seconds(1)
 MOST_HOMES = 20_000
-HELD_LIFE = moment.seconds(30)
+HELD_LIFE = moment.seconds(3)
 GRACE = moment.seconds(7.5)
 TOKEN_LETTERS = 4
 
--- a/aspencroft/keep/residency.py
+++ b/aspencroft/keep/residency.py
@@ -20,6 +20,7 @@
 import aspencroft.plan.control as control
 import aspencroft.plan.plan as plan
 import aspencroft.relay.news as news
+import aspencroft.ring.fellow as fellow
 import aspencroft.seam.moment as moment
 import aspencroft.worker.adapter as adapter
 import aspencroft.worker.worker as worker
@@ -208,13 +209,11 @@
         allowed = frozenset(name for lane in current.lanes.values() for name in lane.services)
         services = tuple(sorted(name for name in allowed if current.services[name].kind == worker.MODEL))
         chances = {name: self.signals.reuse(name, services, WINDOW, now) for name in services}
-        copies = {name: 0 for name in services}
+        targets = self.models()
+        copies = {name: self.places(name, targets) for name in services}
         steps, self.keeps = [], {}
         self.counts["solved"] += 1
-        targets = self.models()
-        holding = {one.name: sum(keepplan.key(candidate.MODEL, name) in self.beliefs[one.name].kept
-                                 for name in services) if one.name in self.beliefs else 0 for one in targets}
-        for target in sorted(targets, key=lambda one: (-holding[one.name], one.name)):
+        for target in targets:
             belief = self.beliefs.get(target.name)
             if belief is None or not belief.known:
                 continue
@@ -227,8 +226,22 @@
                 belief.ordered_now(step, sizes, now)
         return steps
 
+    def places(self, name: str, targets: list[worker.Worker]) -> dict[str, int]:
+        """Which copy of a model each worker would keep: holders first, then by an agreed lot.
+
+        Example: ``residency.places("coder", targets)["m1"] == 0``
+        """
+        def rank(one: worker.Worker) -> tuple:
+            belief = self.beliefs.get(one.name)
+            holds = belief is not None and any(
+                keepplan.key(kind, name) in belief.kept for kind in (candidate.MODEL, candidate.ADAPTER))
+            return not holds, fellow.position(f"{name} {one.name}")
+
+        able = sorted((one for one in targets if name in one.services), key=rank)
+        return {one.name: place for place, one in enumerate(able)}
+
     def target(self, target: worker.Worker, belief: Belief, current: plan.Plan, chances: dict[str, float],
-               copies: dict[str, int], now: datetime.timedelta) -> tuple[keepplan.KeepPlan, dict[str, int]]:
+               copies: dict[str, dict[str, int]], now: datetime.timedelta) -> tuple[keepplan.KeepPlan, dict[str, int]]:
         """One worker's joint selection of models, adapters and parked KV beside what is protected.
 
         A model that other workers are to hold already counts for less here, as calls prefer holders.
@@ -244,7 +257,8 @@
             kind = candidate.ADAPTER if service.base else candidate.MODEL
             if name not in target.services or keepplan.key(kind, name) in protected:
                 continue
-            share = 1.0 - math.exp(math.log1p(-min(chance, 0.9999)) / REPLICA ** copies[name])
+            place = copies[name][target.name]
+            share = 1.0 - math.exp(math.log1p(-min(chance, 0.9999)) / REPLICA ** place)
             cost = candidate.reload_cost(service.size, candidate.WEIGHT_STARTUP) + service.startup
             candidates.append(candidate.Candidate(kind, name, service.size, share, cost, service.base))
         parked = [one for name, one in belief.kept.items()
@@ -260,10 +274,6 @@
                                   frozenset(name.partition(":")[2] for name in protected))
         wanted = keepplan.wanted_of(chosen, protected)
         sizes.update(wanted)
-        for name in wanted:
-            service = name.partition(":")[2]
-            if service in copies and not name.startswith(candidate.KV):
-                copies[service] += 1
         ready = tuple(sorted(name for name, one in belief.kept.items() if one.place == keepplan.DEVICE))
         keep = keepplan.KeepPlan(target.name, tuple(wanted), ready, tuple(sorted(protected)), chosen.shortfall)
         return keep, sizes
--- a/aspencroft/node/operator.py
+++ b/aspencroft/node/operator.py
@@ -6,6 +6,7 @@
 
 import litestar
 import litestar.exceptions
+import litestar.params
 import litestar.response
 
 import aspencroft.code.result as result
@@ -148,7 +149,8 @@
         return own.status()
 
     @litestar.get("/plan")
-    async def read_plan(watch: bool = False, after: str = "0.0") -> litestar.Response:
+    async def read_plan(watch: litestar.params.FromQuery[bool] = False,
+                        after: litestar.params.FromQuery[str] = "0.0") -> litestar.Response:
         if watch:
             from_revision = control.revision_of(after)
             if from_revision not in (control.NEVER, own.relay.revision):
@@ -167,19 +169,22 @@
         return await write("merge", "", "", request)
 
     @litestar.get("/plan/{kind:str}/{name:str}", sync_to_thread=False)
-    def read_resource(kind: str, name: str) -> dict:
+    def read_resource(kind: litestar.params.FromPath[str], name: litestar.params.FromPath[str]) -> dict:
         return resource(kind, name)
 
     @litestar.put("/plan/{kind:str}/{name:str}")
-    async def put_resource(kind: str, name: str, request: litestar.Request) -> litestar.Response:
+    async def put_resource(kind: litestar.params.FromPath[str], name: litestar.params.FromPath[str],
+                           request: litestar.Request) -> litestar.Response:
         return await write("put", kind, name, request)
 
     @litestar.delete("/plan/{kind:str}/{name:str}", status_code=200)
-    async def delete_resource(kind: str, name: str, request: litestar.Request) -> litestar.Response:
+    async def delete_resource(kind: litestar.params.FromPath[str], name: litestar.params.FromPath[str],
+                           request: litestar.Request) -> litestar.Response:
         return await write("delete", kind, name, request)
 
     @litestar.get("/observed/{topic:str}", sync_to_thread=False)
-    def read_topic(topic: str, watch: bool = False) -> litestar.Response:
+    def read_topic(topic: litestar.params.FromPath[str],
+                   watch: litestar.params.FromQuery[bool] = False) -> litestar.Response:
         if topic not in OBSERVED:
             raise result.Refusal(result.Result.UNKNOWN_RESOURCE, detail=topic)
         if watch:
@@ -189,7 +194,7 @@
         return litestar.Response({"revision": (held.revision if held else control.NEVER).text(), topic: shown})
 
     @litestar.get("/requests/{identity:str}")
-    async def read_story(identity: str) -> dict:
+    async def read_story(identity: litestar.params.FromPath[str]) -> dict:
         found = []
 
         async def ask(address: str) -> None:
--- /dev/null
+++ b/aspencroft/program/acwhy.py
@@ -0,0 +1,54 @@
+"""The first tool: explains why a request went where it went."""
+
+import sys
+
+import defopt
+import httpx
+
+TIMEOUT = 10
+
+
+def told(shown: dict) -> str:
+    """The stories of a request as text, a line for each thing that happened.
+
+    Example: ``print(told(response.json()))``
+    """
+    lines = [f"request {shown['request']}"]
+    for story in shown["stories"]:
+        lines.append(f"  on {story['node']}, lane {story['lane']}")
+        for one in story["lines"]:
+            lines.append(f"    {one['after']:9.3f} s  {one['what']}: {one['detail']}".rstrip(": "))
+    return "\n".join(lines)
+
+
+def acwhy(node: str, request: str) -> int:
+    """Tell what happened to a request: plan, key, turn, draws and why others were left out, goes, result.
+
+    :param node: any node's HTTP address, host:port
+    :param request: the request's id, as its answer told
+    """
+    try:
+        response = httpx.get(f"http://{node}/requests/{request}", timeout=TIMEOUT, trust_env=False)
+    except httpx.HTTPError as error:
+        print(f"acwhy: {error!r}", file=sys.stderr)
+        return 2
+    if not response.is_success:
+        print(f"acwhy: {response.text}", file=sys.stderr)
+        return 1
+    print(told(response.json()))
+    return 0
+
+
+def main() -> None:
+    """The command's entry.
+
+    Example: ``acwhy 127.0.0.1:7300 5f0c...``
+    """
+    sys.exit(defopt.run(acwhy))
+
+
+def test_a_story_reads_in_order():
+    shown = {"request": "r", "stories": [{"node": "n", "lane": "chat", "lines": [
+        {"after": 0.0, "what": "taken in", "detail": "plan 1.1"}, {"after": 0.2, "what": "answered", "detail": "done"}]}]}
+    text = told(shown)
+    assert text.index("taken in") < text.index("answered")
--- a/aspencroft/stand/caller.py
+++ b/aspencroft/stand/caller.py
@@ -46,6 +46,7 @@
         self.client = httpx.AsyncClient(transport=transport, timeout=30, trust_env=False)
         self.noted: list[Noted] = []
         self.faults: list[str] = []
+        self.firsts: list[float] = []
         self.counts: collections.Counter = collections.Counter()
 
     async def ask(self, lane: str, given, program: str = "", helper: str = "", after: int = 0,
@@ -58,6 +59,7 @@
                 "operation": operation, "tool": tool, "budget": budget}
         address = self.chance.choice(self.addresses)
         self.counts["asked"] += 1
+        began = moment.now()
         request, ran, number, parts, used, status = "", "unknown", -1, [], 0, 0
         try:
             async with self.client.stream("POST", f"http://{address}/requests", json=body) as response:
@@ -68,6 +70,8 @@
                         if "piece" in shown:
                             if shown["piece"] != len(parts):
                                 self.faults.append(f"{request}: piece {shown['piece']} after {len(parts)}")
+                            if not parts:
+                                self.firsts.append((moment.now() - began).total_seconds())
                             parts.append(shown["text"])
                         elif shown.get("end"):
                             ran, number, used = "done", 0, shown["used"]
