Promises: fifteen simulated tests, one for each point; a call is given up after eight goes

Workers that hand everything back: the call went on until its deadline and ended as unknown in the middle of a go; now it is given up, not run, after eight goes.

--- a/aspencroft/edge/path.py
+++ b/aspencroft/edge/path.py
@@ -35,6 +35,7 @@
 MOST_HOMES = 20_000
 HELD_LIFE = moment.seconds(3)
 GRACE = moment.seconds(7.5)
+MOST_GOES = 8
 TOKEN_LETTERS = 4
 
 
@@ -384,8 +385,8 @@
             self.counts["goes not run"] += 1
             self.tell(one, "not run", str(refusal))
             self.release(one)
-            if self.over(one):
-                raise
+            if self.over(one) or one.goes >= MOST_GOES:
+                raise result.Refusal(refusal.result, result.Ran.NOT_RUN, refusal.detail, SOON) from None
             if not self.drawing.offer(one.lane.urgency, one, back=True):
                 raise
 
--- a/aspencroft/program/daemon.py
+++ b/aspencroft/program/daemon.py
@@ -70,8 +70,20 @@
         await moment.pause(LAST_WORDS)
         server.should_exit = True
         await serving
-        for task in tasks:
+        await end(tasks)
+
+
+async def end(tasks: list[asyncio.Task]) -> None:
+    """Cancel until all ended: a task group that fails at the same moment swallows a cancellation.
+
+    Example: ``await end(tasks)``
+    """
+    left = list(tasks)
+    while left:
+        for task in left:
             task.cancel()
+        await asyncio.wait(left, timeout=LAST_WORDS.total_seconds())
+        left = [task for task in left if not task.done()]
 
 
 async def hand_over(own: node.Node) -> None:
@@ -124,3 +136,31 @@
                 return
             logbook.Logger("daemon").exception("the program ends")
             sys.exit(f"ended by a fault: {error!r}")
+
+
+def test_a_swallowed_cancellation_is_said_again():
+    cancelled = []
+
+    async def fails():
+        try:
+            await asyncio.Event().wait()
+        finally:
+            cancelled.append(1)
+            if len(cancelled) == 1:
+                raise ValueError("at the same moment")
+
+    async def stubborn():
+        while True:
+            try:
+                async with asyncio.TaskGroup() as group:
+                    group.create_task(fails())
+            except* ValueError:
+                pass
+
+    async def scene():
+        task = asyncio.ensure_future(stubborn())
+        await asyncio.wait([task], timeout=0)
+        await asyncio.wait([asyncio.ensure_future(end([task]))], timeout=5)
+        return task.cancelled()
+
+    assert asyncio.run(scene()) and len(cancelled) == 2
--- /dev/null
+++ b/aspencroft/sim/promises.py
@@ -0,0 +1,393 @@
+"""What must never happen, brought about point by point in simulated fleets; each test names its point."""
+
+import asyncio
+import collections
+import hashlib
+
+import httpx
+
+import aspencroft.keep.residency as residency
+import aspencroft.sim.campaign as campaign
+import aspencroft.sim.scene as scene
+import aspencroft.sim.wire as wire
+import aspencroft.stand.backend as backend
+import aspencroft.stand.shape as shape
+
+
+class Stage:
+    """A formed fleet with its plan in force, and callers at hand.
+
+    Example: ``play(1, acts)`` where ``acts`` takes a stage.
+    """
+
+    def __init__(self, one: scene.Scene):
+        self.scene = one
+        self.client = httpx.AsyncClient(transport=wire.SimTransport(one.wire, scene.OUTSIDE))
+        self.asking = one.caller(1)
+
+    async def set(self) -> None:
+        """Form and put the plan in force.
+
+        Example: ``await stage.set()``
+        """
+        await self.scene.until(self.scene.formed, 30, "formed")
+        response = await self.client.put("http://core-1/plan", json=self.scene.mix.document)
+        assert response.status_code == 200, response.text
+        await self.scene.until(self.scene.ready, 20, "ready")
+        await self.scene.until(lambda: all(edge.listed for edge in self.scene.edge_paths.values()), 5, "listed")
+
+    async def ask(self, edge: str, lane: str, given, **more):
+        """One request to one edge.
+
+        Example: ``noted = await stage.ask("edge-0", "till-lock", {"name": "k"}, operation="k")``
+        """
+        asking = self.scene.caller(len(self.asking.noted) + 7)
+        asking.addresses = (f"{edge}:80",)
+        noted = await asking.ask(lane, given, **more)
+        self.asking.noted.append(noted)
+        return noted
+
+    def runs(self, name: str) -> int:
+        """How many runs began for an input of that name.
+
+        Example: ``stage.runs("k") <= 1``
+        """
+        return sum(isinstance(body["input"], dict) and body["input"].get("name") == name
+                   for body in self.scene.world.seen())
+
+
+def play(seed: int, acts, name: str = shape.TILLS, size: scene.Size = scene.Size()) -> scene.Scene:
+    """Set a stage and play acts on it.
+
+    Example: ``play(1, acts)``
+    """
+    async def story(one: scene.Scene) -> None:
+        stage = Stage(one)
+        await stage.set()
+        await acts(stage)
+
+    played = scene.play(seed, story, name=name, size=size, weather=wire.Weather(jitter=0.002))
+    assert played.ended == []
+    return played
+
+
+def test_a_key_at_many_edges_runs_once_though_the_primary_dies_and_answers_are_lost():
+    async def acts(stage: Stage) -> None:
+        for one in stage.scene.world.plains:
+            one.faults = backend.Faults(lose_answer=0.5)
+        for number in range(8):
+            name = f"key-{number}"
+            async with asyncio.TaskGroup() as group:
+                for edge in stage.scene.edges * 2:
+                    group.create_task(stage.ask(edge, "till-lock", {"name": name}, operation=name))
+                if number % 4 == 1:
+                    await asyncio.sleep(0.004 * number)
+                    victim = stage.scene.leader(1 + number % 2)
+                    stage.scene.kill(victim)
+            if number % 4 == 1:
+                stage.scene.start(victim)
+                await stage.scene.until(stage.scene.ready, 12, "ready")
+            again = await stage.ask("edge-0", "till-lock", {"name": name}, operation=name)
+            assert again.ran != "not run" or stage.runs(name) == 0
+            assert stage.runs(name) <= 1, name
+        ran = stage.scene.world.ran()
+        assert sum(ran.values()) >= 4
+        for noted in stage.asking.noted:
+            assert noted.ran != "not run" or noted.request not in ran
+    for seed in (1, 2):
+        play(seed, acts)
+
+
+def test_an_edge_frozen_between_claim_and_send_sends_nothing_late():
+    async def acts(stage: Stage) -> None:
+        one, edge = stage.scene, stage.scene.edge_paths["edge-0"]
+        original = edge.draw_one
+        caught = []
+
+        def frozen_draw(call):
+            drawn = original(call)
+            caught.append(call)
+            one.loop.freeze("edge-0")
+            return drawn
+
+        edge.draw_one = frozen_draw
+        asking = asyncio.ensure_future(stage.ask("edge-0", "till-lock", {"name": "late"}, operation="late"))
+        await one.until(lambda: bool(caught), 5, "caught")
+        await asyncio.sleep(8)
+        second = await stage.ask("edge-1", "till-lock", {"name": "late"}, operation="late")
+        one.loop.thaw("edge-0")
+        edge.draw_one = original
+        noted = await asking
+        await asyncio.sleep(5)
+        assert noted.ran == "not run" and second.ran != "done"
+        assert stage.runs("late") == 0
+    play(3, acts)
+
+
+def test_a_lost_answer_is_unknown_and_the_work_is_not_done_again():
+    async def acts(stage: Stage) -> None:
+        for one in stage.scene.world.plains:
+            one.faults = backend.Faults(lose_answer=1.0)
+        first = await stage.ask("edge-0", "handset-alert", {"name": "a"}, operation="a")
+        again = await stage.ask("edge-1", "handset-alert", {"name": "a"}, operation="a")
+        bare = await stage.ask("edge-1", "handset-alert", {"name": "b"})
+        assert [one.ran for one in (first, again, bare)] == ["unknown"] * 3
+        assert stage.runs("a") == 1 and stage.runs("b") == 1
+        for one in stage.scene.world.plains:
+            one.faults = backend.Faults(put_back=1.0)
+        put_back = await stage.ask("edge-0", "handset-alert", {"name": "c"}, operation="c")
+        assert put_back.ran == "not run" and stage.runs("c") == 0
+    play(4, acts)
+
+
+def test_parallel_helpers_over_edges_and_a_takeover_stay_in_budget():
+    async def acts(stage: Stage) -> None:
+        one = stage.scene
+
+        async def helper(number: int) -> None:
+            for after in range(20):
+                await stage.ask(one.edges[(number + after) % len(one.edges)], "shopper", f"{number} {after}",
+                                program="p", helper=f"h{number}", after=after, budget=120)
+
+        async with asyncio.TaskGroup() as group:
+            for number in range(8):
+                group.create_task(helper(number))
+            await asyncio.sleep(0.3)
+            leaders = {one.leader(pair) for pair in (1, 2)} - {""}
+            for victim in sorted(leaders):
+                one.kill(victim)
+                await asyncio.sleep(4)
+                one.start(victim)
+        put_out = sum(one.world.put_out().values())
+        assert 60 < put_out <= 120 + 40, put_out
+    for seed in (5, 6):
+        play(seed, acts)
+
+
+def test_history_outlives_its_holders_one_after_the_other():
+    async def acts(stage: Stage) -> None:
+        one = stage.scene
+        programs = [f"p{number}" for number in range(6)]
+        for program in programs:
+            noted = await stage.ask("edge-0", "supervisor", f"{program} first", program=program)
+            assert noted.ran == "done"
+        for number, lost in enumerate(list(one.storages)):
+            await one.until(campaign.Day(one, one.chance).serves, 12, "two copies")
+            one.power_off(lost)
+            one.disks[lost].wipe()
+            fresh = f"storage-{3 + number}"
+            one.storages[one.storages.index(lost)] = fresh
+            one.start(fresh)
+            await one.until(campaign.Day(one, one.chance).serves, 12, "two copies again")
+        for program in programs:
+            noted = await stage.ask("edge-1", "supervisor", f"{program} second", program=program, after=1)
+            assert noted.ran == "done", noted
+        turns = [body for body in one.world.seen() if body.get("turn") == 2]
+        assert all(body["history"][0][0] == f"{body['program']} first" for body in turns) and len(turns) == 6
+    play(7, acts)
+
+
+def test_a_worker_lost_in_mid_stream_ends_the_turn_with_an_error_never_with_another_run():
+    async def acts(stage: Stage) -> None:
+        one = stage.scene
+        for worker in one.world.models:
+            worker.faults = backend.Faults(cut_stream=1.0)
+        noted = [await stage.ask("edge-0", "shopper", "x", program=f"p{number}") for number in range(6)]
+        assert all(one.ran == "unknown" and one.result in (1201, 1202) for one in noted)
+        assert max(one.world.ran().values()) == 1 and len(one.world.ran()) == 6
+        for worker in one.world.models:
+            worker.faults = backend.Faults()
+        after = await stage.ask("edge-1", "shopper", "again", program="p0", after=0)
+        assert after.ran == "done"
+        assert [body["history"] for body in one.world.seen()][-1] == []
+    play(8, acts)
+
+
+def test_acknowledged_plans_outlive_a_primary_killed_or_frozen_at_any_step_of_a_write():
+    async def acts(stage: Stage) -> None:
+        one, kept, unknown = stage.scene, {}, set()
+        for number in range(14):
+            name = f"extra-{number}"
+            writing = asyncio.ensure_future(stage.client.put(
+                f"http://{one.edges[number % 2]}/plan/services/{name}", json={"kind": "plain"}))
+            await asyncio.sleep(0.004 * number)
+            victim = one.leader(0)
+            if number % 2:
+                one.loop.freeze(victim)
+                await asyncio.sleep(5)
+                one.loop.thaw(victim)
+            else:
+                one.kill(victim)
+                await asyncio.sleep(1)
+                one.start(victim)
+            response = await writing
+            if response.status_code == 200:
+                kept[name] = response.json()["revision"]
+            await one.until(one.ready, 12, "ready")
+        document = one.nodes[one.leader(0)].hosts[0].copy.view.document["services"]
+        assert all(name in document for name in kept) and len(kept) >= 3, (kept, sorted(document))
+    play(9, acts)
+
+
+def test_a_plan_outlives_power_lost_everywhere_just_after_its_answer():
+    async def acts(stage: Stage) -> None:
+        one = stage.scene
+        for round_number in range(3):
+            name = f"extra-{round_number}"
+            response = await stage.client.put(f"http://edge-0/plan/services/{name}", json={"kind": "plain"})
+            assert response.status_code == 200
+            revision = response.json()["revision"]
+            for node in one.names():
+                one.power_off(node)
+            for node in reversed(one.names()):
+                one.start(node)
+            await one.until(one.ready, 12, "back in service")
+            shown = (await stage.client.get("http://edge-1/plan")).json()
+            assert name in shown["plan"]["services"], revision
+            assert int(shown["revision"].split(".")[1]) >= int(revision.split(".")[1])
+    play(10, acts)
+
+
+def test_operators_that_race_with_conditions_never_overwrite_each_other():
+    async def acts(stage: Stage) -> None:
+        one, won = stage.scene, collections.Counter()
+
+        async def operator(name: str, node: str) -> None:
+            for number in range(8):
+                path = f"http://{node}/plan/services/till-counter"
+                shown = await stage.client.get(path)
+                before = shown.json()["spec"]["size"] if shown.status_code == 200 else 0
+                header = {"If-Match": shown.json()["revision"]} if before else {"If-None-Match": "*"}
+                response = await stage.client.put(path, json={"kind": "plain", "size": before + 1}, headers=header)
+                assert response.status_code in (200, 412), response.text
+                won[name] += response.status_code == 200
+
+        async with asyncio.TaskGroup() as group:
+            for number, node in enumerate(["edge-0", "core-1", "storage-2"]):
+                group.create_task(operator(f"o{number}", node))
+        held = one.nodes[one.leader(0)].hosts[0].copy.view.document["services"]["till-counter"]["size"]
+        assert held == sum(won.values()) >= 8
+    play(11, acts)
+
+
+def test_a_planned_restart_drops_no_answer_under_way():
+    async def acts(stage: Stage) -> None:
+        one, asking = stage.scene, stage.asking
+        traffic = [asyncio.ensure_future(asking.one(f"n{number}")) for number in range(30)]
+        await asyncio.sleep(0.03)
+        for name in (*one.edges, *one.storages, *one.cores):
+            await one.stop(name)
+            await asyncio.sleep(0.3)
+            one.start(name)
+            traffic.extend(asyncio.ensure_future(asking.one(f"{name} {number}")) for number in range(6))
+            await one.until(one.ready, 12, "ready")
+        await asyncio.gather(*traffic)
+        lost = [noted for noted in asking.noted if noted.ran == "unknown"]
+        assert lost == [] and asking.faults == [] and asking.counts["done"] > 100, (lost, asking.counts)
+    play(12, acts)
+
+
+def test_signals_are_served_under_a_flood_and_refusals_come_at_once():
+    async def acts(stage: Stage) -> None:
+        one = stage.scene
+        took, refused = [], []
+
+        async def flood(number: int) -> None:
+            began = one.loop.time()
+            noted = await stage.ask(one.edges[number % 2], "shopper", "x", program=f"f{number}")
+            if noted.result == 1101:
+                refused.append(one.loop.time() - began)
+
+        async def signal(number: int) -> None:
+            began = one.loop.time()
+            noted = await stage.ask(one.edges[number % 2], "till-lock", {"name": f"s{number}"}, operation=f"s{number}")
+            assert noted.ran == "done", noted
+            took.append(one.loop.time() - began)
+
+        async with asyncio.TaskGroup() as group:
+            for number in range(500):
+                group.create_task(flood(number))
+            for number in range(20):
+                await asyncio.sleep(0.02)
+                group.create_task(signal(number))
+        assert refused and max(refused) < 0.2, (len(refused), max(refused, default=0))
+        assert max(took) < 1.0, max(took)
+        assert max(one.world.ran().values()) == 1
+    play(13, acts)
+
+
+def test_a_worker_marked_as_leaving_gets_nothing_new_after_three_seconds():
+    async def acts(stage: Stage) -> None:
+        one = stage.scene
+        marked = {}
+        for number in range(60):
+            await stage.ask(one.edges[number % 2], "shopper", "x", program=f"p{number}")
+            if number == 10:
+                await stage.client.put("http://core-0/plan/workers/model-0", json={"leaving": True})
+                marked["model-0"] = one.loop.time()
+            if number == 20:
+                one.world.leaving.add("model-1")
+                marked["model-1"] = one.loop.time()
+        late = [body for body in one.world.seen() if body["worker"] in marked
+                and body["at"] > marked[body["worker"]] + (0 if body["worker"] == "model-0" else 0.6)]
+        assert late == [] and len(one.world.seen()) == 60
+    play(14, acts)
+
+
+def test_all_witnesses_losing_their_memory_at_once_neither_stops_nor_splits_the_fleet():
+    async def acts(stage: Stage) -> None:
+        one = stage.scene
+        for _ in range(2):
+            epochs = {pair: one.nodes[one.leader(pair)].hosts[pair].known.epoch for pair in range(3)}
+            for name in one.cores:
+                one.kill(name)
+            for name in one.cores:
+                one.start(name)
+            await asyncio.sleep(3)
+            await one.until(one.ready, 12, "ready")
+            for pair, epoch in epochs.items():
+                assert one.nodes[one.leader(pair)].hosts[pair].known.epoch >= epoch
+        noted = await stage.ask("edge-0", "till-lock", {"name": "k"}, operation="k")
+        assert noted.ran == "done"
+    play(15, acts)
+
+
+def test_the_residency_duty_moves_under_a_higher_epoch_and_reports_stay_in_their_budget():
+    async def acts(stage: Stage) -> None:
+        one = stage.scene
+        holders = []
+        for _ in range(2):
+            def held() -> bool:
+                return any(one.alive(name) and own.duties.get("residency") and own.duties["residency"].held()
+                           for name, own in one.nodes.items())
+            await one.until(held, 12, "held")
+            holder = next(name for name, own in one.nodes.items() if one.alive(name)
+                          and own.duties.get("residency") and own.duties["residency"].held())
+            began, before = one.loop.time(), sum(worker.counts["reports read"] for worker in one.world.models)
+            for number in range(20):
+                await stage.ask("edge-0", "shopper", f"x calls stock now {number}", program=f"p{len(holders)}-{number}")
+            read = sum(worker.counts["reports read"] for worker in one.world.models) - before
+            assert read <= 1 + (one.loop.time() - began) / residency.PROBE.total_seconds()
+            holders.append((holder, one.nodes[holder].duties["residency"].epoch))
+            one.kill(holder)
+        assert holders[0][0] != holders[1][0] and holders[1][1] > holders[0][1]
+        orders = sum(worker.counts["orders"] for worker in one.world.models)
+        assert orders > 0
+        stale = await one.world.models[0].order({"epoch": 0, "release": [], "offload": [], "load": [], "restore": []})
+        assert stale[0] == 409 or one.world.models[0].epoch == 0
+    play(16, acts)
+
+
+def test_the_same_seed_gives_the_same_trace():
+    digests = []
+    for _ in range(2):
+        held = []
+
+        async def story(one: scene.Scene) -> None:
+            held.append(campaign.Day(one, one.chance, ("leader", "cut"), 1))
+            await held[0].run()
+
+        played = scene.play(17, story, weather=wire.Weather(jitter=0.004, double=0.002, reset=0.0005))
+        text = "\n".join([*played.wire.trace, *map(str, held[0].asking.noted)])
+        digests.append(hashlib.sha256(text.encode()).hexdigest())
+    assert digests[0] == digests[1]
