--- a/aspencroft/stand/backend.py
+++ b/aspencroft/stand/backend.py
@@ -266,6 +266,8 @@
     wanted = str(body["input"]).partition("calls ")[2].split(" ")[0]
     if wanted:
         words += ["<call", ' model="', wanted, '">']
+    if str(body["input"]).startswith("long"):
+        words += [" and so on"] * body["max_output"]
     return words
 
 
