--- a/aspencroft/sim/campaign.py
+++ b/aspencroft/sim/campaign.py
@@ -11,6 +11,8 @@
 import defopt
 import httpx
 
+import aspencroft.pair.copy as copy
+import aspencroft.pair.witness as witness
 import aspencroft.sim.judge as judge
 import aspencroft.sim.scene as scene
 import aspencroft.sim.wire as wire
@@ -354,7 +356,7 @@
         return judge.faults(history)
 
 
-def run_day(seed: int, kinds: tuple[str, ...] = FAULTS, count: int = 3) -> dict:
+def run_day(seed: int, kinds: tuple[str, ...] = FAULTS, count: int = 3, size: scene.Size = scene.Size()) -> dict:
     """One seeded campaign; what was wrong, what was done to the fleet, how long service took to return.
 
     Example: ``run_day(7)["wrong"] == []``
@@ -365,12 +367,13 @@
         held.append(Day(one, random.Random(seed * 7 + 1), kinds, count))
         await held[0].run()
 
+    copy.COMPACT_ENTRIES, witness.COMPACT = (40, 60) if seed % 3 else (4000, 2000)
     weather = wire.Weather(jitter=0.004, double=0.002, reset=0.0005)
     wrong = []
     began = time.perf_counter()
     played = None
     try:
-        played = scene.play(seed, story, name=(shape.TILLS, shape.ARCHIVE)[seed % 2], weather=weather)
+        played = scene.play(seed, story, size, name=(shape.TILLS, shape.ARCHIVE)[seed % 2], weather=weather)
         wrong = held[0].verdict()
     except* Exception as group:
         wrong = [f"{type(error).__name__}: {error}" for error in flat(group)]
@@ -396,7 +399,7 @@
 
 
 def campaign(*, first: int = 1, seeds: int = 40, faults: list[str] = FAULTS, count: int = 3,
-             processes: int = 8) -> None:
+             processes: int = 8, whole: bool = False) -> None:
     """Run many seeded campaigns and print those that went wrong.
 
     :param first: first seed
@@ -404,11 +407,13 @@
     :param faults: kinds of faults to draw from
     :param count: faults a day
     :param processes: how many at once
+    :param whole: a fleet of today's size, 8 edge, 3 storage and 5 core nodes, instead of a small one
     """
     total: collections.Counter = collections.Counter()
     returned, waits, bad = [], [], 0
     with concurrent.futures.ProcessPoolExecutor(processes) as pool:
-        work = [pool.submit(run_day, seed, tuple(faults), count) for seed in range(first, first + seeds)]
+        work = [pool.submit(run_day, seed, tuple(faults), count, scene.Size(8, 3, 5) if whole else scene.Size())
+                for seed in range(first, first + seeds)]
         for future in concurrent.futures.as_completed(work):
             shown = future.result()
             total.update(shown["counts"])
--- a/aspencroft/sim/measure.py
+++ b/aspencroft/sim/measure.py
@@ -11,6 +11,9 @@
 
 import aspencroft.keep.residency as residency
 import aspencroft.keep.word as word
+import aspencroft.relay.relay as relay
+import aspencroft.rest.rest as rest
+import aspencroft.seam.moment as moment
 import aspencroft.sim.scene as scene
 import aspencroft.sim.wire as wire
 import aspencroft.stand.shape as shape
@@ -90,8 +93,8 @@
     return shown
 
 
-def measure(*, first: int = 1, seeds: int = 8, deployment: str = shape.ARCHIVE, programs: int = 120,
-            variants: list[str] = VARIANTS) -> None:
+def keeps(*, first: int = 1, seeds: int = 8, deployment: str = shape.ARCHIVE, programs: int = 120,
+          variants: list[str] = VARIANTS) -> None:
     """Compare variants of the residency duty on the same seeds; prints a line of JSON for each variant.
 
     :param first: first seed
@@ -118,5 +121,180 @@
             "first piece 95 %": round(statistics.median(row["first 95"] for row in mine), 4)}), flush=True)
 
 
+def staged(seed: int, acts, size: scene.Size = scene.Size(), name: str = shape.TILLS) -> None:
+    """Form a fleet, put its plan in force, let five seconds pass, then act.
+
+    Example: ``staged(1, acts)`` where ``acts`` takes the scene and an HTTP client.
+    """
+    async def story(one: scene.Scene) -> None:
+        await one.until(one.formed, 30, "formed")
+        client = httpx.AsyncClient(transport=wire.SimTransport(one.wire, scene.OUTSIDE))
+        await client.put("http://core-1/plan", json=one.mix.document)
+        await one.until(one.ready, 20, "ready")
+        await asyncio.sleep(5)
+        await acts(one, client)
+
+    scene.play(seed, story, size, name, wire.Weather(jitter=0.002))
+
+
+def spread(row: list[float]) -> str:
+    """Least, median and most of a row.
+
+    Example: ``spread([1.0, 2.0, 4.0]) == "1.00 / 2.00 / 4.00"``
+    """
+    return f"{min(row):.2f} / {statistics.median(row):.2f} / {max(row):.2f}"
+
+
+def takeover(*, seeds: int = 8) -> None:
+    """Time until another primary serves, and longest time an edge has no current plan, by kind of loss.
+
+    :param seeds: how many
+    """
+    for how in ("kill", "power_off", "freeze"):
+        led, gaps = [], []
+
+        async def acts(one: scene.Scene, _) -> None:
+            old, began, gap, ahead = one.leader(0), one.loop.time(), dict.fromkeys(one.edges, 0.0), None
+            one.loop.freeze(old) if how == "freeze" else getattr(one, how)(old)
+            while one.loop.time() - began < 8:
+                if ahead is None and one.leader(0) not in ("", old):
+                    ahead = one.loop.time() - began
+                for edge in one.edges:
+                    gap[edge] += 0.0 if one.nodes[edge].relay.current() else 0.02
+                await asyncio.sleep(0.02)
+            led.append(ahead if ahead is not None else 8.0)
+            gaps.append(max(gap.values()))
+
+        for seed in range(1, 1 + seeds):
+            staged(seed, acts, scene.Size(4, 3, 5))
+        print(f"{how}: next primary serves after {spread(led)} s; an edge without current plan {spread(gaps)} s")
+
+
+def delivery(*, seeds: int = 4) -> None:
+    """Time and messages of a plan write, by size of the fleet; and with one node cut off.
+
+    :param seeds: how many
+    """
+    for size in (scene.Size(2, 3, 3), scene.Size(8, 3, 5), scene.Size(24, 4, 12)):
+        took, asked, cut = [], [], []
+
+        async def acts(one: scene.Scene, client: httpx.AsyncClient) -> None:
+            for number in range(4):
+                before = sum(own.relay.counts["pulls"] for own in one.nodes.values())
+                pushes = sum(own.relay.counts["pushes"] for own in one.nodes.values())
+                response = await client.put(f"http://edge-0/plan/services/x{number}", json={"kind": "plain"})
+                took.append(response.json()["waited"])
+                asked.append(sum(own.relay.counts["pulls"] for own in one.nodes.values()) - before
+                             + sum(own.relay.counts["pushes"] for own in one.nodes.values()) - pushes)
+                await asyncio.sleep(1)
+            one.wire.cut(["edge-1"], [name for name in one.names() if name != "edge-1"])
+            response = await client.put("http://edge-0/plan/services/cut", json={"kind": "plain"})
+            cut.append(response.json()["waited"])
+
+        for seed in range(1, 1 + seeds):
+            staged(seed, acts, size)
+        nodes = size.edges + size.storages + size.cores
+        print(f"{nodes} nodes: in force everywhere after {spread(took)} s, {spread(asked)} messages; "
+              f"with a node cut off {spread(cut)} s")
+
+
+def currency(*, seeds: int = 4) -> None:
+    """Length of the claim on the plan's currency: refusals while the control primary dies, and wait of a write in a cut.
+
+    :param seeds: how many
+    """
+    kept = relay.CURRENCY
+    for length in (1.5, 2.5, 4.0, 6.0):
+        relay.CURRENCY = moment.seconds(length)
+        refused, waited = [], []
+
+        async def acts(one: scene.Scene, client: httpx.AsyncClient) -> None:
+            asking = one.caller(2)
+            one.kill(one.leader(0))
+            async with asyncio.TaskGroup() as group:
+                for number in range(120):
+                    group.create_task(asking.ask("till-lock", {"name": f"s{number}"}))
+                    await asyncio.sleep(0.05)
+            refused.append(sum(noted.result == 1102 for noted in asking.noted) / len(asking.noted))
+            one.wire.cut(["edge-1"], [name for name in one.names() if name != "edge-1"])
+            response = await client.put("http://edge-0/plan/services/cut", json={"kind": "plain"})
+            waited.append(response.json().get("waited", -1.0))
+
+        for seed in range(1, 1 + seeds):
+            staged(seed, acts)
+        print(f"{length} s: refused for want of a plan within 6 s of the primary's death {spread(refused)}; "
+              f"a write in a cut waits {spread(waited)} s")
+    relay.CURRENCY = kept
+
+
+def slow_disk(*, seeds: int = 4) -> None:
+    """Price of the sync: time of a signal with a key, by the disks' delay for a sync.
+
+    :param seeds: how many
+    """
+    for delay in (0.002, 0.02, 0.1, 0.3):
+        took, batched = [], []
+
+        async def acts(one: scene.Scene, _) -> None:
+            for held in one.disks.values():
+                held.delay = delay
+
+            async def signal(number: int) -> None:
+                began = one.loop.time()
+                noted = await one.caller(number).ask("till-lock", {"name": f"s{number}"}, operation=f"s{number}")
+                if noted.ran == "done":
+                    took.append(one.loop.time() - began)
+
+            before = sum(held.counts["batches"] for own in one.nodes.values() for held in own.hosts.values())
+            async with asyncio.TaskGroup() as group:
+                for number in range(100):
+                    group.create_task(signal(number))
+                    await asyncio.sleep(0.02)
+            batches = sum(held.counts["batches"] for own in one.nodes.values() for held in own.hosts.values()) - before
+            batched.append(200 / max(1, batches))
+
+        for seed in range(1, 1 + seeds):
+            staged(seed, acts)
+        print(f"sync takes about {delay} s: a signal takes {spread(took)} s, {len(took)} done of {100 * seeds}; "
+              f"writes per batch {spread(batched)}")
+
+
+def quiet(*, seeds: int = 4) -> None:
+    """The quiet list: workers asleep over time and first pieces, with and without the rest duty, light traffic.
+
+    :param seeds: how many
+    """
+    original = rest.Rest.step
+    for resting in (True, False):
+        asleep, firsts, late = [], [], []
+
+        async def no_step(self, now) -> None:
+            return
+
+        rest.Rest.step = original if resting else no_step
+
+        async def acts(one: scene.Scene, _) -> None:
+            asking, seconds = one.caller(3), []
+            for number in range(120):
+                if number % 4 == 0:
+                    asyncio.ensure_future(asking.one(f"n{number}"))
+                seconds.append(sum(worker.asleep for worker in one.world.models) / len(one.world.models))
+                await asyncio.sleep(0.5)
+            async with asyncio.TaskGroup() as group:
+                for number in range(200):
+                    group.create_task(asking.one(f"crowd{number}"))
+                    await asyncio.sleep(0.01)
+            asleep.append(statistics.mean(seconds))
+            ordered = sorted(asking.firsts)
+            firsts.append(statistics.median(ordered) * 1000)
+            late.append(ordered[int(len(ordered) * 0.95)] * 1000)
+
+        for seed in range(1, 1 + seeds):
+            staged(seed, acts, name=shape.ARCHIVE)
+        print(f"{'with' if resting else 'without'} the rest duty: share of model workers asleep in a calm minute "
+              f"{spread(asleep)}; first piece median {spread(firsts)} ms, 95 % {spread(late)} ms")
+    rest.Rest.step = original
+
+
 if __name__ == "__main__":
-    defopt.run(measure)
+    defopt.run([keeps, takeover, delivery, currency, slow_disk, quiet])
--- a/aspencroft/sim/promises.py
+++ b/aspencroft/sim/promises.py
@@ -3,11 +3,14 @@
 import asyncio
 import collections
 import hashlib
+import json
 
 import httpx
 
 import aspencroft.code.result as result
 import aspencroft.keep.residency as residency
+import aspencroft.link.frame as frame
+import aspencroft.pair.holding as holding
 import aspencroft.plan.control as control
 import aspencroft.seam.moment as moment
 import aspencroft.sim.campaign as campaign
@@ -443,6 +446,82 @@
     play(18, acts, size=scene.Size(edges=1, storages=4, cores=3))
 
 
+def test_bad_input_gets_a_number_and_leaves_nothing_half_done():
+    async def acts(stage: Stage) -> None:
+        one, client = stage.scene, stage.client
+        before = (await client.get("http://edge-0/plan")).json()
+        wrong = [("PUT", "/plan", b"{", 400, 1001), ("PUT", "/plan", b"[]", 400, 1001),
+                 ("PATCH", "/plan", b'{"lanes": {"a": {}}, "odd": {"b": {}}}', 422, 1301),
+                 ("PUT", "/plan/services/a", b'{"kind": "odd"}', 422, 1301),
+                 ("PUT", "/plan/odd/a", b"{}", 404, 1303), ("DELETE", "/plan/lanes/none", b"", 404, 1303),
+                 ("DELETE", "/plan/services/clerk", b"", 422, 1301), ("GET", "/plan/lanes/none", b"", 404, 1303),
+                 ("POST", "/requests", b"{", 400, 1001), ("POST", "/requests", b'{"lane": "none", "input": 1}', 404, 1003),
+                 ("POST", "/requests", b'{"lane": "shopper", "input": 1}', 400, 1001),
+                 ("POST", "/requests", b'{"lane": "shopper", "input": 1, "program": "none", "after": 3}', 404, 1005),
+                 ("POST", "/requests", b'{"lane": "shopper", "input": 1, "program": "p", "tool": 7}', 400, 1001),
+                 ("POST", "/requests", b'"' + b"x" * (9 << 20) + b'"', 413, 1002),
+                 ("GET", "/requests/none", b"", 404, 1501), ("GET", "/none", b"", 404, 1303)]
+        for method, path, body, status, number in wrong:
+            response = await client.request(method, f"http://edge-0{path}", content=body)
+            shown = response.json()["error"]
+            assert (response.status_code, shown["result"]) == (status, number), (method, path, shown)
+            assert shown["ran"] == "not run" or number == 1501
+        response = await client.put("http://core-2/plan/services/a", json={"kind": "plain"},
+                                    headers={"If-Match": "9.9"})
+        assert response.json()["error"]["result"] == 1302
+        after = (await client.get("http://edge-0/plan")).json()
+        assert after == before and one.world.seen() == []
+        faults = (await client.patch("http://edge-0/plan", json={"lanes": {"a": {}}, "odd": {}})).json()["error"]
+        assert {fault["path"] for fault in faults["faults"]} == {"odd", "lanes/a/kind", "lanes/a/services"}
+    play(21, acts)
+
+
+def test_a_watch_tells_every_change_once_and_in_order():
+    async def acts(stage: Stage) -> None:
+        seen = []
+
+        async def watch() -> None:
+            async with stage.client.stream("GET", "http://edge-1/plan?watch=true") as response:
+                async for line in response.aiter_lines():
+                    seen.append(json.loads(line))
+                    if len(seen) == 5:
+                        return
+
+        watching = asyncio.ensure_future(watch())
+        await asyncio.sleep(0.5)
+        for number in range(4):
+            path = f"http://core-0/plan/services/w{number % 2}"
+            await (stage.client.put(path, json={"kind": "plain"}) if number < 2 else stage.client.delete(path))
+        async with asyncio.timeout(10):
+            await watching
+        numbers = [int(one["revision"].split(".")[1]) for one in seen]
+        assert numbers == sorted(set(numbers))
+        changed = [(one["name"], one["spec"] is None) for event in seen[1:] for one in event["changes"]]
+        assert changed == [("w0", False), ("w1", False), ("w0", True), ("w1", True)]
+    play(22, acts)
+
+
+def test_broken_frames_close_the_connection_and_are_counted():
+    async def acts(stage: Stage) -> None:
+        one = stage.scene
+        outside = wire.SimNetwork(one.wire, scene.OUTSIDE)
+        sound = frame.encode(frame.Frame(frame.ASK, 1, 0, holding.Survey("outside")))
+        for place in (4, 6, 7, 20, len(sound) - 1):
+            broken = bytearray(sound)
+            broken[place] ^= 0x7F
+            channel = await outside.connect("core-0:1")
+            await channel.write(bytes(broken) + sound)
+            try:
+                async with asyncio.timeout(3):
+                    await channel.read(1)
+                raise AssertionError(f"byte {place} was answered")
+            except EOFError:
+                pass
+        assert one.nodes["core-0"].link.counts["broken frames"] == 5
+        assert one.ready()
+    play(23, acts)
+
+
 def test_the_same_seed_gives_the_same_trace():
     digests = []
     for _ in range(2):
