A record that changes under a serving primary is heeded; a dead edge's turns are closed at once

A batch now holds to one record, and counts as on two copies only if that record still stands when both synced. Cause 2: a turn under way on a dead edge stayed open until its deadline and 10 s more, so the program was refused (1008) for 30 s. The turn now names its edge's run and is closed, charged in full, once that run is known to be over. Ruled out: a late answer of a frozen edge, which is refused as the turn is closed. Test: still 1008 after 12 s before, served after.

--- a/aspencroft/edge/path.py
+++ b/aspencroft/edge/path.py
@@ -196,7 +196,7 @@
             pair = pair_of(asked.program, self.node.settings.talk_pairs)
             one.granted = await self.node.submit(pair, speech.OpenTurn(
                 asked.program, asked.helper, asked.after, asked.lane, asked.identity, asked.most, asked.budget,
-                one.lane.keep, one.lane.deadline), self.within(one))
+                one.lane.keep, one.lane.deadline, self.node.life()), self.within(one))
             self.tell(one, "turn opened", f"turn {one.granted.number}, pair {pair}")
         return True
 
--- a/aspencroft/node/node.py
+++ b/aspencroft/node/node.py
@@ -63,7 +63,7 @@
             for pair in range(place.pairs):
                 held = copy.Copy(around, data / f"pair-{pair}", pair, talk.Talk if pair else control.Control)
                 self.hosts[pair] = host.Host(held, self.link, self.electorate, place.address, place.area,
-                                             self.candidates, self.emptied, self.ring.hold)
+                                             self.candidates, self.emptied, self.ring.hold, self.gone)
         self.started = asyncio.Event()
         self.stopping = asyncio.Event()
         self.opened = False
@@ -80,6 +80,22 @@
         return tuple(host.Candidate(one.address, one.area) for one in self.ring.fellows.values()
                      if one.disk and one.state == fellow.LIVE)
 
+    def life(self) -> str:
+        """This run of this node, as others may hear of its end.
+
+        Example: ``node.gone(other.life())``
+        """
+        return f"{self.address} {self.ring.me.incarnation}"
+
+    def gone(self, life: str) -> bool:
+        """Whether a run of a node surely ended: another run is known, or watchers agree that it is down.
+
+        Example: ``node.gone("127.0.0.1:7000 5")``
+        """
+        address, _, incarnation = life.rpartition(" ")
+        known = self.ring.fellows.get(address)
+        return known is not None and (known.state == fellow.DOWN or str(known.incarnation) != incarnation)
+
     def wished_seeds(self) -> tuple[str, ...]:
         """The witnesses wished for: by the plan, else by the settings of all live nodes if they agree.
 
--- a/aspencroft/pair/copy.py
+++ b/aspencroft/pair/copy.py
@@ -8,12 +8,15 @@
 import struct
 import typing
 
+import logbook
+
 import aspencroft.code.result as result
 import aspencroft.disk.store as store
 import aspencroft.link.record as record
 import aspencroft.pair.holding as holding
 import aspencroft.seam.surroundings as surroundings
 
+LOG = logbook.Logger("copy")
 NO_DIGEST = b"\0" * 8
 RANGE = 32
 COMPACT_ENTRIES = 4000
@@ -62,7 +65,7 @@
 
     def decide(self, command, now, epoch: int) -> tuple[tuple, object]: ...
     def fold(self, event) -> None: ...
-    def due(self, now) -> tuple: ...
+    def due(self, now, gone) -> tuple: ...
     def picture(self) -> bytes: ...
     def restore(self, body: bytes) -> None: ...
 
@@ -105,6 +108,8 @@
         """
         self.kept, items, self.condition = await self.surroundings.disk.perform(
             store.load, self.folder, self.surroundings.disk)
+        if self.condition is store.Condition.DAMAGED:
+            LOG.warning("pair {}: the copy in {} is damaged; it starts empty and is mended", self.pair, self.folder)
         self.identity, self.holding = "", None
         self.picture, self.entries, self.digests = Picture(0, 0, NO_DIGEST, b""), [], []
         for item in items:
--- a/aspencroft/pair/host.py
+++ b/aspencroft/pair/host.py
@@ -73,7 +73,8 @@
     def __init__(self, held: copy.Copy, links: link.Link, voters: electorate.Electorate, address: str,
                  area: str, candidates: collections.abc.Callable[[], tuple[Candidate, ...]],
                  emptied: collections.abc.Callable[[str], bool],
-                 publish: collections.abc.Callable[[holding.Holding], None]):
+                 publish: collections.abc.Callable[[holding.Holding], None],
+                 gone: collections.abc.Callable[[str], bool]):
         self.copy = held
         self.pair = held.pair
         self.link = links
@@ -83,6 +84,7 @@
         self.candidates = candidates
         self.emptied = emptied
         self.publish = publish
+        self.gone = gone
         self.known: holding.Holding | None = None
         self.chosen: electorate.Chosen | None = None
         self.claim_end = moment.ZERO
@@ -332,7 +334,7 @@
         while True:
             await moment.pause(BEAT)
             if self.claimed() and self.known.backup is not None and not self.submissions.full():
-                for command in self.copy.view.due(moment.now()):
+                for command in self.copy.view.due(moment.now(), self.gone):
                     if not self.submissions.full():
                         self.submissions.put_nowait(Submission(
                             command, moment.now() + REPLY, asyncio.get_running_loop().create_future()))
@@ -356,7 +358,9 @@
                         await moment.pause(RETRY)
                 elif not agreed:
                     self.why = "mending the backup"
-                    agreed = await self.mend_fellow(self.known.backup) or await self.drop_backup()
+                    standing = self.known
+                    agreed = (await self.mend_fellow(standing.backup) and self.known == standing
+                              or await self.drop_backup())
                 else:
                     self.answer(held_back)
                     self.why = "serving"
@@ -410,11 +414,19 @@
     async def one_batch(self, held_back: list[Decided]) -> bool:
         """Decide what waits, sync the events on both copies, answer; False when the backup failed.
 
-        What was decided stays in ``held_back`` until two copies hold it.
+        What was decided stays in ``held_back`` until two copies hold it. The record of holders may change
+        meanwhile, when a ballot whose outcome was not known is finished: then the backup that synced may
+        be none any more, and the batch waits for the next one.
 
         Example: ``await host.one_batch(held_back)``
         """
         batch = await self.take_batch()
+        standing = self.known
+        if standing.backup is None:
+            for waiting in batch:
+                if not waiting.reply.done():
+                    waiting.reply.set_exception(result.Refusal(result.Result.NO_BACKUP, retry=COME_BACK))
+            return False
         entries: list[copy.Entry] = []
         last = self.copy.last()
         for waiting in batch:
@@ -425,21 +437,22 @@
                 continue
             try:
                 events, reply = self.copy.view.decide(
-                    waiting.command, moment.now(), self.known.epoch)
+                    waiting.command, moment.now(), standing.epoch)
             except result.Refusal as refusal:
                 events, reply = (), refusal
             except Exception as error:
                 LOG.exception("pair {} could not decide {}", self.pair, type(waiting.command).__name__)
                 events, reply = (), result.Refusal(result.Result.INTERNAL, detail=repr(error))
             for event in events:
-                entries.append(copy.Entry(self.known.epoch, last.sequence + len(entries) + 1,
+                entries.append(copy.Entry(standing.epoch, last.sequence + len(entries) + 1,
                                           record.tagged(event)))
                 self.copy.view.fold(event)
             held_back.append(Decided(waiting, reply))
         if not entries:
             self.answer(held_back)
         due = moment.now() - self.touched >= BEAT
-        both = await self.commit(last, tuple(entries)) if entries or due else True
+        both = await self.commit(standing, last, tuple(entries)) if entries or due else True
+        both = both and self.known == standing
         if both:
             self.answer(held_back)
             self.counts["batches"] += 1
@@ -449,12 +462,12 @@
                 await self.copy.compact()
         return both
 
-    async def commit(self, last: copy.Mark, entries: tuple[copy.Entry, ...]) -> bool:
+    async def commit(self, standing: holding.Holding, last: copy.Mark, entries: tuple[copy.Entry, ...]) -> bool:
         """Sync entries here and on the backup at once; whether the backup's copy is now the same.
 
-        Example: ``await host.commit(copy.last(), entries)``
+        Example: ``await host.commit(host.known, copy.last(), entries)``
         """
-        message = exchange.Append(self.known, last, entries)
+        message = exchange.Append(standing, last, entries)
         async with asyncio.TaskGroup() as group:
             if entries:
                 group.create_task(self.copy.write(*entries))
@@ -483,6 +496,8 @@
 
         Example: ``agreed = await host.drop_backup()``
         """
+        if self.known.backup is None:
+            return False
         self.doubt(self.known.backup.address)
         try:
             await self.ballot(lambda standing: holding.Holding(self.pair, standing.epoch + 1, self.me(), None)
@@ -591,6 +606,8 @@
         Example: ``await host.move_away()``
         """
         backup = self.known.backup
+        if backup is None:
+            return
         if self.emptied(backup.address):
             await self.recruit(backup)
         elif self.emptied(self.address):
--- a/aspencroft/plan/control.py
+++ b/aspencroft/plan/control.py
@@ -1,5 +1,6 @@
 """The control pair's view: plan resources with revisions, and the epochs of duties."""
 
+import collections.abc
 import dataclasses
 import datetime
 import json
@@ -234,10 +235,10 @@
                 group.pop(change.name, None)
                 self.revisions.pop(path, None)
 
-    def due(self, now: datetime.timedelta) -> tuple:
+    def due(self, now: datetime.timedelta, gone: collections.abc.Callable[[str], bool]) -> tuple:
         """No clock events here.
 
-        Example: ``control.due(now) == ()``
+        Example: ``control.due(now, gone) == ()``
         """
         return ()
 
--- a/aspencroft/sim/promises.py
+++ b/aspencroft/sim/promises.py
@@ -209,6 +209,24 @@
     play(8, acts)
 
 
+def test_a_program_goes_on_soon_after_the_edge_that_served_it_died():
+    async def acts(stage: Stage) -> None:
+        one = stage.scene
+        asking = asyncio.ensure_future(stage.ask("edge-0", "shopper", "long first", program="p"))
+        await one.until(lambda: bool(one.world.seen()), 5, "sent")
+        one.kill("edge-0")
+        assert (await asking).ran == "unknown"
+        began = one.loop.time()
+        while True:
+            noted = await stage.ask("edge-1", "shopper", "again", program="p")
+            if noted.ran == "done" or one.loop.time() - began > 12:
+                break
+            assert noted.result == 1008 and noted.ran == "not run", noted
+            await asyncio.sleep(0.5)
+        assert noted.ran == "done", noted
+    play(24, acts)
+
+
 def test_acknowledged_plans_outlive_a_primary_killed_or_frozen_at_any_step_of_a_write():
     async def acts(stage: Stage) -> None:
         one, kept, unknown = stage.scene, {}, set()
@@ -257,6 +275,30 @@
     play(20, acts)
 
 
+def test_a_record_that_changes_under_a_serving_primary_neither_ends_it_nor_its_writes():
+    async def acts(stage: Stage) -> None:
+        one = stage.scene
+
+        async def signal(number: int) -> None:
+            noted = await stage.ask(one.edges[number % 2], "till-lock", {"name": f"s{number}"}, operation=f"s{number}")
+            assert noted.ran == "done", noted
+
+        async with asyncio.TaskGroup() as group:
+            for number in range(60):
+                group.create_task(signal(number))
+                await asyncio.sleep(0.02 + 0.05 * one.chance.random())
+                if number % 6 == 3:
+                    pair = 1 + number // 6 % 2
+                    held = one.nodes[one.leader(pair) or one.leader(3 - pair)].hosts[pair]
+                    if held.claimed():
+                        without = one.loop.create_task(held.ballot(lambda standing: holding.Holding(
+                            standing.pair, standing.epoch + 1, standing.primary, None)),
+                            context=one.loop.context_of(held.address.split(":")[0]))
+                        await asyncio.wait([without])
+    for seed in (25, 26, 27):
+        play(seed, acts)
+
+
 def test_a_primary_that_wakes_up_answers_nothing_before_it_claimed_anew():
     async def acts(stage: Stage) -> None:
         one = stage.scene
--- a/aspencroft/talk/speech.py
+++ b/aspencroft/talk/speech.py
@@ -34,6 +34,7 @@
     budget: int
     keep: datetime.timedelta
     within: datetime.timedelta
+    edge: str
 
 
 @record.kind(102)
@@ -50,6 +51,7 @@
     budget: int
     keep: datetime.timedelta
     within: datetime.timedelta
+    edge: str
 
 
 @record.kind(103)
@@ -201,6 +203,7 @@
     go: str
     reserve: int
     within: datetime.timedelta
+    edge: str
 
 
 @record.kind(119)
--- a/aspencroft/talk/talk.py
+++ b/aspencroft/talk/talk.py
@@ -1,6 +1,7 @@
 """A talk pair's view: conversations with history and budget, and operation keys."""
 
 import collections
+import collections.abc
 import dataclasses
 import datetime
 import random
@@ -160,7 +161,7 @@
         if isinstance(event, speech.TurnOpened):
             known = self.programs.get(event.program) or speech.Program(
                 event.program, event.lane, event.budget, 0, event.keep, (), ())
-            go = speech.OpenGo(event.helper, event.after, event.go, event.reserve, event.within)
+            go = speech.OpenGo(event.helper, event.after, event.go, event.reserve, event.within, event.edge)
             self.programs[event.program] = dataclasses.replace(
                 known, keep=max(known.keep, event.keep), under_way=known.under_way + (go,))
         elif isinstance(event, speech.TurnClosed):
@@ -183,15 +184,15 @@
             self.operations.pop(event.key, None)
             self.noted.pop(event.key, None)
 
-    def due(self, now: datetime.timedelta) -> tuple:
-        """Clock events: turns whose edge never came back, programs and keys kept long enough.
+    def due(self, now: datetime.timedelta, gone: collections.abc.Callable[[str], bool]) -> tuple:
+        """Clock events: turns whose edge is gone or never came back, programs and keys kept long enough.
 
-        Example: ``for command in talk.due(now): ...``
+        Example: ``for command in talk.due(now, lambda edge: False): ...``
         """
         found = []
         for program in self.programs.values():
             for one in program.under_way:
-                if now - self.opened.setdefault(one.go, now) > one.within + BEYOND:
+                if gone(one.edge) or now - self.opened.setdefault(one.go, now) > one.within + BEYOND:
                     found.append(speech.CloseTurn(program.name, one.helper, one.go, speech.UNKNOWN, "", "", 0))
             if not program.under_way and self.kept_out(program, now):
                 found.append(speech.ForgetProgram(program.name))
@@ -253,7 +254,7 @@
             else:
                 go = f"go {step}"
                 after = len(plain[helper]) + chance.choice([0, 0, 0, 1])
-                command = speech.OpenTurn("p", helper, after, "chat", go, 10, 60, moment.seconds(9), moment.seconds(5))
+                command = speech.OpenTurn("p", helper, after, "chat", go, 10, 60, moment.seconds(9), moment.seconds(5), "edge")
             try:
                 events, reply = talk.decide(command, now, 1)
             except result.Refusal as refusal:
@@ -285,6 +286,6 @@
     assert not second.mine and second.outcome == ""
     later = Talk()
     later.restore(talk.picture())
-    assert later.due(now + moment.seconds(1000)) == ()
-    assert later.due(now + moment.seconds(1060)) == ()
-    assert later.due(now + moment.seconds(1000) + 2 * MINUTE) != ()
+    assert later.due(now + moment.seconds(1000), bool) == ()
+    assert later.due(now + moment.seconds(1060), bool) == ()
+    assert later.due(now + moment.seconds(1000) + 2 * MINUTE, bool) != ()
