fleet ends its processes on SIGTERM too

Seen: a fleet ended by SIGTERM left its 16 processes running, as Python then ends without unwinding.

--- a/aspencroft/program/fleet.py
+++ b/aspencroft/program/fleet.py
@@ -265,6 +265,7 @@
     :param keep: keep the data of an earlier run instead of starting empty
     """
     logging.disable(logging.INFO)
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     if deployment not in (shape.ARCHIVE, shape.TILLS):
         sys.exit("deployment: archive or tills")
     place = pathlib.Path(folder)
