--- /dev/null
+++ b/aspencroft/talk/ledger_test.py
@@ -0,0 +1,1010 @@
+"""The ledger against a slow plain model over many seeds, and each of its rules by itself."""
+
+import dataclasses
+import datetime
+import itertools
+import random
+import tracemalloc
+
+import pytest
+
+import aspencroft.code.result as result
+import aspencroft.link.record as record
+import aspencroft.seam.moment as moment
+import aspencroft.talk.entry as entry
+import aspencroft.talk.ledger as ledger
+import aspencroft.talk.speech as speech
+import aspencroft.talk.talk as talk
+
+MINUTE, BEYOND = moment.seconds(60), moment.seconds(10)
+START = moment.seconds(1000)
+WITHIN = moment.seconds(3)
+KEEP = moment.seconds(60)
+INPUT = bytes(17_000)
+
+
+def begin(attempt: str, previous: str = "", **changes) -> entry.BeginTurn:
+    """A turn of program p at edge e, without a budget, kept for a minute.
+
+    Example: ``begin("b", "a", budget=100)``
+    """
+    return dataclasses.replace(entry.BeginTurn("p", "s", attempt, previous, 10, 0, True, KEEP, WITHIN, "e", "", ()), **changes)
+
+
+def end(attempt: str, outcome: str = speech.DONE, **changes) -> entry.EndTurn:
+    """The end of a turn of program p.
+
+    Example: ``end("a", speech.UNKNOWN)``
+    """
+    given = entry.EndTurn("p", "s", attempt, outcome, f"in {attempt}\n".encode(), f"out {attempt}\n".encode(), 7, "i-1")
+    return dataclasses.replace(given, **changes)
+
+
+def claim(attempt: str, **changes) -> entry.ClaimKey:
+    """A claim of key k at edge e.
+
+    Example: ``claim("a", key="other")``
+    """
+    return dataclasses.replace(entry.ClaimKey("k", attempt, b"d", WITHIN, MINUTE, "e"), **changes)
+
+
+def close(attempt: str, outcome: str = speech.DONE, **changes) -> entry.CloseKey:
+    """The end of the attempt under key k.
+
+    Example: ``close("a", speech.NOT_RUN)``
+    """
+    given = entry.CloseKey("k", attempt, outcome, 200, (entry.Pair(b"Seal", b"1"),), b"body")
+    return dataclasses.replace(given, **changes)
+
+
+def take(book: ledger.Ledger, command, now: datetime.timedelta):
+    """Decide and fold a command; its reply.
+
+    Example: ``take(book, begin("a"), START)``
+    """
+    events, reply = book.decide(command, now)
+    for event in events:
+        book.fold(record.untagged(record.tagged(event)))
+    return record.untagged(record.tagged(reply))
+
+
+def refused(book: ledger.Ledger, command, now: datetime.timedelta) -> result.Refusal:
+    """The refusal of a command.
+
+    Example: ``refused(book, begin("a"), START).result``
+    """
+    with pytest.raises(result.Refusal) as caught:
+        book.decide(command, now)
+    return caught.value
+
+
+def settle(book: ledger.Ledger, now: datetime.timedelta, gone=lambda edge: False) -> list:
+    """Have the clock's commands decided until there are no more; what they were.
+
+    Example: ``settle(book, START)``
+    """
+    found = []
+    for _ in range(2 * (book.size() + 10)):
+        book.next_round = moment.ZERO
+        commands = book.due(now, gone)
+        for command in commands:
+            take(book, command, now)
+        found.extend(commands)
+        if not commands and not book.looked:
+            break
+    return found
+
+
+def taken_over(book: ledger.Ledger) -> ledger.Ledger:
+    """What a backup holds that becomes the primary.
+
+    Example: ``book = taken_over(book)``
+    """
+    other = ledger.Ledger()
+    body = b"".join(book.picture_parts())
+    assert other.restore(body, 0) == len(body)
+    assert b"".join(other.picture_parts()) == body
+    assert (other.bytes, other.followers, set(other.at_work)) == (book.bytes, book.followers, set(book.at_work))
+    return other
+
+
+# -- the model ---------------------------------------------------------------------------------------
+
+
+class Plain:
+    """What the ledger should do, by scanning lists: one row an attempt, one a program, one a key.
+
+    Example: ``plain.expect(command, now)`` gives the reply or the refusal's result
+    """
+
+    def __init__(self):
+        self.rows: list[dict] = []
+        self.programs: list[dict] = []
+        self.keys: list[dict] = []
+        self.freed: list[dict] = []
+
+    def one(self, rows: list[dict], **wanted) -> dict | None:
+        """The row in which these fields stand.
+
+        Example: ``plain.one(plain.rows, attempt="a")``
+        """
+        for row in rows:
+            if all(row[name] == value for name, value in wanted.items()):
+                return row
+        return None
+
+    def chain(self, attempt: str) -> list[dict]:
+        """Kept rows up to one, oldest first.
+
+        Example: ``plain.chain("a")``
+        """
+        found = []
+        while attempt:
+            row = self.one(self.rows, attempt=attempt, state="kept")
+            found.insert(0, row)
+            attempt = row["previous"]
+        return found
+
+    def turns(self, rows: list[dict]) -> tuple[entry.Turn, ...]:
+        """Rows as replies show them.
+
+        Example: ``plain.turns(plain.chain("a"))``
+        """
+        return tuple(entry.Turn(one["attempt"], one["previous"], one["input"], one["output"], one["worker"]) for one in rows)
+
+    def begin(self, command: entry.BeginTurn, now) -> object:
+        """The outcome of a turn's start.
+
+        Example: ``plain.begin(command, now)``
+        """
+        row = self.one(self.rows, attempt=command.attempt)
+        if row is not None and row["state"] == "running":
+            if any(row[name] != getattr(command, name) for name in ("program", "session", "previous", "edge")):
+                return result.Result.TURN_UNDER_WAY
+            return self.begun(command, row["hint"])
+        if row is not None:
+            return result.Result.STALE_TURN
+        program = self.one(self.programs, name=command.program)
+        said = [budget for budget in (program["budget"] if program else 0, command.budget) if budget]
+        budget = min(said, default=0)
+        if program is not None and budget:
+            reserved = sum(one["most"] for one in self.rows
+                           if one["state"] == "running" and one["program"] == command.program and one["counted"])
+            if program["used"] + reserved >= budget:
+                program["since"] = now
+                return result.Result.OUT_OF_BUDGET
+        before = self.one(self.rows, attempt=command.previous) if command.previous else None
+        if command.previous and (before is None or before["state"] != "kept"):
+            if before is not None and (before["state"] == "running"
+                                       or before["retained"] and before["outcome"] == speech.UNKNOWN):
+                return result.Result.TURN_NOT_ENDED
+            if not command.base:
+                return result.Result.UNKNOWN_TURN
+            for turn in command.base:
+                known = self.one(self.rows, attempt=turn.attempt)
+                if known is None or known["state"] != "kept":
+                    self.rows = [row for row in self.rows if row is not known]
+                    self.rows.append(dict(dataclasses.asdict(turn), program="", state="kept", keep=command.keep, since=now,
+                                          outcome=speech.DONE, retained=True, counted=False, charged=0))
+            before = self.one(self.rows, attempt=command.previous)
+        if program is None:
+            program = dict(name=command.program, budget=0, used=0, keep=command.keep, worker="", since=now)
+            self.programs.append(program)
+        hint = before["worker"] if before and before["worker"] else program["worker"]
+        program.update(budget=budget, keep=max(program["keep"], command.keep), since=now)
+        self.rows.append(dict(
+            attempt=command.attempt, program=command.program, session=command.session, previous=command.previous,
+            most=command.most, counted=budget > 0, retained=command.retained, keep=command.keep, within=command.within,
+            edge=command.edge, state="running", outcome="", hint=hint, charged=0, since=now))
+        return self.begun(command, hint)
+
+    def begun(self, command: entry.BeginTurn, hint: str) -> entry.TurnBegun:
+        """The reply to a turn's start.
+
+        Example: ``plain.begun(command, "i-1")``
+        """
+        chain = self.chain(command.previous)
+        names = [row["attempt"] for row in chain]
+        if command.have in names:
+            return entry.TurnBegun(self.turns(chain[names.index(command.have) + 1:]), hint, False)
+        return entry.TurnBegun(self.turns(chain), hint, True)
+
+    def end(self, command: entry.EndTurn, now) -> object:
+        """The outcome of a turn's end.
+
+        Example: ``plain.end(command, now)``
+        """
+        row = self.one(self.rows, attempt=command.attempt)
+        if row is None:
+            if command.outcome != speech.NOT_RUN:
+                return result.Result.UNKNOWN_TURN
+            self.rows.append(dict(attempt=command.attempt, program="", previous="", state="ended", outcome=speech.NOT_RUN,
+                                  retained=False, counted=False, charged=0, since=now, keep=moment.ZERO))
+            return speech.Closed(speech.NOT_RUN)
+        if row["state"] != "running":
+            if row["outcome"] != speech.UNKNOWN or command.outcome == speech.UNKNOWN:
+                if (row["outcome"], command.outcome) == (speech.NOT_RUN, speech.DONE):
+                    return result.Result.STALE_TURN
+                return speech.Closed(row["outcome"])
+            if (command.outcome == speech.DONE and row["retained"] and row["previous"]
+                    and self.one(self.rows, attempt=row["previous"], state="kept") is None):
+                return result.Result.STALE_TURN
+        program = self.one(self.programs, name=row["program"])
+        charge = {speech.DONE: command.used, speech.NOT_RUN: 0, speech.UNKNOWN: row["most"]}[command.outcome]
+        charge = charge if row["counted"] else 0
+        if program is not None:
+            program["used"] += charge - row["charged"]
+            program["worker"] = command.worker or program["worker"]
+            program["since"] = now
+        kept = command.outcome == speech.DONE and row["retained"]
+        row.update(state="kept" if kept else "ended", outcome=command.outcome, charged=charge, since=now)
+        if kept:
+            row.update(input=command.input, output=command.output, worker=command.worker)
+        return speech.Closed(command.outcome)
+
+    def find(self, command: entry.FindTurn, now) -> object:
+        """The outcome of looking a turn up.
+
+        Example: ``plain.find(command, now)``
+        """
+        row = self.one(self.rows, attempt=command.attempt)
+        if row is None or row["state"] == "ended" and not (row["retained"] and row["outcome"] == speech.UNKNOWN):
+            return entry.TurnFound(False, ())
+        if row["state"] != "kept":
+            return result.Result.TURN_NOT_ENDED
+        return entry.TurnFound(True, self.turns(self.chain(command.attempt)))
+
+    def claim(self, command: entry.ClaimKey, now) -> object:
+        """The outcome of a claim.
+
+        Example: ``plain.claim(command, now)``
+        """
+        row = self.one(self.keys, key=command.key)
+        if row is not None:
+            return entry.KeyHeld(not row["outcome"] and row["attempt"] == command.attempt, row["outcome"], row["status"],
+                                 row["headers"], row["body"])
+        if self.one(self.freed, attempt=command.attempt):
+            return result.Result.STALE_TURN
+        self.keys.append(dict(key=command.key, attempt=command.attempt, within=command.within, window=command.window,
+                              edge=command.edge, outcome="", status=0, headers=(), body=b"", since=now, closed=now))
+        return entry.KeyHeld(True, "", 0, (), b"")
+
+    def close(self, command: entry.CloseKey, now) -> object:
+        """The outcome of a key's end.
+
+        Example: ``plain.close(command, now)``
+        """
+        row = self.one(self.keys, key=command.key, attempt=command.attempt)
+        if command.outcome == speech.NOT_RUN and (row is None or not row["outcome"]):
+            if row is not None:
+                self.keys.remove(row)
+            if self.one(self.freed, attempt=command.attempt) is None:
+                self.freed.append(dict(attempt=command.attempt, since=now))
+            return speech.Closed(speech.NOT_RUN)
+        if row is None:
+            return speech.Closed("")
+        if row["outcome"] and (row["outcome"], command.outcome) != (speech.UNKNOWN, speech.DONE):
+            return speech.Closed(row["outcome"])
+        row.update(outcome=command.outcome, closed=now)
+        if command.outcome == speech.DONE:
+            row.update(status=command.status, headers=command.headers, body=command.body)
+        return speech.Closed(command.outcome)
+
+    def expect(self, command, now) -> object:
+        """The reply to a command, or the result of its refusal.
+
+        Example: ``plain.expect(command, now)``
+        """
+        ways = {entry.BeginTurn: self.begin, entry.EndTurn: self.end, entry.FindTurn: self.find,
+                entry.ClaimKey: self.claim, entry.CloseKey: self.close}
+        return ways[type(command)](command, now)
+
+    def forget(self, event: entry.Forget, now) -> None:
+        """Check that what is forgotten was kept long enough, then drop it.
+
+        Example: ``plain.forget(event, now)``
+        """
+        for attempt in event.turns:
+            row = self.one(self.rows, attempt=attempt, state="kept")
+            assert now - row["since"] > row["keep"] + BEYOND, row
+            assert not any(one["previous"] == attempt and one["state"] in ("kept", "running") for one in self.rows)
+            if row["keep"] < MINUTE:
+                row.update(state="ended", retained=False, since=now)
+            else:
+                self.rows.remove(row)
+        for attempt in event.ended:
+            row = self.one(self.rows, attempt=attempt, state="ended")
+            assert now - row["since"] > MINUTE
+            self.rows.remove(row)
+        for name in event.programs:
+            row = self.one(self.programs, name=name)
+            assert now - row["since"] > max(MINUTE, row["keep"]) + BEYOND
+            assert not any(one["program"] == name and one["state"] in ("kept", "running") for one in self.rows)
+            self.programs.remove(row)
+        for key in event.keys:
+            row = self.one(self.keys, key=key)
+            assert row["outcome"] and now - row["since"] > row["within"] + row["window"]
+            assert now - row["closed"] > row["window"]
+            self.keys.remove(row)
+        for attempt in event.freed:
+            row = self.one(self.freed, attempt=attempt)
+            assert now - row["since"] > MINUTE
+            self.freed.remove(row)
+
+    def overdue(self, now, gone) -> set[str]:
+        """What is under way though its edge is gone or its time over.
+
+        Example: ``plain.overdue(now, lambda edge: False)``
+        """
+        running = [("attempt", row) for row in self.rows if row["state"] == "running"]
+        running += [("key", row) for row in self.keys if not row["outcome"]]
+        return {row[name] for name, row in running
+                if gone(row["edge"]) or now - row["since"] > row["within"] + BEYOND}
+
+    def start_clocks(self, now) -> None:
+        """A new primary: all times count from here on.
+
+        Example: ``plain.start_clocks(now)``
+        """
+        for row in (*self.rows, *self.programs, *self.keys, *self.freed):
+            row["since"] = now
+            if "closed" in row:
+                row["closed"] = now
+
+
+def random_command(chance: random.Random, issued: list, foreign: dict[str, tuple], number: int):
+    """A command, often one about attempts of before, sometimes an old one once more.
+
+    Example: ``random_command(random.Random(1), [], {}, 0)``
+    """
+    if issued and chance.random() < 0.2:
+        return chance.choice(issued[-30:])
+    begun = [one for one in issued[-60:] if isinstance(one, entry.BeginTurn)]
+    claimed = [one for one in issued[-60:] if isinstance(one, entry.ClaimKey)]
+    turn = chance.random()
+    names = [one.attempt for one in begun] + list(foreign)
+    outcome = chance.choice([speech.DONE, speech.DONE, speech.DONE, speech.NOT_RUN, speech.UNKNOWN])
+    if turn < 0.35 or not begun:
+        previous = chance.choice(["", *names[-12:], "nobody"] if names else [""])
+        base = foreign[previous] if previous in foreign and chance.random() < 0.7 else ()
+        return entry.BeginTurn(
+            chance.choice(["p", "q", "r"]), chance.choice(["", "h"]), f"t{number}", previous, 10,
+            chance.choice([0, 80, 80, 60, 300]), chance.random() < 0.85, moment.seconds(chance.choice([20, 60, 90])),
+            moment.seconds(chance.choice([1, 30])), chance.choice(["e1", "e2", "e3"]), chance.choice(["", *names[-5:]]), base)
+    if turn < 0.7:
+        one = chance.choice(begun[-12:])
+        attempt = one.attempt if chance.random() < 0.95 else f"n{number}"
+        return entry.EndTurn(one.program, one.session, attempt, outcome, f"in {attempt}".encode() * chance.choice([1, 100]),
+                             f"out {attempt}".encode(), chance.randrange(11), chance.choice(["", "w1", "w2"]))
+    if turn < 0.78:
+        return entry.FindTurn(chance.choice([*names[-20:], "nobody"]))
+    if turn < 0.9 or not claimed:
+        return entry.ClaimKey(f"k{chance.randrange(number // 20 + 2)}", f"c{number}", chance.randbytes(1),
+                              moment.seconds(chance.choice([1, 20])), moment.seconds(chance.choice([30, 60])),
+                              chance.choice(["e1", "e2", "e3"]))
+    one = chance.choice(claimed[-8:])
+    return entry.CloseKey(one.key, one.attempt, outcome, 200, (entry.Pair(b"a", b"b"),), chance.randbytes(3))
+
+
+@pytest.mark.parametrize("first", range(0, 120, 20))
+def test_ledger_agrees_with_a_plain_model(first):
+    """Duplicates, reordering, takeovers, branches, imports and an advancing clock: all replies and all that is forgotten agree."""
+    seen = {"grants": 0, "refusals": 0, "imports": 0, "forgotten": 0, "takeovers": 0, "overdue": 0}
+    for seed in range(first, first + 20):
+        chance, book, follower, plain, now = random.Random(seed), ledger.Ledger(), ledger.Ledger(), Plain(), START
+        issued: list = []
+        foreign: dict[str, tuple] = {}
+        for name in ("f", "g"):
+            line = tuple(entry.Turn(f"{name}{place}", f"{name}{place - 1}" if place else "", b"in" * place, b"out", "w9")
+                         for place in range(4))
+            foreign.update({turn.attempt: line[:place + 1] for place, turn in enumerate(line)})
+        gone_edges: set[str] = set()
+
+        def apply(command):
+            try:
+                events, reply = book.decide(command, now)
+            except result.Refusal as refusal:
+                return refusal.result
+            for event in events:
+                if isinstance(event, entry.Forget):
+                    plain.forget(event, now)
+                    seen["forgotten"] += 1
+                book.fold(event)
+                follower.fold(record.untagged(record.tagged(event)))
+            return reply
+
+        for step in range(400):
+            now += moment.seconds(chance.choice([0, 0.1, 0.5, 0.5, 2, 2, 30 if chance.random() < 0.1 else 1]))
+            if chance.random() < 0.15:
+                gone_edges = {edge for edge in ("e1", "e2", "e3") if chance.random() < 0.1}
+                commands = book.due(now, gone_edges.__contains__)
+                ends = [one for one in commands if not isinstance(one, entry.Forget)]
+                assert {getattr(one, "key", one.attempt) for one in ends} == plain.overdue(now, gone_edges.__contains__)
+                for command in commands:
+                    answer = apply(command)
+                    if not isinstance(command, entry.Forget):
+                        assert answer == plain.expect(command, now)
+                        seen["overdue"] += 1
+            elif chance.random() < 0.03:
+                assert b"".join(book.picture_parts()) == b"".join(follower.picture_parts())
+                if chance.random() < 0.5:
+                    book = taken_over(book)
+                else:
+                    book.rest_clocks()
+                book.due(now, lambda edge: False)
+                plain.start_clocks(now)
+                seen["takeovers"] += 1
+            else:
+                command = random_command(chance, issued, foreign, step)
+                issued.append(command)
+                answer, expected = apply(command), plain.expect(command, now)
+                assert answer == expected, (seed, step, command)
+                seen["grants" if not isinstance(answer, result.Result) else "refusals"] += 1
+                seen["imports"] += bool(isinstance(answer, entry.TurnBegun) and getattr(command, "base", ()))
+            assert len(book.turns) == sum(row["state"] == "kept" for row in plain.rows)
+            for program in plain.programs:
+                known = book.accounts[program["name"]]
+                assert (known.used, known.budget) == (program["used"], program["budget"])
+        for _ in range(40):
+            now += moment.seconds(50)
+            for command in book.due(now, lambda edge: True):
+                answer = apply(command)
+                assert isinstance(command, entry.Forget) or answer == plain.expect(command, now)
+        assert book.size() == follower.size() == 0 and book.bytes == follower.bytes == 0
+        assert not book.followers and not book.at_work
+        assert not any((book.active, book.answered, book.begun, book.stopped, book.noted, book.freed_at))
+    assert all(seen.values()), seen
+
+
+# -- budgets -----------------------------------------------------------------------------------------
+
+
+def test_concurrent_turns_over_many_edges_stay_under_the_budget_plus_one_turn():
+    for seed in range(50):
+        chance, book, now = random.Random(seed), ledger.Ledger(), START
+        given, running, most, budget = 0, {}, 10, 200
+        for number in range(300):
+            now += moment.seconds(0.05)
+            if running and chance.random() < 0.5:
+                attempt = chance.choice(list(running))
+                edge = running.pop(attempt)
+                outcome = chance.choice([speech.DONE, speech.NOT_RUN, speech.UNKNOWN, "edge lost"])
+                used = chance.randrange(most + 1)
+                if outcome == "edge lost":
+                    for command in book.due(now, lambda life: life == edge):
+                        take(book, command, now)
+                        running.pop(command.attempt, None)
+                        given += used
+                    continue
+                given += 0 if outcome == speech.NOT_RUN else used
+                command = end(attempt, outcome, used=used if outcome == speech.DONE else 0)
+                for _ in range(chance.choice([1, 2])):
+                    take(book, command, now)
+            else:
+                edge = f"e{chance.randrange(8)} {number}"
+                command = begin(f"t{number}", budget=budget, most=most, edge=edge)
+                try:
+                    for _ in range(chance.choice([1, 2])):
+                        take(book, command, now)
+                    running[command.attempt] = edge
+                except result.Refusal as refusal:
+                    assert refusal.result is result.Result.OUT_OF_BUDGET and refusal.ran is result.Ran.NOT_RUN
+            if chance.random() < 0.05:
+                book = taken_over(book)
+            assert given + most * len(running) <= budget + most - 1
+        assert given > budget / 4
+
+
+def test_the_budget_said_first_stands_and_is_only_lowered():
+    book = ledger.Ledger()
+    take(book, begin("a", budget=25), START)
+    take(book, begin("b", budget=1000), START)
+    take(book, begin("c", budget=0), START)
+    assert refused(book, begin("d", budget=1000), START).result is result.Result.OUT_OF_BUDGET
+    take(book, end("a", speech.NOT_RUN), START)
+    assert refused(book, begin("e", budget=15), START).result is result.Result.OUT_OF_BUDGET
+    take(book, begin("e", budget=21), START)
+    assert refused(book, begin("f", budget=1000), START).result is result.Result.OUT_OF_BUDGET
+    take(book, end("b", speech.NOT_RUN), START)
+    take(book, end("c", speech.NOT_RUN), START)
+    take(book, begin("f"), START)
+    take(book, begin("g"), START)
+    assert refused(book, begin("h", budget=25), START).result is result.Result.OUT_OF_BUDGET
+    assert book.accounts["p"].budget == 21
+
+
+def test_without_a_budget_nothing_is_counted():
+    book = ledger.Ledger()
+    for number in range(50):
+        take(book, begin(f"t{number}", most=10 ** 9), START)
+        take(book, end(f"t{number}", used=10 ** 9), START)
+    assert (book.accounts["p"].used, book.accounts["p"].reserved) == (0, 0)
+    take(book, begin("counted", budget=10), START)
+    assert refused(book, begin("more", budget=10), START).result is result.Result.OUT_OF_BUDGET
+
+
+def test_a_broken_stream_is_charged_in_full_and_a_turn_not_run_not_at_all():
+    book = ledger.Ledger()
+    take(book, begin("a", budget=100), START)
+    take(book, end("a", speech.UNKNOWN, used=3), START)
+    assert book.accounts["p"].used == 10
+    take(book, begin("b", budget=100), START)
+    take(book, end("b", speech.NOT_RUN), START)
+    assert (book.accounts["p"].used, book.accounts["p"].reserved) == (10, 0)
+    take(book, begin("c", budget=100), START)
+    take(book, end("c", used=4), START)
+    assert (book.accounts["p"].used, book.accounts["p"].reserved) == (14, 0)
+
+
+def test_a_program_that_goes_on_asking_is_not_forgotten_with_its_budget():
+    book, now = ledger.Ledger(), START
+    take(book, begin("a", budget=10, retained=False), now)
+    take(book, end("a", speech.UNKNOWN), now)
+    for number in range(12):
+        now += moment.seconds(65)
+        settle(book, now)
+        assert refused(book, begin(f"b{number}", budget=10), now).result is result.Result.OUT_OF_BUDGET
+    settle(book, now + moment.seconds(69))
+    assert "p" in book.accounts
+    settle(book, now + moment.seconds(71))
+    assert "p" not in book.accounts and book.size() == 0
+
+
+def test_a_budget_outlives_takeovers_and_every_kept_turn_of_its_program():
+    book, now = ledger.Ledger(), START
+    take(book, begin("a", budget=100, keep=moment.seconds(300)), now)
+    take(book, end("a"), now)
+    for _ in range(4):
+        now += moment.seconds(71)
+        settle(book, now)
+        assert book.accounts["p"].used == 7
+        book = taken_over(book)
+        assert book.accounts["p"].used == 7
+    settle(book, now)
+    settle(book, now + moment.seconds(309))
+    assert book.accounts["p"].used == 7 and "a" in book.turns
+    settle(book, now + moment.seconds(311))
+    assert book.size() == 0
+
+
+def test_a_budget_outlives_a_long_turn_and_another_program_that_goes_on_from_its_turns():
+    book, late = ledger.Ledger(), START + moment.seconds(200)
+    take(book, begin("a", budget=10), START)
+    take(book, end("a"), START)
+    take(book, begin("b", "a", program="q", within=moment.seconds(500)), START)
+    take(book, begin("c", program="r", budget=10, within=moment.seconds(500)), START)
+    settle(book, late)
+    assert {name: (one.used, one.reserved) for name, one in book.accounts.items()} == {"p": (7, 0), "q": (0, 0), "r": (0, 10)}
+
+
+def test_a_program_that_was_forgotten_before_a_late_end_counts_none_of_its_turns():
+    book = ledger.Ledger()
+    take(book, begin("a"), START)
+    take(book, end("a", speech.UNKNOWN), START)
+    book.fold(entry.Forget(("p",), (), (), (), ()))
+    take(book, end("a"), START)
+    take(book, begin("b", "a"), START)
+    take(book, end("b"), START)
+    assert book.accounts["p"].kept == 1
+    settle(book, START + moment.seconds(80))
+    settle(book, START + moment.seconds(160))
+    assert book.size() == 0
+
+
+# -- turns -------------------------------------------------------------------------------------------
+
+
+def line(book: ledger.Ledger, names: str, now: datetime.timedelta, **changes) -> None:
+    """A chain of kept turns, one a letter.
+
+    Example: ``line(book, "abc", START)``
+    """
+    for previous, attempt in itertools.pairwise(["", *names]):
+        take(book, begin(attempt, previous, **changes), now)
+        take(book, end(attempt), now)
+
+
+def test_a_turn_gets_the_whole_chain_or_what_is_behind_the_one_that_the_edge_holds():
+    book = ledger.Ledger()
+    line(book, "abcd", START)
+    take(book, begin("x", "b"), START)
+    take(book, end("x", worker="i-7"), START)
+    whole = take(book, begin("e", "d"), START)
+    assert [one.attempt for one in whole.chain] == list("abcd") and whole.complete and whole.worker == "i-1"
+    assert b"".join(one.input + one.output for one in whole.chain).decode() == "".join(
+        f"in {name}\nout {name}\n" for name in "abcd")
+    for have, names, complete in (("d", "", False), ("b", "cd", False), ("x", "abcd", True), ("nobody", "abcd", True)):
+        reply = take(book, begin("e", "d", have=have), START)
+        assert ("".join(one.attempt for one in reply.chain), reply.complete) == (names, complete)
+    branch = take(book, begin("y", "x"), START)
+    assert ("".join(one.attempt for one in branch.chain), branch.worker) == ("abx", "i-7")
+    assert take(book, begin("z"), START) == entry.TurnBegun((), "i-7", True)
+
+
+def test_the_same_start_gives_the_same_reply_and_reserves_once():
+    book = ledger.Ledger()
+    line(book, "ab", START)
+    first = take(book, begin("c", "b", budget=50), START)
+    take(book, begin("other", budget=50, edge="e2"), START)
+    take(book, end("other", worker="i-9"), START)
+    assert take(book, begin("c", "b", budget=50), START) == first
+    assert book.accounts["p"].reserved == 10
+    for change in (dict(previous="a"), dict(edge="e2"), dict(program="q"), dict(session="t")):
+        assert refused(book, begin("c", **{"previous": "b", **change}), START).result is result.Result.TURN_UNDER_WAY
+
+
+@pytest.mark.parametrize("outcome", [speech.DONE, speech.NOT_RUN, speech.UNKNOWN])
+@pytest.mark.parametrize("retained", [True, False])
+def test_an_ended_attempt_never_begins_again(outcome, retained):
+    book = ledger.Ledger()
+    take(book, begin("a", retained=retained, keep=moment.seconds(5)), START)
+    take(book, end("a", outcome), START)
+    for late in (0, 9, 20, 59):
+        now = START + moment.seconds(late)
+        settle(book, now)
+        refusal = refused(book, begin("a", retained=retained, keep=moment.seconds(5)), now)
+        assert (refusal.result, refusal.ran) == (result.Result.STALE_TURN, ledger.RAN[outcome])
+        assert refused(taken_over(book), begin("a"), now).result is result.Result.STALE_TURN
+    settle(book, START + moment.seconds(80))
+    settle(book, START + moment.seconds(160))
+    assert book.size() == 0
+
+
+def test_a_turn_that_did_not_run_leaves_word_before_its_start_arrives():
+    book = ledger.Ledger()
+    assert take(book, end("a", speech.NOT_RUN), START) == speech.Closed(speech.NOT_RUN)
+    assert take(book, end("a", speech.NOT_RUN), START) == speech.Closed(speech.NOT_RUN)
+    refusal = refused(book, begin("a"), START + moment.seconds(59))
+    assert (refusal.result, refusal.ran) == (result.Result.STALE_TURN, result.Ran.NOT_RUN)
+    assert refused(book, end("a"), START).result is result.Result.STALE_TURN
+    settle(book, START + moment.seconds(71))
+    assert book.size() == 0
+    for outcome in (speech.DONE, speech.UNKNOWN):
+        refusal = refused(book, end("b", outcome), START)
+        assert (refusal.result, refusal.ran) == (result.Result.UNKNOWN_TURN, result.Ran.UNKNOWN)
+
+
+def test_words_about_attempts_that_did_not_run_are_bounded(monkeypatch):
+    monkeypatch.setattr(ledger, "MOST_TURNS", 5)
+    monkeypatch.setattr(ledger, "MOST_KEYS", 5)
+    book = ledger.Ledger()
+    for number in range(5):
+        take(book, end(f"t{number}", speech.NOT_RUN), START)
+        take(book, close(f"t{number}", speech.NOT_RUN), START)
+    for command in (end("t9", speech.NOT_RUN), begin("t9"), close("t9", speech.NOT_RUN), claim("t9")):
+        refusal = refused(book, command, START)
+        assert refusal.result is result.Result.OVERLOADED and refusal.retry is not None
+
+
+def test_history_of_a_full_ledger_is_refused_not_dropped(monkeypatch):
+    monkeypatch.setattr(ledger, "MOST_BYTES", 1000)
+    monkeypatch.setattr(ledger, "MOST_PROGRAMS", 2)
+    book = ledger.Ledger()
+    take(book, begin("a"), START)
+    take(book, end("a", input=bytes(1000)), START)
+    assert refused(book, begin("b", "a"), START).result is result.Result.OVERLOADED
+    assert refused(book, claim("c"), START).result is result.Result.OVERLOADED
+    assert take(book, begin("b", "a", retained=False), START).complete
+    take(book, begin("q", program="q", retained=False), START)
+    assert refused(book, begin("r", program="r", retained=False), START).result is result.Result.OVERLOADED
+    monkeypatch.setattr(ledger, "LARGEST_CHAIN", 999)
+    assert refused(book, begin("d", "a", retained=False), START).result is result.Result.TOO_LARGE
+
+
+def test_a_turn_answered_less_than_its_keep_time_ago_is_there_also_after_takeovers():
+    book, now = ledger.Ledger(), START
+    line(book, "ab", now)
+    settle(book, now + KEEP - moment.seconds(0.1))
+    assert take(book, entry.FindTurn("b"), now).found
+    book = taken_over(book)
+    now += KEEP - moment.seconds(1)
+    settle(book, now)
+    settle(book, now + KEEP)
+    assert [one.attempt for one in take(book, begin("c", "b"), now + KEEP).chain] == ["a", "b"]
+
+
+def test_a_chain_is_kept_as_long_as_a_turn_that_goes_on_from_it_is_kept_or_under_way():
+    book, now = ledger.Ledger(), START
+    line(book, "abc", now)
+    take(book, begin("d", "b", within=moment.seconds(500)), now)
+    settle(book, now + moment.seconds(200))
+    assert set(book.turns) == {"a", "b"}
+    take(book, end("d"), now + moment.seconds(200))
+    settle(book, now + moment.seconds(265))
+    assert set(book.turns) == {"a", "b", "d"}
+    settle(book, now + moment.seconds(271))
+    assert not book.turns and book.bytes == 0 and not book.followers
+
+
+def test_a_whole_chain_goes_at_once_when_its_youngest_turn_goes():
+    book = ledger.Ledger()
+    line(book, "abcdefghijkl", START)
+    commands = book.due(START + moment.seconds(71), lambda edge: False)
+    assert commands[-1].turns == tuple("lkjihgfedcba")
+    other = taken_over(book)
+    assert other.due(START + moment.seconds(71), lambda edge: False) == ()
+    assert len(other.due(START + moment.seconds(142), lambda edge: False)[-1].turns) == 12
+
+
+def test_a_turn_whose_end_is_not_known_is_not_called_unknown():
+    book = ledger.Ledger()
+    take(book, begin("a"), START)
+    for command in (begin("b", "a"), entry.FindTurn("a")):
+        refusal = refused(book, command, START)
+        assert (refusal.result, refusal.result.status, refusal.ran) == (result.Result.TURN_NOT_ENDED, 503, result.Ran.NOT_RUN)
+    take(book, end("a", speech.UNKNOWN), START)
+    assert refused(book, begin("b", "a"), START).result is result.Result.TURN_NOT_ENDED
+    take(book, end("a"), START)
+    assert take(book, begin("b", "a"), START).chain[0].attempt == "a"
+    take(book, begin("c"), START)
+    take(book, end("c", speech.NOT_RUN), START)
+    refusal = refused(book, begin("d", "c"), START)
+    assert (refusal.result, refusal.result.status) == (result.Result.UNKNOWN_TURN, 404)
+    assert not take(book, entry.FindTurn("c"), START).found
+
+
+def test_a_chain_of_another_group_is_kept_here_too():
+    there, here = ledger.Ledger(), ledger.Ledger()
+    line(there, "abc", START)
+    base = take(there, entry.FindTurn("c"), START).chain
+    assert refused(here, begin("d", "c"), START).result is result.Result.UNKNOWN_TURN
+    for wrong in (base[:2], base[1:], base[::-1], base + base, (dataclasses.replace(base[0], attempt="d"), *base[1:])):
+        assert refused(here, begin("d", "c", base=wrong), START).result is result.Result.MALFORMED
+    reply = take(here, begin("d", "c", base=base), START)
+    assert reply.chain == base and reply.complete and reply.worker == "i-1"
+    take(here, end("d"), START)
+    assert [one.attempt for one in take(here, begin("e", "d"), START).chain] == list("abcd")
+    assert "".join(one.attempt for one in take(here, begin("f", "a"), START).chain) == "a"
+    line(there, "xyz", START)
+    shared = take(there, begin("g", "b"), START)
+    take(there, end("g"), START)
+    base = take(there, entry.FindTurn("g"), START).chain
+    assert [one.attempt for one in shared.chain] == ["a", "b"]
+    events, _ = here.decide(begin("h", "g", base=base), START)
+    assert [one.attempt for one in events[0].base] == ["g"]
+    reply = take(here, begin("h", "g", base=base), START)
+    assert [one.attempt for one in reply.chain] == ["a", "b", "g"] and len(here.turns) == 5
+    for attempt in "efh":
+        take(here, end(attempt, speech.NOT_RUN), START)
+    settle(here, START + moment.seconds(75))
+    settle(here, START + moment.seconds(150))
+    assert here.size() == 0 and here.bytes == 0
+
+
+def test_turns_of_a_lost_edge_or_over_their_time_are_charged_and_a_late_end_puts_it_right():
+    book = ledger.Ledger()
+    line(book, "a", START)
+    for attempt, edge in (("b", "lost 1"), ("c", "e"), ("d", "lost 1")):
+        take(book, begin(attempt, "a", budget=100, edge=edge), START)
+    assert [one.attempt for one in settle(book, START, lambda edge: edge == "lost 1")] == ["b", "d"]
+    assert (book.accounts["p"].used, book.accounts["p"].reserved) == (20, 10)
+    assert not settle(book, START + WITHIN + BEYOND)
+    assert [one.attempt for one in settle(book, START + WITHIN + BEYOND + moment.seconds(0.1))] == ["c"]
+    assert (book.accounts["p"].used, book.accounts["p"].reserved) == (30, 0)
+    for _ in range(2):
+        assert take(book, end("b", used=4), START) == speech.Closed(speech.DONE)
+        assert take(book, end("b", speech.UNKNOWN), START) == speech.Closed(speech.DONE)
+        assert take(book, end("d", speech.NOT_RUN), START) == speech.Closed(speech.NOT_RUN)
+    assert (book.accounts["p"].used, book.accounts["p"].reserved) == (14, 0)
+    assert [one.attempt for one in take(book, begin("f", "b"), START).chain] == ["a", "b"]
+
+
+def test_a_late_end_whose_chain_is_gone_is_refused():
+    book = ledger.Ledger()
+    line(book, "a", START, keep=moment.seconds(1))
+    take(book, begin("b", "a", keep=moment.seconds(1)), START)
+    settle(book, START + moment.seconds(14))
+    settle(book, START + moment.seconds(15))
+    assert "a" not in book.turns and book.ended["b"].outcome == speech.UNKNOWN
+    refusal = refused(book, end("b"), START + moment.seconds(15))
+    assert (refusal.result, refusal.ran) == (result.Result.STALE_TURN, result.Ran.UNKNOWN)
+
+
+# -- keys --------------------------------------------------------------------------------------------
+
+
+def test_a_key_runs_once_at_many_edges_through_losses_and_takeovers():
+    for seed in range(60):
+        chance, book, now, runs = random.Random(seed), ledger.Ledger(), START, []
+        for number in range(60):
+            now += moment.seconds(chance.choice([0, 0.2, 1]))
+            command = claim(f"a{number % 20}", edge=f"e{number % 20 % 5}", digest=chance.randbytes(2))
+            try:
+                reply = take(book, command, now)
+            except result.Refusal as refusal:
+                assert refusal.result is result.Result.STALE_TURN
+                continue
+            if reply.mine:
+                runs += [command.attempt] if command.attempt not in runs else []
+            if reply.outcome == speech.DONE:
+                assert (reply.status, reply.body) == (200, f"run {runs[-1]}".encode())
+            if reply.mine and chance.random() < 0.3:
+                outcome = chance.choice([speech.DONE, speech.UNKNOWN, speech.NOT_RUN])
+                if outcome == speech.NOT_RUN:
+                    runs.remove(command.attempt)
+                take(book, close(command.attempt, outcome, body=f"run {command.attempt}".encode()), now)
+            if chance.random() < 0.1:
+                book = taken_over(book)
+            for command in book.due(now, lambda edge: chance.random() < 0.02):
+                take(book, command, now)
+            assert len(runs) <= 1
+
+
+def test_a_key_is_held_its_window_beyond_the_last_moment_in_which_its_work_could_run():
+    for outcome in (speech.DONE, speech.UNKNOWN, ""):
+        book, now = ledger.Ledger(), START
+        assert take(book, claim("a"), now).mine
+        if outcome:
+            take(book, close("a", outcome), now + WITHIN)
+        book = taken_over(book)
+        now += moment.seconds(50)
+        settle(book, now)
+        settle(book, now + WITHIN + MINUTE + BEYOND)
+        reply = take(book, claim("b"), now + WITHIN + MINUTE + BEYOND)
+        assert not reply.mine and reply.outcome == (outcome or speech.UNKNOWN)
+        settle(book, now + 2 * (WITHIN + MINUTE + BEYOND + moment.seconds(1)))
+        assert take(book, claim("b"), now + moment.seconds(200)).mine
+
+
+def test_an_answer_that_comes_late_is_held_a_window_from_then_on():
+    book, now = ledger.Ledger(), START
+    take(book, claim("a"), now)
+    settle(book, now + moment.seconds(14))
+    assert take(book, claim("b"), now).outcome == speech.UNKNOWN
+    assert take(book, close("a", speech.NOT_RUN), now + moment.seconds(50)) == speech.Closed(speech.UNKNOWN)
+    assert take(book, close("a"), now + moment.seconds(60)) == speech.Closed(speech.DONE)
+    settle(book, now + moment.seconds(60) + MINUTE)
+    reply = take(book, claim("b"), now + moment.seconds(120))
+    assert (reply.mine, reply.outcome, reply.status, reply.headers, reply.body) == (
+        False, speech.DONE, 200, (entry.Pair(b"Seal", b"1"),), b"body")
+    settle(book, now + moment.seconds(60) + MINUTE + BEYOND + moment.seconds(1))
+    assert book.size() == 0 and book.bytes == 0
+
+
+def test_a_key_is_not_forgotten_before_it_is_closed():
+    book, late = ledger.Ledger(), START + moment.seconds(500)
+    for number in range(2 * ledger.MOST_DUE):
+        take(book, begin(f"t{number}", retained=False), START)
+    take(book, claim("a"), START)
+    for _ in range(4):
+        for command in book.due(late, lambda edge: False):
+            take(book, command, late)
+    assert not book.under_way and list(book.keys) == ["k"] and not book.at_work
+    settle(book, late + moment.seconds(80))
+    assert book.size() == 0
+
+
+def test_a_key_of_a_lost_edge_is_unknown_at_once():
+    book = ledger.Ledger()
+    take(book, claim("a", edge="lost 1"), START)
+    assert take(book, claim("b"), START).outcome == ""
+    settle(book, START, lambda edge: edge == "lost 1")
+    reply = take(book, claim("b"), START)
+    assert not reply.mine and reply.outcome == speech.UNKNOWN
+
+
+def test_a_key_not_run_is_free_at_once_but_not_for_the_same_attempt():
+    book = ledger.Ledger()
+    take(book, claim("a"), START)
+    assert take(book, close("b", speech.NOT_RUN), START) == speech.Closed(speech.NOT_RUN)
+    assert take(book, claim("a"), START).mine
+    assert not take(book, claim("a", edge="e2"), START).mine
+    assert take(book, close("a", speech.NOT_RUN), START) == speech.Closed(speech.NOT_RUN)
+    assert take(book, close("a", speech.NOT_RUN), START) == speech.Closed(speech.NOT_RUN)
+    for attempt in "ab":
+        refusal = refused(taken_over(book), claim(attempt), START + moment.seconds(59))
+        assert (refusal.result, refusal.ran) == (result.Result.STALE_TURN, result.Ran.NOT_RUN)
+    assert take(book, claim("c"), START).mine
+    assert take(book, close("a"), START) == speech.Closed("")
+    assert take(book, claim("c"), START).mine
+    settle(book, START + moment.seconds(71))
+    assert not book.freed
+
+
+def test_an_answer_too_large_to_keep_is_told_as_such():
+    book = ledger.Ledger()
+    for key, body, outcome in (("k", bytes(ledger.LARGEST_ANSWER - 5), speech.DONE),
+                               ("l", bytes(ledger.LARGEST_ANSWER), entry.NOT_KEPT)):
+        take(book, claim("a", key=key), START)
+        for _ in range(2):
+            assert take(book, close("a", key=key, body=body), START) == speech.Closed(speech.DONE)
+        reply = take(book, claim("b", key=key), START)
+        assert (reply.mine, reply.outcome, reply.body) == (False, outcome, body if outcome == speech.DONE else b"")
+
+
+# -- clocks, pictures, memory ------------------------------------------------------------------------
+
+
+def test_the_looks_at_a_large_ledger_are_bounded_and_reach_everything():
+    book, now, many = ledger.Ledger(), START, 3 * ledger.LOOKS
+    for number in range(many):
+        book.fold(entry.KeyClaimed(f"k{number}", f"a{number}", WITHIN, MINUTE, "e"))
+        book.fold(entry.KeyClosed(f"k{number}", f"a{number}", speech.DONE, 200, (), b""))
+    for number in range(2 * ledger.MOST_DUE):
+        book.fold(entry.KeyClaimed(f"o{number}", f"o{number}", WITHIN, MINUTE, "lost"))
+    assert len(book.due(now, lambda edge: edge == "lost")) == ledger.MOST_DUE
+    assert len(book.noted) <= ledger.LOOKS + 2 * ledger.MOST_DUE
+    for _ in range(9):
+        assert book.due(now, lambda edge: False) == ()
+    assert len(book.noted) == book.size()
+    late, calls = now + moment.seconds(300), 0
+    while book.size() and calls < 1000:
+        late += moment.seconds(0.4)
+        for command in book.due(late, lambda edge: False):
+            if isinstance(command, entry.Forget):
+                assert len(command.keys) <= 2 * ledger.MOST_DUE
+            take(book, command, late)
+        calls += 1
+    assert book.size() == 0
+    assert calls < 2 * many // ledger.MOST_DUE + 100
+
+
+def test_a_round_of_looks_starts_some_seconds_after_the_one_before():
+    book, now = ledger.Ledger(), START
+    for attempt, wait in (("a", 0), ("b", 0.5), ("c", 1), ("d", 1.5)):
+        book.fold(entry.TurnEnded(attempt, speech.NOT_RUN, b"", b"", 0, ""))
+        assert book.due(now + ledger.ROUND * wait, lambda edge: False) == ()
+    assert book.stopped == {"a": now, "b": now + ledger.ROUND, "c": now + ledger.ROUND}
+
+
+def test_a_picture_shares_its_history_and_shows_one_moment():
+    view = talk.Talk()
+    book = view.ledger
+    for number in range(20):
+        take(book, begin(f"t{number}", f"t{number - 1}" if number else ""), START)
+        take(book, end(f"t{number}", input=INPUT), START)
+    parts, before = view.picture_parts(), view.picture()
+    take(book, begin("later"), START)
+    pieces = list(parts)
+    assert b"".join(pieces) == before and all(pieces)
+    assert max(map(len, pieces)) <= ledger.GATHERED + len(INPUT)
+    assert all(any(piece is kept.turn.input for piece in pieces) for kept in book.turns.values())
+    again = talk.Talk()
+    again.restore(before)
+    assert again.picture() == before and again.size() == view.size() - 1
+
+
+def test_a_picture_from_before_there_was_a_ledger_is_read_and_a_cut_one_refused():
+    view = talk.Talk()
+    view.restore(record.pack(speech.TalkPicture((), ())))
+    assert view.size() == 0
+    take(view.ledger, begin("a"), START)
+    body = view.picture()
+    for end_at in range(9, len(body)):
+        with pytest.raises(record.Broken):
+            talk.Talk().restore(body[:end_at])
+
+
+def test_forgotten_history_frees_its_memory():
+    book, now, turns = ledger.Ledger(), START, 600
+
+    def fill(start: int) -> None:
+        for number in range(start, start + turns):
+            take(book, begin(f"t{number}", f"t{number - 1}" if number % 20 else "", program=f"p{number // 20}"), now)
+            take(book, end(f"t{number}", input=INPUT), now)
+
+    fill(0)
+    settle(book, now + moment.seconds(80))
+    assert book.size() == 0
+    now += moment.seconds(1000)
+    tracemalloc.start()
+    try:
+        fill(turns)
+        held = tracemalloc.get_traced_memory()[0]
+        settle(book, now + moment.seconds(80))
+        assert held > turns * len(INPUT) and held < 1.2 * turns * len(INPUT)
+        assert tracemalloc.get_traced_memory()[0] < 0.02 * held
+    finally:
+        tracemalloc.stop()
+
+
+def test_a_talk_group_hands_the_ledger_its_commands_events_and_clocks():
+    view = talk.Talk()
+    for command in (begin("a", edge="lost"), claim("c")):
+        events, _ = view.decide(command, START, 1)
+        for event in events:
+            view.fold(event)
+    assert view.size() == 3
+    assert [type(one) for one in view.due(START, lambda edge: edge == "lost")] == [entry.EndTurn]
+    view.rest_clocks()
+    assert not view.ledger.begun and not view.ledger.noted
--- a/aspencroft/talk/talk.py
+++ b/aspencroft/talk/talk.py
@@ -10,6 +10,7 @@
 import aspencroft.code.result as result
 import aspencroft.link.record as record
 import aspencroft.seam.moment as moment
+import aspencroft.talk.ledger as ledger
 import aspencroft.talk.speech as speech
 
 MINUTE = moment.seconds(60)
@@ -37,12 +38,15 @@
         self.noted: dict[str, datetime.timedelta] = {}
         self.going: dict[str, str] = {}
         self.looked: collections.abc.Iterator[tuple[str, str]] = iter(())
+        self.ledger = ledger.Ledger()
 
     def decide(self, command, now: datetime.timedelta, epoch: int) -> tuple[tuple, object]:
         """Events and reply for a command, or a Refusal.
 
         Example: ``talk.decide(speech.ForgetProgram("p"), now, 1)``
         """
+        if type(command) in ledger.COMMANDS:
+            return self.ledger.decide(command, now)
         if isinstance(command, speech.OpenTurn):
             return self.open_turn(command, now)
         if isinstance(command, speech.CloseTurn):
@@ -165,7 +169,9 @@
 
         Example: ``talk.fold(speech.ProgramForgotten("p"))``
         """
-        if isinstance(event, speech.TurnOpened):
+        if type(event) in ledger.EVENTS:
+            self.ledger.fold(event)
+        elif isinstance(event, speech.TurnOpened):
             known = self.programs.get(event.program) or speech.Program(
                 event.program, event.lane, event.budget, 0, event.keep, (), ())
             go = speech.OpenGo(event.helper, event.after, event.go, event.reserve, event.within, event.edge)
@@ -219,7 +225,7 @@
                 found.append(speech.ForgetOperation(name))
             if len(found) >= MOST_DUE:
                 break
-        return tuple(found)
+        return (*found, *self.ledger.due(now, gone))
 
     def rest_clocks(self) -> None:
         """This node is the primary no more: what it saw when counts for nothing if it is one again.
@@ -227,6 +233,7 @@
         Example: ``talk.rest_clocks()``
         """
         self.touched, self.opened, self.noted, self.looked = {}, {}, {}, iter(())
+        self.ledger.rest_clocks()
 
     def picture(self) -> bytes:
         """All of it as bytes.
@@ -241,27 +248,31 @@
         Example: ``b"".join(talk.picture_parts()) == talk.picture()``
         """
         held = (list(self.programs.values()), list(self.operations.values()))
+        ledger_parts = self.ledger.picture_parts()
 
         def parts() -> collections.abc.Iterator[bytes]:
             for row in held:
                 yield record.LENGTH.pack(len(row))
                 for place in range(0, len(row), SLICE):
                     yield b"".join(record.pack(one) for one in row[place:place + SLICE])
+            yield from ledger_parts
         return parts()
 
     def size(self) -> int:
-        """How much a picture holds, in programs and keys.
+        """How much a picture holds, in programs, keys and entries of the ledger.
 
         Example: ``talk.size()``
         """
-        return len(self.programs) + len(self.operations)
+        return len(self.programs) + len(self.operations) + self.ledger.size()
 
     def restore(self, body: bytes) -> None:
-        """Become what a picture shows.
+        """Become what a picture shows; one from before there was a ledger ends behind the operations.
 
         Example: ``talk.restore(body)``
         """
-        shown = record.unpack(speech.TalkPicture, body)
+        shown, place = record.unpack_from(speech.TalkPicture, body, 0)
+        if place < len(body) and self.ledger.restore(body, place) != len(body):
+            raise record.Broken("bytes are left over")
         self.programs = {one.name: one for one in shown.programs}
         self.operations = {one.key: one for one in shown.operations}
         self.going = {go.go: one.name for one in shown.programs for go in one.under_way}
--- /dev/null
+++ b/aspencroft/worker/list_reader.py
@@ -0,0 +1,239 @@
+"""The platform's list of workers: read by one node of the fleet, and told to all others through the relay tree."""
+
+import asyncio
+import collections.abc
+import datetime
+import json
+
+import logbook
+
+import aspencroft.code.result as result
+import aspencroft.duty.duty as duty
+import aspencroft.forward.instance as instance
+import aspencroft.forward.instances as instances
+import aspencroft.node.node as node
+import aspencroft.node.settings as settings
+import aspencroft.plan.control as control
+import aspencroft.relay.news as news
+import aspencroft.seam.moment as moment
+import aspencroft.seam.steady as steady
+
+LOG = logbook.Logger("workers")
+TOPIC, READ = "workers", "workers read"
+PERIOD = moment.seconds(0.6)
+CALM_PERIOD = moment.seconds(1)
+CALM = moment.seconds(4)
+BEAT = moment.seconds(1.2)
+MOST_PAUSE = moment.seconds(5)
+STALE = moment.seconds(2.5)
+RATE = 20.0
+SHARE = 0.5
+EPOCH_UNIT = 1 << 32
+
+Lister = collections.abc.Callable[[], collections.abc.Awaitable[list[instance.Instance]]]
+
+
+def told(found: collections.abc.Iterable[instance.Instance]) -> str:
+    """The list as it goes down the relay tree.
+
+    Example: ``heard(told(found)) == found``
+    """
+    return json.dumps([[one.name, one.address, one.service, one.zone, one.version, one.slots, int(one.draining),
+                        round(one.cold.total_seconds() * 1000)] for one in found], separators=(",", ":"))
+
+
+def heard(body: str) -> list[instance.Instance]:
+    """The list that came down the relay tree.
+
+    Example: ``heard("[]") == []``
+    """
+    return [instance.Instance(name, address, service, zone, version, slots, bool(draining), moment.seconds(cold / 1000))
+            for name, address, service, zone, version, slots, draining, cold in json.loads(body)]
+
+
+def matter(found: collections.abc.Iterable[instance.Instance]) -> frozenset:
+    """What of a list makes a difference: all but how long exactly a cold worker stays slow.
+
+    Example: ``matter(before) != matter(after)``
+    """
+    return frozenset((one.name, one.address, one.service, one.zone, one.version, one.slots, one.draining, one.cold > moment.ZERO)
+                     for one in found)
+
+
+class ListReader:
+    """The duty's work: read the list again and again, tell it when it changed, and now and then that it did not.
+
+    Each read is priced: a list that did not change for a while is read a little more seldom. A reader that
+    is refused waits longer each time.
+
+    Example: ``group.create_task(ListReader(own, lambda: instance_list.read(pool, address)).run())``
+    """
+
+    def __init__(self, own: node.Node, lister: Lister, period: datetime.timedelta = PERIOD,
+                 calm_period: datetime.timedelta = CALM_PERIOD):
+        self.node = own
+        self.lister = lister
+        self.period = period
+        self.calm_period = max(period, calm_period)
+        self.duty = duty.Duty("workers", own.address, own.incarnation, lambda: own.ring.fellows, own.submit,
+                              settings.CORE)
+        own.duties["workers"] = self.duty
+        self.shown: frozenset | None = None
+        self.changed = moment.ZERO
+        self.revision = control.NEVER
+        self.beaten = moment.ZERO
+        self.refused = 0
+        self.counts = {"list reads": 0, "list refusals": 0, "list changes": 0}
+
+    async def run(self) -> None:
+        """Compete for the duty and do it while it is held.
+
+        Example: ``group.create_task(reader.run())``
+        """
+        async with steady.Group() as group:
+            group.create_task(steady.stand("workers duty", self.duty.run, self.node.standing))
+            group.create_task(steady.stand("workers list", self.work, self.node.standing))
+
+    async def work(self) -> None:
+        """Read while the duty is held; how long until the next read depends on what was found.
+
+        Example: ``group.create_task(reader.work())``
+        """
+        while True:
+            began = moment.now()
+            if not self.duty.held():
+                self.shown = None
+                await moment.pause(self.period / 4)
+                continue
+            await self.step(began)
+            await moment.pause(self.wait() - (moment.now() - began))
+
+    def wait(self) -> datetime.timedelta:
+        """The time from one read to the next.
+
+        Example: ``await moment.pause(reader.wait())``
+        """
+        if self.refused:
+            return min(MOST_PAUSE, self.period * 2 ** min(self.refused, 8))
+        return self.calm_period if moment.now() - self.changed > CALM else self.period
+
+    async def step(self, now: datetime.timedelta) -> None:
+        """Read once, and tell what is to be told.
+
+        Example: ``await reader.step(moment.now())``
+        """
+        self.counts["list reads"] += 1
+        try:
+            found = await self.lister()
+        except result.Refusal as refusal:
+            self.refused += 1
+            self.counts["list refusals"] += 1
+            LOG.info("{}", refusal)
+            return
+        self.refused = 0
+        shown = matter(found)
+        if shown != self.shown:
+            told_now = await self.publish(TOPIC, told(sorted(found, key=lambda one: one.name)))
+            if told_now is None:
+                return
+            self.revision, self.shown, self.changed = told_now, shown, now
+            self.counts["list changes"] += 1
+            self.beaten = moment.ZERO
+        if now - self.beaten >= BEAT and await self.publish(READ, json.dumps([self.revision.text()])) is not None:
+            self.beaten = now
+
+    async def publish(self, topic: str, body: str) -> control.Revision | None:
+        """Give a topic's new state to the root of the relay tree; its revision if the root took it.
+
+        Example: ``await reader.publish("workers", "[]")``
+        """
+        holders = self.node.ring.holdings.get(0)
+        if holders is None or not self.duty.held():
+            return None
+        known = self.node.relay.topics.get(topic)
+        number = max(self.duty.epoch * EPOCH_UNIT, known.revision.number if known else 0, self.revision.number) + 1
+        one = news.News(topic, control.Revision(self.duty.epoch, number), None, body)
+        try:
+            await self.node.link.ask(holders.primary.address, news.Publish(one), moment.seconds(1))
+        except result.Refusal as refusal:
+            LOG.info("publishing {}: {}", topic, refusal)
+            return None
+        return one.revision
+
+
+class Watch:
+    """An edge's way to the list: the relay tree's word, or a read of its own when that stays away too long.
+
+    ``rate`` is the platform's bound on reads a second from all nodes together.
+
+    Example: ``group.create_task(Watch(own, known, lister, rate=44.0).run())``
+    """
+
+    def __init__(self, own: node.Node, known: instances.Instances, lister: Lister, rate: float = RATE):
+        self.node = own
+        self.instances = known
+        self.lister = lister
+        self.rate = rate
+        self.taken: news.News | None = None
+        self.counted: news.News | None = None
+        self.next_read = moment.ZERO
+        self.refused = 0
+        self.counts = {"own list reads": 0}
+
+    async def run(self) -> None:
+        """Follow the topic; read the list oneself when it is stale.
+
+        Example: ``group.create_task(watch.run())``
+        """
+        self.next_read = moment.now() + STALE
+        async with steady.Group() as group:
+            group.create_task(steady.stand("workers follow", lambda: self.follow(TOPIC), self.node.standing))
+            group.create_task(steady.stand("workers beat", lambda: self.follow(READ), self.node.standing))
+            group.create_task(steady.stand("workers fallback", self.fall_back, self.node.standing))
+
+    async def follow(self, topic: str) -> None:
+        """Take what the relay tree brings of a topic, each time that it changes.
+
+        Example: ``group.create_task(watch.follow("workers"))``
+        """
+        while True:
+            self.take()
+            await self.node.relay.changed(topic)
+
+    def take(self) -> None:
+        """Take what the relay tree brought.
+
+        Example: ``watch.take()``
+        """
+        now = moment.now()
+        held, beat = self.node.relay.topics.get(TOPIC), self.node.relay.topics.get(READ)
+        if held is not None and held is not self.taken:
+            self.taken = held
+            self.instances.take(heard(held.body), now)
+        if beat is not None and beat is not self.counted:
+            self.counted = beat
+            if held is not None and json.loads(beat.body) == [held.revision.text()]:
+                self.instances.confirm(now)
+
+    async def fall_back(self) -> None:
+        """Read the list oneself while no word of it came for too long.
+
+        Example: ``group.create_task(watch.fall_back())``
+        """
+        while True:
+            await moment.pause(PERIOD / 2)
+            age, now = self.instances.age(), moment.now()
+            if now < self.next_read or (age is not None and age < STALE):
+                continue
+            nodes = max(1, len(self.node.ring.live()))
+            self.counts["own list reads"] += 1
+            try:
+                found = await self.lister()
+                self.refused = 0
+                self.instances.take(found, now)
+            except result.Refusal as refusal:
+                self.refused += 1
+                LOG.info("{}", refusal)
+            span = max(CALM_PERIOD, moment.seconds(nodes / (self.rate * SHARE)))
+            span *= self.node.surroundings.randomness.uniform(0.7, 1.3) * 2 ** min(self.refused, 3)
+            self.next_read = moment.now() + span
--- /dev/null
+++ b/aspencroft/worker/list_reader_test.py
@@ -0,0 +1,221 @@
+"""The list of workers through a simulated fleet: one reader, what it tells, and what edges do without it."""
+
+import asyncio
+import collections.abc
+
+import aspencroft.code.result as result
+import aspencroft.forward.instance as instance
+import aspencroft.forward.instances as instances
+import aspencroft.seam.moment as moment
+import aspencroft.sim.scene as scene
+import aspencroft.worker.list_reader as list_reader
+
+
+def worker(name: str, draining: bool = False, cold: float = 0.0) -> instance.Instance:
+    """A worker of the list.
+
+    Example: ``worker("i-1", draining=True)``
+    """
+    return instance.Instance(name, f"{name}:80", "chat", "north", "v1", 8, draining, moment.seconds(cold))
+
+
+class Platform:
+    """A platform that counts who reads its list, and the readers and watchers of a scene's nodes."""
+
+    def __init__(self, one: scene.Scene):
+        self.scene = one
+        self.listed: dict[str, instance.Instance] = {"a": worker("a"), "b": worker("b")}
+        self.reads: list[tuple[float, str]] = []
+        self.refuses = False
+        self.readers: dict[str, list_reader.ListReader] = {}
+        self.watches: dict[str, list_reader.Watch] = {}
+
+    def lister(self, name: str) -> list_reader.Lister:
+        """The list as one node reads it.
+
+        Example: ``await platform.lister("core-0")()``
+        """
+        async def read() -> list[instance.Instance]:
+            self.reads.append((self.scene.loop.time(), name))
+            await asyncio.sleep(0.02)
+            if self.refuses:
+                raise result.Refusal(result.Result.OVERLOADED)
+            return list(self.listed.values())
+        return read
+
+    def attach(self, name: str) -> None:
+        """Give a running node its part.
+
+        Example: ``platform.attach("core-0")``
+        """
+        own = self.scene.nodes[name]
+        if name.startswith("edge"):
+            self.watches[name] = part = list_reader.Watch(own, instances.Instances(), self.lister(name), 44.0)
+        else:
+            self.readers[name] = part = list_reader.ListReader(own, self.lister(name))
+        self.scene.loop.create_task(part.run(), context=self.scene.loop.context_of(name))
+
+    def holder(self) -> str:
+        """The node that does the duty, or nothing.
+
+        Example: ``platform.holder()``
+        """
+        return next((name for name, one in self.readers.items() if self.scene.alive(name) and one.duty.held()), "")
+
+    def known(self) -> list[frozenset[str]]:
+        """What each edge would send to.
+
+        Example: ``platform.known()[0] == {"a", "b"}``
+        """
+        return [frozenset(one.name for one in watch.instances.of("chat")) for watch in self.watches.values()]
+
+    async def everywhere(self, names: str, within: float) -> float:
+        """Wait until every edge knows just these workers; how long that took.
+
+        Example: ``await platform.everywhere("ab", 2)``
+        """
+        return await self.scene.until(lambda: all(one == frozenset(names) for one in self.known()), within, names)
+
+
+def play(seed: int, acts: collections.abc.Callable) -> None:
+    """Play acts once the fleet is formed and all parts are attached.
+
+    Example: ``play(1, acts)`` where ``acts(platform)`` is a coroutine function
+    """
+    async def story(one: scene.Scene) -> None:
+        await one.until(one.formed, 30, "formed")
+        platform = Platform(one)
+        for name in [*one.cores, *one.edges]:
+            platform.attach(name)
+        await platform.everywhere("ab", 8)
+        await acts(platform)
+        assert not one.ended and not one.loop.exceptions, (one.ended, one.loop.exceptions)
+
+    scene.play(seed, story)
+
+
+def test_the_wire_form_of_the_list_keeps_it():
+    found = [worker("a", cold=1.5), worker("b", True)]
+    assert list_reader.heard(list_reader.told(found)) == found and list_reader.heard("[]") == []
+    assert list_reader.matter([worker("a", cold=1.5)]) == list_reader.matter([worker("a", cold=0.5)])
+    assert list_reader.matter([worker("a", cold=1.5)]) != list_reader.matter([worker("a")])
+    assert list_reader.matter([worker("a")]) != list_reader.matter([worker("a", True)])
+
+
+def test_one_core_reads_for_all_and_a_draining_worker_is_known_within_two_seconds():
+    async def acts(platform):
+        await asyncio.sleep(6)
+        began = platform.scene.loop.time()
+        platform.reads.clear()
+        await asyncio.sleep(10)
+        assert {name for _, name in platform.reads} == {platform.holder()}
+        assert platform.holder().startswith("core")
+        assert 8 <= len(platform.reads) <= 11, "a list that stays the same is read once a second"
+        assert all(watch.instances.age() < list_reader.STALE for watch in platform.watches.values())
+        changes = platform.readers[platform.holder()].counts["list changes"]
+        assert changes == 1, "nothing is told that did not change"
+        platform.listed["b"] = worker("b", True)
+        assert await platform.everywhere("a", 2) < 2
+        assert all(watch.instances.barred("b") for watch in platform.watches.values())
+        platform.listed["c"] = worker("c")
+        await asyncio.sleep(0.1)
+        platform.reads.clear()
+        assert await platform.everywhere("ac", 1.5) < 1.5
+        await asyncio.sleep(2)
+        gaps = [late - early for (early, _), (late, _) in zip(platform.reads, platform.reads[1:])]
+        assert max(gaps) < 0.65, "after a change it is read more often"
+        assert began < platform.scene.loop.time()
+    play(3, acts)
+
+
+def test_edges_read_for_themselves_while_nobody_does_the_duty_and_stop_when_one_does():
+    async def acts(platform):
+        for name in platform.scene.cores:
+            platform.scene.loop.freeze(name)
+        platform.listed["b"] = worker("b", True)
+        platform.reads.clear()
+        assert await platform.everywhere("a", 6) < 4
+        await asyncio.sleep(5)
+        assert {name for _, name in platform.reads} == set(platform.scene.edges)
+        assert len(platform.reads) <= 2 * 9, "no edge reads more often than one core would"
+        for name in platform.scene.cores:
+            platform.scene.loop.thaw(name)
+        await platform.scene.until(lambda: platform.holder() != "", 15, "a holder")
+        await asyncio.sleep(4)
+        platform.reads.clear()
+        platform.listed["a"] = worker("a", True)
+        await platform.everywhere("", 2)
+        await asyncio.sleep(4)
+        assert {name for _, name in platform.reads} == {platform.holder()}
+    play(5, acts)
+
+
+def test_the_duty_moves_when_its_holder_dies():
+    async def acts(platform):
+        holder = platform.holder()
+        platform.scene.kill(holder)
+        platform.listed["b"] = worker("b", True)
+        assert await platform.everywhere("a", 6) < 4
+        await platform.scene.until(lambda: platform.holder() not in ("", holder), 15, "another holder")
+    play(6, acts)
+
+
+def test_readers_that_are_refused_read_ever_more_seldom_and_edges_keep_what_they_know():
+    async def acts(platform):
+        platform.refuses = True
+        await asyncio.sleep(12)
+        before, platform.reads = len(platform.reads), []
+        assert before < 40
+        await asyncio.sleep(20)
+        assert len([name for _, name in platform.reads if name.startswith("core")]) <= 5
+        assert len([name for _, name in platform.reads if name.startswith("edge")]) <= 2 * 20 / 5
+        assert platform.known() == [frozenset("ab")] * 2
+        platform.refuses = False
+        platform.listed["c"] = worker("c")
+        assert await platform.everywhere("abc", 9) < 9
+    play(7, acts)
+
+
+def test_a_frozen_holder_tells_nothing_old_when_it_wakes():
+    async def acts(platform):
+        holder = platform.holder()
+        platform.scene.loop.freeze(holder)
+        platform.listed["b"] = worker("b", True)
+        await platform.everywhere("a", 6)
+        await platform.scene.until(lambda: any(one.duty.held() for name, one in platform.readers.items() if name != holder),
+                                   15, "another holder")
+        platform.listed["c"] = worker("c")
+        await platform.everywhere("ac", 4)
+        platform.scene.loop.thaw(holder)
+        ended = platform.scene.loop.time() + 5
+        while platform.scene.loop.time() < ended:
+            assert set(platform.known()) == {frozenset("ac")}
+            await asyncio.sleep(0.05)
+    play(11, acts)
+
+
+def test_an_edge_that_starts_again_knows_the_list_without_reading_it():
+    async def acts(platform):
+        platform.scene.kill("edge-0")
+        await asyncio.sleep(1)
+        platform.scene.start("edge-0")
+        await platform.scene.until(lambda: "edge-0" in platform.scene.nodes and platform.scene.nodes["edge-0"].started.is_set(),
+                                   10, "started")
+        platform.reads.clear()
+        platform.attach("edge-0")
+        assert await platform.everywhere("ab", 4) < 3
+        assert not [name for _, name in platform.reads if name == "edge-0"]
+    play(13, acts)
+
+
+def test_edges_that_begin_before_any_reader_wait_for_word_before_they_read():
+    async def story(one: scene.Scene) -> None:
+        await one.until(one.formed, 30, "formed")
+        platform = Platform(one)
+        for name in one.edges:
+            platform.attach(name)
+        await asyncio.sleep(2)
+        assert not platform.reads
+        await platform.everywhere("ab", 2)
+        assert {name for _, name in platform.reads} == set(one.edges)
+    scene.play(17, story)
--- /dev/null
+++ b/aspencroft/worker/pool_test.py
@@ -0,0 +1,662 @@
+"""Connections to workers, against scripted workers on simulated streams and on loopback."""
+
+import asyncio
+import collections
+import collections.abc
+import random
+import socket
+import struct
+
+import aspencroft.code.result as result
+import aspencroft.seam.moment as moment
+import aspencroft.seam.surroundings as surroundings
+import aspencroft.sim.loop as loop
+import aspencroft.sim.wire as wire
+import aspencroft.worker.pool as pools
+
+WORKER = "worker:80"
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nAttempt-Id: %s\r\n\r\nok"
+HEADERS = ((b"Host", b"h.example"), (b"Attempt-Id", b"1"))
+
+
+async def taken(channel) -> bytes:
+    """One request as it came, or nothing when the caller closed.
+
+    Example: ``raw = await taken(channel)``
+    """
+    raw = b""
+    while b"\r\n\r\n" not in raw:
+        data = await channel.read_some(1 << 16)
+        if not data:
+            return b""
+        raw += data
+    head, _, body = raw.partition(b"\r\n\r\n")
+    size = next((int(line.split(b":")[1]) for line in head.split(b"\r\n") if line.startswith(b"Content-Length:")), 0)
+    while len(body) < size:
+        data = await channel.read_some(1 << 16)
+        if not data:
+            return b""
+        body += data
+    return head + b"\r\n\r\n" + body
+
+
+class Stage:
+    """A pool and a scripted worker in a simulated world; ``came`` holds each connection's requests."""
+
+    def __init__(self, script: collections.abc.Callable, seed: int = 1):
+        self.loop = loop.SimLoop()
+        self.wire = wire.Wire(self.loop, random.Random(seed), wire.Weather(jitter=0.0))
+        self.script = script
+        self.came: list[list[bytes]] = []
+        self.counts = collections.Counter()
+        around = surroundings.Surroundings(wire.SimNetwork(self.wire, "edge"), None, None, random.Random(seed), None)
+        self.pool = pools.Pool(around, self.counts)
+
+    async def serve(self) -> None:
+        """Be the worker.
+
+        Example: ``group.create_task(stage.serve())``
+        """
+        accepted = await wire.SimNetwork(self.wire, "worker").listen(WORKER)
+        while True:
+            channel = await accepted.get()
+            self.came.append([])
+            asyncio.ensure_future(self.converse(channel, len(self.came) - 1))
+
+    async def converse(self, channel, connection: int) -> None:
+        """One connection of the worker: ``script(connection, number)`` gives bytes to send, or None to close."""
+        while raw := await taken(channel):
+            self.came[connection].append(raw)
+            for part in self.script(connection, len(self.came[connection]) - 1):
+                if part is None:
+                    channel.close()
+                elif isinstance(part, float):
+                    await asyncio.sleep(part)
+                else:
+                    await channel.write(part)
+
+    async def ask(self, method: str = "GET", body: bytes = b"", within: float = 2.0, most: int = 8, accepts=None):
+        """One request, its answer read whole, and the connection given back.
+
+        Example: ``status, body = await stage.ask()``
+        """
+        response = await self.pool.request(WORKER, method, "/a?b=1", HEADERS, body, moment.now() + moment.seconds(within),
+                                           most, accepts)
+        try:
+            return response.status, await response.read()
+        finally:
+            await response.close(True)
+
+    async def refused(self, **named) -> tuple[result.Result, result.Ran]:
+        """The refusal that a request ends in.
+
+        Example: ``await stage.refused() == (result.Result.WORKER_LOST, result.Ran.UNKNOWN)``
+        """
+        try:
+            answer = await self.ask(**named)
+        except result.Refusal as refusal:
+            return refusal.result, refusal.ran
+        raise AssertionError(answer)
+
+
+def play(script: collections.abc.Callable, acts: collections.abc.Callable) -> Stage:
+    """Play a scene with a scripted worker.
+
+    Example: ``play(lambda connection, number: [OK], acts)``
+    """
+    stage = Stage(script)
+
+    async def scene():
+        serving = asyncio.ensure_future(stage.serve())
+        await asyncio.sleep(0.01)
+        await acts(stage)
+        serving.cancel()
+
+    stage.loop.run_until_complete(scene())
+    stage.loop.bury()
+    assert not stage.loop.exceptions, stage.loop.exceptions
+    return stage
+
+
+BROKE = (result.Result.WORKER_BROKE, result.Ran.UNKNOWN)
+LOST = (result.Result.WORKER_LOST, result.Ran.UNKNOWN)
+LATE = (result.Result.DEADLINE, result.Ran.UNKNOWN)
+FULL = (result.Result.OVERLOADED, result.Ran.NOT_RUN)
+AWAY = (result.Result.UNREACHABLE, result.Ran.NOT_RUN)
+
+
+def test_requests_are_written_exactly_and_the_last_connection_is_used_again():
+    async def acts(stage):
+        assert await stage.ask() == (200, b"ok")
+        assert await stage.ask("POST", b"xyz") == (200, b"ok")
+        assert await stage.ask("POST") == (200, b"ok")
+
+    stage = play(lambda connection, number: [OK % b"1"], acts)
+    start = b" /a?b=1 HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: 1\r\n"
+    assert stage.came == [[b"GET" + start + b"\r\n", b"POST" + start + b"Content-Length: 3\r\n\r\nxyz",
+                           b"POST" + start + b"Content-Length: 0\r\n\r\n"]]
+    assert stage.counts["worker connections"] == 1 and stage.counts["worker connections reused"] == 2
+
+
+def test_heads_that_could_be_read_as_more_are_never_sent():
+    for method, target, headers in (("GET", "/a b", ()), ("GET", "/a\r\nX: 1", ()), ("G T", "/", ()),
+                                    ("GET", "/", ((b"A", b"1\r\nB: 2"),)), ("GET", "/", ((b"A\n", b"1"),)),
+                                    ("GET", "/", ((b"A", b"\0"),)), ("GET", "", ())):
+        try:
+            raise AssertionError(pools.request_head(method, target, headers, 0))
+        except result.Refusal as refusal:
+            assert refusal.result is result.Result.MALFORMED and refusal.ran is result.Ran.NOT_RUN
+    framed = ((b"Content-Length", b"9"), (b"Transfer-Encoding", b"chunked"), (b"A", b"1"))
+    assert pools.request_head("PUT", "/", framed, 2) == b"PUT / HTTP/1.1\r\nA: 1\r\nContent-Length: 2\r\n\r\n"
+
+
+def test_chunks_in_any_pieces_make_the_body():
+    raw = (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n"
+           b"3\r\nabc\r\n0A;x=y\r\n0123456789\r\n0\r\nTrailer: 1\r\n\r\n")
+    for size in (1, 2, 3, 7, 50, 1000):
+        pieces = [raw[place:place + size] for place in range(0, len(raw), size)]
+
+        async def acts(stage):
+            for _ in range(2):
+                assert await stage.ask() == (200, b"abc0123456789")
+        assert len(play(lambda connection, number: pieces, acts).came) == 1, size
+
+
+def test_parts_come_as_they_are_sent():
+    async def acts(stage):
+        response = await stage.pool.request(WORKER, "GET", "/", HEADERS, b"", moment.now() + moment.seconds(9), 8)
+        came = [(part, stage.loop.time()) async for part in response.parts()]
+        await response.close(True)
+        assert [part for part, _ in came] == [b"ab", b"cd"] and came[1][1] - came[0][1] >= 0.9
+
+    play(lambda connection, number: [b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", 1.0,
+                                     b"2\r\ncd\r\n0\r\n\r\n"], acts)
+
+
+def test_answers_without_a_body_leave_the_connection_sound():
+    async def acts(stage):
+        assert await stage.ask("HEAD") == (200, b"")
+        assert await stage.ask() == (204, b"")
+        assert await stage.ask() == (304, b"")
+        assert await stage.ask() == (200, b"ok")
+
+    answers = [b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n", b"HTTP/1.1 204 No Content\r\n\r\n",
+               b"HTTP/1.1 304 Not Modified\r\nContent-Length: 7\r\n\r\n", OK % b"1"]
+    assert len(play(lambda connection, number: [answers[number]], acts).came) == 1
+
+
+def test_interim_answers_are_passed_over_but_not_for_ever():
+    interim = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+
+    async def sound(stage):
+        assert await stage.ask() == (200, b"ok")
+
+    async def endless(stage):
+        assert await stage.refused() == BROKE
+
+    play(lambda connection, number: [interim * 3 + OK % b"1"], sound)
+    play(lambda connection, number: [interim * 30 + OK % b"1"], endless)
+    play(lambda connection, number: [b"HTTP/1.1 101 Switching Protocols\r\n\r\n" + OK % b"1"], endless)
+
+
+def test_what_is_no_whole_answer_is_broken_and_its_connection_closed():
+    sound = b"HTTP/1.1 200 OK\r\n"
+    broken = [
+        b"\x00\x01\x02garbage", b"HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok", b"HTTP/2 200\r\n\r\n",
+        b"HTTP/1.1 2x0 OK\r\nContent-Length: 2\r\n\r\nok", b"HTTP/1.1 200 OK\nContent-Length: 2\n\nok\r\n\r\n",
+        sound + b"\r\nok", sound + b"Content-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+        sound + b"Content-Length: -2\r\n\r\nok", sound + b"Content-Length: 2, 2\r\n\r\nok",
+        sound + b"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        sound + b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", sound + b"Transfer-Encoding: identity\r\n\r\n",
+        sound + b"A: 1\r\n folded: 2\r\nContent-Length: 2\r\n\r\nok", sound + b"A : 1\r\nContent-Length: 2\r\n\r\nok",
+        sound + b"A: 1\rB: 2\r\nContent-Length: 2\r\n\r\nok", sound + b"Content-Length: 2\0\r\n\r\nok",
+        sound + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n", sound + b"Transfer-Encoding: chunked\r\n\r\n-1\r\n",
+        sound + b"Transfer-Encoding: chunked\r\n\r\n2\r\nokk\r\n0\r\n\r\n",
+        sound + b"Transfer-Encoding: chunked\r\n\r\n0\r\nno trailer\r\n\r\n",
+        sound + b"Transfer-Encoding: chunked\r\n\r\n" + b"1" * 5000, sound + b"A: " + b"x" * 70000,
+        sound + b"Content-Length: 99999999999\r\n\r\n"]
+    cut = [b"HTTP/1.1 200 O", sound + b"Content-Length: 2\r\n\r\no", sound + b"Content-Length: 2\r\n",
+           sound + b"Transfer-Encoding: chunked\r\n\r\n5\r\nab", sound + b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+           sound + b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n"]
+    for parts in [[raw] for raw in broken] + [[raw, None] for raw in cut]:
+        async def acts(stage):
+            assert await stage.refused() == BROKE, parts
+            assert stage.pool.total == 0 and not stage.pool.resting
+            assert await stage.ask() == (200, b"ok")
+        stage = play(lambda connection, number: parts if connection == 0 else [OK % b"1"], acts)
+        assert len(stage.came) == 2 and stage.counts["worker answers broken"] == 1, parts
+
+
+def test_a_stream_that_is_cut_raises_after_its_parts():
+    async def acts(stage):
+        response = await stage.pool.request(WORKER, "GET", "/", HEADERS, b"", moment.now() + moment.seconds(9), 8)
+        came = []
+        try:
+            async for part in response.parts():
+                came.append(part)
+            raise AssertionError("looked complete")
+        except result.Refusal as refusal:
+            assert (refusal.result, refusal.ran) == BROKE
+        assert came == [b"ab"] and stage.pool.total == 0, "closed at once, whoever forgets to"
+        await response.close(True)
+        assert stage.pool.total == 0
+
+    play(lambda connection, number: [b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", None], acts)
+
+
+def test_a_connection_that_ends_before_any_answer_leaves_it_unknown_whether_the_request_ran():
+    async def acts(stage):
+        assert await stage.refused() == LOST
+        assert await stage.ask() == (200, b"ok")
+        assert await stage.refused() == LOST
+
+    stage = play(lambda connection, number: [OK % b"1"] if (connection, number) == (1, 0) else [None], acts)
+    assert [len(one) for one in stage.came] == [1, 2], "sent once each"
+
+
+def test_surplus_bytes_are_never_taken_for_the_next_answer():
+    async def acts(stage):
+        assert await stage.ask() == (200, b"ok")
+        await asyncio.sleep(0.5)
+        assert await stage.ask() == (200, b"ok")
+
+    for surplus in (OK % b"0", b"\r\n", b"x"):
+        stage = play(lambda connection, number: [OK % b"1" + surplus], acts)
+        assert len(stage.came) == 2 and stage.counts["worker bytes in excess"] == 2
+        stage = play(lambda connection, number: [OK % b"1", 0.1, surplus], acts)
+        assert len(stage.came) == 2, "surplus that came on an idle connection"
+
+
+def test_an_answer_in_the_place_of_the_next_is_told_apart_and_closes_the_connection():
+    def accepts(status, headers):
+        return dict(headers).get(b"Attempt-Id") == b"1"
+
+    async def acts(stage):
+        assert await stage.ask(accepts=accepts) == (200, b"ok")
+        assert await stage.refused(accepts=accepts) == BROKE
+        assert await stage.ask(accepts=accepts) == (200, b"ok")
+        assert stage.counts["worker answers in excess"] == 1
+
+    stage = play(lambda connection, number: [OK % (b"0" if (connection, number) == (0, 1) else b"1")], acts)
+    assert [len(one) for one in stage.came] == [2, 1]
+
+
+def test_connections_that_are_to_close_are_not_used_again():
+    for said in (b"Connection: close", b"connection: Keep-Alive, CLOSE", b"Connection: a\r\nConnection: close",
+                 b"Keep-Alive: timeout=0"):
+        async def acts(stage):
+            for _ in range(2):
+                assert await stage.ask() == (200, b"ok")
+        answer = b"HTTP/1.1 200 OK\r\n" + said + b"\r\nContent-Length: 2\r\n\r\nok"
+        assert len(play(lambda connection, number: [answer], acts).came) == 2, said
+
+
+def test_idle_connections_are_retired_before_the_worker_closes_them():
+    for said, pause, connections in ((b"timeout=5, max=9", 3.9, 1), (b"timeout=5", 4.1, 2), (b"Timeout=2", 0.9, 1),
+                                     (b"timeout=2", 1.1, 2), (b"timeout=1", 0.4, 1), (b"timeout=1", 0.6, 2),
+                                     (b"none", 3.9, 1), (b"none", 4.1, 2)):
+        for swept in (False, True):
+            async def acts(stage):
+                assert await stage.ask() == (200, b"ok")
+                sweeping = asyncio.ensure_future(stage.pool.run()) if swept else None
+                await asyncio.sleep(pause)
+                assert await stage.ask() == (200, b"ok")
+                if sweeping is not None:
+                    sweeping.cancel()
+            answer = b"HTTP/1.1 200 OK\r\nKeep-Alive: " + said + b"\r\nContent-Length: 2\r\n\r\nok"
+            assert len(play(lambda connection, number: [answer], acts).came) == connections, (said, pause, swept)
+
+
+def test_a_connection_closed_while_idle_is_not_used_and_is_swept():
+    async def acts(stage):
+        assert await stage.ask() == (200, b"ok")
+        await asyncio.sleep(0.5)
+        stage.pool.sweep()
+        assert stage.pool.total == 0
+        assert await stage.ask() == (200, b"ok")
+        await asyncio.sleep(0.5)
+        assert await stage.ask() == (200, b"ok")
+
+    assert len(play(lambda connection, number: [OK % b"1", 0.1, None], acts).came) == 3
+
+
+def test_a_worker_that_closes_idle_connections_early_without_saying_so_is_learnt():
+    async def acts(stage):
+        running = asyncio.ensure_future(stage.pool.run())
+        for _ in range(2):
+            assert await stage.ask() == (200, b"ok")
+            await asyncio.sleep(3)
+        assert stage.counts["worker connections closed while idle"] == 1
+        assert stage.counts["worker connections retired"] == 2
+        running.cancel()
+
+    play(lambda connection, number: [OK % b"1", 0.8, None], acts)
+
+
+def test_a_dead_or_silent_address_says_that_nothing_ran_within_half_a_second():
+    async def acts(stage):
+        stage.wire.listeners.pop(WORKER)
+        assert await stage.refused() == AWAY
+        stage.wire.cut(["edge"], ["worker"])
+        began = stage.loop.time()
+        assert await stage.refused() == AWAY
+        assert 0.4 < stage.loop.time() - began < 0.6
+        began = stage.loop.time()
+        assert await stage.refused(within=0.2) == (result.Result.DEADLINE, result.Ran.NOT_RUN)
+        assert stage.loop.time() - began < 0.25
+        assert await stage.refused(within=-1) == (result.Result.DEADLINE, result.Ran.NOT_RUN)
+        assert stage.pool.total == 0 and not stage.pool.open
+
+    play(lambda connection, number: [OK % b"1"], acts)
+
+
+def test_a_connection_that_breaks_as_it_comes_up_says_that_nothing_ran():
+    async def acts(stage):
+        connect = stage.pool.surroundings.network.connect
+
+        def broken(silence):
+            raise OSError("bad descriptor")
+
+        async def breaking(address):
+            channel = await connect(address)
+            channel.watch = broken
+            return channel
+        stage.pool.surroundings.network.connect = breaking
+        assert await stage.refused() == AWAY
+        await asyncio.sleep(0.1)
+        assert stage.pool.total == 0 and stage.came == [[]]
+
+    play(lambda connection, number: [OK % b"1"], acts)
+
+
+def test_silence_ends_at_the_deadline_only_in_head_and_body():
+    async def acts(stage):
+        for _ in range(2):
+            began = stage.loop.time()
+            assert await stage.refused(within=1.5) == LATE
+            assert abs(stage.loop.time() - began - 1.5) < 0.01
+            assert stage.pool.total == 0
+
+    stage = play(lambda connection, number: [] if connection == 0 else [b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab"], acts)
+    assert len(stage.came) == 2 and not stage.counts["worker answers broken"]
+
+
+def test_a_caller_that_goes_away_closes_the_connection():
+    async def acts(stage):
+        for pause in (0.0002, 0.1):
+            asking = asyncio.ensure_future(stage.ask())
+            await asyncio.sleep(pause)
+            asking.cancel()
+            await asyncio.wait([asking])
+            assert asking.cancelled() and stage.pool.total == 0 and not stage.pool.open
+
+    play(lambda connection, number: [1.0, OK % b"1"], acts)
+
+
+def test_an_answer_left_unread_is_not_followed_by_another():
+    async def acts(stage):
+        response = await stage.pool.request(WORKER, "GET", "/", HEADERS, b"", moment.now() + moment.seconds(9), 8)
+        await response.close(True)
+        await response.close(True)
+        assert stage.pool.total == 0
+        assert await stage.ask() == (200, b"ok")
+        response = await stage.pool.request(WORKER, "GET", "/", HEADERS, b"", moment.now() + moment.seconds(9), 8)
+        await response.read()
+        await response.close(False)
+        assert stage.pool.total == 0
+
+    assert len(play(lambda connection, number: [OK % b"1"], acts).came) == 2
+    slow = [(OK % b"1")[:-2], 0.2, b"ok"]
+    assert len(play(lambda connection, number: slow if connection == 0 else [OK % b"1"], acts).came) == 2
+
+
+def test_where_idle_connections_are_found_dead_they_are_kept_for_a_shorter_time_for_a_while():
+    async def acts(stage):
+        assert await stage.ask() == (200, b"ok")
+        await asyncio.sleep(2)
+        try:
+            raise AssertionError(await stage.ask())
+        except pools.Lost as lost:
+            assert lost.reused
+        assert await stage.ask() == (200, b"ok")
+        await asyncio.sleep(0.8)
+        assert await stage.ask() == (200, b"ok")
+        await asyncio.sleep(1.2)
+        assert await stage.ask() == (200, b"ok")
+        assert [len(one) for one in stage.came] == [2, 2, 1], "idle for a second at most"
+        await asyncio.sleep(31)
+        assert await stage.ask() == (200, b"ok")
+        await asyncio.sleep(3)
+        assert await stage.ask() == (200, b"ok")
+        assert [len(one) for one in stage.came] == [2, 2, 1, 2]
+
+    play(lambda connection, number: [None] if (connection, number) == (0, 1) else [OK % b"1"], acts)
+
+
+def test_connections_are_bounded_by_address_and_by_all():
+    async def acts(stage):
+        stage.pool.most_open = 3
+        async with asyncio.TaskGroup() as group:
+            tasks = [group.create_task(stage.ask(most=2)) for _ in range(2)]
+            await asyncio.sleep(0.1)
+            assert await stage.refused(most=2) == FULL
+        assert [task.result() for task in tasks] == [(200, b"ok")] * 2
+        accepted = await wire.SimNetwork(stage.wire, "worker").listen("other:80")
+        response = asyncio.ensure_future(stage.pool.request("other:80", "GET", "/", HEADERS, b"",
+                                                            moment.now() + moment.seconds(9), 8))
+        await accepted.get()
+        stage.wire.listeners["third:80"] = stage.wire.listeners["other:80"]
+        more = asyncio.ensure_future(stage.pool.request("third:80", "GET", "/", HEADERS, b"",
+                                                        moment.now() + moment.seconds(9), 8))
+        await accepted.get()
+        assert stage.pool.total == 3 and stage.pool.open[WORKER] == 1, "an idle one gave way"
+        response.cancel()
+        more.cancel()
+
+    play(lambda connection, number: [0.5, OK % b"1"], acts)
+
+
+def test_the_connection_used_last_is_used_first():
+    async def acts(stage):
+        await asyncio.gather(*[stage.ask() for _ in range(3)])
+        for _ in range(4):
+            await stage.ask()
+
+    stage = play(lambda connection, number: [0.01 * connection, OK % b"1"], acts)
+    assert sorted(len(one) for one in stage.came) == [1, 1, 5]
+
+
+def test_all_faults_at_once_never_mix_answers_nor_leak_connections():
+    for seed in range(40):
+        chance = random.Random(seed)
+
+        def script(connection, number):
+            wanted = stage.came[connection][number].split(b"Attempt-Id: ")[1].split(b"\r\n")[0]
+            whole = b"HTTP/1.1 200 OK\r\nAttempt-Id: " + wanted + b"\r\nContent-Length: %d\r\n\r\n" % len(wanted) + wanted
+            lot = chance.random()
+            if lot < 0.1:
+                return [whole[:chance.randrange(len(whole))], None]
+            if lot < 0.2:
+                return [whole, chance.choice([0.0, 0.01, 0.3]), OK % b"0"]
+            if lot < 0.3:
+                return [OK % b"0", whole]
+            if lot < 0.4:
+                return [chance.choice([0.2, 3.0]), whole]
+            if lot < 0.5:
+                return [whole, chance.choice([0.0, 0.001, 0.3]), None]
+            place = chance.randrange(len(whole))
+            return [whole[:place], 0.001, whole[place:]]
+
+        async def one(number):
+            wanted = b"%d" % number
+            headers = ((b"Host", b"h"), (b"Attempt-Id", wanted))
+            try:
+                response = await stage.pool.request(
+                    WORKER, "GET", "/", headers, b"", moment.now() + moment.seconds(1), 6,
+                    lambda status, found: dict(found)[b"Attempt-Id"] == wanted)
+            except result.Refusal as refusal:
+                outcomes[refusal.result] += 1
+                return
+            try:
+                assert await response.read() == wanted
+                outcomes[result.Result.DONE] += 1
+            except result.Refusal as refusal:
+                outcomes[refusal.result] += 1
+            finally:
+                await response.close(True)
+
+        async def acts(stage):
+            running = asyncio.ensure_future(stage.pool.run())
+            async with asyncio.TaskGroup() as group:
+                for number in range(150):
+                    task = group.create_task(one(number + 1))
+                    if chance.random() < 0.05:
+                        task.cancel()
+                    await asyncio.sleep(chance.expovariate(30))
+            await asyncio.sleep(8)
+            assert stage.pool.total == 0 and not stage.pool.open and not stage.pool.resting
+            running.cancel()
+
+        outcomes = collections.Counter()
+        stage = Stage(script, seed)
+        stage.script = script
+        holder = stage
+
+        async def scene():
+            serving = asyncio.ensure_future(holder.serve())
+            await asyncio.sleep(0.01)
+            await acts(holder)
+            serving.cancel()
+
+        stage.loop.run_until_complete(scene())
+        stage.loop.bury()
+        assert outcomes[result.Result.DONE] > 70, outcomes
+        sent = [raw for requests in stage.came for raw in requests]
+        assert len(sent) == len(set(sent)), "a request was sent twice"
+
+
+# -- on loopback -----------------------------------------------------------------------------------
+
+
+def on_loopback(handler: collections.abc.Callable, acts: collections.abc.Callable) -> collections.Counter:
+    """A scene with a worker on a real socket: ``handler(reader, writer)`` and ``acts(pool, address)``.
+
+    Example: ``on_loopback(handler, acts)``
+    """
+    counts = collections.Counter()
+
+    async def scene():
+        server = await asyncio.start_server(handler, "127.0.0.1", 0)
+        address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        pool = pools.Pool(surroundings.machine(), counts)
+        await acts(pool, address)
+        await pool.close()
+        server.close()
+
+    asyncio.run(scene())
+    return counts
+
+
+async def ask(pool: pools.Pool, address: str, body: bytes = b"") -> bytes:
+    """One request over loopback, its body read.
+
+    Example: ``await ask(pool, address) == b"ok"``
+    """
+    response = await pool.request(address, "POST", "/", HEADERS, body, moment.now() + moment.seconds(20), 8)
+    try:
+        return await response.read()
+    finally:
+        await response.close(True)
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection instead of closing it.
+
+    Example: ``reset(writer)``
+    """
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+def test_resets_before_and_inside_an_answer_on_loopback():
+    turns = iter(["at once", "sound", "before", "inside"])
+
+    async def handler(reader, writer):
+        turn = next(turns)
+        while turn == "sound":
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(OK % b"1")
+            turn = next(turns)
+        if turn != "at once":
+            await reader.readuntil(b"\r\n\r\n")
+        if turn == "inside":
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab")
+            await writer.drain()
+        reset(writer)
+
+    async def acts(pool, address):
+        async def refused():
+            try:
+                raise AssertionError(await ask(pool, address))
+            except result.Refusal as refusal:
+                return refusal.result, refusal.ran
+        assert await refused() == LOST
+        assert await ask(pool, address) == b"ok"
+        assert await refused() == LOST
+        assert await refused() in (BROKE, LOST)
+
+    on_loopback(handler, acts)
+
+
+def test_a_byte_in_the_machines_buffer_keeps_a_connection_from_use():
+    writers = []
+
+    async def handler(reader, writer):
+        writers.append(writer)
+        while True:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(OK % b"1")
+
+    async def acts(pool, address):
+        for surplus in (lambda one: one.send(b"x"), lambda one: one.shutdown(socket.SHUT_WR)):
+            assert await ask(pool, address) == b"ok"
+            link = writers[-1].get_extra_info("socket")
+            with socket.socket(fileno=socket.dup(link.fileno())) as raw:
+                surplus(raw)
+            assert await ask(pool, address) == b"ok"
+        assert len(writers) == 3
+
+    on_loopback(handler, acts)
+
+
+def test_an_answer_before_the_whole_body_was_read_still_comes():
+    async def handler(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno")
+        await writer.drain()
+        await reader.readexactly(1)
+        writer.close()
+
+    async def acts(pool, address):
+        assert await ask(pool, address, b"x" * (30 << 20)) == b"no"
+        assert pool.total == 0, "a request that was not written whole leaves no connection"
+
+    on_loopback(handler, acts)
+
+
+def test_large_bodies_pass_both_ways():
+    body = random.Random(1).randbytes(5 << 20)
+
+    async def handler(reader, writer):
+        while True:
+            head = await reader.readuntil(b"\r\n\r\n")
+            size = int(head.split(b"Content-Length: ")[1].split(b"\r\n")[0])
+            given = await reader.readexactly(size)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size + given)
+
+    async def acts(pool, address):
+        for _ in range(2):
+            assert await ask(pool, address, body) == body
+
+    counts = on_loopback(handler, acts)
+    assert counts["worker connections"] == 1
