--- a/aspencroft/forward/choose.py
+++ b/aspencroft/forward/choose.py
@@ -95,29 +95,34 @@
         if known is not None and not known.doubtful and known.room(1.0):
             return Choice(last, LAST, f"{last} served the turn before, {known.load:.1f} of {known.slots} slots taken")
     if parts:
-        found = at_home(instances, parts[0][0], share)
+        found = at_home(instances, parts[0][0], share, zone)
         if found is not None:
             return found
     return least(instances, zone, randomness)
 
 
-def at_home(instances: tuple[Candidate, ...], part: str, share: float) -> Choice | None:
+def at_home(instances: tuple[Candidate, ...], part: str, share: float, zone: str) -> Choice | None:
     """The first home of a part that has room; none when all homes are full.
 
-    Example: ``at_home(candidates, "5c1e", 0.75)``
+    A part has homes in each zone: those of the own zone come first until half of the share is taken there, as long prompts and
+    answers cross no border then and each zone's homes have fewer to serve; then those elsewhere, then all up to the share.
+
+    Example: ``at_home(candidates, "5c1e", 0.75, "north")``
     """
     order = homes(part, instances)
-    for limit in (share, 1.0):
-        best = None
-        for place, one in enumerate(order):
-            if one.room(limit) and (best is None or one.rank() < best[0]):
-                best = one.rank(), place, one
-                if not best[0]:
-                    break
-        if best is not None:
-            _, place, one = best
-            why = f"{one.name} is home {place + 1} of part {part}, {one.load:.1f} of {one.slots} slots taken"
-            return Choice(one.name, SPILL if place else HOME, why)
+    near = [one for one in order if one.zone == zone]
+    far = [one for one in order if one.zone != zone]
+    rounds = [(order, share), (order, 1.0)]
+    if near:
+        rounds = [(near, share / 2), (far, share / 2), (near + far, share), (near + far, 1.0)]
+    first = (near or order)[0]
+    for side, limit in rounds:
+        for rank in sorted({one.rank() for one in side}):
+            for one in side:
+                if one.rank() == rank and one.room(limit):
+                    where = "its zone's" if one.zone == zone else "a"
+                    why = f"{one.name} is {where} home {order.index(one) + 1} of part {part}, {one.load:.1f} of {one.slots} slots taken"
+                    return Choice(one.name, HOME if one is first else SPILL, why)
     return None
 
 
