--- a/aspencroft/alert/alerts.py
+++ b/aspencroft/alerts/alerts.py
@@ -6,19 +6,16 @@
 
 import logbook
 
-import aspencroft.alert.expression as expression
-import aspencroft.alert.rule as rule
-import aspencroft.alert.sample as sample
-import aspencroft.duty.duty as duty
-import aspencroft.keep.residency as residency
-import aspencroft.node.node as node
-import aspencroft.seam.moment as moment
-import aspencroft.seam.steady as steady
+from aspencroft.alerts import expression, rule, sample
+from aspencroft.leadership import duty
+from aspencroft.node import node
+from aspencroft.residency import residency
+from aspencroft.runtime import clock, supervision
 
 LOG = logbook.Logger("alerts")
 TOPIC = "alerts"
-STEP = moment.seconds(1)
-STALE = moment.seconds(8)
+STEP = clock.seconds(1)
+STALE = clock.seconds(8)
 MOST_NODES = 512
 INACTIVE, PENDING, FIRING = "inactive", "pending", "firing"
 
@@ -32,7 +29,9 @@
     last: datetime.timedelta
 
 
-def step(before: State, holds: bool, wait: datetime.timedelta, keep: datetime.timedelta, now: datetime.timedelta) -> State:
+def step(
+    before: State, holds: bool, wait: datetime.timedelta, keep: datetime.timedelta, now: datetime.timedelta
+) -> State:
     """A rule's next state: pending for its wait, then firing, and kept firing a while after it last held, so
     that a rule that flaps does not make the fleet flap.
 
@@ -55,7 +54,7 @@
 
     def __init__(self, own: node.Node):
         self.node = own
-        self.duty = duty.Duty("alerts", own.address, own.incarnation, lambda: own.ring.fellows, own.submit)
+        self.duty = duty.Duty("alerts", own.address, own.incarnation, lambda: own.ring.peers, own.submit)
         own.duties["alerts"] = self.duty
         self.heard: dict[str, tuple[datetime.timedelta, tuple[sample.Sample, ...]]] = {}
         self.states: dict[str, State] = {}
@@ -67,10 +66,10 @@
 
         Example: ``group.create_task(alerts.run())``
         """
-        async with steady.Group() as group:
-            group.create_task(steady.stand("alerts duty", self.duty.run, self.node.standing))
-            group.create_task(steady.stand("alerts hear", self.hear, self.node.standing))
-            group.create_task(steady.stand("alerts evaluate", self.evaluate, self.node.standing))
+        async with supervision.Group() as group:
+            group.create_task(supervision.stand("alerts duty", self.duty.run, self.node.standing))
+            group.create_task(supervision.stand("alerts hear", self.hear, self.node.standing))
+            group.create_task(supervision.stand("alerts evaluate", self.evaluate, self.node.standing))
 
     async def hear(self) -> None:
         """Take samples from nodes.
@@ -80,7 +79,7 @@
         while True:
             message = await self.duty.words.get()
             if isinstance(message, sample.Sampled) and (message.node in self.heard or len(self.heard) < MOST_NODES):
-                self.heard[message.node] = (moment.now(), message.samples)
+                self.heard[message.node] = (clock.now(), message.samples)
 
     async def evaluate(self) -> None:
         """One step a second while the duty is held.
@@ -88,22 +87,29 @@
         Example: ``group.create_task(alerts.evaluate())``
         """
         while True:
-            await moment.pause(STEP)
+            await clock.sleep(STEP)
             if not self.duty.held():
                 self.held = False
                 continue
-            now = moment.now()
+            now = clock.now()
             if not self.held:
                 self.take_over(now)
             self.heard = {name: one for name, one in self.heard.items() if now - one[0] < STALE}
             samples = tuple(one for _, each in self.heard.values() for one in each)
             rules = self.node.relay.plan.rules
             fresh = State(INACTIVE, now, now)
-            self.states = {name: step(self.states.get(name, fresh), expression.holds(one.tree, samples), one.wait, one.keep, now)
-                           for name, one in rules.items()}
-            body = json.dumps({"holder": self.node.address, "epoch": self.duty.epoch,
-                               "rules": {name: one.state for name, one in sorted(self.states.items())},
-                               **controls(rules, self.states)})
+            self.states = {
+                name: step(self.states.get(name, fresh), expression.holds(one.tree, samples), one.wait, one.keep, now)
+                for name, one in rules.items()
+            }
+            body = json.dumps(
+                {
+                    "holder": self.node.address,
+                    "epoch": self.duty.epoch,
+                    "rules": {name: one.state for name, one in sorted(self.states.items())},
+                    **controls(rules, self.states),
+                }
+            )
             known = self.node.relay.topics.get(TOPIC)
             if known is None or known.body != body:
                 await residency.publish(self.node, self.duty, TOPIC, body)
@@ -125,6 +131,8 @@
     Example: ``controls(rules, states)["shed"] == 5``
     """
     firing = [one for name, one in rules.items() if states[name].state == FIRING]
-    return {"keep_awake": any(one.control == rule.KEEP_AWAKE for one in firing),
-            "hold_moves": any(one.control == rule.HOLD_MOVES for one in firing),
-            "shed": min((one.urgency for one in firing if one.control == rule.SHED), default=10)}
+    return {
+        "keep_awake": any(one.control == rule.KEEP_AWAKE for one in firing),
+        "hold_moves": any(one.control == rule.HOLD_MOVES for one in firing),
+        "shed": min((one.urgency for one in firing if one.control == rule.SHED), default=10),
+    }
--- a/aspencroft/alert/expression.py
+++ b/aspencroft/alerts/expression.py
@@ -10,12 +10,22 @@
 
 import promql_parser
 
-import aspencroft.alert.sample as sample
+from aspencroft.alerts import sample
 
 LONGEST = 1000
-COMPARED = {">": operator.gt, ">=": operator.ge, "<": operator.lt, "<=": operator.le, "==": operator.eq, "!=": operator.ne}
+COMPARED = {
+    ">": operator.gt,
+    ">=": operator.ge,
+    "<": operator.lt,
+    "<=": operator.le,
+    "==": operator.eq,
+    "!=": operator.ne,
+}
 OVER = {"sum": sum, "max": max, "min": min, "avg": statistics.fmean}
-MATCHED = {"MatchOp.Equal": lambda held, wanted: held == wanted, "MatchOp.NotEqual": lambda held, wanted: held != wanted}
+MATCHED = {
+    "MatchOp.Equal": lambda held, wanted: held == wanted,
+    "MatchOp.NotEqual": lambda held, wanted: held != wanted,
+}
 
 
 class Unusable(ValueError):
@@ -106,9 +116,17 @@
     left, over = tree.lhs, None
     if isinstance(left, promql_parser.AggregateExpr):
         left, over = left.expr, OVER[str(left.op)]
-    found = [one.value for one in samples if one.name == left.name and all(
-        MATCHED[str(match.op)](next((label.value for label in one.labels if label.name == match.name), ""), match.value)
-        for match in left.matchers.matchers)]
+    found = [
+        one.value
+        for one in samples
+        if one.name == left.name
+        and all(
+            MATCHED[str(match.op)](
+                next((label.value for label in one.labels if label.name == match.name), ""), match.value
+            )
+            for match in left.matchers.matchers
+        )
+    ]
     if not found:
         return False
     compare, bound = COMPARED[str(tree.op)], number(tree.rhs)
--- a/aspencroft/alert/rule.py
+++ b/aspencroft/alerts/rule.py
@@ -7,7 +7,7 @@
 import promql_parser
 import voluptuous
 
-import aspencroft.alert.expression as expression
+from aspencroft.alerts import expression
 
 KEEP_AWAKE, HOLD_MOVES, SHED = "keep_awake", "hold_moves", "shed"
 NAME = voluptuous.Match(re.compile(r"^[a-zA-Z_][a-zA-Z0-9_]{0,63}\Z"))
@@ -52,19 +52,26 @@
     if control is not None and control not in (KEEP_AWAKE, HOLD_MOVES, SHED):
         raise voluptuous.Invalid(f"expected {KEEP_AWAKE}, {HOLD_MOVES} or {SHED}", path=["labels", "control"])
     if control == SHED and (urgency is None or not re.match(r"^[1-9]\Z", urgency)):
-        raise voluptuous.Invalid("shed needs an urgency from 1 to 9; urgency 0 is never shed", path=["labels", "urgency"])
+        raise voluptuous.Invalid(
+            "shed needs an urgency from 1 to 9; urgency 0 is never shed", path=["labels", "urgency"]
+        )
     return spec
 
 
 TEXTS = voluptuous.Schema({NAME: voluptuous.All(str, voluptuous.Length(max=1000))})
-SCHEMA = voluptuous.Schema(voluptuous.All({
-    voluptuous.Required("alert"): voluptuous.All(str, NAME),
-    voluptuous.Required("expr"): usable,
-    voluptuous.Optional("for", default="0s"): span,
-    voluptuous.Optional("keep_firing_for", default="15s"): span,
-    voluptuous.Optional("labels", default={}): TEXTS,
-    voluptuous.Optional("annotations", default={}): TEXTS,
-}, complete))
+SCHEMA = voluptuous.Schema(
+    voluptuous.All(
+        {
+            voluptuous.Required("alert"): voluptuous.All(str, NAME),
+            voluptuous.Required("expr"): usable,
+            voluptuous.Optional("for", default="0s"): span,
+            voluptuous.Optional("keep_firing_for", default="15s"): span,
+            voluptuous.Optional("labels", default={}): TEXTS,
+            voluptuous.Optional("annotations", default={}): TEXTS,
+        },
+        complete,
+    )
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -89,6 +96,11 @@
     """
     labels = spec.get("labels", {})
     control = labels.get("control", "")
-    return Rule(name, expression.parsed(spec["expr"]), promql_parser.parse_duration(spec.get("for", "0s")),
-                promql_parser.parse_duration(spec.get("keep_firing_for", "15s")), control,
-                int(labels["urgency"]) if control == SHED else 10)
+    return Rule(
+        name,
+        expression.parsed(spec["expr"]),
+        promql_parser.parse_duration(spec.get("for", "0s")),
+        promql_parser.parse_duration(spec.get("keep_firing_for", "15s")),
+        control,
+        int(labels["urgency"]) if control == SHED else 10,
+    )
--- a/aspencroft/alert/sample.py
+++ b/aspencroft/alerts/sample.py
@@ -2,10 +2,10 @@
 
 import dataclasses
 
-import aspencroft.link.record as record
+from aspencroft.transport import codec
 
 
-@record.kind(170)
+@codec.kind(170)
 @dataclasses.dataclass(frozen=True)
 class Label:
     """A label's name and value."""
@@ -14,7 +14,7 @@
     value: str
 
 
-@record.kind(171)
+@codec.kind(171)
 @dataclasses.dataclass(frozen=True)
 class Sample:
     """One number under a metric's name and labels.
@@ -27,7 +27,7 @@
     value: float
 
 
-@record.kind(172)
+@codec.kind(172)
 @dataclasses.dataclass(frozen=True)
 class Sampled:
     """A node's samples, told to the holder of the alerts duty."""
--- a/aspencroft/measure/calls.py
+++ b/aspencroft/benchmarks/calls.py
@@ -9,10 +9,8 @@
 
 import defopt
 
-import aspencroft.measure.slopes as slopes
-import aspencroft.sim.forwarding as forwarding
-import aspencroft.sim.loop as loop
-import aspencroft.sim.scene as scene
+from aspencroft.benchmarks import slopes
+from aspencroft.simulation import forwarding, loop, simulated_cluster
 
 ROLES = ("edge", "storage", "core")
 MORE_WORKERS = 6
@@ -71,23 +69,38 @@
         spent = {role: now - before[role] - idle[role] * span for role, now in of_roles(booked).items()}
         tries = day.agents.tries
         events = sum(bytes(one.heard).count(b"\n\n") for one in tries)
-        found.update({"tries": len(tries), "good": sum(one.good() for one in tries), "kept turns": sum(
-            one.use.retained for one in tries), "events a try": events / len(tries), "tries a second": len(tries) / span})
+        found.update(
+            {
+                "tries": len(tries),
+                "good": sum(one.good() for one in tries),
+                "kept turns": sum(one.use.retained for one in tries),
+                "events a try": events / len(tries),
+                "tries a second": len(tries) / span,
+            }
+        )
         for role in ROLES:
-            found[f"{role}, idle % of a core"] = 100 * idle[role] / sum(name.split("-")[0] == role for name in world.names())
+            found[f"{role}, idle % of a core"] = (
+                100 * idle[role] / sum(name.split("-")[0] == role for name in world.names())
+            )
             found[f"{role}, ms a try"] = 1000 * spent[role] / len(tries)
 
     kept = forwarding.FLEET
     forwarding.FLEET = tuple((service, work, count * MORE_WORKERS) for service, work, count in kept)
     try:
-        forwarding.play(seed, story, scene.Size(3, 3, 3, apart=True))
+        forwarding.play(seed, story, simulated_cluster.Size(3, 3, 3, apart=True))
     finally:
         forwarding.FLEET = kept
     return found
 
 
-def calls(*, rates: list[float] = (1.0, 2.0, 4.0, 8.0), tokens: list[int] = (20, 60, 200, 600), seconds: float = 10,
-          repeats: int = 3, seed: int = 1) -> None:
+def calls(
+    *,
+    rates: list[float] = (1.0, 2.0, 4.0, 8.0),
+    tokens: list[int] = (20, 60, 200, 600),
+    seconds: float = 10,
+    repeats: int = 3,
+    seed: int = 1,
+) -> None:
     """Cost of a caller's try at edge, storage and core, by rate and by tokens a turn, in a calm simulated world; prints JSON.
 
     Booked: forwarding, the workers' wire, streams, histories, keys, links, groups' commits. Not booked: the callers' HTTP at the
--- a/aspencroft/measure/hollow.py
+++ b/aspencroft/benchmarks/hollow.py
@@ -15,18 +15,16 @@
 import tempfile
 import time
 
-import aspencroft.code.result as result
-import aspencroft.duty.duty as duty
-import aspencroft.link.record as record
-import aspencroft.measure.virtual as virtual
-import aspencroft.measure.wire as wire
-import aspencroft.node.node as node
-import aspencroft.node.settings as settings
-import aspencroft.plan.control as control
-import aspencroft.ring.fellow as fellow
-import aspencroft.seam.surroundings as surroundings
-
-EPOCH = datetime.datetime(2030, 1, 1, tzinfo=datetime.timezone.utc)
+from aspencroft.benchmarks import virtual, wire
+from aspencroft.configuration import control_state
+from aspencroft.errors import result
+from aspencroft.leadership import duty
+from aspencroft.membership import cluster_member
+from aspencroft.node import node, settings
+from aspencroft.runtime import environment
+from aspencroft.transport import codec
+
+EPOCH = datetime.datetime(2030, 1, 1, tzinfo=datetime.UTC)
 LEAST_NODES, MOST_NODES = 8, 2000
 DUTIES = ("residency", "rest", "alerts")
 LOOK = 0.05
@@ -57,8 +55,15 @@
         Example: ``Shape(nodes=1).faults()``
         """
         found = []
-        for name, least, most in (("nodes", LEAST_NODES, MOST_NODES), ("cores", 3, 200), ("storages", 2, 200), ("regions", 1, 64),
-                                  ("zones", 1, 512), ("far", 0, 1), ("currency", 0.5, 60)):
+        for name, least, most in (
+            ("nodes", LEAST_NODES, MOST_NODES),
+            ("cores", 3, 200),
+            ("storages", 2, 200),
+            ("regions", 1, 64),
+            ("zones", 1, 512),
+            ("far", 0, 1),
+            ("currency", 0.5, 60),
+        ):
             if not least <= getattr(self, name) <= most:
                 found.append(f"{name}: from {least} to {most}, not {getattr(self, name)}")
         if self.cores + self.storages >= self.nodes:
@@ -98,7 +103,11 @@
         self.chance = random.Random(shape.seed)
         edges = shape.nodes - shape.cores - shape.storages
         self.roles: dict[str, str] = {}
-        for role, count in ((settings.CORE, shape.cores), (settings.STORAGE, shape.storages), (settings.EDGE, edges)):
+        for role, count in (
+            (settings.CORE, shape.cores),
+            (settings.STORAGE, shape.storages),
+            (settings.EDGE, edges),
+        ):
             self.roles.update({f"{role}-{number}:1": role for number in range(count)})
         self.zones: dict[str, str] = {}
         for role in ROLES:
@@ -116,8 +125,14 @@
         Example: ``fleet.place("edge-0:1").role``
         """
         role = self.roles[name]
-        raw = {"address": name, "http": f"{name[:-2]}:80", "area": self.zones[name], "seeds": list(self.seeds), "role": role,
-               "currency": self.shape.currency}
+        raw = {
+            "address": name,
+            "http": f"{name[:-2]}:80",
+            "area": self.zones[name],
+            "seeds": list(self.seeds),
+            "role": role,
+            "currency": self.shape.currency,
+        }
         if role == settings.STORAGE:
             raw["data"] = str(self.folder / name[:-2])
         return settings.check(raw)
@@ -128,10 +143,13 @@
         Example: ``fleet.start("edge-0:1")``
         """
         self.wire.dark.discard(name)
-        around = surroundings.Surroundings(
-            wire.Network(self.wire, name), InlineDisk(), lambda: None,
+        around = environment.Environment(
+            wire.Network(self.wire, name),
+            InlineDisk(),
+            lambda: None,
             random.Random(f"{self.shape.seed} {name} {self.loop.time()}"),
-            lambda: EPOCH + datetime.timedelta(seconds=self.loop.time()))
+            lambda: EPOCH + datetime.timedelta(seconds=self.loop.time()),
+        )
         own = self.nodes[name] = node.Node(self.place(name), around)
         self.tasks[name] = self.loop.create_task(self.live(own), context=virtual.context_of(name))
 
@@ -145,7 +163,7 @@
             if own.settings.role != settings.EDGE:
                 await own.started.wait()
                 for name in DUTIES:
-                    one = duty.Duty(name, own.address, own.incarnation, lambda: own.ring.fellows, own.submit)
+                    one = duty.Duty(name, own.address, own.incarnation, lambda: own.ring.peers, own.submit)
                     own.duties[name] = one
                     group.create_task(one.run())
 
@@ -157,14 +175,14 @@
         entries = tuple(own.ring.me for own in self.nodes.values())
         for name, own in self.nodes.items():
             virtual.context_of(name).run(own.ring.take, self.copied(own, entries))
-            own.ring.fellows.taken()
+            own.ring.peers.taken()
 
-    def copied(self, own: node.Node, entries: tuple[fellow.Fellow, ...]) -> fellow.Table:
+    def copied(self, own: node.Node, entries: tuple[cluster_member.ClusterMember, ...]) -> cluster_member.Table:
         """A table of entries that went through the form of the wire.
 
         Example: ``fleet.copied(own, entries)``
         """
-        return record.unpack(fellow.Table, record.pack(fellow.Table(entries, (), own.electorate.roster)))
+        return codec.unpack(cluster_member.Table, codec.pack(cluster_member.Table(entries, (), own.proposer.voter_set)))
 
     def kill(self, name: str, silent: bool) -> None:
         """End a node: its streams break, or, when its machine is lost, fall silent.
@@ -240,8 +258,12 @@
 
         Example: ``Books.of(fleet)``
         """
-        return Books(fleet.loop.time(), time.process_time(), dict(fleet.loop.booked),
-                     {name: dataclasses.replace(one) for name, one in fleet.wire.traffic.items()})
+        return Books(
+            fleet.loop.time(),
+            time.process_time(),
+            dict(fleet.loop.booked),
+            {name: dataclasses.replace(one) for name, one in fleet.wire.traffic.items()},
+        )
 
 
 def per_node(before: Books, after: Books, names: list[str]) -> dict:
@@ -261,11 +283,13 @@
 
     if not names or span <= 0:
         return {}
-    return {"nodes": len(names),
-            "processor, % of a core": row(lambda name: 100 * (after.booked.get(name, 0.0) - before.booked.get(name, 0.0))),
-            "messages sent, /s": row(lambda name: grown(name, "sent")),
-            "bytes sent, /s": row(lambda name: grown(name, "sent_bytes")),
-            "bytes received, /s": row(lambda name: grown(name, "received_bytes"))}
+    return {
+        "nodes": len(names),
+        "processor, % of a core": row(lambda name: 100 * (after.booked.get(name, 0.0) - before.booked.get(name, 0.0))),
+        "messages sent, /s": row(lambda name: grown(name, "sent")),
+        "bytes sent, /s": row(lambda name: grown(name, "sent_bytes")),
+        "bytes received, /s": row(lambda name: grown(name, "received_bytes")),
+    }
 
 
 def costs(fleet: Fleet, before: Books, after: Books) -> dict:
@@ -276,16 +300,21 @@
     alive = list(fleet.nodes)
     root = fleet.leader()
     inner = [name for name, own in fleet.nodes.items() if own.relay.children and own is not root]
-    groups = {"all": alive, **{role: [name for name in alive if fleet.roles[name] == role] for role in ROLES},
-              "root": [root.address] if root else [], "relay inner nodes": inner,
-              "relay leaves": [name for name in alive if name not in inner and (root is None or name != root.address)],
-              "witnesses": [name for name in alive if fleet.nodes[name].witness.voting]}
+    groups = {
+        "all": alive,
+        **{role: [name for name in alive if fleet.roles[name] == role] for role in ROLES},
+        "root": [root.address] if root else [],
+        "relay inner nodes": inner,
+        "relay leaves": [name for name in alive if name not in inner and (root is None or name != root.address)],
+        "witnesses": [name for name in alive if fleet.nodes[name].witness.voting],
+    }
     span = after.at - before.at
     found = {name: per_node(before, after, group) for name, group in groups.items() if group}
     found["virtual seconds"] = round(span, 2)
     found["process, processor seconds"] = round(after.processor - before.processor, 3)
-    found["wire and loop, % of a core a node"] = round(100 * (after.booked.get("", 0.0) - before.booked.get("", 0.0))
-                                                      / span / len(alive), 3)
+    found["wire and loop, % of a core a node"] = round(
+        100 * (after.booked.get("", 0.0) - before.booked.get("", 0.0)) / span / len(alive), 3
+    )
     return found
 
 
@@ -297,8 +326,12 @@
     row = sorted(row)
     if not row:
         return {"count": 0}
-    return {"median": round(row[len(row) // 2], 3), "95 %": round(row[int(len(row) * 0.95)], 3),
-            "most": round(row[-1], 3), "count": len(row)}
+    return {
+        "median": round(row[len(row) // 2], 3),
+        "95 %": round(row[int(len(row) * 0.95)], 3),
+        "most": round(row[-1], 3),
+        "count": len(row),
+    }
 
 
 def depths(fleet: Fleet) -> dict:
@@ -314,7 +347,11 @@
             place, steps = parents[place], steps + 1
         found.append(steps)
     children = collections.Counter(one for one in parents.values() if one is not None)
-    return {"most": max(found), "mean": round(sum(found) / len(found), 2), "most children": max(children.values(), default=0)}
+    return {
+        "most": max(found),
+        "mean": round(sum(found) / len(found), 2),
+        "most children": max(children.values(), default=0),
+    }
 
 
 async def written(fleet: Fleet, number: int) -> dict:
@@ -337,9 +374,9 @@
 
     looking = fleet.loop.create_task(look())
     try:
-        await own.write_plan(control.WritePlan("merge", "", "", body, None))
+        await own.write_plan(control_state.WritePlan("merge", "", "", body, None))
         acknowledged = fleet.loop.time() - began
-    except result.Refusal as refusal:
+    except result.RequestError as refusal:
         acknowledged = -1.0
         print(f"change {number}: {refusal}", file=sys.stderr)
     try:
@@ -361,14 +398,19 @@
     while open_pairs and fleet.loop.time() - began < within:
         for pair in list(open_pairs):
             own = fleet.nodes.get(pair[0])
-            if own is None or own.ring.state(pair[1]) == fellow.DOWN:
+            if own is None or own.ring.state(pair[1]) == cluster_member.DOWN:
                 seen[pair] = fleet.loop.time() - began
                 open_pairs.discard(pair)
         await asyncio.sleep(LOOK)
     firsts = [min((took for (_, victim), took in seen.items() if victim == one), default=-1.0) for one in victims]
     after = Books.of(fleet)
-    return {"victims": len(victims), "seen everywhere, s": spread(list(seen.values())), "first seen, s": spread(firsts),
-            "not seen": len(open_pairs), "whole cost a node": lump(before, after, list(fleet.nodes))}
+    return {
+        "victims": len(victims),
+        "seen everywhere, s": spread(list(seen.values())),
+        "first seen, s": spread(firsts),
+        "not seen": len(open_pairs),
+        "whole cost a node": lump(before, after, list(fleet.nodes)),
+    }
 
 
 def lump(before: Books, after: Books, names: list[str]) -> dict:
@@ -379,8 +421,11 @@
     blank = wire.Traffic()
     processor = sum(after.booked.get(name, 0.0) - before.booked.get(name, 0.0) for name in names)
     sent = sum(after.traffic.get(name, blank).sent_bytes - before.traffic.get(name, blank).sent_bytes for name in names)
-    return {"seconds": round(after.at - before.at, 2), "processor seconds": round(processor / len(names), 4),
-            "bytes sent": round(sent / len(names))}
+    return {
+        "seconds": round(after.at - before.at, 2),
+        "processor seconds": round(processor / len(names), 4),
+        "bytes sent": round(sent / len(names)),
+    }
 
 
 async def back(fleet: Fleet, names: set[str], within: float) -> dict:
@@ -392,9 +437,12 @@
     for name in sorted(names):
         fleet.start(name)
     known = await fleet.until(fleet.knows_all, within)
-    return {"nodes": len(names), "all know them after, s": round(known, 2),
-            "configuration current after, s": round(await fleet.until(fleet.current, within), 2),
-            "whole cost a node": lump(before, Books.of(fleet), list(fleet.nodes))}
+    return {
+        "nodes": len(names),
+        "all know them after, s": round(known, 2),
+        "configuration current after, s": round(await fleet.until(fleet.current, within), 2),
+        "whole cost a node": lump(before, Books.of(fleet), list(fleet.nodes)),
+    }
 
 
 def memory() -> int:
@@ -430,8 +478,16 @@
         """
         edges = shape.nodes - shape.cores - shape.storages
         found = []
-        for name, most in (("idle", 3600), ("writes", 1000), ("kill", edges), ("power", edges), ("restart", edges), ("leader", 3),
-                           ("zone", 1), ("cut", 3600)):
+        for name, most in (
+            ("idle", 3600),
+            ("writes", 1000),
+            ("kill", edges),
+            ("power", edges),
+            ("restart", edges),
+            ("leader", 3),
+            ("zone", 1),
+            ("cut", 3600),
+        ):
             if not 0 <= getattr(self, name) <= most:
                 found.append(f"{name}: from 0 to {most}, not {getattr(self, name)}")
         return found
@@ -476,9 +532,11 @@
         for number in range(acts.writes):
             rows.append(await written(fleet, 1 + number))
             await asyncio.sleep(1)
-        told["changes"] = {"in force on all nodes after, s": spread([one["forced"] for one in rows]),
-                           "acknowledged after, s": spread([one["acknowledged"] for one in rows]),
-                           "whole cost a node": lump(before, Books.of(fleet), list(fleet.nodes))}
+        told["changes"] = {
+            "in force on all nodes after, s": spread([one["forced"] for one in rows]),
+            "acknowledged after, s": spread([one["acknowledged"] for one in rows]),
+            "whole cost a node": lump(before, Books.of(fleet), list(fleet.nodes)),
+        }
         say(f"changes: {told['changes']}")
     for kind, count, silent in (("kill", acts.kill, False), ("power", acts.power, True)):
         if count:
@@ -509,10 +567,14 @@
         told["cut"] = await parted(fleet, acts.cut)
         say(f"cut: {told['cut']}")
     told["processor seconds of the whole run"] = round(time.process_time() - began, 1)
-    told["counts"] = {name: sum(own.ring.counts[name] for own in fleet.nodes.values())
-                      for name in next(iter(fleet.nodes.values())).ring.counts}
-    told["relay counts"] = {name: sum(own.relay.counts[name] for own in fleet.nodes.values())
-                            for name in next(iter(fleet.nodes.values())).relay.counts}
+    told["counts"] = {
+        name: sum(own.ring.counts[name] for own in fleet.nodes.values())
+        for name in next(iter(fleet.nodes.values())).ring.counts
+    }
+    told["relay counts"] = {
+        name: sum(own.relay.counts[name] for own in fleet.nodes.values())
+        for name in next(iter(fleet.nodes.values())).relay.counts
+    }
     told["faults of standing tasks"] = sum(sum(own.standing.values()) for own in fleet.nodes.values())
     await fleet.end()
     return told
@@ -526,6 +588,7 @@
     profile = None
     if acts.profile:
         import cProfile
+
         profile = cProfile.Profile()
         profile.enable()
     gc.collect()
@@ -553,7 +616,10 @@
         fleet.start(name)
         await fleet.until(lambda: fleet.nodes[name].relay.current() and fleet.knows_all(), 30)
         rows.append(fleet.loop.time() - began)
-    return {"known and current after, s": spread(rows), "whole cost a node": lump(before, Books.of(fleet), list(fleet.nodes))}
+    return {
+        "known and current after, s": spread(rows),
+        "whole cost a node": lump(before, Books.of(fleet), list(fleet.nodes)),
+    }
 
 
 async def led(fleet: Fleet) -> dict:
@@ -564,7 +630,7 @@
     victim = fleet.leader().address
     fleet.kill(victim, True)
     began, stale, ahead, change = fleet.loop.time(), set(), -1.0, None
-    while fleet.loop.time() - began < 15 or change is not None and not change.done():
+    while fleet.loop.time() - began < 15 or (change is not None and not change.done()):
         if change is None and fleet.leader() is not None and fleet.leader().relay.root:
             ahead = fleet.loop.time() - began
             change = asyncio.ensure_future(written(fleet, 6000 + int(began)))
@@ -572,9 +638,12 @@
         await asyncio.sleep(LOOK)
     fleet.start(victim)
     await fleet.until(fleet.knows_all, 30)
-    return {"another serves after, s": round(ahead, 2), "nodes without a current configuration for a while": len(stale),
-            "a change said then acknowledged after, s": round(change.result()["acknowledged"], 2) if change else -1.0,
-            "and in force on all nodes after, s": round(change.result()["forced"], 2) if change else -1.0}
+    return {
+        "another serves after, s": round(ahead, 2),
+        "nodes without a current configuration for a while": len(stale),
+        "a change said then acknowledged after, s": round(change.result()["acknowledged"], 2) if change else -1.0,
+        "and in force on all nodes after, s": round(change.result()["forced"], 2) if change else -1.0,
+    }
 
 
 async def parted(fleet: Fleet, seconds: float) -> dict:
@@ -598,17 +667,28 @@
         stale |= {name for name in fleet.nodes if name not in inside and not fleet.nodes[name].relay.current()}
         await asyncio.sleep(LOOK * 4)
     during = Books.of(fleet)
-    wrongly = sum(own.ring.state(name) == fellow.DOWN for own in fleet.nodes.values() if own.address not in inside
-                  for name in fleet.nodes if name not in inside)
+    wrongly = sum(
+        own.ring.state(name) == cluster_member.DOWN
+        for own in fleet.nodes.values()
+        if own.address not in inside
+        for name in fleet.nodes
+        if name not in inside
+    )
     changed = await written_outside(fleet, inside)
     fleet.wire.heal()
     whole_after = await fleet.until(fleet.knows_all, 120)
     current_after = await fleet.until(fleet.current, 60)
-    return {"region": away, "nodes inside": len(inside), "nodes outside without a current configuration for a while": len(stale),
-            "nodes outside wrongly thought down outside": wrongly, "a change outside acknowledged after, s": changed,
-            "tables whole after the cut's end, s": round(whole_after, 2), "all current after that, s": round(current_after, 2),
-            "during": costs(fleet, before, during)["all"],
-            "mending cost a node": lump(during, Books.of(fleet), list(fleet.nodes))}
+    return {
+        "region": away,
+        "nodes inside": len(inside),
+        "nodes outside without a current configuration for a while": len(stale),
+        "nodes outside wrongly thought down outside": wrongly,
+        "a change outside acknowledged after, s": changed,
+        "tables whole after the cut's end, s": round(whole_after, 2),
+        "all current after that, s": round(current_after, 2),
+        "during": costs(fleet, before, during)["all"],
+        "mending cost a node": lump(during, Books.of(fleet), list(fleet.nodes)),
+    }
 
 
 async def written_outside(fleet: Fleet, inside: set[str]) -> float:
@@ -619,8 +699,10 @@
     own = next(one for name, one in fleet.nodes.items() if name not in inside and fleet.roles[name] == settings.EDGE)
     began = fleet.loop.time()
     try:
-        await own.write_plan(control.WritePlan("merge", "", "", json.dumps({"services": {"cut": {"kind": "plain"}}}), None))
-    except result.Refusal as refusal:
+        await own.write_plan(
+            control_state.WritePlan("merge", "", "", json.dumps({"services": {"cut": {"kind": "plain"}}}), None)
+        )
+    except result.RequestError as refusal:
         print(f"a change during the cut: {refusal}", file=sys.stderr)
         return -1.0
     return round(fleet.loop.time() - began, 2)
--- a/aspencroft/measure/measure_test.py
+++ b/aspencroft/benchmarks/measure_test.py
@@ -6,9 +6,7 @@
 import logbook
 import pytest
 
-import aspencroft.measure.hollow as hollow
-import aspencroft.measure.virtual as virtual
-import aspencroft.measure.wire as wire
+from aspencroft.benchmarks import hollow, virtual, wire
 
 SMALL = hollow.Shape(nodes=12, cores=3, storages=3, regions=3, zones=3)
 
@@ -94,19 +92,39 @@
 
 def test_sizes_out_of_bounds_are_named():
     assert SMALL.faults() == [] and hollow.Acts().faults(SMALL) == []
-    for name, value in (("nodes", 7), ("nodes", 5000), ("cores", 2), ("storages", 1), ("regions", 0), ("zones", 2), ("far", 2.0)):
+    for name, value in (
+        ("nodes", 7),
+        ("nodes", 5000),
+        ("cores", 2),
+        ("storages", 1),
+        ("regions", 0),
+        ("zones", 2),
+        ("far", 2.0),
+    ):
         assert any(one.startswith(name) for one in dataclasses.replace(SMALL, **{name: value}).faults()), name
     assert dataclasses.replace(SMALL, storages=9).faults()
-    for name, value in (("idle", -1.0), ("writes", 2000), ("kill", 7), ("power", 7), ("restart", -1), ("leader", 4), ("zone", 2),
-                        ("cut", -1.0)):
+    for name, value in (
+        ("idle", -1.0),
+        ("writes", 2000),
+        ("kill", 7),
+        ("power", 7),
+        ("restart", -1),
+        ("leader", 4),
+        ("zone", 2),
+        ("cut", -1.0),
+    ):
         assert any(one.startswith(name) for one in hollow.Acts(**{name: value}).faults(SMALL)), name
 
 
 def test_a_fleet_forms_takes_changes_and_notices_what_is_lost():
     told = run(SMALL, hollow.Acts(idle=2, writes=1, kill=1, power=1, restart=1, leader=1, cut=5))
     assert "wrong" not in told and told["faults of standing tasks"] == 0
-    assert 0 < told["idle"]["all"]["processor, % of a core"]["mean"] and told["idle"]["all"]["bytes sent, /s"]["mean"] > 0
-    forced, acknowledged = (told["changes"][f"{what} after, s"]["most"] for what in ("in force on all nodes", "acknowledged"))
+    assert (
+        told["idle"]["all"]["processor, % of a core"]["mean"] > 0 and told["idle"]["all"]["bytes sent, /s"]["mean"] > 0
+    )
+    forced, acknowledged = (
+        told["changes"][f"{what} after, s"]["most"] for what in ("in force on all nodes", "acknowledged")
+    )
     assert 0 < forced <= acknowledged + 0.05
     for kind in ("kill", "power"):
         assert told[kind]["not seen"] == 0 and 1 < told[kind]["seen everywhere, s"]["most"] < 8
@@ -119,8 +137,12 @@
 
 def test_virtual_times_and_bytes_repeat_exactly():
     def exact(told: dict) -> tuple:
-        return (told["formed after, s"], told["changes"]["acknowledged after, s"], told["idle"]["all"]["bytes sent, /s"],
-                told["kill"]["seen everywhere, s"])
+        return (
+            told["formed after, s"],
+            told["changes"]["acknowledged after, s"],
+            told["idle"]["all"]["bytes sent, /s"],
+            told["kill"]["seen everywhere, s"],
+        )
 
     acts = hollow.Acts(idle=2, writes=1, kill=1)
     assert exact(run(SMALL, acts)) == exact(run(SMALL, acts))
--- a/aspencroft/measure/real.py
+++ b/aspencroft/benchmarks/real.py
@@ -12,7 +12,7 @@
 
 import defopt
 
-import aspencroft.program.fleet as fleet
+from aspencroft.cli import fleet
 
 TICK = os.sysconf("SC_CLK_TCK")
 OFFSET = 4000
@@ -42,13 +42,22 @@
         numbers = place.numbers(role)
         shares = [100 * (used(place.processes[number].pid) - before[number]) / span for number in numbers]
         sizes = [one.memory / 1e6 for one in place.taken() if one.role == role]
-        found[role] = {"processes": len(numbers), "processor, % of a core": [round(one, 2) for one in (
-            min(shares), statistics.mean(shares), max(shares))], "memory, MB": round(statistics.mean(sizes), 1)}
+        found[role] = {
+            "processes": len(numbers),
+            "processor, % of a core": [round(one, 2) for one in (min(shares), statistics.mean(shares), max(shares))],
+            "memory, MB": round(statistics.mean(sizes), 1),
+        }
     return found
 
 
-def calls(*, rates: list[float] = (0, 5, 10, 20), seconds: float = 20, deployment: str = "archive", seed: int = 1,
-          offset: int = OFFSET) -> None:
+def calls(
+    *,
+    rates: list[float] = (0, 5, 10, 20),
+    seconds: float = 20,
+    deployment: str = "archive",
+    seed: int = 1,
+    offset: int = OFFSET,
+) -> None:
     """Start 16 real processes, measure them idle (rate 0) and at rates of programs and signals a second; prints JSON.
 
     :param rates: programs and signals started a second, one run after another on the same fleet
@@ -85,8 +94,17 @@
                 await drive.end()
         return rows
 
-    print(json.dumps({"measured": "real processes", "seed": seed, "load": os.getloadavg()[0], "rows": asyncio.run(whole())},
-                     indent=1))
+    print(
+        json.dumps(
+            {
+                "measured": "real processes",
+                "seed": seed,
+                "load": os.getloadavg()[0],
+                "rows": asyncio.run(whole()),
+            },
+            indent=1,
+        )
+    )
 
 
 if __name__ == "__main__":
--- a/aspencroft/measure/repair.py
+++ b/aspencroft/benchmarks/repair.py
@@ -10,12 +10,9 @@
 import defopt
 import logbook
 
-import aspencroft.measure.hollow as hollow
-import aspencroft.measure.slopes as slopes
-import aspencroft.measure.virtual as virtual
-import aspencroft.seam.moment as moment
-import aspencroft.talk.entry as entry
-import aspencroft.talk.speech as speech
+from aspencroft.benchmarks import hollow, slopes, virtual
+from aspencroft.runtime import clock
+from aspencroft.sessions import entry, messages
 
 GROUP = 1
 AT_ONCE = 64
@@ -66,11 +63,34 @@
     async def work() -> None:
         for number in numbers:
             name = f"p{number}"
-            begin = entry.BeginTurn(name, "s", f"{name}-t0", "", 100, 10_000, True, moment.seconds(86_400), moment.seconds(30),
-                                    life, "", ())
+            begin = entry.BeginTurn(
+                name,
+                "s",
+                f"{name}-t0",
+                "",
+                100,
+                10_000,
+                True,
+                clock.seconds(86_400),
+                clock.seconds(30),
+                life,
+                "",
+                (),
+            )
             await own.submit(GROUP, begin)
-            await own.submit(GROUP, entry.EndTurn(name, "s", f"{name}-t0", speech.DONE, chance.randbytes(size // 2),
-                                                  chance.randbytes(size - size // 2), 10, "i-1"))
+            await own.submit(
+                GROUP,
+                entry.EndTurn(
+                    name,
+                    "s",
+                    f"{name}-t0",
+                    messages.DONE,
+                    chance.randbytes(size // 2),
+                    chance.randbytes(size - size // 2),
+                    10,
+                    "i-1",
+                ),
+            )
 
     async with asyncio.TaskGroup() as group:
         for _ in range(AT_ONCE):
@@ -90,7 +110,7 @@
     return False
 
 
-async def whole(turns: int, size: int, seed: int, folder: pathlib.Path, clock: slopes.Clock) -> None:
+async def whole(turns: int, size: int, seed: int, folder: pathlib.Path, timer: slopes.Clock) -> None:
     """Fill a group, lose its backup, its primary, and start one again; figures go to the clock.
 
     Example: ``await whole(100, 1000, 1, folder, slopes.Clock())``
@@ -106,7 +126,10 @@
     await fill(fleet, turns, size, random.Random(seed))
     after = hollow.Books.of(fleet)
     for name, address in (("primary", holders[0]), ("backup", holders[1])):
-        clock.note(f"commits: {name}, ms a turn", 1000 * (after.booked[address] - before.booked.get(address, 0.0)) / turns)
+        timer.note(
+            f"commits: {name}, ms a turn",
+            1000 * (after.booked[address] - before.booked.get(address, 0.0)) / turns,
+        )
     await asyncio.sleep(3)
     for name, place in (("backup lost", 1), ("primary lost", 0)):
         victim = fleet.nodes["edge-0:1"].ring.holdings[GROUP].members()[place].address
@@ -116,14 +139,16 @@
         took = await fleet.until(lambda: served(fleet, victim), 120)
         after = hollow.Books.of(fleet)
         spent = {own: after.booked.get(own, 0.0) - before.booked.get(own, 0.0) for own in fleet.nodes}
-        sent = sum(one.sent_bytes for one in after.traffic.values()) - sum(one.sent_bytes for one in before.traffic.values())
-        clock.note(f"{name}: whole again after, virtual s", took)
-        clock.note(f"{name}: processor of the two that did most, s", sum(sorted(spent.values())[-2:]))
-        clock.note(f"{name}: longest hold of a loop, ms", 1000 * max(loop.longest.values()))
-        clock.note(f"{name}: bytes sent by all, KB", sent / 1000)
+        sent = sum(one.sent_bytes for one in after.traffic.values()) - sum(
+            one.sent_bytes for one in before.traffic.values()
+        )
+        timer.note(f"{name}: whole again after, virtual s", took)
+        timer.note(f"{name}: processor of the two that did most, s", sum(sorted(spent.values())[-2:]))
+        timer.note(f"{name}: longest hold of a loop, ms", 1000 * max(loop.longest.values()))
+        timer.note(f"{name}: bytes sent by all, KB", sent / 1000)
         fleet.start(victim)
         await asyncio.sleep(8)
-        clock.note(f"{name}: its restart from the disk, longest hold, ms", 1000 * loop.longest.get(victim, 0.0))
+        timer.note(f"{name}: its restart from the disk, longest hold, ms", 1000 * loop.longest.get(victim, 0.0))
     await fleet.end()
 
 
@@ -142,15 +167,15 @@
     slopes.bounded([size], 2, 100_000)
     rows = []
     for count in turns:
-        clock = slopes.Clock()
+        timer = slopes.Clock()
         for turn in range(repeats):
             folder = pathlib.Path(tempfile.mkdtemp(prefix="aspencroft-repair-"))
             try:
                 with logbook.NullHandler().applicationbound(), asyncio.Runner(loop_factory=Longest) as runner:
-                    runner.run(whole(count, size, seed + turn, folder, clock))
+                    runner.run(whole(count, size, seed + turn, folder, timer))
             finally:
                 shutil.rmtree(folder, ignore_errors=True)
-        rows.append({"turns": count, "bytes a turn": size, **clock.shown()})
+        rows.append({"turns": count, "bytes a turn": size, **timer.shown()})
     slopes.table("repair", seed, rows)
 
 
--- a/aspencroft/measure/slopes.py
+++ b/aspencroft/benchmarks/slopes.py
@@ -17,22 +17,14 @@
 
 import defopt
 
-import aspencroft.disk.store as store
-import aspencroft.forward.instance as instance
-import aspencroft.forward.instances as instances
-import aspencroft.keep.keepplan as keepplan
-import aspencroft.keep.residency as residency
-import aspencroft.keep.tap as tap
-import aspencroft.link.record as record
-import aspencroft.plan.control as control
-import aspencroft.plan.plan as plan
-import aspencroft.seam.moment as moment
-import aspencroft.talk.entry as entry
-import aspencroft.talk.ledger as ledger
-import aspencroft.talk.speech as speech
-import aspencroft.worker.adapter as adapter
-import aspencroft.worker.list_reader as list_reader
-import aspencroft.worker.worker as worker
+from aspencroft.configuration import control_state, resources
+from aspencroft.proxy import instance, instances
+from aspencroft.residency import keep_plan, residency, tap
+from aspencroft.runtime import clock
+from aspencroft.sessions import entry, ledger, messages
+from aspencroft.storage import store
+from aspencroft.transport import codec
+from aspencroft.workers import adapter, list_reader, worker
 
 ROUTES = [100, 1000, 10_000, 100_000]
 WORKERS = [10, 100, 1000, 6600]
@@ -88,8 +80,10 @@
 
         Example: ``clock.shown()["compile, ms"]``
         """
-        return {name: [float(f"{one:.4g}") for one in (min(row), statistics.median(row), max(row))]
-                for name, row in self.rows.items()}
+        return {
+            name: [float(f"{one:.4g}") for one in (min(row), statistics.median(row), max(row))]
+            for name, row in self.rows.items()
+        }
 
 
 def table(name: str, seed: int, rows: list[dict]) -> None:
@@ -97,8 +91,18 @@
 
     Example: ``table("configuration", 1, rows)``
     """
-    print(json.dumps({"slope": name, "seed": seed, "machine": {"cores": os.cpu_count(), "load": round(os.getloadavg()[0], 1)},
-                      "rows": rows}, indent=None if len(rows) > 40 else 1), flush=True)
+    print(
+        json.dumps(
+            {
+                "slope": name,
+                "seed": seed,
+                "machine": {"cores": os.cpu_count(), "load": round(os.getloadavg()[0], 1)},
+                "rows": rows,
+            },
+            indent=None if len(rows) > 40 else 1,
+        ),
+        flush=True,
+    )
 
 
 def bounded(sizes: list[int], least: int, most: int) -> None:
@@ -119,9 +123,17 @@
     made = {}
     for number in range(routes):
         first, second = chance.sample(sorted(services), 2)
-        made[f"route-{number}"] = {"host": f"tenant-{number // 8}.example", "prefix": f"/v{number % 8}/", "kind": "stream",
-                                   "targets": [{"service": first, "weight": 90.0}, {"service": second, "weight": 10.0}],
-                                   "timeout": 30.0, "aim": 0.77, "attempts": 2, "retained": True, "keep": 600.0}
+        made[f"route-{number}"] = {
+            "host": f"tenant-{number // 8}.example",
+            "prefix": f"/v{number % 8}/",
+            "kind": "stream",
+            "targets": [{"service": first, "weight": 90.0}, {"service": second, "weight": 10.0}],
+            "timeout": 30.0,
+            "aim": 0.77,
+            "attempts": 2,
+            "retained": True,
+            "keep": 600.0,
+        }
     return {"services": services, "http_routes": made}
 
 
@@ -135,34 +147,38 @@
     bounded(sizes, 1, 150_000)
     rows = []
     for size in sizes:
-        clock = Clock()
+        timer = Clock()
         for turn in range(repeats):
             document = document_of(size, random.Random(seed + turn))
-            plan.check_one.cache_clear()
-            faults = clock("check the whole, ms", lambda: plan.check(document))
+            resources.check_one.cache_clear()
+            faults = timer("check the whole, ms", lambda: resources.check(document))
             if faults:
                 sys.exit(f"the made-up configuration is refused: {faults[0]}")
-            typed = clock("type the whole, ms", lambda: plan.of(document))
-            clock.memory("memory of the document, MB", lambda: json.loads(json.dumps(document)), 1e6)
-            clock.memory("memory of the typed view, MB", lambda: plan.of(document), 1e6)
-            clock.note("document, bytes", len(json.dumps(document)))
+            typed = timer("type the whole, ms", lambda: resources.of(document))
+            timer.memory("memory of the document, MB", lambda: json.loads(json.dumps(document)), 1e6)
+            timer.memory("memory of the typed view, MB", lambda: resources.of(document), 1e6)
+            timer.note("document, bytes", len(json.dumps(document)))
             one = {**document["http_routes"]["route-7"], "timeout": 31.0 + turn}
             patch = {"http_routes": {"route-7": one}}
-            fresh = clock("merge one route, ms", lambda: plan.merge(document, patch))
-            clock("type one changed route, ms", lambda: plan.after(typed, fresh, patch, 1))
-            view = control.Control()
+            fresh = timer("merge one route, ms", lambda: resources.merge(document, patch))
+            timer("type one changed route, ms", lambda: resources.after(typed, fresh, patch, 1))
+            view = control_state.ControlState()
             body = json.dumps(document)
-            events, _ = clock("control: decide the whole, ms",
-                              lambda: view.decide(control.WritePlan("whole", "", "", body, None), moment.ZERO, 1))
-            clock("control: fold the whole, ms", lambda: [view.fold(event) for event in events])
-            small = control.WritePlan("merge", "", "", json.dumps(patch), None)
-            events, _ = clock("control: decide one route, ms", lambda: view.decide(small, moment.ZERO, 1))
-            clock("control: fold one route, ms", lambda: [view.fold(event) for event in events])
-            clock("control: picture, ms", view.picture)
+            events, _ = timer(
+                "control: decide the whole, ms",
+                lambda: view.decide(control_state.WritePlan("whole", "", "", body, None), clock.ZERO, 1),
+            )
+            timer("control: fold the whole, ms", lambda: [view.fold(event) for event in events])
+            small = control_state.WritePlan("merge", "", "", json.dumps(patch), None)
+            events, _ = timer("control: decide one route, ms", lambda: view.decide(small, clock.ZERO, 1))
+            timer("control: fold one route, ms", lambda: [view.fold(event) for event in events])
+            timer("control: picture, ms", view.snapshot)
             table_of = typed.route_table
-            hosts = [(f"tenant-{number % max(1, size // 8)}.example", f"/v{number % 8}/a/b") for number in range(10_000)]
-            clock("match a request, ms", lambda: [table_of.match(host, path) for host, path in hosts], 10_000)
-        rows.append({"routes": size, **clock.shown()})
+            hosts = [
+                (f"tenant-{number % max(1, size // 8)}.example", f"/v{number % 8}/a/b") for number in range(10_000)
+            ]
+            timer("match a request, ms", lambda: [table_of.match(host, path) for host, path in hosts], 10_000)
+        rows.append({"routes": size, **timer.shown()})
     table("configuration", seed, rows)
 
 
@@ -172,31 +188,53 @@
     Example: ``believed(10, 100, random.Random(1)).decide(moment.seconds(100))``
     """
     services = {f"model-{number}": {"kind": "model", "size": 15_000_000_000} for number in range(SERVICES)}
-    typed = plan.of({"services": services, "lanes": {"chat": {"kind": "turns", "services": sorted(services)}}})
+    typed = resources.of({"services": services, "lanes": {"chat": {"kind": "turns", "services": sorted(services)}}})
     relays = types.SimpleNamespace(plan=typed, topics={})
-    own = types.SimpleNamespace(address="core-0:1", incarnation=1, duties={}, relay=relays, submit=None,
-                                ring=types.SimpleNamespace(fellows={}), control=lambda name, otherwise: otherwise)
+    own = types.SimpleNamespace(
+        address="core-0:1",
+        incarnation=1,
+        duties={},
+        relay=relays,
+        submit=None,
+        ring=types.SimpleNamespace(peers={}),
+        control=lambda name, otherwise: otherwise,
+    )
     duty = residency.Residency(own, None)
     names = sorted(services)
-    duty.workers = tuple(worker.Worker(f"w{number}", f"http://10.0.{number // 250}.{number % 250}:80", worker.MODEL,
-                                       (names[number % SERVICES],), False, 72_000_000_000, 8) for number in range(workers))
-    now = moment.seconds(100)
+    duty.workers = tuple(
+        worker.Worker(
+            f"w{number}",
+            f"http://10.0.{number // 250}.{number % 250}:80",
+            worker.MODEL,
+            (names[number % SERVICES],),
+            False,
+            72_000_000_000,
+            8,
+        )
+        for number in range(workers)
+    )
+    now = clock.seconds(100)
     for number in range(programs):
-        duty.signals.called(f"p{number}", chance.choice(names), now - moment.seconds(chance.random() * 60))
+        duty.signals.called(f"p{number}", chance.choice(names), now - clock.seconds(chance.random() * 60))
         if chance.random() < 0.3:
             duty.signals.intend(f"p{number}", tap.Intent((chance.choice(names),)), now)
     for one in duty.workers:
-        kept = {keepplan.key("model", one.services[0]): adapter.Kept(
-            keepplan.key("model", one.services[0]), 15_000_000_000, 0, keepplan.DEVICE, 0)}
+        kept = {
+            keep_plan.key("model", one.services[0]): adapter.Kept(
+                keep_plan.key("model", one.services[0]), 15_000_000_000, 0, keep_plan.DEVICE, 0
+            )
+        }
         for _ in range(KEPT_A_WORKER):
             name = f"kv:p{chance.randrange(max(1, programs))}"
             tokens = chance.randrange(1000, 30_000)
-            kept[name] = adapter.Kept(name, tokens * 131_072, tokens, keepplan.DEVICE, 0)
+            kept[name] = adapter.Kept(name, tokens * 131_072, tokens, keep_plan.DEVICE, 0)
         duty.beliefs[one.name] = residency.Belief(kept, {}, one.memory, True)
     return duty
 
 
-def residency_solve(*, workers: list[int] = WORKERS, programs: list[int] = PROGRAMS, repeats: int = 3, seed: int = 1) -> None:
+def residency_solve(
+    *, workers: list[int] = WORKERS, programs: list[int] = PROGRAMS, repeats: int = 3, seed: int = 1
+) -> None:
     """One solution of the residency duty against workers (1,000 programs) and against programs (100 workers).
 
     :param workers: numbers of workers
@@ -209,16 +247,20 @@
     rows = []
     for kind, sizes in (("workers", workers), ("programs", programs)):
         for size in sizes:
-            clock, pair = Clock(), (size, 1000) if kind == "workers" else (100, size)
+            timer, pair = Clock(), (size, 1000) if kind == "workers" else (100, size)
             for turn in range(1 if size * pair[0] > 2_000_000 else repeats):
                 duty = believed(*pair, random.Random(seed + turn))
-                clock("one solution, ms", lambda: duty.decide(moment.seconds(100)))
+                timer("one solution, ms", lambda: duty.decide(clock.seconds(100)))
                 names = tuple(sorted(duty.node.relay.plan.services))
-                clock("reuse of one service, ms",
-                      lambda: duty.signals.reuse(names[0], names, residency.WINDOW, moment.seconds(100)))
-                clock.note("keep plans, bytes", len(json.dumps({name: [one.target, one.ready, one.protected]
-                                                                for name, one in duty.keeps.items()})))
-            rows.append({"workers": pair[0], "programs": pair[1], **clock.shown()})
+                timer(
+                    "reuse of one service, ms",
+                    lambda: duty.signals.reuse(names[0], names, residency.WINDOW, clock.seconds(100)),
+                )
+                timer.note(
+                    "keep plans, bytes",
+                    len(json.dumps({name: [one.target, one.ready, one.protected] for name, one in duty.keeps.items()})),
+                )
+            rows.append({"workers": pair[0], "programs": pair[1], **timer.shown()})
     table("residency", seed, rows)
 
 
@@ -227,7 +269,7 @@
 
     Example: ``turned(10, 3, 100, random.Random(1)).size()``
     """
-    held, now = ledger.Ledger(), moment.ZERO
+    held, now = ledger.Ledger(), clock.ZERO
     for number in range(programs):
         previous = ""
         for turn in range(turns):
@@ -235,8 +277,16 @@
             begin = begun(f"p{number}", attempt, previous)
             for event in held.decide(begin, now)[0]:
                 held.fold(event)
-            ending = entry.EndTurn(f"p{number}", "s", attempt, speech.DONE, chance.randbytes(size // 2),
-                                   chance.randbytes(size - size // 2), 100, "i-1")
+            ending = entry.EndTurn(
+                f"p{number}",
+                "s",
+                attempt,
+                messages.DONE,
+                chance.randbytes(size // 2),
+                chance.randbytes(size - size // 2),
+                100,
+                "i-1",
+            )
             for event in held.decide(ending, now)[0]:
                 held.fold(event)
             previous = attempt
@@ -248,12 +298,30 @@
 
     Example: ``begun("p", "p-t1", "p-t0")``
     """
-    return entry.BeginTurn(program, "s", attempt, previous, 100, 10_000_000, True, moment.seconds(600), moment.seconds(30),
-                           "edge-0:1 1", "", ())
-
-
-def talk_state(*, programs: list[int] = (100, 1000, 10_000, 50_000), turns: list[int] = TURNS,
-               sizes: list[int] = (100, 1000, 10_000, 100_000), repeats: int = 3, seed: int = 1) -> None:
+    return entry.BeginTurn(
+        program,
+        "s",
+        attempt,
+        previous,
+        100,
+        10_000_000,
+        True,
+        clock.seconds(600),
+        clock.seconds(30),
+        "edge-0:1 1",
+        "",
+        (),
+    )
+
+
+def talk_state(
+    *,
+    programs: list[int] = (100, 1000, 10_000, 50_000),
+    turns: list[int] = TURNS,
+    sizes: list[int] = (100, 1000, 10_000, 100_000),
+    repeats: int = 3,
+    seed: int = 1,
+) -> None:
     """A talk group's ledger against programs (one turn of 400 bytes), turns in a chain, and bytes of a turn.
 
     :param programs: numbers of programs
@@ -266,25 +334,32 @@
     bounded(list(turns), 1, 3000)
     bounded(list(sizes), 1, 200_000)
     rows = []
-    shapes = ([(count, 1, 400) for count in programs] + [(1, count, 4000) for count in turns]
-              + [(20, 10, size) for size in sizes])
+    shapes = (
+        [(count, 1, 400) for count in programs]
+        + [(1, count, 4000) for count in turns]
+        + [(20, 10, size) for size in sizes]
+    )
     for count, row, size in shapes:
-        clock = Clock()
+        timer = Clock()
         for turn in range(repeats):
-            held = clock("fill, ms a turn", lambda: turned(count, row, size, random.Random(seed + turn)), count * row)
-            clock.memory("memory, bytes a turn", lambda: turned(count, row, size, random.Random(seed + turn)), count * row)
-            picture = clock("picture, ms", lambda: b"".join(held.picture_parts()))
-            clock.note("picture, bytes a turn", len(picture) / count / row)
-            clock("restore, ms", lambda: ledger.Ledger().restore(picture, 0))
+            held = timer("fill, ms a turn", lambda: turned(count, row, size, random.Random(seed + turn)), count * row)
+            timer.memory(
+                "memory, bytes a turn",
+                lambda: turned(count, row, size, random.Random(seed + turn)),
+                count * row,
+            )
+            snapshot = timer("picture, ms", lambda: b"".join(held.snapshot_parts()))
+            timer.note("picture, bytes a turn", len(snapshot) / count / row)
+            timer("restore, ms", lambda: ledger.Ledger().restore(snapshot, 0))
             last = f"p0-t{row - 1}"
             asked = begun("p0", "p0-next", last)
-            events, reply = clock("begin one more turn, ms", lambda: held.decide(asked, moment.ZERO))
-            packed = clock("pack its reply, ms", lambda: record.pack(reply))
-            clock("unpack its reply, ms", lambda: record.unpack(type(reply), packed))
-            clock.note("its reply, bytes", len(packed))
-            clock("a look of the clock, ms", lambda: held.due(moment.seconds(5), lambda edge: False))
-            del held, picture
-        rows.append({"programs": count, "turns": row, "bytes a turn": size, **clock.shown()})
+            events, reply = timer("begin one more turn, ms", lambda: held.decide(asked, clock.ZERO))
+            packed = timer("pack its reply, ms", lambda: codec.pack(reply))
+            timer("unpack its reply, ms", lambda: codec.unpack(type(reply), packed))
+            timer.note("its reply, bytes", len(packed))
+            timer("a look of the clock, ms", lambda: held.due(clock.seconds(5), lambda edge: False))
+            del held, snapshot
+        rows.append({"programs": count, "turns": row, "bytes a turn": size, **timer.shown()})
     table("talk state", seed, rows)
 
 
@@ -301,7 +376,7 @@
     rows = []
     real = types.SimpleNamespace(synchronise=synced)
     for count in items:
-        clock = Clock()
+        timer = Clock()
         for turn in range(repeats):
             place = pathlib.Path(tempfile.mkdtemp(prefix="aspencroft-store-", dir=folder or None))
             try:
@@ -313,15 +388,17 @@
                     began = time.perf_counter()
                     kept.append(batch)
                     spans.append((time.perf_counter() - began) * 1000)
-                clock.note("a batch of 100 written and synced, wall ms", statistics.median(spans))
-                clock.note("files, bytes an item", sum(one.stat().st_size for one in place.rglob("*") if one.is_file())
-                           / (100 * max(1, count // 100)))
+                timer.note("a batch of 100 written and synced, wall ms", statistics.median(spans))
+                timer.note(
+                    "files, bytes an item",
+                    sum(one.stat().st_size for one in place.rglob("*") if one.is_file()) / (100 * max(1, count // 100)),
+                )
                 began = time.perf_counter()
                 store.load(place, real)
-                clock.note("open again, wall ms", (time.perf_counter() - began) * 1000)
+                timer.note("open again, wall ms", (time.perf_counter() - began) * 1000)
             finally:
                 shutil.rmtree(place, ignore_errors=True)
-        rows.append({"items": 100 * max(1, count // 100), "bytes an item": size, **clock.shown()})
+        rows.append({"items": 100 * max(1, count // 100), "bytes an item": size, **timer.shown()})
     table("disk", seed, rows)
 
 
@@ -347,35 +424,53 @@
     bounded(sizes, 1, 20_000)
     rows = []
     for size in sizes:
-        clock = Clock()
+        timer = Clock()
         for turn in range(repeats):
             chance = random.Random(seed + turn)
-            found = [instance.Instance(f"i-{number:06d}-{chance.randrange(1 << 32):08x}",
-                                       f"10.0.{number // 250}.{number % 250}:8000", f"model-{number % SERVICES}",
-                                       f"zone-{number % 28}", "v1", 32, False, moment.ZERO) for number in range(size)]
-            clock("what of it matters, ms", lambda: list_reader.matter(found))
-            body = clock("write it for the tree, ms", lambda: list_reader.told(found))
-            clock.note("the topic, bytes", len(body))
-            shown = clock("read it on an edge, ms", lambda: list_reader.heard(body))
+            found = [
+                instance.Instance(
+                    f"i-{number:06d}-{chance.randrange(1 << 32):08x}",
+                    f"10.0.{number // 250}.{number % 250}:8000",
+                    f"model-{number % SERVICES}",
+                    f"zone-{number % 28}",
+                    "v1",
+                    32,
+                    False,
+                    clock.ZERO,
+                )
+                for number in range(size)
+            ]
+            timer("what of it matters, ms", lambda: list_reader.matter(found))
+            body = timer("write it for the tree, ms", lambda: list_reader.told(found))
+            timer.note("the topic, bytes", len(body))
+            shown = timer("read it on an edge, ms", lambda: list_reader.heard(body))
 
             async def taken() -> None:
                 known = instances.Instances()
-                clock("take it in, ms", lambda: known.take(shown, moment.now()))
-                clock("candidates of one service, ms", lambda: known.candidates("model-1"))
+                timer("take it in, ms", lambda: known.take(shown, clock.now()))
+                timer("candidates of one service, ms", lambda: known.candidates("model-1"))
 
             asyncio.run(taken())
-        rows.append({"workers": size, **clock.shown()})
+        rows.append({"workers": size, **timer.shown()})
     table("workers list", seed, rows)
 
 
 def main() -> None:
     """The command's entry.
 
-    Example: ``python -m aspencroft.measure.slopes configuration --sizes 100 1000``
+    Example: ``python -m aspencroft.benchmarks.slopes configuration --sizes 100 1000``
     """
     logging.disable(logging.CRITICAL)
-    defopt.run({"configuration": configuration, "residency": residency_solve, "talk-state": talk_state, "disk": disk,
-                "workers-list": workers_list}, cli_options="has_default")
+    defopt.run(
+        {
+            "configuration": configuration,
+            "residency": residency_solve,
+            "talk-state": talk_state,
+            "disk": disk,
+            "workers-list": workers_list,
+        },
+        cli_options="has_default",
+    )
 
 
 if __name__ == "__main__":
--- a/aspencroft/program/acctl.py
+++ b/aspencroft/cli/acctl.py
@@ -62,8 +62,15 @@
     :param revision: write only if this is still the revision
     """
     path = resource if resource == "plan" else f"plan/{resource}"
-    return say(httpx.put(f"http://{node}/{path}", content=body_of(file), headers=conditions(revision),
-                         timeout=TIMEOUT, trust_env=False))
+    return say(
+        httpx.put(
+            f"http://{node}/{path}",
+            content=body_of(file),
+            headers=conditions(revision),
+            timeout=TIMEOUT,
+            trust_env=False,
+        )
+    )
 
 
 def patch(node: str, file: str, *, revision: str = "") -> int:
@@ -73,8 +80,15 @@
     :param file: JSON file, or - for standard input
     :param revision: write only if this is still the plan's revision
     """
-    return say(httpx.patch(f"http://{node}/plan", content=body_of(file), headers=conditions(revision),
-                           timeout=TIMEOUT, trust_env=False))
+    return say(
+        httpx.patch(
+            f"http://{node}/plan",
+            content=body_of(file),
+            headers=conditions(revision),
+            timeout=TIMEOUT,
+            trust_env=False,
+        )
+    )
 
 
 def delete(node: str, resource: str, *, revision: str = "") -> int:
@@ -84,8 +98,9 @@
     :param resource: KIND/NAME
     :param revision: remove only if this is still its revision
     """
-    return say(httpx.delete(f"http://{node}/plan/{resource}", headers=conditions(revision), timeout=TIMEOUT,
-                            trust_env=False))
+    return say(
+        httpx.delete(f"http://{node}/plan/{resource}", headers=conditions(revision), timeout=TIMEOUT, trust_env=False)
+    )
 
 
 def watch(node: str, resource: str = "plan") -> int:
@@ -105,9 +120,12 @@
 
     Example: ``print(screen(status, plan, topics))``
     """
-    lines = [f"seen by {shown['address']} ({shown['role']}, {shown['area']}): plan {shown['plan']['revision']}"
-             f"{' in force' if shown['plan']['current'] else ' NOT CURRENT'}, "
-             + ", ".join(f"{len(plan.get(kind, {}))} {kind}" for kind in ("lanes", "services", "routes", "rules")), ""]
+    lines = [
+        f"seen by {shown['address']} ({shown['role']}, {shown['area']}): plan {shown['plan']['revision']}"
+        f"{' in force' if shown['plan']['current'] else ' NOT CURRENT'}, "
+        + ", ".join(f"{len(plan.get(kind, {}))} {kind}" for kind in ("lanes", "services", "routes", "rules")),
+        "",
+    ]
     by_area: dict[str, list[str]] = {}
     for one in shown["fellows"]:
         mark = "" if one["state"] == "live" else f" {one['state'].upper()}"
@@ -117,15 +135,20 @@
     lines.append("")
     for pair, held in shown["holders"].items():
         name = "control" if pair == "0" else f"talk {pair}"
-        lines.append(f"  {name}: epoch {held['epoch']}, primary {held['primary']}, backup {held['backup'] or 'NONE: no writes'}")
+        lines.append(
+            f"  {name}: epoch {held['epoch']}, primary {held['primary']}, backup {held['backup'] or 'NONE: no writes'}"
+        )
     witness = shown["witness"]
     lines.append(f"  witnesses: {', '.join(witness['roster'])} (here: {witness['why']})")
     leaving = sorted(name for name, spec in plan.get("workers", {}).items() if spec.get("leaving"))
     emptied = sorted(name for name, spec in plan.get("machines", {}).items() if spec.get("emptied"))
     quiet, alerts = topics.get("quiet", {}), topics.get("alerts", {})
-    lines += ["", f"  workers marked as leaving: {', '.join(leaving) or 'none'}; machines emptied: {', '.join(emptied) or 'none'}",
-              f"  quiet list: {', '.join(quiet.get('workers', [])) or 'none'} (asleep: {', '.join(quiet.get('asleep', [])) or 'none'})",
-              f"  alerts: {', '.join(f'{name} {state}' for name, state in alerts.get('rules', {}).items()) or 'none'}"]
+    lines += [
+        "",
+        f"  workers marked as leaving: {', '.join(leaving) or 'none'}; machines emptied: {', '.join(emptied) or 'none'}",
+        f"  quiet list: {', '.join(quiet.get('workers', [])) or 'none'} (asleep: {', '.join(quiet.get('asleep', [])) or 'none'})",
+        f"  alerts: {', '.join(f'{name} {state}' for name, state in alerts.get('rules', {}).items()) or 'none'}",
+    ]
     faults = {**shown["faults"]["outside"], **shown["faults"]["standing tasks"]}
     lines.append(f"  faults counted here: {', '.join(f'{name} {count}' for name, count in faults.items()) or 'none'}")
     return "\n".join(lines)
@@ -145,8 +168,13 @@
             return say(response)
         pages[page] = response.json()
     shown = pages["status"]
-    print(screen(shown, pages["plan"]["plan"], {"quiet": pages["observed/quiet"]["quiet"],
-                                                "alerts": pages["observed/alerts"]["alerts"]}))
+    print(
+        screen(
+            shown,
+            pages["plan"]["plan"],
+            {"quiet": pages["observed/quiet"]["quiet"], "alerts": pages["observed/alerts"]["alerts"]},
+        )
+    )
     return 0 if shown["plan"]["current"] and all(held["backups"] for held in shown["holders"].values()) else 1
 
 
--- a/aspencroft/program/cplane.py
+++ b/aspencroft/cli/cplane.py
@@ -2,13 +2,13 @@
 
 import defopt
 
-import aspencroft.alert.alerts as alerts
-import aspencroft.keep.residency as residency
-import aspencroft.node.node as node
-import aspencroft.program.daemon as daemon
-import aspencroft.rest.rest as rest
-import aspencroft.seam.moment as moment
-import aspencroft.worker.adapter as adapter
+from aspencroft.alerts import alerts
+from aspencroft.cli import daemon
+from aspencroft.node import node
+from aspencroft.power import machine_power
+from aspencroft.residency import residency
+from aspencroft.runtime import clock
+from aspencroft.workers import adapter
 
 
 def build(own: node.Node) -> tuple:
@@ -16,15 +16,30 @@
 
     Example: ``more, works, drain = build(own)``
     """
+
     async def nothing_under_way() -> None:
-        await moment.pause(moment.ZERO)
+        await clock.sleep(clock.ZERO)
 
-    back = adapter.Adapter(own.surroundings, own.outside)
-    return [], [residency.Residency(own, back).run, rest.Rest(own, back).run, alerts.Alerts(own).run], nothing_under_way
+    back = adapter.Adapter(own.environment, own.outside)
+    return (
+        [],
+        [residency.Residency(own, back).run, machine_power.Rest(own, back).run, alerts.Alerts(own).run],
+        nothing_under_way,
+    )
 
 
-def cplane(settings: str = "", *, address: str = "", http: str = "", area: str = "", seeds: list[str] = (),
-           role: str = "", data: str = "", workers: str = "", log: str = "") -> None:
+def cplane(
+    settings: str = "",
+    *,
+    address: str = "",
+    http: str = "",
+    area: str = "",
+    seeds: list[str] = (),
+    role: str = "",
+    data: str = "",
+    workers: str = "",
+    log: str = "",
+) -> None:
     """Be a control-plane node.
 
     :param settings: settings file (TOML); flags overrule it
@@ -37,8 +52,16 @@
     :param workers: URL of the platform's list of workers
     :param log: file that the log ring is written out to
     """
-    flags = {"address": address, "http": http, "area": area, "seeds": list(seeds), "role": role, "data": data,
-             "workers": workers, "log": log}
+    flags = {
+        "address": address,
+        "http": http,
+        "area": area,
+        "seeds": list(seeds),
+        "role": role,
+        "data": data,
+        "workers": workers,
+        "log": log,
+    }
     daemon.start(settings, flags, build)
 
 
--- a/aspencroft/program/daemon.py
+++ b/aspencroft/cli/daemon.py
@@ -10,19 +10,14 @@
 import logbook
 import uvicorn
 
-import aspencroft.node.node as node
-import aspencroft.node.operator as operator
-import aspencroft.node.settings as settings
-import aspencroft.seam.boottime as boottime
-import aspencroft.seam.moment as moment
-import aspencroft.seam.steady as steady
-import aspencroft.seam.surroundings as surroundings
+from aspencroft.node import node, operator, settings
+from aspencroft.runtime import boottime, clock, environment, supervision
 
 RING = 2000
-HAND_OVER = moment.seconds(4)
-LAST_WORDS = moment.seconds(0.3)
-SERVED = moment.seconds(2)
-ENDING = moment.seconds(3)
+HAND_OVER = clock.seconds(4)
+LAST_WORDS = clock.seconds(0.3)
+SERVED = clock.seconds(2)
+ENDING = clock.seconds(3)
 STUCK = 70
 LOG = logbook.Logger("daemon")
 
@@ -45,13 +40,24 @@
     Example: ``await server_of(own, []).serve()``
     """
     host, port = own.settings.http.rsplit(":", 1)
-    return Server(uvicorn.Config(operator.application(own, more), host=host, port=int(port), log_config=None,
-                                 access_log=False, lifespan="off", timeout_keep_alive=20,
-                                 timeout_graceful_shutdown=1, backlog=1024))
-
-
-async def live(own: node.Node, more: list, works: list[collections.abc.Callable],
-               drain: collections.abc.Callable) -> None:
+    return Server(
+        uvicorn.Config(
+            operator.application(own, more),
+            host=host,
+            port=int(port),
+            log_config=None,
+            access_log=False,
+            lifespan="off",
+            timeout_keep_alive=20,
+            timeout_graceful_shutdown=1,
+            backlog=1024,
+        )
+    )
+
+
+async def live(
+    own: node.Node, more: list, works: list[collections.abc.Callable], drain: collections.abc.Callable
+) -> None:
     """Run a node, its HTTP server and its program's own work until a signal comes, then stop gracefully.
 
     Example: ``await live(own, [], [duty.run], drain)``
@@ -61,7 +67,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     server = server_of(own, more)
-    async with steady.Group() as group:
+    async with supervision.Group() as group:
         tasks = [group.create_task(own.run())]
         await own.started.wait()
         serving = group.create_task(server.serve())
@@ -69,10 +75,10 @@
         await stop.wait()
         own.stopping.set()
         own.ring.leave()
-        async with steady.Group() as ending:
+        async with supervision.Group() as ending:
             ending.create_task(drain())
-            ending.create_task(hand_over(own))
-        await moment.pause(LAST_WORDS)
+            ending.create_task(transfer_leadership(own))
+        await clock.sleep(LAST_WORDS)
         server.should_exit = True
         await asyncio.wait([serving], timeout=SERVED.total_seconds())
         left = await end([task for task in asyncio.all_tasks() if task is not asyncio.current_task()])
@@ -108,15 +114,16 @@
     return [task for task in tasks if not task.done()]
 
 
-async def hand_over(own: node.Node) -> None:
+async def transfer_leadership(own: node.Node) -> None:
     """Wait until this node leads no pair, or the time for it is over.
 
     Example: ``await hand_over(own)``
     """
-    end = moment.now() + HAND_OVER
-    while moment.now() < end and any(held.known is not None and held.known.primary == held.me()
-                                     for held in own.hosts.values()):
-        await moment.pause(LAST_WORDS / 4)
+    end = clock.now() + HAND_OVER
+    while clock.now() < end and any(
+        held.known is not None and held.known.primary == held.me() for held in own.hosts.values()
+    ):
+        await clock.sleep(LAST_WORDS / 4)
 
 
 def log_ring(place: settings.Settings) -> logbook.Handler:
@@ -129,12 +136,16 @@
         inner = logbook.FileHandler(str(place.log), level=logbook.DEBUG, delay=True)
     else:
         inner = logbook.StreamHandler(sys.stderr, level=logbook.DEBUG)
-    return logbook.FingersCrossedHandler(inner, action_level=logbook.WARNING, buffer_size=RING,
-                                         pull_information=False, reset=True)
+    return logbook.FingersCrossedHandler(
+        inner, action_level=logbook.WARNING, buffer_size=RING, pull_information=False, reset=True
+    )
 
 
-def start(place_file: str, flags: dict,
-          build: collections.abc.Callable[[node.Node], tuple[list, list, collections.abc.Callable]]) -> None:
+def start(
+    place_file: str,
+    flags: dict,
+    build: collections.abc.Callable[[node.Node], tuple[list, list, collections.abc.Callable]],
+) -> None:
     """Check settings, then live; bad settings end the program with a clear line.
 
     Example: ``start("node.toml", {}, build)``
@@ -146,14 +157,17 @@
     begin(place, build)
 
 
-def begin(place: settings.Settings,
-          build: collections.abc.Callable[[node.Node], tuple[list, list, collections.abc.Callable]]) -> None:
+def begin(
+    place: settings.Settings,
+    build: collections.abc.Callable[[node.Node], tuple[list, list, collections.abc.Callable]],
+) -> None:
     """Live in a place whose settings were checked.
 
     Example: ``begin(settings.read("node.toml"), build)``
     """
+
     async def whole() -> None:
-        own = node.Node(place, surroundings.machine())
+        own = node.Node(place, environment.machine())
         more, works, drain = build(own)
         await live(own, more, works, drain)
 
--- a/aspencroft/program/dplane.py
+++ b/aspencroft/cli/dplane.py
@@ -2,11 +2,10 @@
 
 import defopt
 
-import aspencroft.edge.callers as callers
-import aspencroft.edge.path as path
-import aspencroft.node.node as node
-import aspencroft.program.daemon as daemon
-import aspencroft.worker.adapter as adapter
+from aspencroft.cli import daemon
+from aspencroft.gateway import callers, path
+from aspencroft.node import node
+from aspencroft.workers import adapter
 
 
 def build(own: node.Node) -> tuple:
@@ -14,14 +13,23 @@
 
     Example: ``more, works, drain = build(own)``
     """
-    back = adapter.Adapter(own.surroundings, own.outside)
+    back = adapter.Adapter(own.environment, own.outside)
     edge = path.Path(own, back)
     own.stories = edge.stories
     return callers.handlers(edge), [edge.run], edge.drain
 
 
-def dplane(settings: str = "", *, address: str = "", http: str = "", area: str = "", seeds: list[str] = (),
-           data: str = "", workers: str = "", log: str = "") -> None:
+def dplane(
+    settings: str = "",
+    *,
+    address: str = "",
+    http: str = "",
+    area: str = "",
+    seeds: list[str] = (),
+    data: str = "",
+    workers: str = "",
+    log: str = "",
+) -> None:
     """Serve callers on a data-plane node.
 
     :param settings: settings file (TOML); flags overrule it
@@ -33,8 +41,16 @@
     :param workers: URL of the platform's list of workers
     :param log: file that the log ring is written out to
     """
-    flags = {"address": address, "http": http, "area": area, "seeds": list(seeds), "data": data,
-             "workers": workers, "log": log, "role": "edge"}
+    flags = {
+        "address": address,
+        "http": http,
+        "area": area,
+        "seeds": list(seeds),
+        "data": data,
+        "workers": workers,
+        "log": log,
+        "role": "edge",
+    }
     daemon.start(settings, flags, build)
 
 
--- a/aspencroft/program/fleet.py
+++ b/aspencroft/cli/fleet.py
@@ -17,20 +17,29 @@
 import logbook
 import uvicorn
 
-import aspencroft.measure.hollow as hollows
-import aspencroft.program.daemon as daemon
-import aspencroft.program.yard as yard
-import aspencroft.seam.moment as moment
-import aspencroft.sim.judge as judge
-import aspencroft.sim.register as register
-import aspencroft.stand.backend as backend
-import aspencroft.stand.caller as caller
-import aspencroft.stand.shape as shape
-import aspencroft.stand.world as world
+import aspencroft.benchmarks.hollow as hollows
+from aspencroft.cli import daemon, local_cluster
+from aspencroft.emulator import backend, caller, shape, world
+from aspencroft.runtime import clock
+from aspencroft.simulation import oracle, register
 
 READY = 60.0
-FAULTS = ("kill", "leader", "freeze", "restart", "roll", "edge", "workers", "replace", "swap", "empty", "wipe", "seeds",
-          "all", "vanish")
+FAULTS = (
+    "kill",
+    "leader",
+    "freeze",
+    "restart",
+    "roll",
+    "edge",
+    "workers",
+    "replace",
+    "swap",
+    "empty",
+    "wipe",
+    "seeds",
+    "all",
+    "vanish",
+)
 
 
 async def serve(application, port: int) -> tuple[uvicorn.Server, asyncio.Task]:
@@ -38,11 +47,14 @@
 
     Example: ``server, task = await serve(world.platform(), 7500)``
     """
-    server = daemon.Server(uvicorn.Config(application, host=yard.HOST, port=port, log_config=None, access_log=False,
-                                          lifespan="off"))
+    server = daemon.Server(
+        uvicorn.Config(
+            application, host=local_cluster.HOST, port=port, log_config=None, access_log=False, lifespan="off"
+        )
+    )
     task = asyncio.ensure_future(server.serve())
     while not server.started:
-        await moment.pause(moment.seconds(0.02))
+        await clock.sleep(clock.seconds(0.02))
     return server, task
 
 
@@ -52,7 +64,7 @@
     Example: ``await Drive(place, mix, random.Random(1)).run(60, 10, ("kill",), 8)``
     """
 
-    def __init__(self, place: yard.Yard, mix: shape.Shape, chance: random.Random):
+    def __init__(self, place: local_cluster.LocalCluster, mix: shape.Shape, chance: random.Random):
         self.yard = place
         self.mix = mix
         self.chance = chance
@@ -63,7 +75,7 @@
         self.returned: list[float] = []
         self.rolled: list[tuple[float, float, str]] = []
         self.marked: dict[str, float] = {}
-        self.samples: list[list[yard.Taken]] = []
+        self.samples: list[list[local_cluster.Taken]] = []
         self.programs = 0
         self.over = False
 
@@ -88,10 +100,10 @@
         Example: ``await drive.begin()``
         """
         for place, one in enumerate(self.world.workers()):
-            port = yard.BACK + self.yard.offset + place
-            self.world.addresses[one.name] = f"{yard.HOST}:{port}"
+            port = local_cluster.BACK + self.yard.offset + place
+            self.world.addresses[one.name] = f"{local_cluster.HOST}:{port}"
             self.servers[one.name] = await serve(self.world.application(one), port)
-        self.servers[""] = await serve(self.world.platform(), yard.PLATFORM + self.yard.offset)
+        self.servers[""] = await serve(self.world.platform(), local_cluster.PLATFORM + self.yard.offset)
         self.client = httpx.AsyncClient(timeout=20, trust_env=False)
         for number in list(self.yard.roles):
             self.yard.start(number)
@@ -114,7 +126,7 @@
         Example: ``await drive.until_whole(60, plan_needed=True)``
         """
         began = self.loop.time()
-        while not yard.whole(self.yard, await yard.states(self.client, self.yard), plan_needed):
+        while not local_cluster.whole(self.yard, await local_cluster.states(self.client, self.yard), plan_needed):
             if self.loop.time() - began > within:
                 self.told.append(f"service is not back within {within} s after {self.done[-1:]}")
                 return within
@@ -128,7 +140,9 @@
         """
         end = self.loop.time() + seconds
         async with asyncio.TaskGroup() as group:
-            works = [self.traffic(rate), self.swing()] + ([self.operators.operate() for _ in range(2)] if faults else [])
+            works = [self.traffic(rate), self.swing()] + (
+                [self.operators.operate() for _ in range(2)] if faults else []
+            )
             tasks = [group.create_task(work) for work in works]
             sampling = group.create_task(self.sample())
             while self.loop.time() < end:
@@ -187,7 +201,7 @@
         storage = chance.choice(place.numbers("storage"))
         long = 0.5 + 4 * chance.random()
         if kind == "leader":
-            shown = await yard.states(self.client, place)
+            shown = await local_cluster.states(self.client, place)
             leaders = [number for number, one in shown.items() if any(own["claimed"] for own in one["pairs"].values())]
             victim, kind = chance.choice(leaders or [victim]), chance.choice(["kill", "freeze"])
         if kind == "edge":
@@ -247,10 +261,12 @@
         place, began = self.yard, self.loop.time()
         place.signal(number, signal.SIGTERM)
         process = place.processes[number]
-        while process.poll() is None and self.loop.time() - began < yard.STOPPED:
+        while process.poll() is None and self.loop.time() - began < local_cluster.STOPPED:
             await asyncio.sleep(0.05)
         if process.poll() != 0:
-            self.told.append(f"node {number} left a planned stop with {process.poll()} after {self.loop.time() - began:.1f} s")
+            self.told.append(
+                f"node {number} left a planned stop with {process.poll()} after {self.loop.time() - began:.1f} s"
+            )
             place.kill(number)
         self.rolled.append((began, self.loop.time(), place.http(number)))
         place.start(number)
@@ -270,7 +286,9 @@
         one.kept.clear()
         self.marked.pop(one.name)
         self.world.leaving.discard(one.name)
-        self.servers[one.name] = await serve(self.world.application(one), int(self.world.addresses[one.name].split(":")[1]))
+        self.servers[one.name] = await serve(
+            self.world.application(one), int(self.world.addresses[one.name].split(":")[1])
+        )
 
     async def write(self, path: str, spec: dict) -> bool:
         """An operator's write, said again until it is acknowledged.
@@ -297,7 +315,7 @@
         if not await self.write(f"machines/{address}", {"emptied": True}):
             return
         while self.loop.time() - began < READY / 2:
-            shown = await yard.states(self.client, place)
+            shown = await local_cluster.states(self.client, place)
             held = [one for each in shown.values() for one in each["holders"].values()]
             if held and not any(address in (one["primary"], *one["backups"]) for one in held):
                 break
@@ -319,7 +337,7 @@
             return
         place.seeds = chosen
         while self.loop.time() - began < READY / 2:
-            shown = await yard.states(self.client, place)
+            shown = await local_cluster.states(self.client, place)
             rosters = {tuple(sorted(one["witness"]["roster"])) for one in shown.values()}
             if rosters == {tuple(sorted(wished))}:
                 return
@@ -333,12 +351,20 @@
         """
         allowed = [[lane, service] for lane, spec in self.mix.document["lanes"].items() for service in spec["services"]]
         allowed.extend(["swing", service] for service in self.operators.plain)
-        return {"noted": [dataclasses.asdict(one) for one in self.asking.noted], "seen": self.world.seen(),
-                "ran": self.world.ran(), "put_out": self.world.put_out(), "document": self.mix.document,
-                "leaving": self.marked, "told": [*self.told, *self.asking.faults], "allowed": allowed,
-                "writes": [dataclasses.asdict(one) for one in self.operators.writes],
-                "reads": [dataclasses.asdict(one) for one in self.operators.reads], "rolled": self.rolled,
-                "runs": register.swing_runs(self)}
+        return {
+            "noted": [dataclasses.asdict(one) for one in self.asking.noted],
+            "seen": self.world.seen(),
+            "ran": self.world.ran(),
+            "put_out": self.world.put_out(),
+            "document": self.mix.document,
+            "leaving": self.marked,
+            "told": [*self.told, *self.asking.faults],
+            "allowed": allowed,
+            "writes": [dataclasses.asdict(one) for one in self.operators.writes],
+            "reads": [dataclasses.asdict(one) for one in self.operators.reads],
+            "rolled": self.rolled,
+            "runs": register.swing_runs(self),
+        }
 
     async def end(self) -> None:
         """Stop processes and stand-ins; a process that leaves a stop with another code than 0 is told.
@@ -358,12 +384,19 @@
         Example: ``print(json.dumps(drive.report(60)))``
         """
         firsts, waits, returned = (sorted(row) for row in (self.asking.firsts, self.operators.waits, self.returned))
-        return {"deployment": self.mix.name, "seconds": round(seconds, 1), "faults": len(self.done), "done": self.done,
-                "answers": dict(sorted(self.asking.counts.items())), "runs": sum(self.world.ran().values()),
-                "first piece, ms": spread([1000 * one for one in firsts]), "plan writes, s": spread(waits),
-                "service back, s": spread(returned),
-                "workers": dict(sum((one.counts for one in self.world.workers()), collections.Counter())),
-                "taken": self.growth()}
+        return {
+            "deployment": self.mix.name,
+            "seconds": round(seconds, 1),
+            "faults": len(self.done),
+            "done": self.done,
+            "answers": dict(sorted(self.asking.counts.items())),
+            "runs": sum(self.world.ran().values()),
+            "first piece, ms": spread([1000 * one for one in firsts]),
+            "plan writes, s": spread(waits),
+            "service back, s": spread(returned),
+            "workers": dict(sum((one.counts for one in self.world.workers()), collections.Counter())),
+            "taken": self.growth(),
+        }
 
     def growth(self) -> dict:
         """What the processes of each role took early and late in the run: the median process's figures.
@@ -371,14 +404,22 @@
         Example: ``drive.growth()["edge"]``
         """
         found = {}
-        early, late = self.samples[len(self.samples) // 4:][:3], self.samples[-3:]
+        early, late = self.samples[len(self.samples) // 4 :][:3], self.samples[-3:]
         for role in ("edge", "storage", "core"):
             row = []
             for part in (early, late):
                 mine = [one for sample in part for one in sample if one.role == role]
-                middle = {name: sorted(getattr(one, name) for one in mine)[len(mine) // 2] if mine else 0
-                          for name in ("memory", "files", "threads", "disk")}
-                row.append({**middle, "memory": f"{middle['memory'] / 1e6:.1f} MB", "disk": f"{middle['disk'] / 1e6:.2f} MB"})
+                middle = {
+                    name: sorted(getattr(one, name) for one in mine)[len(mine) // 2] if mine else 0
+                    for name in ("memory", "files", "threads", "disk")
+                }
+                row.append(
+                    {
+                        **middle,
+                        "memory": f"{middle['memory'] / 1e6:.1f} MB",
+                        "disk": f"{middle['disk'] / 1e6:.2f} MB",
+                    }
+                )
             found[role] = {"early": row[0], "late": row[1]}
         return found
 
@@ -390,7 +431,7 @@
     """
     if not row:
         return "none"
-    return f"{row[len(row) // 2]:.2f} / {row[int(len(row) * .95)]:.2f} / {row[-1]:.2f} of {len(row)}"
+    return f"{row[len(row) // 2]:.2f} / {row[int(len(row) * 0.95)]:.2f} / {row[-1]:.2f} of {len(row)}"
 
 
 def verdict(history: dict) -> list[str]:
@@ -399,18 +440,37 @@
     Example: ``verdict(json.loads(path.read_text())) == []``
     """
     noted = tuple(caller.Noted(**one) for one in history["noted"])
-    plain = judge.History(noted, tuple(history["seen"]), history["ran"], history["put_out"], history["document"],
-                          history["leaving"], tuple(history["told"]), frozenset(map(tuple, history["allowed"])))
+    plain = oracle.History(
+        noted,
+        tuple(history["seen"]),
+        history["ran"],
+        history["put_out"],
+        history["document"],
+        history["leaving"],
+        tuple(history["told"]),
+        frozenset(map(tuple, history["allowed"])),
+    )
     writes = [register.Write(**one) for one in history["writes"]]
     reads = [register.Read(**one) for one in history["reads"]]
-    dropped = [f"{one.request or 'a request'} to {one.address} was dropped by a planned restart" for one in noted
-               for began, ended, address in history["rolled"] if one.address == address and one.result == -1
-               and one.ran == "unknown" and one.began < ended and one.ended > began]
-    return [*judge.faults(plain), *register.faults(writes, reads, history["document"]), *dropped,
-            *register.foreign_runs(writes, [tuple(one) for one in history["runs"]], history["document"])]
-
-
-def place_of(folder: str, offset: int, keep: bool) -> yard.Yard:
+    dropped = [
+        f"{one.request or 'a request'} to {one.address} was dropped by a planned restart"
+        for one in noted
+        for began, ended, address in history["rolled"]
+        if one.address == address
+        and one.result == -1
+        and one.ran == "unknown"
+        and one.began < ended
+        and one.ended > began
+    ]
+    return [
+        *oracle.faults(plain),
+        *register.faults(writes, reads, history["document"]),
+        *dropped,
+        *register.foreign_runs(writes, [tuple(one) for one in history["runs"]], history["document"]),
+    ]
+
+
+def place_of(folder: str, offset: int, keep: bool) -> local_cluster.LocalCluster:
     """A yard in a folder, emptied unless it is to be kept.
 
     Example: ``place_of("run", 0, False)``
@@ -420,7 +480,7 @@
     path = pathlib.Path(folder)
     if not keep and path.exists():
         shutil.rmtree(path)
-    return yard.Yard(path, offset)
+    return local_cluster.LocalCluster(path, offset)
 
 
 def mix_of(deployment: str) -> shape.Shape:
@@ -441,12 +501,15 @@
     :param offset: added to all ports
     :param keep: keep the data of an earlier run instead of starting empty
     """
+
     async def whole() -> None:
         drive = Drive(place_of(folder, offset, keep), mix_of(deployment), random.Random(1))
         try:
             await drive.begin()
-            print(f"operators and callers: http://{drive.yard.http(0)}; settings and logs in {folder}/; interrupt to stop",
-                  flush=True)
+            print(
+                f"operators and callers: http://{drive.yard.http(0)}; settings and logs in {folder}/; interrupt to stop",
+                flush=True,
+            )
             await asyncio.Event().wait()
         finally:
             await drive.end()
@@ -457,8 +520,18 @@
         pass
 
 
-def drive(*, deployment: str = "archive", seconds: float = 20, rate: float = 10, faults: list[str] = (), every: float = 8,
-          folder: str = "run", offset: int = 0, seed: int = 1, history: str = "") -> None:
+def drive(
+    *,
+    deployment: str = "archive",
+    seconds: float = 20,
+    rate: float = 10,
+    faults: list[str] = (),
+    every: float = 8,
+    folder: str = "run",
+    offset: int = 0,
+    seed: int = 1,
+    history: str = "",
+) -> None:
     """Start a local fleet, drive a deployment's mix and operators, cause faults, and judge what was seen.
 
     Exits with 1 when anything that must never happen was seen, and says what.
@@ -493,14 +566,35 @@
     wrong = verdict(one.history())
     print(json.dumps({**one.report(time.monotonic() - began), "wrong": wrong}, indent=1))
     if wrong:
-        print(f"{len(wrong)} things that must never happen; history in {path}; repeat: fleet drive --deployment {deployment} "
-              f"--seconds {seconds} --rate {rate} --seed {seed} --every {every} --faults {' '.join(faults)}", file=sys.stderr)
+        print(
+            f"{len(wrong)} things that must never happen; history in {path}; repeat: fleet drive --deployment {deployment} "
+            f"--seconds {seconds} --rate {rate} --seed {seed} --every {every} --faults {' '.join(faults)}",
+            file=sys.stderr,
+        )
         sys.exit(1)
 
 
-def hollow(*, nodes: int = 64, cores: int = 5, storages: int = 6, regions: int = 7, zones: int = 28, far: float = 0.04,
-           currency: float = 4, seed: int = 1, cold: bool = False, idle: float = 20, writes: int = 5, kill: int = 0, power: int = 0,
-           restart: int = 0, leader: int = 0, zone: int = 0, cut: float = 0, profile: str = "") -> None:
+def hollow(
+    *,
+    nodes: int = 64,
+    cores: int = 5,
+    storages: int = 6,
+    regions: int = 7,
+    zones: int = 28,
+    far: float = 0.04,
+    currency: float = 4,
+    seed: int = 1,
+    cold: bool = False,
+    idle: float = 20,
+    writes: int = 5,
+    kill: int = 0,
+    power: int = 0,
+    restart: int = 0,
+    leader: int = 0,
+    zone: int = 0,
+    cut: float = 0,
+    profile: str = "",
+) -> None:
     """Run a hollow fleet in this process on a clock that leaps over idle time, hurt it, and print what it cost as JSON.
 
     Its nodes are real: membership, links and frames, relay, witnesses, seats and claims, groups with their disks on storage nodes
--- a/aspencroft/program/fleet_test.py
+++ b/aspencroft/cli/fleet_test.py
@@ -1,16 +1,28 @@
-"""Tests of ``aspencroft.program.fleet``."""
+"""Tests of ``aspencroft.cli.fleet``."""
 
 import dataclasses
 import json
 
-import aspencroft.program.fleet as fleet
-import aspencroft.stand.caller as caller
+from aspencroft.cli import fleet
+from aspencroft.emulator import caller
 
 
 def test_the_verdict_reads_a_written_history_and_sees_a_dropped_answer():
     noted = caller.Noted("chat", "r1", "", "", 0, "", "unknown", -1, "", 0, 0, "h:1", 1.0, 3.0)
-    history = {"noted": [dataclasses.asdict(noted)], "seen": [], "ran": {}, "put_out": {}, "document": {"lanes": {}},
-               "leaving": {}, "told": [], "allowed": [], "writes": [], "reads": [], "rolled": [], "runs": []}
+    history = {
+        "noted": [dataclasses.asdict(noted)],
+        "seen": [],
+        "ran": {},
+        "put_out": {},
+        "document": {"lanes": {}},
+        "leaving": {},
+        "told": [],
+        "allowed": [],
+        "writes": [],
+        "reads": [],
+        "rolled": [],
+        "runs": [],
+    }
     assert fleet.verdict(json.loads(json.dumps(history))) == []
     assert len(fleet.verdict(json.loads(json.dumps({**history, "rolled": [(2.0, 4.0, "h:1")]})))) == 1
     assert fleet.verdict({**history, "rolled": [(4.0, 5.0, "h:1")]}) == []
--- a/aspencroft/program/yard.py
+++ b/aspencroft/cli/local_cluster.py
@@ -34,7 +34,7 @@
     disk: int
 
 
-class Yard:
+class LocalCluster:
     """Processes by number; a machine that is swapped gets a new number and new addresses.
 
     Example: ``yard = Yard(pathlib.Path("run"), 0)``
@@ -90,10 +90,15 @@
         """
         folder, role = self.place(number), self.roles[number]
         folder.mkdir(parents=True, exist_ok=True)
-        lines = [f'address = "{self.link(number)}"', f'http = "{self.http(number)}"',
-                 f'area = "{self.areas[number]}"', f'role = "{role}"',
-                 f"seeds = {json.dumps([self.link(one) for one in self.seeds])}",
-                 f'workers = "http://{HOST}:{PLATFORM + self.offset}/api/workers"', f'log = "{folder / "ring.log"}"']
+        lines = [
+            f'address = "{self.link(number)}"',
+            f'http = "{self.http(number)}"',
+            f'area = "{self.areas[number]}"',
+            f'role = "{role}"',
+            f"seeds = {json.dumps([self.link(one) for one in self.seeds])}",
+            f'workers = "http://{HOST}:{PLATFORM + self.offset}/api/workers"',
+            f'log = "{folder / "ring.log"}"',
+        ]
         if role == "storage" or number in (14, 15):
             lines.append(f'data = "{folder / "data"}"')
         (folder / "node.toml").write_text("\n".join(lines) + "\n")
@@ -107,8 +112,15 @@
         program = "dplane" if self.roles[number] == "edge" else "cplane"
         with open(self.place(number) / "output.txt", "ab") as output:
             self.processes[number] = subprocess.Popen(
-                [sys.executable, "-c", f"import aspencroft.program.{program} as program; program.main()",
-                 str(self.place(number) / "node.toml")], stdout=output, stderr=output)
+                [
+                    sys.executable,
+                    "-c",
+                    f"import aspencroft.cli.{program} as program; program.main()",
+                    str(self.place(number) / "node.toml"),
+                ],
+                stdout=output,
+                stderr=output,
+            )
 
     def signal(self, number: int, what: int) -> None:
         """Send a node's process a signal.
@@ -165,15 +177,22 @@
             try:
                 status = dict(line.split(":", 1) for line in (home / "status").read_text().splitlines() if ":" in line)
                 data = self.place(number) / "data"
-                found.append(Taken(number, self.roles[number], int(status["VmRSS"].split()[0]) * 1024,
-                                   len(list((home / "fd").iterdir())), int(status["Threads"]),
-                                   sum(path.stat().st_size for path in data.rglob("*") if path.is_file())))
+                found.append(
+                    Taken(
+                        number,
+                        self.roles[number],
+                        int(status["VmRSS"].split()[0]) * 1024,
+                        len(list((home / "fd").iterdir())),
+                        int(status["Threads"]),
+                        sum(path.stat().st_size for path in data.rglob("*") if path.is_file()),
+                    )
+                )
             except (OSError, KeyError, ValueError):
                 continue
         return found
 
 
-async def states(client: httpx.AsyncClient, yard: Yard) -> dict[int, dict]:
+async def states(client: httpx.AsyncClient, yard: LocalCluster) -> dict[int, dict]:
     """The status page of each running node that answers.
 
     Example: ``(await states(client, yard))[8]["pairs"]``
@@ -187,7 +206,7 @@
     return found
 
 
-def whole(yard: Yard, shown: dict[int, dict], plan_needed: bool) -> bool:
+def whole(yard: LocalCluster, shown: dict[int, dict], plan_needed: bool) -> bool:
     """Whether every running node answers, and as they say all pairs have two copies and a primary that serves.
 
     Example: ``whole(yard, await states(client, yard), plan_needed=True)``
@@ -201,5 +220,10 @@
         for pair, held in one["holders"].items():
             if pair not in newest or held["epoch"] > newest[pair]["epoch"]:
                 newest[pair] = held
-    serving = {pair for one in shown.values() for pair, own in one["pairs"].items() if own["claimed"] and own["why"] == "serving"}
+    serving = {
+        pair
+        for one in shown.values()
+        for pair, own in one["pairs"].items()
+        if own["claimed"] and own["why"] == "serving"
+    }
     return bool(newest) and all(held["backups"] for held in newest.values()) and set(newest) <= serving
--- a/aspencroft/plan/control.py
+++ b/aspencroft/configuration/control_state.py
@@ -7,19 +7,17 @@
 
 import msgspec
 
-import aspencroft.code.result as result
-import aspencroft.link.record as record
-import aspencroft.plan.configuration as configuration
-import aspencroft.plan.http_route as http_route
-import aspencroft.plan.plan as plan
-import aspencroft.seam.moment as moment
-
-DUTY_CLAIM = moment.seconds(2)
+from aspencroft.configuration import http_route, operator_configuration, resources
+from aspencroft.errors import result
+from aspencroft.runtime import clock
+from aspencroft.transport import codec
+
+DUTY_LEASE = clock.seconds(2)
 SLICE = 64
 STEPS = 64
 
 
-@record.kind(70)
+@codec.kind(70)
 @dataclasses.dataclass(frozen=True)
 class Revision:
     """A state of the plan: epoch of the control pair and a number that only grows.
@@ -53,10 +51,10 @@
         epoch, number = text.strip('"').split(".")
         return Revision(int(epoch), int(number))
     except ValueError:
-        raise result.Refusal(result.Result.MALFORMED, detail=f"{text!r} is no revision") from None
+        raise result.RequestError(result.ResultCode.MALFORMED, detail=f"{text!r} is no revision") from None
 
 
-@record.kind(71)
+@codec.kind(71)
 @dataclasses.dataclass(frozen=True)
 class Change:
     """One resource's new specification; an empty one removes it."""
@@ -66,7 +64,7 @@
     spec: str
 
 
-@record.kind(72)
+@codec.kind(72)
 @dataclasses.dataclass(frozen=True)
 class PlanChanged:
     """Event: resources changed together under a new revision."""
@@ -75,7 +73,7 @@
     changes: tuple[Change, ...]
 
 
-@record.kind(73)
+@codec.kind(73)
 @dataclasses.dataclass(frozen=True)
 class WritePlan:
     """Command: whole plan, merge patch, or one resource; with a condition when one is given."""
@@ -87,7 +85,7 @@
     condition: Revision | None
 
 
-@record.kind(74)
+@codec.kind(74)
 @dataclasses.dataclass(frozen=True)
 class ReadPlan:
     """Command: the plan, when it is newer than a revision."""
@@ -95,7 +93,7 @@
     after: Revision
 
 
-@record.kind(89)
+@codec.kind(89)
 @dataclasses.dataclass(frozen=True)
 class PlanStep:
     """What leads from one revision of the plan to the next: a merge patch upon document, revisions and version."""
@@ -105,7 +103,7 @@
     patch: str
 
 
-@record.kind(75)
+@codec.kind(75)
 @dataclasses.dataclass(frozen=True)
 class PlanRead:
     """The plan's revision; when newer than asked for, the steps that lead there, or else the whole document."""
@@ -115,7 +113,7 @@
     steps: tuple[PlanStep, ...]
 
 
-@record.kind(76)
+@codec.kind(76)
 @dataclasses.dataclass(frozen=True)
 class PlanWritten:
     """A write's revision and how many resources it changed."""
@@ -124,7 +122,7 @@
     changed: int
 
 
-@record.kind(77)
+@codec.kind(77)
 @dataclasses.dataclass(frozen=True)
 class TakeDuty:
     """Command: hold or go on holding a duty."""
@@ -134,7 +132,7 @@
     incarnation: int
 
 
-@record.kind(78)
+@codec.kind(78)
 @dataclasses.dataclass(frozen=True)
 class DutyTaken:
     """Event and reply: who holds a duty under which epoch."""
@@ -145,18 +143,18 @@
     incarnation: int
 
 
-@record.kind(88)
+@codec.kind(88)
 @dataclasses.dataclass(frozen=True)
 class ConfigurationTaken:
     """Event: an operator's configuration was taken, with the changes that it means for the plan."""
 
     changed: PlanChanged
-    taken: configuration.Taken
-    kept: tuple[configuration.Kept, ...]
-    orders: tuple[configuration.Order, ...]
+    taken: operator_configuration.Taken
+    kept: tuple[operator_configuration.Kept, ...]
+    orders: tuple[operator_configuration.Order, ...]
 
 
-class Control:
+class ControlState:
     """Plan, operator's configuration and duties, folded from events.
 
     Example: ``events, reply = control.decide(WritePlan(...), now, epoch)``
@@ -166,7 +164,7 @@
         self.revision = NEVER
         self.document: dict = {}
         self.revisions: dict[str, str] = {}
-        self.configuration = configuration.Configuration()
+        self.configuration = operator_configuration.Configuration()
         self.index = http_route.Index()
         self.steps: dict[Revision, tuple[Revision, dict]] = {}
         self.duties: dict[str, DutyTaken] = {}
@@ -179,15 +177,15 @@
         """
         if isinstance(command, ReadPlan):
             return (), self.read_plan(command.after)
-        if isinstance(command, configuration.ApplyConfiguration):
+        if isinstance(command, operator_configuration.ApplyConfiguration):
             return self.decide_configuration(command, epoch)
-        if isinstance(command, configuration.ReadConfiguration):
+        if isinstance(command, operator_configuration.ReadConfiguration):
             return (), self.configuration.read()
         if isinstance(command, WritePlan):
             return self.decide_write(command, epoch)
         if isinstance(command, TakeDuty):
             return self.decide_duty(command, now)
-        raise result.Refusal(result.Result.MALFORMED, detail=type(command).__name__)
+        raise result.RequestError(result.ResultCode.MALFORMED, detail=type(command).__name__)
 
     def read_plan(self, after: Revision) -> PlanRead:
         """What is new since a revision: steps where they are still held, else the whole document.
@@ -206,20 +204,22 @@
         shown = {"plan": self.document, "revisions": self.revisions, "version": self.configuration.version}
         return PlanRead(self.revision, json.dumps(shown), ())
 
-    def decide_configuration(self, command: configuration.ApplyConfiguration, epoch: int) -> tuple[tuple, object]:
+    def decide_configuration(
+        self, command: operator_configuration.ApplyConfiguration, epoch: int
+    ) -> tuple[tuple, object]:
         """An operator's configuration, checked whole before anything is stored; one that was taken is known again.
 
         Example: ``control.decide_configuration(command, 1)``
         """
         known = self.configuration.known(command)
         if known is not None:
-            return (), configuration.Applied(known.revision, 0, True)
+            return (), operator_configuration.Applied(known.revision, 0, True)
         decided = self.configuration.decide(command, self.document, self.index)
         revision = Revision(epoch, self.revision.number + 1)
         changed = PlanChanged(revision, tuple(Change(*one) for one in decided.changes))
-        taken = configuration.Taken(command.version, command.digest, revision.text())
+        taken = operator_configuration.Taken(command.version, command.digest, revision.text())
         event = ConfigurationTaken(changed, taken, decided.kept, decided.orders)
-        return (event,), configuration.Applied(revision.text(), len(decided.changes), False)
+        return (event,), operator_configuration.Applied(revision.text(), len(decided.changes), False)
 
     def decide_write(self, command: WritePlan, epoch: int) -> tuple[tuple, object]:
         """A plan write, checked whole before anything is stored.
@@ -231,13 +231,14 @@
             path = f"{command.kind}/{command.name}"
             held = revision_of(self.revisions.get(path, NEVER.text())) if single else self.revision
             if held != command.condition:
-                raise result.Refusal(result.Result.REVISION_DIFFERS, detail=f"it is {held.text()}")
+                raise result.RequestError(result.ResultCode.REVISION_DIFFERS, detail=f"it is {held.text()}")
         fresh = self.after(command)
         changes = self.changes_of(command, fresh)
-        faults = plan.check(fresh, tuple((kind, name) for kind, name, _ in changes))
+        faults = resources.check(fresh, tuple((kind, name) for kind, name, _ in changes))
         if faults:
-            raise result.Refusal(result.Result.PLAN_INVALID,
-                                 detail=json.dumps([dataclasses.asdict(one) for one in faults]))
+            raise result.RequestError(
+                result.ResultCode.PLAN_INVALID, detail=json.dumps([dataclasses.asdict(one) for one in faults])
+            )
         if not changes:
             return (), PlanWritten(self.revision, 0)
         revision = Revision(epoch, self.revision.number + 1)
@@ -251,14 +252,14 @@
         """
         try:
             fresh = self.after(command)
-            changes = () if plan.crowded(fresh) else self.changes_of(command, fresh)
-        except result.Refusal:
+            changes = () if resources.crowded(fresh) else self.changes_of(command, fresh)
+        except result.RequestError:
             return
         for place, (kind, name, text) in enumerate(changes):
             if text:
-                plan.check_one(kind, name, text)
+                resources.check_one(kind, name, text)
             if place % SLICE == SLICE - 1:
-                await moment.pause(moment.ZERO)
+                await clock.sleep(clock.ZERO)
 
     def changes_of(self, command: WritePlan, fresh: dict) -> tuple[tuple[str, str, str], ...]:
         """The resources that a write would change; one resource's write looks at no other.
@@ -266,10 +267,12 @@
         Example: ``control.changes_of(command, control.after(command))``
         """
         if command.way not in ("put", "delete"):
-            return plan.differences(self.document, fresh)
+            return resources.differences(self.document, fresh)
         held, wanted = (whole.get(command.kind, {}) for whole in (self.document, fresh))
-        return plan.differences({command.kind: {name: spec for name, spec in held.items() if name == command.name}},
-                                {command.kind: {name: spec for name, spec in wanted.items() if name == command.name}})
+        return resources.differences(
+            {command.kind: {name: spec for name, spec in held.items() if name == command.name}},
+            {command.kind: {name: spec for name, spec in wanted.items() if name == command.name}},
+        )
 
     def after(self, command: WritePlan) -> dict:
         """The whole plan as it would be after a write.
@@ -280,14 +283,14 @@
         if command.way == "whole":
             return body
         if command.way == "merge":
-            return plan.merge(self.document, body)
-        if command.kind not in plan.SCHEMAS:
-            raise result.Refusal(result.Result.UNKNOWN_RESOURCE, detail=command.kind)
+            return resources.merge(self.document, body)
+        if command.kind not in resources.SCHEMAS:
+            raise result.RequestError(result.ResultCode.UNKNOWN_RESOURCE, detail=command.kind)
         group = dict(self.document.get(command.kind, {}))
         if command.way == "put":
             group[command.name] = body
         elif group.pop(command.name, None) is None:
-            raise result.Refusal(result.Result.UNKNOWN_RESOURCE, detail=f"{command.kind}/{command.name}")
+            raise result.RequestError(result.ResultCode.UNKNOWN_RESOURCE, detail=f"{command.kind}/{command.name}")
         return {**self.document, command.kind: group}
 
     def decide_duty(self, command: TakeDuty, now: datetime.timedelta) -> tuple[tuple, object]:
@@ -297,13 +300,16 @@
         """
         held = self.duties.get(command.duty)
         if held is not None and (held.holder, held.incarnation) == (command.holder, command.incarnation):
-            self.claims[command.duty] = now + DUTY_CLAIM
+            self.claims[command.duty] = now + DUTY_LEASE
             return (), held
-        if held is not None and now < self.claims.setdefault(command.duty, now + DUTY_CLAIM):
-            raise result.Refusal(result.Result.NO_CLAIM, detail=f"{held.holder} holds {command.duty}",
-                                 retry=self.claims[command.duty] - now)
+        if held is not None and now < self.claims.setdefault(command.duty, now + DUTY_LEASE):
+            raise result.RequestError(
+                result.ResultCode.NO_CLAIM,
+                detail=f"{held.holder} holds {command.duty}",
+                retry=self.claims[command.duty] - now,
+            )
         taken = DutyTaken(command.duty, held.epoch + 1 if held else 1, command.holder, command.incarnation)
-        self.claims[command.duty] = now + DUTY_CLAIM
+        self.claims[command.duty] = now + DUTY_LEASE
         return (taken,), taken
 
     def fold(self, event) -> None:
@@ -332,13 +338,13 @@
             patched = patch["plan"].setdefault(change.kind, {})
             if change.spec:
                 spec = group[change.name] = msgspec.json.decode(change.spec)
-                patched[change.name] = spec if held is None else plan.patch_between(held, spec)
+                patched[change.name] = spec if held is None else resources.patch_between(held, spec)
                 self.revisions[path] = patch["revisions"][path] = text
             else:
                 group.pop(change.name, None)
                 self.revisions.pop(path, None)
                 patched[change.name] = patch["revisions"][path] = None
-            if change.kind == plan.HTTP_ROUTES:
+            if change.kind == resources.HTTP_ROUTES:
                 if change.spec:
                     self.index.put(change.name, spec)
                 else:
@@ -362,21 +368,28 @@
         """
         self.claims = {}
 
-    def picture(self) -> bytes:
+    def snapshot(self) -> bytes:
         """All of it as bytes.
 
         Example: ``Control().restore(control.picture())``
         """
         duties = [dataclasses.asdict(one) for one in self.duties.values()]
-        return json.dumps({"revision": self.revision.text(), "document": self.document, "revisions": self.revisions,
-                           "duties": duties, "configuration": self.configuration.picture()}).encode()
-
-    def picture_parts(self) -> collections.abc.Iterator[bytes]:
+        return json.dumps(
+            {
+                "revision": self.revision.text(),
+                "document": self.document,
+                "revisions": self.revisions,
+                "duties": duties,
+                "configuration": self.configuration.snapshot(),
+            }
+        ).encode()
+
+    def snapshot_parts(self) -> collections.abc.Iterator[bytes]:
         """The picture, in one part: a plan is bounded.
 
         Example: ``b"".join(control.picture_parts()) == control.picture()``
         """
-        return iter([self.picture()])
+        return iter([self.snapshot()])
 
     def size(self) -> int:
         """How much a picture holds.
@@ -396,5 +409,5 @@
         self.duties = {one["duty"]: DutyTaken(**one) for one in shown["duties"]}
         self.configuration.restore(shown["configuration"])
         self.steps, self.index = {}, http_route.Index()
-        for name, spec in self.document.get(plan.HTTP_ROUTES, {}).items():
+        for name, spec in self.document.get(resources.HTTP_ROUTES, {}).items():
             self.index.put(name, spec)
--- a/aspencroft/plan/http_route.py
+++ b/aspencroft/configuration/http_route.py
@@ -111,9 +111,22 @@
     def span(count: float) -> datetime.timedelta:
         return datetime.timedelta(seconds=count)
 
-    return HttpRoute(name, full.host, full.prefix, full.kind,
-                     tuple(Target(one.service, one.weight) for one in full.targets), span(full.timeout), span(full.aim),
-                     full.rank, full.attempts, full.retained, span(full.keep), full.affinity, full.resumable, span(full.gap))
+    return HttpRoute(
+        name,
+        full.host,
+        full.prefix,
+        full.kind,
+        tuple(Target(one.service, one.weight) for one in full.targets),
+        span(full.timeout),
+        span(full.aim),
+        full.rank,
+        full.attempts,
+        full.retained,
+        span(full.keep),
+        full.affinity,
+        full.resumable,
+        span(full.gap),
+    )
 
 
 def bare(host: str) -> str:
@@ -122,7 +135,7 @@
     Example: ``bare("A.example:80") == "a.example"``
     """
     host = host.strip().lower()
-    return host[:host.find("]") + 1] if host.startswith("[") else host.partition(":")[0]
+    return host[: host.find("]") + 1] if host.startswith("[") else host.partition(":")[0]
 
 
 class Index:
@@ -161,9 +174,13 @@
                 if not self.uses[one]:
                     del self.uses[one]
 
-    def faults(self, put: collections.abc.Mapping[str, dict], dropped: collections.abc.Collection[str],
-               known: collections.abc.Callable[[str], bool],
-               lost: collections.abc.Iterable[str]) -> list[tuple[str, str]]:
+    def faults(
+        self,
+        put: collections.abc.Mapping[str, dict],
+        dropped: collections.abc.Collection[str],
+        known: collections.abc.Callable[[str], bool],
+        lost: collections.abc.Iterable[str],
+    ) -> list[tuple[str, str]]:
         """The faults that a change would bring: path and meaning; its cost follows the change, not the routes held.
 
         ``known`` tells whether a service is there after the change, ``lost`` names those that go with it.
@@ -186,8 +203,11 @@
                 found.append((f"{name}/prefix", f"route {other} has the same host and prefix"))
         for one in lost:
             if self.uses[one] > fewer[one]:
-                using = next(name for name, (_, services) in self.routes.items()
-                             if one in services and name not in put and name not in dropped)
+                using = next(
+                    name
+                    for name, (_, services) in self.routes.items()
+                    if one in services and name not in put and name not in dropped
+                )
                 found.append((f"{using}/targets", f"no service {one}"))
         return found
 
--- a/aspencroft/plan/lane_route.py
+++ b/aspencroft/configuration/lane_route.py
@@ -4,13 +4,15 @@
 
 import voluptuous
 
-import aspencroft.plan.lane as lane
-
-SCHEMA = voluptuous.Schema({
-    voluptuous.Required("lane"): lane.NAME,
-    voluptuous.Optional("tool", default=""): voluptuous.Any("", lane.NAME),
-    voluptuous.Required("services"): voluptuous.All(lane.NAMES, voluptuous.Length(min=1)),
-})
+from aspencroft.configuration import lane
+
+SCHEMA = voluptuous.Schema(
+    {
+        voluptuous.Required("lane"): lane.NAME,
+        voluptuous.Optional("tool", default=""): voluptuous.Any("", lane.NAME),
+        voluptuous.Required("services"): voluptuous.All(lane.NAMES, voluptuous.Length(min=1)),
+    }
+)
 
 DEFAULTS = lane.defaults_of(SCHEMA)
 
--- a/aspencroft/plan/lane_test.py
+++ b/aspencroft/configuration/lane_test.py
@@ -1,17 +1,20 @@
-"""Tests of ``aspencroft.plan.lane``."""
+"""Tests of ``aspencroft.configuration.lane``."""
 
 import datetime
 
 import voluptuous
 
-import aspencroft.plan.lane as lane_module
+import aspencroft.configuration.lane as lane_module
 
 
 def test_lane_defaults_and_refusals():
     lane = lane_module.of("chat", {"kind": "turns", "services": ["planner"], "keep": 2.5})
     assert lane.keep == datetime.timedelta(seconds=2.5) and not lane.repeatable
-    for spec in ({"kind": "turns", "services": []}, {"kind": "x", "services": ["a"]},
-                 {"kind": "turns", "services": ["a"], "colour": 1}):
+    for spec in (
+        {"kind": "turns", "services": []},
+        {"kind": "x", "services": ["a"]},
+        {"kind": "turns", "services": ["a"], "colour": 1},
+    ):
         try:
             lane_module.SCHEMA(spec)
         except voluptuous.Invalid:
--- a/aspencroft/plan/limits.py
+++ b/aspencroft/configuration/limits.py
@@ -5,18 +5,20 @@
 
 import voluptuous
 
-import aspencroft.plan.lane as lane
+from aspencroft.configuration import lane
 
 EDGE = "edge"
 BYTES = voluptuous.All(int, voluptuous.Range(min=1, max=1 << 40))
 SECONDS = voluptuous.All(voluptuous.Any(int, float), voluptuous.Range(min=0, min_included=False, max=30 * 86400))
 
-SCHEMA = voluptuous.Schema({
-    voluptuous.Optional("header_bytes", default=16 << 10): BYTES,
-    voluptuous.Optional("body_bytes", default=4 << 20): BYTES,
-    voluptuous.Optional("header_timeout", default=3.0): SECONDS,
-    voluptuous.Optional("idle_timeout", default=15.0): SECONDS,
-})
+SCHEMA = voluptuous.Schema(
+    {
+        voluptuous.Optional("header_bytes", default=16 << 10): BYTES,
+        voluptuous.Optional("body_bytes", default=4 << 20): BYTES,
+        voluptuous.Optional("header_timeout", default=3.0): SECONDS,
+        voluptuous.Optional("idle_timeout", default=15.0): SECONDS,
+    }
+)
 
 DEFAULTS = lane.defaults_of(SCHEMA)
 
@@ -40,5 +42,9 @@
     Example: ``of({"header_timeout": 3}).header_timeout``
     """
     full = {**DEFAULTS, **spec}
-    return Limits(full["header_bytes"], full["body_bytes"], datetime.timedelta(seconds=full["header_timeout"]),
-                  datetime.timedelta(seconds=full["idle_timeout"]))
+    return Limits(
+        full["header_bytes"],
+        full["body_bytes"],
+        datetime.timedelta(seconds=full["header_timeout"]),
+        datetime.timedelta(seconds=full["idle_timeout"]),
+    )
--- a/aspencroft/plan/measure.py
+++ b/aspencroft/configuration/measure.py
@@ -8,37 +8,47 @@
 
 import defopt
 
-import aspencroft.plan.configuration as configuration
-import aspencroft.plan.control as control
-import aspencroft.relay.relay as relay
-import aspencroft.seam.moment as moment
+from aspencroft.configuration import control_state, operator_configuration
+from aspencroft.distribution import relay
+from aspencroft.runtime import clock
 
-NOW = moment.seconds(1)
+NOW = clock.seconds(1)
 LOOKS = 20_000
 CHANGES = 50
 
 
-def item(number: int, hosts: int, mark: int = 0) -> configuration.Item:
+def item(number: int, hosts: int, mark: int = 0) -> operator_configuration.Item:
     """A route among many.
 
     Example: ``item(3, 10)``
     """
-    spec = {"host": f"h{number % hosts}.example", "prefix": f"/p{number}/x/", "targets": [{"service": f"s{number % 7}"}],
-            "rank": mark,
-            "kind": "stream", "timeout": 4.0, "aim": 0.2, "retained": True, "affinity": True}
+    spec = {
+        "host": f"h{number % hosts}.example",
+        "prefix": f"/p{number}/x/",
+        "targets": [{"service": f"s{number % 7}"}],
+        "rank": mark,
+        "kind": "stream",
+        "timeout": 4.0,
+        "aim": 0.2,
+        "retained": True,
+        "affinity": True,
+    }
     text = json.dumps({**spec, "name": f"r{number}"})
-    return configuration.Item("routes", f"r{number}", text, "http_routes", f"r{number}", json.dumps(spec))
+    return operator_configuration.Item("routes", f"r{number}", text, "http_routes", f"r{number}", json.dumps(spec))
 
 
-def whole(count: int, hosts: int) -> configuration.ApplyConfiguration:
+def whole(count: int, hosts: int) -> operator_configuration.ApplyConfiguration:
     """A first configuration of so many routes.
 
     Example: ``whole(100, 10)``
     """
-    services = [configuration.Item("services", f"s{number}", "{}", "services", f"s{number}",
-                                   '{"kind": "plain"}') for number in range(7)]
-    return configuration.ApplyConfiguration(1, 0, True, (*services, *(item(number, hosts) for number in range(count))), (),
-                                            b"first")
+    services = [
+        operator_configuration.Item("services", f"s{number}", "{}", "services", f"s{number}", '{"kind": "plain"}')
+        for number in range(7)
+    ]
+    return operator_configuration.ApplyConfiguration(
+        1, 0, True, (*services, *(item(number, hosts) for number in range(count))), (), b"first"
+    )
 
 
 def timed(work) -> tuple[float, object]:
@@ -51,7 +61,7 @@
     return time.perf_counter() - began, value
 
 
-def taken(view: control.Control, command) -> None:
+def taken(view: control_state.ControlState, command) -> None:
     """Decide a command and fold its events.
 
     Example: ``taken(control.Control(), whole(10, 1))``
@@ -66,33 +76,42 @@
     Example: ``run(100, 10)["match us"]``
     """
     chance = random.Random(count)
-    view = control.Control()
+    view = control_state.ControlState()
     first = whole(count, hosts)
     span, _ = timed(lambda: taken(view, first))
     found = {"routes": count, "hosts": hosts, "whole taken ms": span * 1e3}
     node = types.SimpleNamespace(me=types.SimpleNamespace(address="a:1"))
-    held = relay.Relay(None, node, moment.seconds(4))
+    held = relay.Relay(None, node, clock.seconds(4))
     held.push = lambda: None
     tracemalloc.start()
-    span, _ = timed(lambda: held.take_committed(view.read_plan(control.NEVER)))
+    span, _ = timed(lambda: held.take_committed(view.read_plan(control_state.NEVER)))
     found["node's memory MB"] = tracemalloc.get_traced_memory()[0] / 1e6
     tracemalloc.stop()
-    asked = [(f"h{number % hosts}.example:80", f"/p{number}/x/y/z" if chance.random() < 0.9 else f"/none/{number}")
-             for number in (chance.randrange(count) for _ in range(LOOKS))]
+    asked = [
+        (f"h{number % hosts}.example:80", f"/p{number}/x/y/z" if chance.random() < 0.9 else f"/none/{number}")
+        for number in (chance.randrange(count) for _ in range(LOOKS))
+    ]
     table = held.plan.route_table
     found["match us"] = timed(lambda: [table.match(*one) for one in asked])[0] / LOOKS * 1e6
     decided = read = learned = 0.0
     for number in range(CHANGES):
         one = item(chance.randrange(count), hosts, number + 1)
-        command = configuration.ApplyConfiguration(number + 2, number + 1, False, (one,), (), str(number).encode())
+        command = operator_configuration.ApplyConfiguration(
+            number + 2, number + 1, False, (one,), (), str(number).encode()
+        )
         decided += timed(lambda: taken(view, command))[0]
         span, shown = timed(lambda: view.read_plan(held.revision))
         read += span
         learned += timed(lambda: held.take_committed(shown))[0]
         assert held.plan.version == number + 2 and held.plan.http_routes[one.name].rank == number + 1
-    found.update({"one route: decided ms": decided / CHANGES * 1e3, "read ms": read / CHANGES * 1e3,
-                  "learned ms": learned / CHANGES * 1e3})
-    found["picture MB"] = len(view.picture()) / 1e6
+    found.update(
+        {
+            "one route: decided ms": decided / CHANGES * 1e3,
+            "read ms": read / CHANGES * 1e3,
+            "learned ms": learned / CHANGES * 1e3,
+        }
+    )
+    found["picture MB"] = len(view.snapshot()) / 1e6
     return found
 
 
@@ -104,10 +123,12 @@
     """
     for count in counts:
         row = run(count, hosts)
-        print(", ".join(f"{name} {value:.4g}" if isinstance(value, float) else f"{name} {value}" for name,
-                        value in row.items()), flush=True)
-
-
+        print(
+            ", ".join(
+                f"{name} {value:.4g}" if isinstance(value, float) else f"{name} {value}" for name, value in row.items()
+            ),
+            flush=True,
+        )
 
 
 if __name__ == "__main__":
--- a/aspencroft/plan/configuration.py
+++ b/aspencroft/configuration/operator_configuration.py
@@ -9,16 +9,15 @@
 
 import msgspec
 
-import aspencroft.code.result as result
-import aspencroft.link.record as record
-import aspencroft.plan.http_route as http_route
-import aspencroft.plan.plan as plan
+from aspencroft.configuration import http_route, resources
+from aspencroft.errors import result
+from aspencroft.transport import codec
 
 REMEMBERED = 256
 MOST_FAULTS = 100
 
 
-@record.kind(79)
+@codec.kind(79)
 @dataclasses.dataclass(frozen=True)
 class Item:
     """One item: its list, its name there, its words, and the resource that it stands for (kind empty: none).
@@ -34,7 +33,7 @@
     spec: str = ""
 
 
-@record.kind(80)
+@codec.kind(80)
 @dataclasses.dataclass(frozen=True)
 class Label:
     """The name of an item in its list."""
@@ -43,7 +42,7 @@
     label: str
 
 
-@record.kind(81)
+@codec.kind(81)
 @dataclasses.dataclass(frozen=True)
 class ApplyConfiguration:
     """Command: take a configuration numbered ``version`` if ``condition`` is the current number (0: there is none).
@@ -60,7 +59,7 @@
     digest: bytes
 
 
-@record.kind(82)
+@codec.kind(82)
 @dataclasses.dataclass(frozen=True)
 class Order:
     """The order of all items of a list."""
@@ -69,7 +68,7 @@
     labels: tuple[str, ...]
 
 
-@record.kind(83)
+@codec.kind(83)
 @dataclasses.dataclass(frozen=True)
 class Kept:
     """An item as it is kept; an empty text removes it."""
@@ -81,7 +80,7 @@
     name: str
 
 
-@record.kind(84)
+@codec.kind(84)
 @dataclasses.dataclass(frozen=True)
 class Taken:
     """What is remembered of a configuration that was taken: its number, its digest, the plan's revision since."""
@@ -91,7 +90,7 @@
     revision: str
 
 
-@record.kind(85)
+@codec.kind(85)
 @dataclasses.dataclass(frozen=True)
 class Applied:
     """Reply: the configuration is in the plan as of this revision; ``again``: it had been taken before."""
@@ -101,13 +100,13 @@
     again: bool
 
 
-@record.kind(86)
+@codec.kind(86)
 @dataclasses.dataclass(frozen=True)
 class ReadConfiguration:
     """Command: the newest configuration."""
 
 
-@record.kind(87)
+@codec.kind(87)
 @dataclasses.dataclass(frozen=True)
 class ConfigurationRead:
     """Reply: number and items of the newest configuration, in order; number 0: there is none yet."""
@@ -153,16 +152,16 @@
         Example: ``document.decide(command, {}, http_route.Index())``
         """
         if command.condition != self.version:
-            raise result.Refusal(result.Result.REVISION_DIFFERS, detail=f"the version is {self.version}")
+            raise result.RequestError(result.ResultCode.REVISION_DIFFERS, detail=f"the version is {self.version}")
         faults = []
         if command.version <= self.version:
-            faults.append(plan.Fault("version", f"{command.version} is not above {self.version}"))
+            faults.append(resources.Fault("version", f"{command.version} is not above {self.version}"))
         names = [(one.group, one.label) for one in command.upserts]
         names.extend((one.group, one.label) for one in command.removals)
-        faults.extend(plan.Fault(f"{group}/{label}", "named twice") for group, label in twice(names))
-        faults.extend(plan.Fault(f"{one.group}/{one.label}", "no text") for one in command.upserts if not one.text)
+        faults.extend(resources.Fault(f"{group}/{label}", "named twice") for group, label in twice(names))
+        faults.extend(resources.Fault(f"{one.group}/{one.label}", "no text") for one in command.upserts if not one.text)
         meant = [(one.kind, one.name) for one in command.upserts if one.kind]
-        faults.extend(plan.Fault(f"{kind}/{name}", "stated twice") for kind, name in twice(meant))
+        faults.extend(resources.Fault(f"{kind}/{name}", "stated twice") for kind, name in twice(meant))
         if faults:
             raise refusal(faults)
         kept, dropped = self.items(command)
@@ -170,9 +169,9 @@
         changes = []
         for one in command.upserts:
             if one.kind:
-                if one.kind not in plan.SCHEMAS:
-                    raise refusal([plan.Fault(one.kind, "unknown kind of resource")])
-                found = plan.check_anew(one.kind, one.name, one.spec)
+                if one.kind not in resources.SCHEMAS:
+                    raise refusal([resources.Fault(one.kind, "unknown kind of resource")])
+                found = resources.check_anew(one.kind, one.name, one.spec)
                 faults.extend(found)
                 held = document.get(one.kind, {}).get(one.name)
                 if not found and (held is None or held != msgspec.json.decode(one.spec)):
@@ -198,8 +197,9 @@
                 if held is not None:
                     dropped.append(held)
         if command.whole:
-            going = [one for group in self.groups.values() for one in group.values()
-                     if (one.group, one.label) not in named]
+            going = [
+                one for group in self.groups.values() for one in group.values() if (one.group, one.label) not in named
+            ]
         else:
             found = (self.groups.get(one.group, {}).get(one.label) for one in command.removals)
             going = [one for one in found if one is not None]
@@ -260,14 +260,16 @@
         """
         return ConfigurationRead(self.version, tuple(one for group in self.groups.values() for one in group.values()))
 
-    def picture(self) -> dict:
+    def snapshot(self) -> dict:
         """All of it as JSON's types.
 
         Example: ``Configuration().restore(document.picture())``
         """
-        return {"version": self.version,
-                "items": [dataclasses.astuple(one) for group in self.groups.values() for one in group.values()],
-                "taken": [[one.version, one.digest.hex(), one.revision] for one in self.taken.values()]}
+        return {
+            "version": self.version,
+            "items": [dataclasses.astuple(one) for group in self.groups.values() for one in group.values()],
+            "taken": [[one.version, one.digest.hex(), one.revision] for one in self.taken.values()],
+        }
 
     def restore(self, shown: dict) -> None:
         """Become what a picture shows.
@@ -278,8 +280,9 @@
         for one in shown["items"]:
             kept = Kept(*one)
             self.groups.setdefault(kept.group, {})[kept.label] = kept
-        self.taken = {version: Taken(version, bytes.fromhex(digest), revision)
-                      for version, digest, revision in shown["taken"]}
+        self.taken = {
+            version: Taken(version, bytes.fromhex(digest), revision) for version, digest, revision in shown["taken"]
+        }
 
 
 def twice(names: collections.abc.Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
@@ -295,17 +298,17 @@
     return found
 
 
-def between(document: dict, changes: list[tuple[str, str, str]], index: http_route.Index) -> list[plan.Fault]:
+def between(document: dict, changes: list[tuple[str, str, str]], index: http_route.Index) -> list[resources.Fault]:
     """The faults between resources once changes are made; for HTTP routes its cost follows the changes.
 
     Example: ``between({}, [("services", "a", "{}")], http_route.Index()) == []``
     """
     after = dict(document)
-    for kind in {kind for kind, _, _ in changes} - {plan.HTTP_ROUTES}:
+    for kind in {kind for kind, _, _ in changes} - {resources.HTTP_ROUTES}:
         after[kind] = dict(document.get(kind, {}))
     put, dropped, lost = {}, set(), []
     for kind, name, text in changes:
-        if kind != plan.HTTP_ROUTES:
+        if kind != resources.HTTP_ROUTES:
             if text:
                 after[kind][name] = msgspec.json.decode(text)
             else:
@@ -316,20 +319,24 @@
             put[name] = msgspec.json.decode(text)
         else:
             dropped.add(name)
-    more = len(put) - sum(name in document.get(plan.HTTP_ROUTES, {}) for name in put) - len(dropped)
-    if more + sum(len(group) for group in after.values()) > plan.MOST_RESOURCES:
-        return [plan.Fault("", f"more than {plan.MOST_RESOURCES} resources")]
-    found = [plan.Fault(f"{plan.HTTP_ROUTES}/{path}", meaning)
-             for path, meaning in index.faults(put, dropped, after.get("services", {}).__contains__, lost)]
-    if any(kind != plan.HTTP_ROUTES for kind, _, _ in changes):
-        found.extend(plan.references(after))
+    more = len(put) - sum(name in document.get(resources.HTTP_ROUTES, {}) for name in put) - len(dropped)
+    if more + sum(len(group) for group in after.values()) > resources.MOST_RESOURCES:
+        return [resources.Fault("", f"more than {resources.MOST_RESOURCES} resources")]
+    found = [
+        resources.Fault(f"{resources.HTTP_ROUTES}/{path}", meaning)
+        for path, meaning in index.faults(put, dropped, after.get("services", {}).__contains__, lost)
+    ]
+    if any(kind != resources.HTTP_ROUTES for kind, _, _ in changes):
+        found.extend(resources.references(after))
     return found
 
 
-def refusal(faults: list[plan.Fault]) -> result.Refusal:
+def refusal(faults: list[resources.Fault]) -> result.RequestError:
     """The refusal that lists faults.
 
     Example: ``raise refusal([plan.Fault("version", "3 is not above 3")])``
     """
-    return result.Refusal(result.Result.PLAN_INVALID,
-                          detail=json.dumps([dataclasses.asdict(one) for one in faults[:MOST_FAULTS]]))
+    return result.RequestError(
+        result.ResultCode.PLAN_INVALID,
+        detail=json.dumps([dataclasses.asdict(one) for one in faults[:MOST_FAULTS]]),
+    )
--- a/aspencroft/plan/configuration_test.py
+++ b/aspencroft/configuration/operator_configuration_test.py
@@ -4,41 +4,46 @@
 import json
 import random
 
-import aspencroft.code.result as result
-import aspencroft.link.record as record
-import aspencroft.plan.configuration as configuration
-import aspencroft.plan.control as control
-import aspencroft.plan.plan as plan
-import aspencroft.seam.moment as moment
+from aspencroft.configuration import control_state, operator_configuration, resources
+from aspencroft.errors import result
+from aspencroft.runtime import clock
+from aspencroft.transport import codec
 
-NOW = moment.seconds(1)
+NOW = clock.seconds(1)
 
 
-def service(name: str, text: str = "") -> configuration.Item:
+def service(name: str, text: str = "") -> operator_configuration.Item:
     """An item that stands for a service.
 
     Example: ``service("s")``
     """
-    return configuration.Item("services here", name, text or f"words of {name}", "services", name, '{"kind": "plain"}')
+    return operator_configuration.Item(
+        "services here", name, text or f"words of {name}", "services", name, '{"kind": "plain"}'
+    )
 
 
-def route(name: str, place: str, to: str, text: str = "") -> configuration.Item:
+def route(name: str, place: str, to: str, text: str = "") -> operator_configuration.Item:
     """An item that stands for a route of one host at a prefix.
 
     Example: ``route("r", "/", "s")``
     """
     spec = {"host": "h", "prefix": place, "targets": [{"service": to}]}
-    return configuration.Item("routes here", name, text or f"{place} {to}", "http_routes", name, json.dumps(spec))
+    return operator_configuration.Item(
+        "routes here", name, text or f"{place} {to}", "http_routes", name, json.dumps(spec)
+    )
 
 
-def order(version: int, condition: int, upserts: list, removals: list | None = None,
-          digest: bytes = b"") -> configuration.ApplyConfiguration:
+def order(
+    version: int, condition: int, upserts: list, removals: list | None = None, digest: bytes = b""
+) -> operator_configuration.ApplyConfiguration:
     """A command; whole when no removals are given.
 
     Example: ``order(1, 0, [service("s")])``
     """
     told = digest or repr((version, condition, upserts, removals)).encode()
-    return configuration.ApplyConfiguration(version, condition, removals is None, tuple(upserts), tuple(removals or ()), told)
+    return operator_configuration.ApplyConfiguration(
+        version, condition, removals is None, tuple(upserts), tuple(removals or ()), told
+    )
 
 
 class Store:
@@ -48,25 +53,25 @@
     """
 
     def __init__(self):
-        self.view, self.follower = control.Control(), control.Control()
+        self.view, self.follower = control_state.ControlState(), control_state.ControlState()
 
     def apply(self, command):
         """The reply, or the refusal's result; nothing may change by a refusal or a repeat.
 
         Example: ``store.apply(order(1, 0, []))``
         """
-        before = self.view.picture()
-        command = record.untagged(record.tagged(command))
+        before = self.view.snapshot()
+        command = codec.untagged(codec.tagged(command))
         try:
             events, reply = self.view.decide(command, NOW, 3)
-        except result.Refusal as refusal:
-            assert self.view.picture() == before
+        except result.RequestError as refusal:
+            assert self.view.snapshot() == before
             return refusal.result
-        assert self.view.picture() == before
+        assert self.view.snapshot() == before
         for event in events:
             self.view.fold(event)
-            self.follower.fold(record.untagged(record.tagged(event)))
-        assert self.follower.picture() == self.view.picture()
+            self.follower.fold(codec.untagged(codec.tagged(event)))
+        assert self.follower.snapshot() == self.view.snapshot()
         return reply
 
     def restart(self) -> None:
@@ -74,13 +79,16 @@
 
         Example: ``store.restart()``
         """
-        shown = self.view.picture()
+        shown = self.view.snapshot()
         for name in ("view", "follower"):
-            fresh = control.Control()
+            fresh = control_state.ControlState()
             fresh.restore(shown)
             setattr(self, name, fresh)
-        assert self.view.picture() == shown
-        assert (self.view.index.places, self.view.index.uses) == (self.follower.index.places, self.follower.index.uses)
+        assert self.view.snapshot() == shown
+        assert (self.view.index.places, self.view.index.uses) == (
+            self.follower.index.places,
+            self.follower.index.uses,
+        )
 
     def items(self) -> dict[str, list[tuple[str, str]]]:
         """Labels and words of each list, in order.
@@ -101,7 +109,7 @@
 
     def __init__(self):
         self.version = 0
-        self.items: list[configuration.Item] = []
+        self.items: list[operator_configuration.Item] = []
         self.taken: list[tuple[int, bytes]] = []
 
     def apply(self, command):
@@ -109,13 +117,20 @@
 
         Example: ``model.apply(order(1, 0, []))``
         """
-        if (command.version, command.digest) in self.taken[-configuration.REMEMBERED:]:
+        if (command.version, command.digest) in self.taken[-operator_configuration.REMEMBERED :]:
             return "again"
         wrong = set()
         if command.condition != self.version:
-            wrong.add(result.Result.REVISION_DIFFERS)
-        fresh = [] if command.whole else [one for one in self.items if (one.group, one.label) not in
-                                          {(gone.group, gone.label) for gone in command.removals}]
+            wrong.add(result.ResultCode.REVISION_DIFFERS)
+        fresh = (
+            []
+            if command.whole
+            else [
+                one
+                for one in self.items
+                if (one.group, one.label) not in {(gone.group, gone.label) for gone in command.removals}
+            ]
+        )
         for item in command.upserts:
             places = [number for number, one in enumerate(fresh) if (one.group, one.label) == (item.group, item.label)]
             if places:
@@ -125,10 +140,13 @@
         names = [(one.group, one.label) for one in (*command.upserts, *command.removals)]
         services = {one.name for one in fresh if one.kind == "services"}
         routes = [json.loads(one.spec) for one in fresh if one.kind == "http_routes"]
-        if (command.version <= self.version or len(set(names)) < len(names)
-                or any(one["targets"][0]["service"] not in services for one in routes)
-                or len({one["prefix"] for one in routes}) < len(routes)):
-            wrong.add(result.Result.PLAN_INVALID)
+        if (
+            command.version <= self.version
+            or len(set(names)) < len(names)
+            or any(one["targets"][0]["service"] not in services for one in routes)
+            or len({one["prefix"] for one in routes}) < len(routes)
+        ):
+            wrong.add(result.ResultCode.PLAN_INVALID)
         if wrong:
             return wrong
         self.version, self.items = command.version, fresh
@@ -136,24 +154,40 @@
         return True
 
 
-def drawn(chance: random.Random, model: Model, said: list) -> configuration.ApplyConfiguration:
+def drawn(chance: random.Random, model: Model, said: list) -> operator_configuration.ApplyConfiguration:
     """An order of some operator: new, raced, repeated, faulty.
 
     Example: ``drawn(random.Random(1), Model(), [])``
     """
     if said and chance.random() < 0.2:
         return chance.choice(said[-12:])
-    condition = model.version if chance.random() < 0.8 else chance.choice((0, max(0, model.version - 1), model.version + 3))
+    condition = (
+        model.version if chance.random() < 0.8 else chance.choice((0, max(0, model.version - 1), model.version + 3))
+    )
     version = model.version + (chance.randint(1, 4) if chance.random() < 0.9 else -chance.randrange(3))
     services = [service(name, chance.choice(("", "other"))) for name in chance.sample("stuv", chance.randint(1, 4))]
-    routes = [route(f"r{number}", chance.choice(("/", "/a/", "/b/", "/c/", "/d/", "/e/")), chance.choice("ssstuv"))
-              for number in chance.sample(range(6), chance.randrange(5))]
-    more = [configuration.Item("", chance.choice(("quota", "note")), str(chance.randrange(3)))] if chance.random() < 0.3 else []
+    routes = [
+        route(f"r{number}", chance.choice(("/", "/a/", "/b/", "/c/", "/d/", "/e/")), chance.choice("ssstuv"))
+        for number in chance.sample(range(6), chance.randrange(5))
+    ]
+    more = (
+        [operator_configuration.Item("", chance.choice(("quota", "note")), str(chance.randrange(3)))]
+        if chance.random() < 0.3
+        else []
+    )
     if chance.random() < 0.5:
         return order(version, condition, [*services, *routes, *more])
-    removals = [configuration.Label(group, label) for group, label in
-                (("routes here", "r1"), ("routes here", "r4"), ("services here", "v"), ("", "note"),
-                 ("gone", "x")) if chance.random() < 0.25]
+    removals = [
+        operator_configuration.Label(group, label)
+        for group, label in (
+            ("routes here", "r1"),
+            ("routes here", "r4"),
+            ("services here", "v"),
+            ("", "note"),
+            ("gone", "x"),
+        )
+        if chance.random() < 0.25
+    ]
     return order(version, condition, [*chance.sample(services, len(services) // 2), *routes[:2], *more], removals)
 
 
@@ -181,32 +215,38 @@
             assert store.items() == found, seed
             for kind in ("services", "http_routes"):
                 assert store.view.document.get(kind, {}) == {
-                    one.name: json.loads(one.spec) for one in model.items if one.kind == kind}
-            assert plan.check(store.view.document) == ()
+                    one.name: json.loads(one.spec) for one in model.items if one.kind == kind
+                }
+            assert resources.check(store.view.document) == ()
             if chance.random() < 0.1:
                 store.restart()
-    assert seen[True] > 1000 and min(seen["again"], seen[result.Result.PLAN_INVALID],
-                                     seen[result.Result.REVISION_DIFFERS]) > 400, seen
+    assert (
+        seen[True] > 1000
+        and min(seen["again"], seen[result.ResultCode.PLAN_INVALID], seen[result.ResultCode.REVISION_DIFFERS]) > 400
+    ), seen
 
 
 def test_an_order_is_known_again_for_so_many_later_ones_also_after_a_restart_and_never_taken_twice():
     store = Store()
-    orders = [order(number + 1, number, [service("s", f"words {number}")]) for number in range(configuration.REMEMBERED + 1)]
+    orders = [
+        order(number + 1, number, [service("s", f"words {number}")])
+        for number in range(operator_configuration.REMEMBERED + 1)
+    ]
     for command in orders:
         assert not store.apply(command).again
     store.restart()
     for command in orders[1:]:
         assert store.apply(command).again
-    assert store.apply(orders[0]) is result.Result.REVISION_DIFFERS
-    assert store.items() == {"services here": [("s", f"words {configuration.REMEMBERED}")]}
+    assert store.apply(orders[0]) is result.ResultCode.REVISION_DIFFERS
+    assert store.items() == {"services here": [("s", f"words {operator_configuration.REMEMBERED}")]}
 
 
 def test_of_two_orders_upon_one_version_one_wins_and_another_under_the_same_number_is_not_taken_for_it():
     store = Store()
     store.apply(order(1, 0, [service("s")]))
     assert store.apply(order(5, 1, [service("s"), route("a", "/", "s")])).changed == 1
-    assert store.apply(order(5, 1, [service("s")])) is result.Result.REVISION_DIFFERS
-    assert store.apply(order(9, 1, [service("s")])) is result.Result.REVISION_DIFFERS
+    assert store.apply(order(5, 1, [service("s")])) is result.ResultCode.REVISION_DIFFERS
+    assert store.apply(order(9, 1, [service("s")])) is result.ResultCode.REVISION_DIFFERS
     assert store.apply(order(5, 1, [service("s"), route("a", "/", "s")])).again
 
 
@@ -214,36 +254,38 @@
     store = Store()
     store.apply(order(4, 0, [service("s"), route("a", "/", "s")]))
     body = json.dumps({"machines": {"m": {"emptied": True}}, "services": {"other": {"kind": "plain"}}})
-    assert store.apply(control.WritePlan("merge", "", "", body, None)).changed == 2
+    assert store.apply(control_state.WritePlan("merge", "", "", body, None)).changed == 2
     assert store.view.configuration.version == 4
     assert store.apply(order(6, 4, [service("s")])).changed == 1
     assert store.view.document["machines"] == {"m": {"emptied": True}} and "other" in store.view.document["services"]
-    assert store.apply(control.WritePlan("delete", "services", "s", "", None)).changed == 1
+    assert store.apply(control_state.WritePlan("delete", "services", "s", "", None)).changed == 1
     assert store.apply(order(7, 6, [service("s")])).changed == 1, "what is stated comes back"
 
 
 def test_other_writers_are_held_to_the_routes_that_stand():
     store = Store()
     store.apply(order(4, 0, [service("s"), route("a", "/", "s")]))
-    assert store.apply(control.WritePlan("delete", "services", "s", "", None)) is result.Result.PLAN_INVALID
+    assert store.apply(control_state.WritePlan("delete", "services", "s", "", None)) is result.ResultCode.PLAN_INVALID
     spec = json.dumps({"host": "H", "prefix": "/", "targets": [{"service": "s"}]})
-    assert store.apply(control.WritePlan("put", "http_routes", "b", spec, None)) is result.Result.PLAN_INVALID
-    assert store.apply(control.WritePlan("put", "http_routes", "b", spec.replace('"/"', '"/b/"'), None)).changed == 1
-    assert store.apply(order(5, 4, [route("c", "/b/", "s")], [])) is result.Result.PLAN_INVALID
+    assert store.apply(control_state.WritePlan("put", "http_routes", "b", spec, None)) is result.ResultCode.PLAN_INVALID
+    assert (
+        store.apply(control_state.WritePlan("put", "http_routes", "b", spec.replace('"/"', '"/b/"'), None)).changed == 1
+    )
+    assert store.apply(order(5, 4, [route("c", "/b/", "s")], [])) is result.ResultCode.PLAN_INVALID
 
 
 def test_all_faults_are_told_with_their_paths():
     faulty = [service("s"), route("a", "/", "gone"), route("b", "/b/", "s"), route("c", "/b/", "s")]
     try:
-        control.Control().decide(order(1, 0, faulty), NOW, 1)
+        control_state.ControlState().decide(order(1, 0, faulty), NOW, 1)
         raise AssertionError("taken")
-    except result.Refusal as refusal:
+    except result.RequestError as refusal:
         paths = {one["path"] for one in json.loads(refusal.detail)}
         assert paths == {"http_routes/a/targets/0/service", "http_routes/c/prefix"}
-    odd = configuration.Item("x", "y", "z", "colours", "n", "{}")
-    ill = configuration.Item("x", "y", "z", "services", "n", '{"kind": 3}')
-    for item in (odd, ill, configuration.Item("x", "y", "")):
-        assert Store().apply(order(1, 0, [item])) is result.Result.PLAN_INVALID
+    odd = operator_configuration.Item("x", "y", "z", "colours", "n", "{}")
+    ill = operator_configuration.Item("x", "y", "z", "services", "n", '{"kind": 3}')
+    for item in (odd, ill, operator_configuration.Item("x", "y", "")):
+        assert Store().apply(order(1, 0, [item])) is result.ResultCode.PLAN_INVALID
 
 
 def test_steps_lead_from_any_revision_to_what_stands_and_when_they_are_gone_the_whole_does():
@@ -252,11 +294,18 @@
         store, model = Store(), Model()
         held = []
         for _ in range(30):
-            shown = json.loads(json.dumps({"plan": store.view.document, "revisions": store.view.revisions,
-                                           "version": store.view.configuration.version}))
-            held.append((store.view.revision, shown, plan.of(shown["plan"], shown["version"])))
+            shown = json.loads(
+                json.dumps(
+                    {
+                        "plan": store.view.document,
+                        "revisions": store.view.revisions,
+                        "version": store.view.configuration.version,
+                    }
+                )
+            )
+            held.append((store.view.revision, shown, resources.of(shown["plan"], shown["version"])))
             command = drawn(chance, model, [])
-            if isinstance(store.apply(command), configuration.Applied):
+            if isinstance(store.apply(command), operator_configuration.Applied):
                 model.apply(command)
             if chance.random() < 0.05:
                 store.restart()
@@ -265,14 +314,22 @@
                 assert read.revision == store.view.revision
                 if read.document:
                     shown = json.loads(read.document)
-                    typed = plan.of(shown["plan"], shown["version"])
+                    typed = resources.of(shown["plan"], shown["version"])
                 for step in read.steps:
                     patch = json.loads(step.patch)
-                    shown = plan.merge(shown, patch)
-                    typed = plan.after(typed, shown["plan"], patch["plan"], shown["version"])
-                assert shown == {"plan": store.view.document, "revisions": store.view.revisions, "version": model.version}
-                whole = plan.of(store.view.document, model.version)
-                assert (typed.services, typed.http_routes, typed.version) == (whole.services, whole.http_routes, whole.version)
+                    shown = resources.merge(shown, patch)
+                    typed = resources.after(typed, shown["plan"], patch["plan"], shown["version"])
+                assert shown == {
+                    "plan": store.view.document,
+                    "revisions": store.view.revisions,
+                    "version": model.version,
+                }
+                whole = resources.of(store.view.document, model.version)
+                assert (typed.services, typed.http_routes, typed.version) == (
+                    whole.services,
+                    whole.http_routes,
+                    whole.version,
+                )
 
 
 def test_a_change_of_one_route_looks_at_no_other():
@@ -297,30 +354,50 @@
     store.view.document["http_routes"] = Watched(store.view.document["http_routes"])
     store.view.index.routes = Watched(store.view.index.routes)
     store.view.index.places = Watched(store.view.index.places)
-    events, reply = store.view.decide(order(2, 1, [route("r7", "/new/", "s")], [configuration.Label("routes here", "r9")]),
-                                      NOW, 1)
+    events, reply = store.view.decide(
+        order(2, 1, [route("r7", "/new/", "s")], [operator_configuration.Label("routes here", "r9")]), NOW, 1
+    )
     store.view.fold(events[0])
-    read = store.view.read_plan(control.Revision(3, 1))
+    read = store.view.read_plan(control_state.Revision(3, 1))
     assert reply.changed == 2 and len(read.steps) == 1 and len(read.steps[0].patch) < 500 and not looked
 
 
 def test_a_field_that_is_left_out_is_gone_also_at_nodes_that_learn_of_the_step():
     store = Store()
-    store.apply(order(1, 0, [service("s"), configuration.Item("routes here", "a", "1", "http_routes", "a", json.dumps(
-        {"host": "h", "prefix": "/", "targets": [{"service": "s"}], "rank": 3}))]))
-    shown = {"plan": json.loads(json.dumps(store.view.document)), "revisions": dict(store.view.revisions), "version": 1}
-    typed, before = plan.of(shown["plan"], 1), store.view.revision
+    store.apply(
+        order(
+            1,
+            0,
+            [
+                service("s"),
+                operator_configuration.Item(
+                    "routes here",
+                    "a",
+                    "1",
+                    "http_routes",
+                    "a",
+                    json.dumps({"host": "h", "prefix": "/", "targets": [{"service": "s"}], "rank": 3}),
+                ),
+            ],
+        )
+    )
+    shown = {
+        "plan": json.loads(json.dumps(store.view.document)),
+        "revisions": dict(store.view.revisions),
+        "version": 1,
+    }
+    typed, before = resources.of(shown["plan"], 1), store.view.revision
     store.apply(order(2, 1, [route("a", "/", "s")], []))
     patch = json.loads(store.view.read_plan(before).steps[0].patch)
-    shown = plan.merge(shown, patch)
+    shown = resources.merge(shown, patch)
     assert typed.http_routes["a"].rank == 3
-    assert plan.after(typed, shown["plan"], patch["plan"], 2).http_routes["a"].rank == 0
+    assert resources.after(typed, shown["plan"], patch["plan"], 2).http_routes["a"].rank == 0
 
 
 def test_a_service_that_a_lane_names_is_not_taken_away():
     store = Store()
     store.apply(order(1, 0, [service("s"), service("t")]))
     lane = '{"kind": "signal", "services": ["t"]}'
-    assert store.apply(control.WritePlan("put", "lanes", "l", lane, None)).changed == 1
-    assert store.apply(order(2, 1, [service("s")])) is result.Result.PLAN_INVALID
-    assert store.apply(order(2, 1, [], [configuration.Label("services here", "s")])).changed == 1
+    assert store.apply(control_state.WritePlan("put", "lanes", "l", lane, None)).changed == 1
+    assert store.apply(order(2, 1, [service("s")])) is result.ResultCode.PLAN_INVALID
+    assert store.apply(order(2, 1, [], [operator_configuration.Label("services here", "s")])).changed == 1
--- a/aspencroft/plan/plan.py
+++ b/aspencroft/configuration/resources.py
@@ -7,13 +7,8 @@
 
 import voluptuous
 
-import aspencroft.alert.rule as rule
-import aspencroft.plan.http_route as http_route
-import aspencroft.plan.lane as lane
-import aspencroft.plan.lane_route as lane_route
-import aspencroft.plan.limits as limits
-import aspencroft.plan.route_table as route_table
-import aspencroft.plan.service as service
+from aspencroft.alerts import rule
+from aspencroft.configuration import http_route, lane, lane_route, limits, route_table, service
 
 LARGEST = 8 << 20
 MOST_RESOURCES = 200_000
@@ -22,11 +17,20 @@
 WORKER = voluptuous.Schema({voluptuous.Optional("leaving", default=False): bool})
 MACHINE = voluptuous.Schema({voluptuous.Optional("emptied", default=False): bool})
 ADDRESS = voluptuous.All(str, voluptuous.Match(r"^[0-9A-Za-z.:\[\]-]+:[0-9]{1,5}\Z"))
-SEEDS = voluptuous.Schema({voluptuous.Required("addresses"):
-                           voluptuous.All([ADDRESS], voluptuous.Length(min=3, max=7), voluptuous.Unique())})
-SCHEMAS = {"services": service.SCHEMA, "lanes": lane.SCHEMA, "routes": lane_route.SCHEMA,
-           "workers": WORKER, "machines": MACHINE, "seeds": SEEDS, "rules": rule.SCHEMA, "limits": limits.SCHEMA,
-           HTTP_ROUTES: None}
+SEEDS = voluptuous.Schema(
+    {voluptuous.Required("addresses"): voluptuous.All([ADDRESS], voluptuous.Length(min=3, max=7), voluptuous.Unique())}
+)
+SCHEMAS = {
+    "services": service.SCHEMA,
+    "lanes": lane.SCHEMA,
+    "routes": lane_route.SCHEMA,
+    "workers": WORKER,
+    "machines": MACHINE,
+    "seeds": SEEDS,
+    "rules": rule.SCHEMA,
+    "limits": limits.SCHEMA,
+    HTTP_ROUTES: None,
+}
 RESOURCE_NAME = voluptuous.Schema(voluptuous.All(str, voluptuous.Match(r"^[A-Za-z0-9\[][A-Za-z0-9._:\[\]-]{0,95}\Z")))
 
 
@@ -110,9 +114,13 @@
 
     Example: ``check_anew("workers", "w1", '{"leaving": 3}')``
     """
-    faults = [Fault("/".join([kind, name, path]).rstrip("/"), meaning)
-              for path, meaning in (http_route.faults(text) if kind == HTTP_ROUTES else ())]
-    checks = [(RESOURCE_NAME, name)] if kind == HTTP_ROUTES else [(RESOURCE_NAME, name), (SCHEMAS[kind], json.loads(text))]
+    faults = [
+        Fault("/".join([kind, name, path]).rstrip("/"), meaning)
+        for path, meaning in (http_route.faults(text) if kind == HTTP_ROUTES else ())
+    ]
+    checks = (
+        [(RESOURCE_NAME, name)] if kind == HTTP_ROUTES else [(RESOURCE_NAME, name), (SCHEMAS[kind], json.loads(text))]
+    )
     for schema, value in checks:
         try:
             schema(value)
@@ -157,8 +165,11 @@
         for place, one in enumerate(spec["services"]):
             if one not in lanes[spec["lane"]]["services"]:
                 faults.append(Fault(f"routes/{name}/services/{place}", f"the lane does not allow {one}"))
-    faults.extend(Fault(f"limits/{name}", f"the only limits are {limits.EDGE}")
-                  for name in document.get("limits", {}) if name != limits.EDGE)
+    faults.extend(
+        Fault(f"limits/{name}", f"the only limits are {limits.EDGE}")
+        for name in document.get("limits", {})
+        if name != limits.EDGE
+    )
     return faults
 
 
@@ -176,7 +187,7 @@
 
     Example: ``of({}).lanes == {}``
     """
-    return after(EMPTY, document, {kind: None for kind in document}, version)
+    return after(EMPTY, document, dict.fromkeys(document), version)
 
 
 def after(before: Plan, document: dict, patch: dict, version: int) -> Plan:
@@ -262,8 +273,9 @@
         held, wanted = old.get(kind, {}), new.get(kind, {})
         if not isinstance(wanted, dict) or held is wanted:
             continue
-        differing = [name for name, spec in wanted.items()
-                     if name not in held or held[name] is not spec and held[name] != spec]
+        differing = [
+            name for name, spec in wanted.items() if name not in held or (held[name] is not spec and held[name] != spec)
+        ]
         differing.extend(name for name in held if name not in wanted)
         for name in sorted(differing):
             found.append((kind, name, json.dumps(wanted[name], sort_keys=True) if name in wanted else ""))
--- a/aspencroft/plan/route_table.py
+++ b/aspencroft/configuration/route_table.py
@@ -3,7 +3,7 @@
 import collections.abc
 import dataclasses
 
-import aspencroft.plan.http_route as http_route
+from aspencroft.configuration import http_route
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,8 +46,11 @@
                 return route
         return None
 
-    def changed(self, gone: collections.abc.Iterable[http_route.HttpRoute],
-                come: collections.abc.Iterable[http_route.HttpRoute]) -> "RouteTable":
+    def changed(
+        self,
+        gone: collections.abc.Iterable[http_route.HttpRoute],
+        come: collections.abc.Iterable[http_route.HttpRoute],
+    ) -> "RouteTable":
         """The table without some routes and with others; only the hosts that they belong to are made anew.
 
         Example: ``table.changed((old,), (new,))``
--- a/aspencroft/plan/service.py
+++ b/aspencroft/configuration/service.py
@@ -5,31 +5,37 @@
 
 import voluptuous
 
-import aspencroft.plan.lane as lane
+from aspencroft.configuration import lane
 
 MODEL, PLAIN = "model", "plain"
 SIZE = voluptuous.All(int, voluptuous.Range(min=1, max=1 << 50))
 COUNT = voluptuous.All(int, voluptuous.Range(min=0, max=1 << 50))
 
-ENGINE = voluptuous.Schema({
-    voluptuous.Optional("slots", default=1): SIZE,
-    voluptuous.Optional("kv_tokens", default=0): COUNT,
-    voluptuous.Optional("kv_bytes", default=0): COUNT,
-    voluptuous.Optional("link", default=0): voluptuous.All(voluptuous.Any(int, float), voluptuous.Range(min=0, max=1e18)),
-    voluptuous.Optional("stride", default=1): SIZE,
-    voluptuous.Optional("models", default=[]): voluptuous.All([str], voluptuous.Length(max=1024)),
-})
-
-SCHEMA = voluptuous.Schema({
-    voluptuous.Required("kind"): voluptuous.Any(MODEL, PLAIN),
-    voluptuous.Optional("size", default=15_200_000_000): SIZE,
-    voluptuous.Optional("startup", default=0.11): lane.SECONDS,
-    voluptuous.Optional("base"): lane.NAME,
-    voluptuous.Optional("health_path", default=""): voluptuous.Any("", voluptuous.Match(r"^/[!-~]{0,1023}\Z")),
-    voluptuous.Optional("max_connections", default=0): COUNT,
-    voluptuous.Optional("keeps_keys", default=False): bool,
-    voluptuous.Optional("engine"): ENGINE,
-})
+ENGINE = voluptuous.Schema(
+    {
+        voluptuous.Optional("slots", default=1): SIZE,
+        voluptuous.Optional("kv_tokens", default=0): COUNT,
+        voluptuous.Optional("kv_bytes", default=0): COUNT,
+        voluptuous.Optional("link", default=0): voluptuous.All(
+            voluptuous.Any(int, float), voluptuous.Range(min=0, max=1e18)
+        ),
+        voluptuous.Optional("stride", default=1): SIZE,
+        voluptuous.Optional("models", default=[]): voluptuous.All([str], voluptuous.Length(max=1024)),
+    }
+)
+
+SCHEMA = voluptuous.Schema(
+    {
+        voluptuous.Required("kind"): voluptuous.Any(MODEL, PLAIN),
+        voluptuous.Optional("size", default=15_200_000_000): SIZE,
+        voluptuous.Optional("startup", default=0.11): lane.SECONDS,
+        voluptuous.Optional("base"): lane.NAME,
+        voluptuous.Optional("health_path", default=""): voluptuous.Any("", voluptuous.Match(r"^/[!-~]{0,1023}\Z")),
+        voluptuous.Optional("max_connections", default=0): COUNT,
+        voluptuous.Optional("keeps_keys", default=False): bool,
+        voluptuous.Optional("engine"): ENGINE,
+    }
+)
 
 DEFAULTS = lane.defaults_of(SCHEMA)
 ENGINE_DEFAULTS = lane.defaults_of(ENGINE)
@@ -81,7 +87,22 @@
     engine = None
     if "engine" in full:
         told = {**ENGINE_DEFAULTS, **full["engine"]}
-        engine = Engine(told["slots"], told["kv_tokens"], told["kv_bytes"], float(told["link"]), told["stride"],
-                        tuple(told["models"]))
-    return Service(name, full["kind"], full["size"], datetime.timedelta(seconds=full["startup"]), full.get("base", ""),
-                   full["health_path"], full["max_connections"], full["keeps_keys"], engine)
+        engine = Engine(
+            told["slots"],
+            told["kv_tokens"],
+            told["kv_bytes"],
+            float(told["link"]),
+            told["stride"],
+            tuple(told["models"]),
+        )
+    return Service(
+        name,
+        full["kind"],
+        full["size"],
+        datetime.timedelta(seconds=full["startup"]),
+        full.get("base", ""),
+        full["health_path"],
+        full["max_connections"],
+        full["keeps_keys"],
+        engine,
+    )
--- a/aspencroft/pair/electorate.py
+++ b/aspencroft/consensus/proposer.py
@@ -5,15 +5,12 @@
 import dataclasses
 import datetime
 
-import aspencroft.code.result as result
-import aspencroft.link.link as link
-import aspencroft.link.record as record
-import aspencroft.pair.holding as holding
-import aspencroft.pair.witness as witness
-import aspencroft.seam.moment as moment
-import aspencroft.seam.surroundings as surroundings
-
-ASK = moment.seconds(0.4)
+from aspencroft.consensus import replica_set, witness
+from aspencroft.errors import result
+from aspencroft.runtime import clock, environment
+from aspencroft.transport import codec, connections
+
+ASK = clock.seconds(0.4)
 COUNTER_UNIT = 1 << 40
 
 
@@ -25,16 +22,16 @@
     value: bytes
 
 
-class Electorate:
+class Proposer:
     """The witnesses as a node knows them.
 
     Example: ``await electorate.change(0, "me", lambda value: fresh)``
     """
 
-    def __init__(self, around: surroundings.Surroundings, links: link.Link, first_roster: holding.Roster):
-        self.surroundings = around
+    def __init__(self, around: environment.Environment, links: connections.Link, first_roster: replica_set.VoterSet):
+        self.environment = around
         self.link = links
-        self.roster = first_roster
+        self.voter_set = first_roster
         self.highest = 0
 
     def ballot(self) -> int:
@@ -42,8 +39,9 @@
 
         Example: ``electorate.ballot() > electorate.highest``
         """
-        self.highest = ((self.highest // COUNTER_UNIT + 1) * COUNTER_UNIT
-                        + self.surroundings.randomness.randrange(COUNTER_UNIT))
+        self.highest = (self.highest // COUNTER_UNIT + 1) * COUNTER_UNIT + self.environment.randomness.randrange(
+            COUNTER_UNIT
+        )
         return self.highest
 
     def heed(self, answers: dict) -> None:
@@ -53,28 +51,29 @@
         """
         for one in answers.values():
             self.highest = max(self.highest, one.ballot.raised)
-            self.learn(one.roster)
+            self.learn(one.voter_set)
 
-    def learn(self, roster: holding.Roster) -> None:
+    def learn(self, voter_set: replica_set.VoterSet) -> None:
         """Take a newer roster of witnesses.
 
         Example: ``electorate.learn(roster)``
         """
-        if roster.number > self.roster.number:
-            self.roster = roster
+        if voter_set.number > self.voter_set.number:
+            self.voter_set = voter_set
 
-    async def ask_all(self, messages: dict[str, object],
-                      enough: collections.abc.Callable[[dict], bool]) -> dict[str, holding.Raised]:
+    async def ask_all(
+        self, messages: dict[str, object], enough: collections.abc.Callable[[dict], bool]
+    ) -> dict[str, replica_set.BallotReply]:
         """Ask witnesses at once; answers by address, as soon as they are enough or nobody is left.
 
         Example: ``answers = await electorate.ask_all(messages, lambda answers: False)``
         """
-        answers: dict[str, holding.Raised] = {}
+        answers: dict[str, replica_set.BallotReply] = {}
 
         async def ask(address: str, message) -> None:
             try:
                 answers[address] = await self.link.ask(address, message, ASK)
-            except result.Refusal:
+            except result.RequestError:
                 pass
 
         waiting = [asyncio.ensure_future(ask(address, message)) for address, message in messages.items()]
@@ -87,24 +86,23 @@
                 task.cancel()
         return dict(answers)
 
-    def granted(self, answers: dict) -> dict[str, holding.Raised]:
+    def granted(self, answers: dict) -> dict[str, replica_set.BallotReply]:
         """Those answers that grant.
 
         Example: ``roster.quorum(electorate.granted(answers))``
         """
         return {address: one for address, one in answers.items() if one.granted}
 
-    def decided(self, roster: holding.Roster, answers: dict) -> bool:
+    def decided(self, voter_set: replica_set.VoterSet, answers: dict) -> bool:
         """Whether more answers change nothing: a majority grants, or so many refused that none can.
 
         Example: ``electorate.decided(roster, answers)``
         """
         granted = self.granted(answers)
         refused = set(answers) - set(granted)
-        return roster.quorum(granted) or not roster.quorum(set(roster.everyone()) - refused)
+        return voter_set.quorum(granted) or not voter_set.quorum(set(voter_set.everyone()) - refused)
 
-    async def change(self, register: int, asker: str,
-                     function: collections.abc.Callable[[bytes], bytes]) -> Chosen:
+    async def change(self, register: int, asker: str, function: collections.abc.Callable[[bytes], bytes]) -> Chosen:
         """One ballot: learn the newest value that may be chosen, record what the function makes of it.
 
         The value is finished, unchanged, when the function hands it back. Refused with the time to
@@ -112,50 +110,62 @@
 
         Example: ``chosen = await electorate.change(0, asker, lambda value: value)``
         """
-        roster = self.roster
-        started = moment.now()
+        voter_set = self.voter_set
+        started = clock.now()
         ballot = self.ballot()
-        raising = holding.Raise(register, ballot, asker, roster.number)
-        answers = await self.ask_all({address: raising for address in roster.everyone()},
-                                     lambda found: self.decided(roster, found))
+        raising = replica_set.Prepare(register, ballot, asker, voter_set.number)
+        answers = await self.ask_all(
+            dict.fromkeys(voter_set.everyone(), raising),
+            lambda found: self.decided(voter_set, found),
+        )
         self.heed(answers)
         promised = self.granted(answers)
-        if not roster.quorum(promised):
+        if not voter_set.quorum(promised):
             waits = [one.wait for one in answers.values()]
-            raise result.Refusal(result.Result.NO_CLAIM, retry=max(waits, default=moment.ZERO),
-                                 detail=f"{len(promised)} of {len(roster.everyone())} witnesses promised")
+            raise result.RequestError(
+                result.ResultCode.NO_CLAIM,
+                retry=max(waits, default=clock.ZERO),
+                detail=f"{len(promised)} of {len(voter_set.everyone())} witnesses promised",
+            )
         newest = max((one.ballot for one in promised.values()), key=lambda one: one.accepted)
         value = function(newest.value)
-        accepting = {address: holding.Accept(register, ballot, value, one.incarnation, roster.number)
-                     for address, one in promised.items()}
-        answers = await self.ask_all(accepting, lambda found: self.decided(roster, found))
+        accepting = {
+            address: replica_set.Accept(register, ballot, value, one.incarnation, voter_set.number)
+            for address, one in promised.items()
+        }
+        answers = await self.ask_all(accepting, lambda found: self.decided(voter_set, found))
         self.heed(answers)
-        if moment.now() - started > witness.CLAIM or not roster.quorum(self.granted(answers)):
-            raise result.Refusal(result.Result.OUTCOME_UNKNOWN, result.Ran.UNKNOWN, "the ballot did not finish")
+        if clock.now() - started > witness.LEASE or not voter_set.quorum(self.granted(answers)):
+            raise result.RequestError(
+                result.ResultCode.OUTCOME_UNKNOWN, result.Ran.UNKNOWN, "the ballot did not finish"
+            )
         return Chosen(ballot, value)
 
-    async def claim(self, chosen: Chosen, register: int, claimant: str,
-                    length: datetime.timedelta) -> tuple[datetime.timedelta | None, bytes, bool]:
+    async def claim(
+        self, chosen: Chosen, register: int, claimant: str, length: datetime.timedelta
+    ) -> tuple[datetime.timedelta | None, bytes, bool]:
         """Renew a claim: its end, counted from before it was asked for, or none; the newest value seen; whether most answered.
 
         Example: ``end, newest, answered = await electorate.claim(chosen, 0, claimant, witness.CLAIM)``
         """
-        roster = self.roster
-        started = moment.now()
-        message = holding.Claim(register, chosen.ballot, chosen.value, claimant, length, roster.number)
-        answers = await self.ask_all({address: message for address in roster.everyone()},
-                                     lambda found: self.decided(roster, found))
+        voter_set = self.voter_set
+        started = clock.now()
+        message = replica_set.LeaseRequest(register, chosen.ballot, chosen.value, claimant, length, voter_set.number)
+        answers = await self.ask_all(
+            dict.fromkeys(voter_set.everyone(), message),
+            lambda found: self.decided(voter_set, found),
+        )
         self.heed(answers)
         newest = max((one.ballot for one in answers.values()), key=lambda one: one.accepted, default=None)
         value = newest.value if newest is not None and newest.accepted > chosen.ballot else b""
-        if roster.quorum(self.granted(answers)):
+        if voter_set.quorum(self.granted(answers)):
             return started + length, value, True
-        return None, value, roster.quorum(answers)
+        return None, value, voter_set.quorum(answers)
 
 
-def holding_of(value: bytes) -> holding.Holding | None:
+def replica_set_of(value: bytes) -> replica_set.ReplicaSet | None:
     """The record of holders in a register's value.
 
     Example: ``holding_of(chosen.value).epoch``
     """
-    return record.untagged(value) if value else None
+    return codec.untagged(value) if value else None
--- a/aspencroft/pair/holding.py
+++ b/aspencroft/consensus/replica_set.py
@@ -3,9 +3,9 @@
 import dataclasses
 import datetime
 
-import aspencroft.link.record as record
+from aspencroft.transport import codec
 
-ROSTER = -1
+VOTER_SET = -1
 FOUNDING = 1
 CONTROL, TALK = "control", "talk"
 
@@ -18,9 +18,9 @@
     return TALK if pair else CONTROL
 
 
-@record.kind(20)
+@codec.kind(20)
 @dataclasses.dataclass(frozen=True)
-class Member:
+class ReplicaId:
     """A copy's holder: the node's address and the identity that its store was born with.
 
     Example: ``Member("127.0.0.1:7001", "5f3a...")``; a store that was lost has another identity.
@@ -30,9 +30,9 @@
     identity: str
 
 
-@record.kind(21)
+@codec.kind(21)
 @dataclasses.dataclass(frozen=True)
-class Holding:
+class ReplicaSet:
     """Primary and backups of a group under an epoch: each of them holds all that was answered.
 
     Example: ``Holding(0, 3, primary, ())``: one copy, no write is taken.
@@ -40,10 +40,10 @@
 
     pair: int
     epoch: int
-    primary: Member
-    backups: tuple[Member, ...]
+    primary: ReplicaId
+    backups: tuple[ReplicaId, ...]
 
-    def members(self) -> tuple[Member, ...]:
+    def members(self) -> tuple[ReplicaId, ...]:
         """The primary and the backups.
 
         Example: ``Holding(0, 3, primary, (backup,)).members() == (primary, backup)``
@@ -51,9 +51,9 @@
         return (self.primary, *self.backups)
 
 
-@record.kind(22)
+@codec.kind(22)
 @dataclasses.dataclass(frozen=True)
-class Roster:
+class VoterSet:
     """The witnesses: the set in force and, while it changes, the set to come.
 
     Number zero is what settings name before any roster is in force, number one what they name to witnesses that vote from their
@@ -78,11 +78,12 @@
 
         Example: ``Roster(1, ("a", "b", "c"), ()).quorum({"a", "c"})``
         """
-        return all(2 * len(set(group) & set(answered)) > len(set(group))
-                   for group in (self.present, self.coming) if group)
+        return all(
+            2 * len(set(group) & set(answered)) > len(set(group)) for group in (self.present, self.coming) if group
+        )
 
 
-@record.kind(23)
+@codec.kind(23)
 @dataclasses.dataclass(frozen=True)
 class Ballot:
     """What a witness keeps of a register: the ballot raised, and the value last accepted in one."""
@@ -93,30 +94,30 @@
     value: bytes
 
 
-@record.kind(24)
+@codec.kind(24)
 @dataclasses.dataclass(frozen=True)
-class Raise:
+class Prepare:
     """First phase: promise this ballot and tell what was accepted."""
 
     register: int
     ballot: int
     asker: str
-    roster: int
+    voter_set: int
 
 
-@record.kind(25)
+@codec.kind(25)
 @dataclasses.dataclass(frozen=True)
-class Raised:
+class BallotReply:
     """Answer to a raise or a record; refused ones tell the ballot or roster that stands in the way."""
 
     granted: bool
     incarnation: int
     ballot: Ballot
-    roster: Roster
+    voter_set: VoterSet
     wait: datetime.timedelta
 
 
-@record.kind(26)
+@codec.kind(26)
 @dataclasses.dataclass(frozen=True)
 class Accept:
     """Second phase: accept a value in a ballot that this incarnation of the witness promised."""
@@ -125,12 +126,12 @@
     ballot: int
     value: bytes
     incarnation: int
-    roster: int
+    voter_set: int
 
 
-@record.kind(27)
+@codec.kind(27)
 @dataclasses.dataclass(frozen=True)
-class Claim:
+class LeaseRequest:
     """Renew a primary's claim; carries the chosen value so that a witness that missed it learns it."""
 
     register: int
@@ -138,83 +139,83 @@
     value: bytes
     claimant: str
     length: datetime.timedelta
-    roster: int
+    voter_set: int
 
 
-@record.kind(28)
+@codec.kind(28)
 @dataclasses.dataclass(frozen=True)
-class Survey:
+class WitnessStateRequest:
     """Ask a witness for all that it keeps."""
 
     asker: str
 
 
-@record.kind(29)
+@codec.kind(29)
 @dataclasses.dataclass(frozen=True)
-class Surveyed:
+class WitnessState:
     """A witness's state; one that is blank does not vote."""
 
     voting: bool
     incarnation: int
-    roster: Roster
+    voter_set: VoterSet
     ballots: tuple[Ballot, ...]
 
 
-@record.kind(30)
+@codec.kind(30)
 @dataclasses.dataclass(frozen=True)
-class SeedWitness:
+class InstallWitnessState:
     """Give blank witnesses their first state, or the one that the members' disks hold."""
 
-    roster: Roster
+    voter_set: VoterSet
     ballots: tuple[Ballot, ...]
 
 
-@record.kind(31)
+@codec.kind(31)
 @dataclasses.dataclass(frozen=True)
-class Okay:
+class Acknowledged:
     """Plain yes."""
 
 
-@record.kind(32)
+@codec.kind(32)
 @dataclasses.dataclass(frozen=True)
-class Report:
+class ReplicaReportRequest:
     """Ask a node which copies its disk holds."""
 
 
-@record.kind(35)
+@codec.kind(35)
 @dataclasses.dataclass(frozen=True)
-class ChosenRoster:
+class VoterSetChosen:
     """A roster that the witnesses chose, for those that had no part in the ballot."""
 
-    roster: Roster
+    voter_set: VoterSet
 
 
-@record.kind(36)
+@codec.kind(36)
 @dataclasses.dataclass(frozen=True)
-class Known:
+class RememberedCluster:
     """What a node's disk remembers of the fleet: the roster in force and the nodes with disks."""
 
-    roster: Roster
+    voter_set: VoterSet
     disks: tuple[str, ...]
 
 
-@record.kind(33)
+@codec.kind(33)
 @dataclasses.dataclass(frozen=True)
-class CopyReport:
+class ReplicaReport:
     """One copy on a disk: identity, the newest record of holders known, and the last sequence."""
 
     pair: int
     identity: str
-    holding: Holding | None
+    holding: ReplicaSet | None
     sequence: int
 
 
-@record.kind(34)
+@codec.kind(34)
 @dataclasses.dataclass(frozen=True)
-class Reported:
+class ReplicaReports:
     """All copies on a node's disk; ``first_start`` says that a blank one of them is new, not lost."""
 
     area: str
-    copies: tuple[CopyReport, ...]
-    known: Known
+    copies: tuple[ReplicaReport, ...]
+    known: RememberedCluster
     first_start: bool = True
