--- a/aspencroft/pair/witness.py
+++ b/aspencroft/consensus/witness.py
@@ -7,22 +7,21 @@
 
 import logbook
 
-import aspencroft.code.result as result
-import aspencroft.disk.store as store
-import aspencroft.link.record as record
-import aspencroft.pair.holding as holding
-import aspencroft.seam.moment as moment
-import aspencroft.seam.surroundings as surroundings
+from aspencroft.consensus import replica_set
+from aspencroft.errors import result
+from aspencroft.runtime import clock, environment
+from aspencroft.storage import store
+from aspencroft.transport import codec
 
 LOG = logbook.Logger("witness")
-CLAIM = moment.seconds(1)
-MARGIN = moment.seconds(0.15)
+LEASE = clock.seconds(1)
+LEASE_MARGIN = clock.seconds(0.15)
 BLANK_BALLOT = 0
 COMPACT = 2000
 
 
 @dataclasses.dataclass(frozen=True)
-class Grant:
+class LeaseGrant:
     """A claim that a witness granted, by its own clock with a margin."""
 
     claimant: str
@@ -35,18 +34,24 @@
     Example: ``await witness.raise_ballot(Raise(0, 7, "me", 1))``
     """
 
-    def __init__(self, around: surroundings.Surroundings, folder: pathlib.Path | None,
-                 address: str, incarnation: int, first_roster: holding.Roster):
-        self.surroundings = around
+    def __init__(
+        self,
+        around: environment.Environment,
+        folder: pathlib.Path | None,
+        address: str,
+        incarnation: int,
+        first_roster: replica_set.VoterSet,
+    ):
+        self.environment = around
         self.address = address
         self.folder = folder
         self.incarnation = incarnation
-        self.roster = first_roster
-        self.ballots: dict[int, holding.Ballot] = {}
-        self.grants: dict[int, Grant] = {}
+        self.voter_set = first_roster
+        self.ballots: dict[int, replica_set.Ballot] = {}
+        self.grants: dict[int, LeaseGrant] = {}
         self.voting = False
-        self.known = holding.Known(first_roster, ())
-        self.awake = moment.ZERO
+        self.known = replica_set.RememberedCluster(first_roster, ())
+        self.awake = clock.ZERO
         self.kept: store.Store | None = None
         self.writing = asyncio.Lock()
 
@@ -58,26 +63,27 @@
 
         Example: ``await witness.start()``
         """
-        self.awake = moment.now() + CLAIM + MARGIN
+        self.awake = clock.now() + LEASE + LEASE_MARGIN
         if self.folder is None:
             return
-        self.kept, items, condition = await self.surroundings.disk.perform(
-            store.load, self.folder, self.surroundings.disk)
+        self.kept, items, condition = await self.environment.disk.perform(
+            store.load, self.folder, self.environment.disk
+        )
         for item in items:
-            value = record.untagged(item.payload)
-            if isinstance(value, holding.Roster):
-                self.roster = value
-            elif isinstance(value, holding.Known):
+            value = codec.untagged(item.payload)
+            if isinstance(value, replica_set.VoterSet):
+                self.voter_set = value
+            elif isinstance(value, replica_set.RememberedCluster):
                 self.known = value
             else:
                 self.ballots[value.register] = value
-        self.voting = self.roster.number > 0 and self.address in self.roster.everyone()
+        self.voting = self.voter_set.number > 0 and self.address in self.voter_set.everyone()
         if condition is store.Condition.DAMAGED:
             LOG.warning("the witness's store was damaged; it starts blank")
-        if founding and condition is store.Condition.EMPTY and self.address in self.roster.present:
-            self.roster = holding.Roster(holding.FOUNDING, tuple(sorted(self.roster.present)), ())
-            await self.keep(self.roster)
-            self.awake, self.voting = moment.ZERO, True
+        if founding and condition is store.Condition.EMPTY and self.address in self.voter_set.present:
+            self.voter_set = replica_set.VoterSet(replica_set.FOUNDING, tuple(sorted(self.voter_set.present)), ())
+            await self.keep(self.voter_set)
+            self.awake, self.voting = clock.ZERO, True
 
     async def keep(self, *values) -> None:
         """Make values last before anybody is told of them.
@@ -88,45 +94,45 @@
             return
         async with self.writing:
             if self.kept.count > COMPACT:
-                values = (self.known, self.roster, *self.ballots.values())
-            items = tuple(store.Item(0, record.tagged(value)) for value in values)
+                values = (self.known, self.voter_set, *self.ballots.values())
+            items = tuple(store.Item(0, codec.tagged(value)) for value in values)
             work = self.kept.replace if self.kept.count > COMPACT else self.kept.append
-            await self.surroundings.disk.perform(work, items)
+            await self.environment.disk.perform(work, items)
 
-    def ballot(self, register: int) -> holding.Ballot:
+    def ballot(self, register: int) -> replica_set.Ballot:
         """What is kept of a register.
 
         Example: ``witness.ballot(0).raised``
         """
-        return self.ballots.get(register, holding.Ballot(register, BLANK_BALLOT, BLANK_BALLOT, b""))
+        return self.ballots.get(register, replica_set.Ballot(register, BLANK_BALLOT, BLANK_BALLOT, b""))
 
-    def answer(self, granted: bool, register: int, wait: datetime.timedelta = moment.ZERO) -> holding.Raised:
+    def answer(self, granted: bool, register: int, wait: datetime.timedelta = clock.ZERO) -> replica_set.BallotReply:
         """The answer to a raise, an accept or a claim.
 
         Example: ``witness.answer(False, 0)``
         """
-        return holding.Raised(granted, self.incarnation, self.ballot(register), self.roster, wait)
+        return replica_set.BallotReply(granted, self.incarnation, self.ballot(register), self.voter_set, wait)
 
-    def check(self, roster: int) -> bool:
+    def check(self, voter_set: int) -> bool:
         """Whether the asker uses the very roster in force here; a blank witness answers nobody.
 
         Example: ``witness.check(message.roster)``
         """
         if not self.voting:
-            raise result.Refusal(result.Result.WITNESS_BLANK)
-        return roster == self.roster.number
+            raise result.RequestError(result.ResultCode.WITNESS_BLANK)
+        return voter_set == self.voter_set.number
 
-    async def raise_ballot(self, message: holding.Raise) -> holding.Raised:
+    async def raise_ballot(self, message: replica_set.Prepare) -> replica_set.BallotReply:
         """First phase; refused while somebody else's claim may be in force.
 
         Example: ``await witness.raise_ballot(holding.Raise(0, 7, "me", 1))``
         """
-        if not self.check(message.roster):
+        if not self.check(message.voter_set):
             return self.answer(False, message.register)
         current = self.ballot(message.register)
         wait = self.claimed(message.register, message.asker)
-        if wait > moment.ZERO or message.ballot <= current.raised:
-            return self.answer(False, message.register, max(wait, moment.ZERO))
+        if wait > clock.ZERO or message.ballot <= current.raised:
+            return self.answer(False, message.register, max(wait, clock.ZERO))
         await self.settle(dataclasses.replace(current, raised=message.ballot))
         return self.answer(self.ballot(message.register).raised == message.ballot, message.register)
 
@@ -135,18 +141,18 @@
 
         Example: ``witness.claimed(0, "me") > moment.ZERO``
         """
-        if register == holding.ROSTER:
-            return moment.ZERO
+        if register == replica_set.VOTER_SET:
+            return clock.ZERO
         grant = self.grants.get(register)
         if grant is not None and grant.claimant == asker:
-            return moment.ZERO
+            return clock.ZERO
         end = self.awake if grant is None else max(grant.end, self.awake)
         current = self.ballot(register)
-        if grant is None and current.value and str(record.untagged(current.value).primary) == asker:
-            return moment.ZERO
-        return end - moment.now()
+        if grant is None and current.value and str(codec.untagged(current.value).primary) == asker:
+            return clock.ZERO
+        return end - clock.now()
 
-    async def settle(self, fresh: holding.Ballot) -> None:
+    async def settle(self, fresh: replica_set.Ballot) -> None:
         """Take a register's new state into memory, then make it last; twice, as a disk may lose its last value.
 
         Example: ``await witness.settle(ballot)``
@@ -154,37 +160,37 @@
         self.ballots[fresh.register] = fresh
         await self.keep(fresh, fresh)
 
-    async def accept(self, message: holding.Accept) -> holding.Raised:
+    async def accept(self, message: replica_set.Accept) -> replica_set.BallotReply:
         """Second phase; only for a ballot that this very incarnation promised.
 
         Example: ``await witness.accept(holding.Accept(0, 7, value, incarnation, 1))``
         """
-        if not self.check(message.roster):
+        if not self.check(message.voter_set):
             return self.answer(False, message.register)
         current = self.ballot(message.register)
         if message.incarnation != self.incarnation or current.raised != message.ballot:
             return self.answer(False, message.register)
         await self.settle(dataclasses.replace(current, accepted=message.ballot, value=message.value))
-        value = record.untagged(message.value)
-        if message.register == holding.ROSTER:
+        value = codec.untagged(message.value)
+        if message.register == replica_set.VOTER_SET:
             await self.adopt(value)
         elif str(value.primary) != getattr(self.grants.get(message.register), "claimant", ""):
             self.grants.pop(message.register, None)
         return self.answer(self.ballot(message.register).accepted == message.ballot, message.register)
 
-    async def adopt(self, roster: holding.Roster) -> None:
+    async def adopt(self, voter_set: replica_set.VoterSet) -> None:
         """Take a newer roster; older ones are refused from then on.
 
         Example: ``await witness.adopt(roster)``
         """
-        if roster.number > self.roster.number and self.voting:
-            self.roster = roster
-            if self.address not in roster.everyone():
+        if voter_set.number > self.voter_set.number and self.voting:
+            self.voter_set = voter_set
+            if self.address not in voter_set.everyone():
                 self.voting = False
                 self.ballots.clear()
-            await self.keep(roster)
+            await self.keep(voter_set)
 
-    async def remember(self, known: holding.Known) -> None:
+    async def remember(self, known: replica_set.RememberedCluster) -> None:
         """Keep what this node knows of the fleet, for the start after a full stop.
 
         Example: ``await witness.remember(holding.Known(roster, disks))``
@@ -193,37 +199,41 @@
             self.known = known
             await self.keep(known)
 
-    async def claim(self, message: holding.Claim) -> holding.Raised:
+    async def claim(self, message: replica_set.LeaseRequest) -> replica_set.BallotReply:
         """Renew a claim under the record that stands; nobody's while a higher ballot is raised.
 
         Example: ``await witness.claim(claim)``
         """
-        if not self.check(message.roster):
+        if not self.check(message.voter_set):
             return self.answer(False, message.register)
         current = self.ballot(message.register)
         if message.ballot > current.accepted and message.ballot >= current.raised:
-            current = holding.Ballot(message.register, message.ballot, message.ballot, message.value)
+            current = replica_set.Ballot(message.register, message.ballot, message.ballot, message.value)
             await self.settle(current)
         current = self.ballot(message.register)
-        standing = record.untagged(current.value) if current.value else None
-        if (standing is None or current.accepted != message.ballot or current.raised != message.ballot
-                or str(standing.primary) != message.claimant
-                or self.claimed(message.register, message.claimant) > moment.ZERO):
+        standing = codec.untagged(current.value) if current.value else None
+        if (
+            standing is None
+            or current.accepted != message.ballot
+            or current.raised != message.ballot
+            or str(standing.primary) != message.claimant
+            or self.claimed(message.register, message.claimant) > clock.ZERO
+        ):
             return self.answer(False, message.register)
-        end, before = moment.now() + message.length + MARGIN, self.grants.get(message.register)
+        end, before = clock.now() + message.length + LEASE_MARGIN, self.grants.get(message.register)
         if before is not None and before.claimant == message.claimant:
             end = max(end, before.end)
-        self.grants[message.register] = Grant(message.claimant, end)
+        self.grants[message.register] = LeaseGrant(message.claimant, end)
         return self.answer(True, message.register)
 
-    def survey(self) -> holding.Surveyed:
+    def survey(self) -> replica_set.WitnessState:
         """All that is kept, for a blank witness that wants to learn.
 
         Example: ``witness.survey().voting``
         """
-        return holding.Surveyed(self.voting, self.incarnation, self.roster, tuple(self.ballots.values()))
+        return replica_set.WitnessState(self.voting, self.incarnation, self.voter_set, tuple(self.ballots.values()))
 
-    async def learn(self, roster: holding.Roster, ballots: tuple[holding.Ballot, ...]) -> None:
+    async def learn(self, voter_set: replica_set.VoterSet, ballots: tuple[replica_set.Ballot, ...]) -> None:
         """Take the newest of what others keep, and vote from now on; claims count as granted.
 
         Example: ``await witness.learn(roster, ballots)``
@@ -233,9 +243,10 @@
         for one in ballots:
             mine = self.ballot(one.register)
             newest = one if one.accepted >= mine.accepted else mine
-            self.ballots[one.register] = holding.Ballot(one.register, max(one.raised, mine.raised),
-                                                        newest.accepted, newest.value)
-        self.roster = roster if roster.number > self.roster.number else self.roster
-        self.awake = moment.now() + CLAIM + MARGIN
+            self.ballots[one.register] = replica_set.Ballot(
+                one.register, max(one.raised, mine.raised), newest.accepted, newest.value
+            )
+        self.voter_set = voter_set if voter_set.number > self.voter_set.number else self.voter_set
+        self.awake = clock.now() + LEASE + LEASE_MARGIN
         self.voting = True
-        await self.keep(self.roster, *self.ballots.values())
+        await self.keep(self.voter_set, *self.ballots.values())
--- a/aspencroft/pair/seat_test.py
+++ b/aspencroft/consensus/witness_bootstrap_test.py
@@ -2,35 +2,33 @@
 
 import asyncio
 
-import aspencroft.link.record as record
-import aspencroft.pair.holding as holding
-import aspencroft.pair.seat as seat
-import aspencroft.sim.groups as groups
-import aspencroft.sim.scene as scene
-import aspencroft.sim.wire as wire
-import aspencroft.stand.shape as shape
+from aspencroft.consensus import replica_set, witness_bootstrap
+from aspencroft.emulator import shape
+from aspencroft.simulation import groups, simulated_cluster, wire
+from aspencroft.transport import codec
 
 
 def test_a_fleet_is_founded_though_a_seed_and_a_disk_are_missing():
     for missing in ("core-1", "storage-2"):
-        async def story(one: scene.Scene) -> None:
+
+        async def story(one: simulated_cluster.SimulatedCluster) -> None:
             one.power_off(missing)
             assert await one.until(one.formed, 8, "formed") < 4
 
-        scene.play(1, story, groups.SIZE, shape.TILLS, wire.Weather(jitter=0.002), {"witnesses": "core"})
+        simulated_cluster.play(1, story, groups.SIZE, shape.TILLS, wire.Weather(jitter=0.002), {"witnesses": "core"})
 
 
 def test_founding_does_not_wait_for_a_disk_that_was_heard_of_and_fell_silent():
-    async def story(one: scene.Scene) -> None:
+    async def story(one: simulated_cluster.SimulatedCluster) -> None:
         await one.until(lambda: len(one.nodes["core-0"].holders("talk")) == 3, 3, "heard of")
         one.power_off("storage-2")
         assert await one.until(one.formed, 8, "formed") < 3.5
 
-    scene.play(7, story, groups.SIZE, shape.TILLS, wire.Weather(jitter=0.002), {"witnesses": "core"})
+    simulated_cluster.play(7, story, groups.SIZE, shape.TILLS, wire.Weather(jitter=0.002), {"witnesses": "core"})
 
 
 def test_a_fleet_is_not_founded_on_too_few_disks():
-    async def story(one: scene.Scene) -> None:
+    async def story(one: simulated_cluster.SimulatedCluster) -> None:
         for name in ("storage-1", "storage-2"):
             one.power_off(name)
         await asyncio.sleep(8)
@@ -38,42 +36,48 @@
         one.start("storage-1")
         await one.until(one.formed, 8, "formed")
 
-    scene.play(2, story, groups.SIZE, shape.TILLS, wire.Weather(jitter=0.002), {"witnesses": "core"})
+    simulated_cluster.play(2, story, groups.SIZE, shape.TILLS, wire.Weather(jitter=0.002), {"witnesses": "core"})
 
 
 def test_lost_disks_are_never_taken_for_a_new_fleet():
     for more in ({"witnesses": "core"}, {}):
-        async def story(one: scene.Scene) -> None:
+
+        async def story(one: simulated_cluster.SimulatedCluster) -> None:
             await asyncio.sleep(15)
             assert not any(own.ring.holdings or own.witness.voting for own in one.nodes.values())
 
-        scene.play(3, story, groups.SIZE, shape.TILLS, wire.Weather(jitter=0.002), {"first_start": False, **more})
+        simulated_cluster.play(
+            3, story, groups.SIZE, shape.TILLS, wire.Weather(jitter=0.002), {"first_start": False, **more}
+        )
 
 
 def test_all_cores_become_witnesses_a_replaced_one_is_replaced_and_a_restarted_one_is_kept():
     async def acts(stage: groups.Stage) -> None:
         one = stage.scene
 
-        def roster() -> set[str]:
-            found = max((own.electorate.roster for name, own in one.nodes.items() if one.alive(name)),
-                        key=lambda each: each.number)
+        def voter_set() -> set[str]:
+            found = max(
+                (own.proposer.voter_set for name, own in one.nodes.items() if one.alive(name)),
+                key=lambda each: each.number,
+            )
             return set() if found.coming else {address.split(":")[0] for address in found.present}
 
-        await one.until(lambda: roster() == set(one.cores), 8, "witnessed by all cores")
+        await one.until(lambda: voter_set() == set(one.cores), 8, "witnessed by all cores")
         one.kill("core-3")
         await asyncio.sleep(2)
         one.start("core-3")
         await asyncio.sleep(6)
-        assert roster() == set(one.cores)
+        assert voter_set() == set(one.cores)
         one.power_off("core-1")
         one.disks["core-1"].wipe()
         await asyncio.sleep(8)
-        assert roster() == set(one.cores)
+        assert voter_set() == set(one.cores)
         one.cores[1] = "core-5"
         one.lost.add("core-5")
         one.start("core-5")
-        await one.until(lambda: roster() == set(one.cores), 8, "witnessed by the new one")
+        await one.until(lambda: voter_set() == set(one.cores), 8, "witnessed by the new one")
         assert await stage.write("extra")
+
     for seed in (4, 5):
         groups.play(seed, acts)
 
@@ -81,7 +85,7 @@
 def test_a_witness_that_lost_its_disk_votes_again_once_taught():
     async def acts(stage: groups.Stage) -> None:
         one = stage.scene
-        await one.until(lambda: len(one.nodes["core-0"].electorate.roster.present) == 5, 8, "five witnesses")
+        await one.until(lambda: len(one.nodes["core-0"].proposer.voter_set.present) == 5, 8, "five witnesses")
         for victim in ("core-0", "core-4"):
             one.power_off(victim)
             one.disks[victim].wipe()
@@ -90,23 +94,34 @@
             one.start(victim)
             await one.until(lambda: victim in one.nodes and one.nodes[victim].witness.voting, 6, "voting again")
             assert await stage.write(f"after-{victim}")
+
     groups.play(6, acts)
 
 
-NOTHING = holding.Known(holding.Roster(0, (), ()), ())
+NOTHING = replica_set.RememberedCluster(replica_set.VoterSet(0, (), ()), ())
 
 
 def test_first_holders_are_spread_over_areas():
-    reports = {f"s:{number}": holding.Reported("abc"[number % 3], tuple(
-        holding.CopyReport(pair, f"{number}-{pair}", None, 0) for pair in range(5)), NOTHING) for number in range(4)}
-    for one in seat.first_ballots(reports, 5, 2):
-        standing = record.untagged(one.value)
+    reports = {
+        f"s:{number}": replica_set.ReplicaReports(
+            "abc"[number % 3],
+            tuple(replica_set.ReplicaReport(pair, f"{number}-{pair}", None, 0) for pair in range(5)),
+            NOTHING,
+        )
+        for number in range(4)
+    }
+    for one in witness_bootstrap.first_ballots(reports, 5, 2):
+        standing = codec.untagged(one.value)
         assert reports[standing.primary.address].area != reports[standing.backups[0].address].area
 
 
 def test_a_lost_disk_is_not_taken_for_the_member_it_held():
-    standing = holding.Holding(0, 4, holding.Member("s:0", "old"), (holding.Member("s:1", "kept"),))
-    reports = {"s:0": holding.Reported("a", (holding.CopyReport(0, "new", None, 0),), NOTHING),
-               "s:1": holding.Reported("b", (holding.CopyReport(0, "kept", standing, 9),), NOTHING)}
-    assert seat.present_members(standing, reports) == list(standing.backups)
-    assert seat.newest_holdings(reports, ()) == {0: standing}
+    standing = replica_set.ReplicaSet(
+        0, 4, replica_set.ReplicaId("s:0", "old"), (replica_set.ReplicaId("s:1", "kept"),)
+    )
+    reports = {
+        "s:0": replica_set.ReplicaReports("a", (replica_set.ReplicaReport(0, "new", None, 0),), NOTHING),
+        "s:1": replica_set.ReplicaReports("b", (replica_set.ReplicaReport(0, "kept", standing, 9),), NOTHING),
+    }
+    assert witness_bootstrap.present_members(standing, reports) == list(standing.backups)
+    assert witness_bootstrap.newest_holdings(reports, ()) == {0: standing}
--- /dev/null
+++ b/aspencroft/consensus/witness_changes.py
@@ -0,0 +1,126 @@
+"""Changing the witnesses while the fleet runs: through a joint roster, recorded with both majorities."""
+
+import collections.abc
+import datetime
+
+import logbook
+
+from aspencroft.consensus import proposer, replica_set, witness, witness_bootstrap
+from aspencroft.errors import result
+from aspencroft.runtime import clock, supervision
+from aspencroft.transport import codec, connections
+
+LOG = logbook.Logger("reseat")
+STEP = clock.seconds(0.5)
+ASK = clock.seconds(1)
+
+
+class WitnessChanges:
+    """The control primary's work on the roster; any later primary goes on where this one stopped.
+
+    Example: ``group.create_task(reseat.run())``
+    """
+
+    def __init__(
+        self,
+        links: connections.Link,
+        voters: proposer.Proposer,
+        address: str,
+        leads: collections.abc.Callable[[], bool],
+        wished: collections.abc.Callable[[], tuple[str, ...]],
+    ):
+        self.link = links
+        self.proposer = voters
+        self.address = address
+        self.leads = leads
+        self.wished = wished
+        self.joint_since: tuple[int, datetime.timedelta] = (0, clock.ZERO)
+        self.counts = {"rosters": 0}
+
+    async def run(self) -> None:
+        """One step at a time while this node leads the control pair.
+
+        Example: ``group.create_task(reseat.run())``
+        """
+        while True:
+            await clock.sleep(STEP)
+            if self.leads() and self.proposer.voter_set.number > 0:
+                try:
+                    await self.step()
+                except result.RequestError as refusal:
+                    LOG.info("{}", refusal)
+
+    async def step(self) -> None:
+        """Begin a change that is wished for, or end one that is under way.
+
+        A joint roster is ended only once claims of before it ran out, and a majority of the coming
+        witnesses vote under it.
+
+        Example: ``await reseat.step()``
+        """
+        voter_set, now = self.proposer.voter_set, clock.now()
+        if voter_set.coming:
+            if self.joint_since[0] != voter_set.number:
+                self.joint_since = (voter_set.number, now)
+                await self.tell(voter_set)
+            waited = now - self.joint_since[1] > witness.LEASE + 2 * witness.LEASE_MARGIN
+            if waited and await self.voting(voter_set):
+                await self.record(voter_set, voter_set.coming, ())
+            elif waited:
+                await self.tell(voter_set)
+            return
+        wished = self.wished()
+        if wished and set(wished) != set(voter_set.present):
+            await self.record(voter_set, voter_set.present, wished)
+
+    async def voting(self, voter_set: replica_set.VoterSet) -> bool:
+        """Whether a majority of the coming witnesses vote under this roster.
+
+        Example: ``await reseat.voting(roster)``
+        """
+        ready = []
+        for address in voter_set.coming:
+            try:
+                reply = await self.link.ask(address, replica_set.WitnessStateRequest(self.address), ASK)
+                if reply.voting and reply.voter_set.number == voter_set.number:
+                    ready.append(address)
+            except result.RequestError:
+                continue
+        return 2 * len(ready) > len(voter_set.coming)
+
+    async def record(self, voter_set: replica_set.VoterSet, present: tuple[str, ...], coming: tuple[str, ...]) -> None:
+        """Have the next roster chosen by those who vote under this one, and tell everybody concerned.
+
+        Example: ``await reseat.record(roster, roster.coming, ())``
+        """
+        counter = voter_set.number // witness_bootstrap.COUNTER_UNIT + 1
+        fresh = replica_set.VoterSet(
+            witness_bootstrap.numbered(counter, self.proposer.environment.randomness), present, coming
+        )
+
+        def change(value: bytes) -> bytes:
+            standing = codec.untagged(value) if value else voter_set
+            return value if standing.number > voter_set.number else codec.tagged(fresh)
+
+        chosen = await self.proposer.change(replica_set.VOTER_SET, self.address, change)
+        self.counts["rosters"] += 1
+        settled = codec.untagged(chosen.value)
+        LOG.info("witnesses: {}", settled)
+        self.proposer.learn(settled)
+        await self.tell(settled, voter_set.everyone())
+
+    async def tell(self, voter_set: replica_set.VoterSet, others: tuple[str, ...] = ()) -> None:
+        """Tell present, coming and former witnesses of a chosen roster.
+
+        Example: ``await reseat.tell(roster)``
+        """
+
+        async def one(address: str) -> None:
+            try:
+                await self.link.ask(address, replica_set.VoterSetChosen(voter_set), ASK)
+            except result.RequestError:
+                return
+
+        async with supervision.Group() as group:
+            for address in dict.fromkeys((*voter_set.everyone(), *others)):
+                group.create_task(one(address))
--- a/aspencroft/pair/choice.py
+++ b/aspencroft/consensus/witness_placement.py
@@ -3,7 +3,9 @@
 MOST = 9
 
 
-def witnesses(present: tuple[str, ...], cores: tuple[str, ...], lost: frozenset[str], most: int = MOST) -> tuple[str, ...]:
+def witnesses(
+    present: tuple[str, ...], cores: tuple[str, ...], lost: frozenset[str], most: int = MOST
+) -> tuple[str, ...]:
     """The witnesses wished for: the present ones that are not lost, then other live cores, an odd number.
 
     ``cores`` are the live core nodes in ring order, ``lost`` those of the present witnesses that have been gone for long. A lost
--- a/aspencroft/relay/relay.py
+++ b/aspencroft/distribution/relay.py
@@ -8,21 +8,20 @@
 
 import logbook
 
-import aspencroft.code.result as result
-import aspencroft.link.link as link
-import aspencroft.plan.control as control
-import aspencroft.plan.plan as plan
-import aspencroft.relay.news as news
-import aspencroft.ring.ring as ring
-import aspencroft.seam.moment as moment
+from aspencroft.configuration import control_state, resources
+from aspencroft.distribution import updates
+from aspencroft.errors import result
+from aspencroft.membership import failure_detector
+from aspencroft.runtime import clock
+from aspencroft.transport import connections
 
 LOG = logbook.Logger("relay")
 BRANCHES = 4
-PULL = moment.seconds(0.4)
-ASK = moment.seconds(0.8)
-SHUN = moment.seconds(2)
-STALE = moment.seconds(0.8)
-CHILD = moment.seconds(2)
+PULL = clock.seconds(0.4)
+ASK = clock.seconds(0.8)
+SHUN = clock.seconds(2)
+STALE = clock.seconds(0.8)
+CHILD = clock.seconds(2)
 DELTAS = 64
 
 
@@ -58,7 +57,7 @@
     """What the root knows of a node: until when it may act on a plan, and which one it confirmed."""
 
     end: datetime.timedelta
-    revision: control.Revision
+    revision: control_state.Revision
 
 
 @dataclasses.dataclass(frozen=True)
@@ -68,11 +67,11 @@
     Example: ``subtree_of({"a:1": control.NEVER}).digest``
     """
 
-    nodes: dict[str, control.Revision]
+    nodes: dict[str, control_state.Revision]
     digest: bytes
 
 
-def subtree_of(nodes: dict[str, control.Revision]) -> Subtree:
+def subtree_of(nodes: dict[str, control_state.Revision]) -> Subtree:
     """A subtree with its digest.
 
     Example: ``subtree_of({}) == subtree_of({})``
@@ -98,18 +97,20 @@
     Example: ``relay.current()`` is true while this node may act on ``relay.plan``.
     """
 
-    def __init__(self, links: link.Link, members: ring.Ring, currency: datetime.timedelta):
+    def __init__(
+        self, links: connections.Link, members: failure_detector.FailureDetector, currency: datetime.timedelta
+    ):
         self.link = links
         self.currency = currency
         self.ring = members
         self.address = members.me.address
-        self.topics: dict[str, news.News] = {}
-        self.deltas: dict[control.Revision, news.News] = {}
+        self.topics: dict[str, updates.News] = {}
+        self.deltas: dict[control_state.Revision, updates.News] = {}
         self.document: dict = {}
         self.revisions: dict[str, str] = {}
-        self.plan = plan.of({})
-        self.revision = control.NEVER
-        self.currency_end = moment.ZERO
+        self.plan = resources.of({})
+        self.revision = control_state.NEVER
+        self.currency_end = clock.ZERO
         self.counted: frozenset[str] = frozenset()
         self.counted_digest = NOBODY
         self.children: dict[str, datetime.timedelta] = {}
@@ -119,21 +120,28 @@
         self.counted_below: dict[str, tuple[tuple[bytes, bytes | None], tuple[str, ...], bytes]] = {}
         self.shunned: dict[str, datetime.timedelta] = {}
         self.parent_depth = 0
-        self.fresh: tuple[str, datetime.timedelta] = ("", moment.ZERO)
+        self.fresh: tuple[str, datetime.timedelta] = ("", clock.ZERO)
         self.grants: dict[str, Grant] = {}
-        self.stranger_end = moment.ZERO
+        self.stranger_end = clock.ZERO
         self.root = False
         self.hurry = asyncio.Event()
         self.confirmed = asyncio.Event()
         self.versions: dict[str, asyncio.Event] = {}
-        self.counts = {"pulls": 0, "pushes": 0, "news": 0, "whole plans": 0, "subtrees lost": 0, "stale parents": 0}
+        self.counts = {
+            "pulls": 0,
+            "pushes": 0,
+            "news": 0,
+            "whole plans": 0,
+            "subtrees lost": 0,
+            "stale parents": 0,
+        }
 
     def current(self) -> bool:
         """Whether this node holds a plan whose currency is claimed at this moment.
 
         Example: ``if not relay.current(): refuse``
         """
-        return moment.now() < self.currency_end and self.revision != control.NEVER
+        return clock.now() < self.currency_end and self.revision != control_state.NEVER
 
     def parent(self) -> str | None:
         """The parent at this moment, leaving out parents that lately failed; none for the root.
@@ -143,34 +151,36 @@
         held = self.ring.holdings.get(0)
         if held is None or held.primary.address == self.address:
             return None
-        now = moment.now()
-        order = self.ring.fellows.tree_order()
+        now = clock.now()
+        order = self.ring.peers.tree_order()
         if any(end > now for end in self.shunned.values()):
-            order = tuple(address for address in order if self.shunned.get(address, moment.ZERO) <= now)
+            order = tuple(address for address in order if self.shunned.get(address, clock.ZERO) <= now)
         parent = parent_of(self.address, held.primary.address, order)
         self.parent_depth = depth_of(parent, held.primary.address, order)
-        if self.shunned.get(parent, moment.ZERO) > now:
+        if self.shunned.get(parent, clock.ZERO) > now:
             return next((address for address in order if address not in (self.address, parent)), parent)
         return parent
 
-    def learn(self, one: news.News) -> bool:
+    def learn(self, one: updates.News) -> bool:
         """Take a topic's newer state; a patch upon another base than ours is not taken.
 
         Example: ``relay.learn(News("quiet", revision, None, "{}"))``
         """
         held = self.topics.get(one.topic)
-        known = self.revision if one.topic == news.PLAN else held.revision if held else control.NEVER
+        known = self.revision if one.topic == updates.PLAN else held.revision if held else control_state.NEVER
         if not known < one.revision or (one.base is not None and one.base != known):
             return False
-        if one.topic == news.PLAN:
+        if one.topic == updates.PLAN:
             shown = json.loads(one.body)
             if one.base is not None:
                 patch = shown.get("plan", {})
-                shown = plan.merge({"plan": self.document, "revisions": self.revisions, "version": self.plan.version}, shown)
-                fresh = plan.after(self.plan, shown["plan"], patch, shown["version"])
+                shown = resources.merge(
+                    {"plan": self.document, "revisions": self.revisions, "version": self.plan.version}, shown
+                )
+                fresh = resources.after(self.plan, shown["plan"], patch, shown["version"])
                 self.deltas[one.base] = one
             else:
-                fresh = plan.of(shown["plan"], shown["version"])
+                fresh = resources.of(shown["plan"], shown["version"])
                 self.counts["whole plans"] += 1
             self.document, self.revisions, self.plan = shown["plan"], shown["revisions"], fresh
             self.revision = one.revision
@@ -196,7 +206,7 @@
         Example: ``relay.push()``
         """
         self.hurry.set()
-        now = moment.now()
+        now = clock.now()
         for address, end in list(self.children.items()):
             if end < now:
                 self.children.pop(address)
@@ -204,9 +214,9 @@
                 self.counted_below.pop(address, None)
             else:
                 self.counts["pushes"] += 1
-                self.link.tell(address, news.Push())
+                self.link.tell(address, updates.Push())
 
-    def plan_news(self, known: control.Revision) -> tuple[news.News, ...]:
+    def plan_news(self, known: control_state.Revision) -> tuple[updates.News, ...]:
         """What brings a node from the revision it knows to ours: patches in a row, or the whole.
 
         Example: ``relay.plan_news(control.NEVER)``
@@ -220,14 +230,14 @@
         if place == self.revision:
             return tuple(row)
         body = json.dumps({"plan": self.document, "revisions": self.revisions, "version": self.plan.version})
-        return (news.News(news.PLAN, self.revision, None, body),)
+        return (updates.News(updates.PLAN, self.revision, None, body),)
 
     def subtree(self) -> Subtree:
         """This node and all below it, each with the plan revision it confirmed.
 
         Example: ``relay.subtree().nodes[relay.address] == relay.revision``
         """
-        now = moment.now()
+        now = clock.now()
         found = {}
         for child, end in self.children.items():
             if end >= now and child in self.below:
@@ -237,7 +247,7 @@
             self.own = subtree_of(found)
         return self.own
 
-    def taken(self, message: news.Pull) -> Subtree | None:
+    def taken(self, message: updates.Pull) -> Subtree | None:
         """The subtree that a pull names; none when its differences are upon one that is not held here.
 
         Example: ``relay.taken(message).nodes``
@@ -268,7 +278,7 @@
             known = self.counted_below[child] = upon, names, names_digest(names)
         return known[1], known[2]
 
-    def answer_pull(self, message: news.Pull, rooted: bool) -> news.Pulled:
+    def answer_pull(self, message: updates.Pull, rooted: bool) -> updates.Pulled:
         """Give a child its news, and currency no longer than our own.
 
         A child below a relay gets currency only once the root counted it: the root must know all
@@ -276,20 +286,19 @@
 
         Example: ``relay.answer_pull(message, rooted=False)``
         """
-        now = moment.now()
+        now = clock.now()
         below = self.taken(message)
         if below is None:
             self.counts["subtrees lost"] += 1
-            return news.Pulled((), control.NEVER, moment.ZERO, (), False, True)
+            return updates.Pulled((), control_state.NEVER, clock.ZERO, (), False, True)
         self.children[message.address] = now + CHILD
         if message.address not in self.below or below.digest != self.below[message.address].digest:
             self.below[message.address] = below
             if not rooted:
                 self.hurry.set()
         have = {one.topic: one.revision for one in message.have}
-        fresh = [one for one in self.topics.values()
-                 if have.get(one.topic, control.NEVER) < one.revision]
-        fresh.extend(self.plan_news(have.get(news.PLAN, control.NEVER)))
+        fresh = [one for one in self.topics.values() if have.get(one.topic, control_state.NEVER) < one.revision]
+        fresh.extend(self.plan_news(have.get(updates.PLAN, control_state.NEVER)))
         if rooted:
             currency = self.currency
             for address, revision in below.nodes.items():
@@ -297,12 +306,12 @@
             self.confirmed.set()
         else:
             trusted = message.address in self.counted
-            currency = max(self.currency_end - now, moment.ZERO) if trusted else moment.ZERO
-        if self.revision == control.NEVER:
-            currency = moment.ZERO
+            currency = max(self.currency_end - now, clock.ZERO) if trusted else clock.ZERO
+        if self.revision == control_state.NEVER:
+            currency = clock.ZERO
         counted, digest = self.counted_of(message.address, below, rooted)
         same = digest == message.counted
-        return news.Pulled(tuple(fresh), self.revision, currency, () if same else counted, same, False)
+        return updates.Pulled(tuple(fresh), self.revision, currency, () if same else counted, same, False)
 
     async def run(self) -> None:
         """Pull from the parent again and again, at once when there is something to pull or tell.
@@ -311,7 +320,7 @@
         """
         while True:
             try:
-                async with moment.limit(PULL):
+                async with clock.limit(PULL):
                     await self.hurry.wait()
             except TimeoutError:
                 pass
@@ -327,7 +336,7 @@
 
         Example: ``if relay.is_stale("a:1", None): ...``
         """
-        now, limit = moment.now(), min(STALE + PULL * self.parent_depth, self.currency / 2)
+        now, limit = clock.now(), min(STALE + PULL * self.parent_depth, self.currency / 2)
         if self.fresh[0] != parent or (behind is not None and behind <= min(STALE, self.currency / 2)):
             self.fresh = (parent, now)
             return behind is not None and behind > limit
@@ -335,7 +344,7 @@
             behind = now - self.fresh[1]
         return behind > limit
 
-    def pull_of(self, parent: str, have: tuple[news.Have, ...], own: Subtree) -> news.Pull:
+    def pull_of(self, parent: str, have: tuple[updates.Have, ...], own: Subtree) -> updates.Pull:
         """A pull that names the subtree: what differs from the one that this parent took last, else the whole.
 
         Example: ``relay.pull_of("a:1", (), relay.subtree()).base == b""``
@@ -343,10 +352,15 @@
         taker, held = self.taken_by
         nodes, base, gone = own.nodes, b"", ()
         if taker == parent:
-            base, gone = held.digest, tuple(sorted(address for address in held.nodes if address not in own.nodes))
-            nodes = {address: revision for address, revision in own.nodes.items() if held.nodes.get(address) != revision}
-        named = tuple(news.Confirmation(address, revision) for address, revision in sorted(nodes.items()))
-        return news.Pull(self.address, have, named, base, gone, own.digest, self.counted_digest)
+            base, gone = (
+                held.digest,
+                tuple(sorted(address for address in held.nodes if address not in own.nodes)),
+            )
+            nodes = {
+                address: revision for address, revision in own.nodes.items() if held.nodes.get(address) != revision
+            }
+        named = tuple(updates.Confirmation(address, revision) for address, revision in sorted(nodes.items()))
+        return updates.Pull(self.address, have, named, base, gone, own.digest, self.counted_digest)
 
     async def pull(self, parent: str) -> None:
         """One pull; a parent that fails, or that heard nothing of the root for long, is left out for a while.
@@ -355,38 +369,43 @@
 
         Example: ``await relay.pull("a:1")``
         """
-        asked = moment.now()
-        have = tuple(news.Have(one.topic, one.revision) for one in self.topics.values())
-        have += (news.Have(news.PLAN, self.revision),)
+        asked = clock.now()
+        have = tuple(updates.Have(one.topic, one.revision) for one in self.topics.values())
+        have += (updates.Have(updates.PLAN, self.revision),)
         self.counts["pulls"] += 1
         before, own = self.revision, self.subtree()
         message = self.pull_of(parent, have, own)
         self.taken_by = ("", own)
         try:
             reply = await self.link.ask(parent, message, ASK)
-        except result.Refusal as refusal:
-            if refusal.result is result.Result.UNREACHABLE:
-                self.shunned[parent] = moment.now() + SHUN
+        except result.RequestError as refusal:
+            if refusal.result is result.ResultCode.UNREACHABLE:
+                self.shunned[parent] = clock.now() + SHUN
             return
         if reply.lost:
             self.hurry.set()
-            await moment.pause(PULL / 40)
+            await clock.sleep(PULL / 40)
             return
         self.taken_by = (parent, own)
         for one in reply.news:
             self.learn(one)
         if not reply.same:
-            self.counted, self.counted_digest = frozenset(reply.counted), names_digest(tuple(sorted(reply.counted)))
-        if reply.revision == self.revision and reply.currency > moment.ZERO:
+            self.counted, self.counted_digest = (
+                frozenset(reply.counted),
+                names_digest(tuple(sorted(reply.counted))),
+            )
+        if reply.revision == self.revision and reply.currency > clock.ZERO:
             self.currency_end = max(self.currency_end, asked + reply.currency)
-        told = self.address in self.counted and reply.revision != control.NEVER
-        if reply.revision != control.NEVER and self.is_stale(parent, self.currency - reply.currency if told else None):
+        told = self.address in self.counted and reply.revision != control_state.NEVER
+        if reply.revision != control_state.NEVER and self.is_stale(
+            parent, self.currency - reply.currency if told else None
+        ):
             self.counts["stale parents"] += 1
-            self.shunned[parent] = moment.now() + SHUN
+            self.shunned[parent] = clock.now() + SHUN
             self.hurry.set()
         if before != self.revision or self.address not in self.counted:
             self.hurry.set()
-            await moment.pause(PULL / 40)
+            await clock.sleep(PULL / 40)
 
     # -- root ----------------------------------------------------------------------------------
 
@@ -397,45 +416,52 @@
         """
         self.root = True
         self.grants = {}
-        self.stranger_end = moment.now() + self.currency
+        self.stranger_end = clock.now() + self.currency
 
-    def take_committed(self, read: control.PlanRead) -> None:
+    def take_committed(self, read: control_state.PlanRead) -> None:
         """As root: take the plan that the copies hold, keeping the steps for those that are behind.
 
         Example: ``relay.take_committed(read)``
         """
         for step in read.steps:
-            self.learn(news.News(news.PLAN, step.revision, step.base, step.patch))
+            self.learn(updates.News(updates.PLAN, step.revision, step.base, step.patch))
         if not read.document:
             return
         shown = json.loads(read.document)
-        if self.revision != control.NEVER:
-            patch = {"plan": plan.patch_between(self.document, shown["plan"]),
-                     "revisions": plan.patch_between(self.revisions, shown["revisions"]),
-                     "version": shown["version"]}
-            self.learn(news.News(news.PLAN, read.revision, self.revision, json.dumps(patch)))
+        if self.revision != control_state.NEVER:
+            patch = {
+                "plan": resources.patch_between(self.document, shown["plan"]),
+                "revisions": resources.patch_between(self.revisions, shown["revisions"]),
+                "version": shown["version"],
+            }
+            self.learn(updates.News(updates.PLAN, read.revision, self.revision, json.dumps(patch)))
         else:
-            self.learn(news.News(news.PLAN, read.revision, None, read.document))
+            self.learn(updates.News(updates.PLAN, read.revision, None, read.document))
 
-    async def everywhere(self, revision: control.Revision) -> None:
+    async def everywhere(self, revision: control_state.Revision) -> None:
         """As root: wait until all who may act on a plan confirmed this one or may not act any more.
 
         Example: ``await relay.everywhere(revision)``
         """
         while self.revision < revision:
-            await self.changed(news.PLAN)
-        picture = dict(self.grants)
+            await self.changed(updates.PLAN)
+        snapshot = dict(self.grants)
         while True:
             self.confirmed.clear()
-            now = moment.now()
-            behind = [address for address, grant in picture.items() if now < grant.end
-                      and self.grants.get(address, grant).revision < revision and address != self.address]
-            wait = max([picture[address].end - now for address in behind]
-                       + [self.stranger_end - now], default=moment.ZERO)
-            if not behind and wait <= moment.ZERO:
+            now = clock.now()
+            behind = [
+                address
+                for address, grant in snapshot.items()
+                if now < grant.end and self.grants.get(address, grant).revision < revision and address != self.address
+            ]
+            wait = max(
+                [snapshot[address].end - now for address in behind] + [self.stranger_end - now],
+                default=clock.ZERO,
+            )
+            if not behind and wait <= clock.ZERO:
                 return
             try:
-                async with moment.limit(max(min(wait, PULL), PULL / 100)):
+                async with clock.limit(max(min(wait, PULL), PULL / 100)):
                     await self.confirmed.wait()
             except TimeoutError:
                 pass
--- a/aspencroft/relay/relay_test.py
+++ b/aspencroft/distribution/relay_test.py
@@ -4,14 +4,12 @@
 import random
 import types
 
-import aspencroft.code.result as result
-import aspencroft.plan.control as control
-import aspencroft.plan.plan as plan
-import aspencroft.relay.news as news
-import aspencroft.relay.relay as relay
-import aspencroft.seam.moment as moment
+from aspencroft.configuration import control_state, resources
+from aspencroft.distribution import relay, updates
+from aspencroft.errors import result
+from aspencroft.runtime import clock
 
-CURRENCY = moment.seconds(4)
+CURRENCY = clock.seconds(4)
 
 
 class Link:
@@ -21,8 +19,8 @@
         self.parent = parent
         self.rooted = True
         self.losing = ""
-        self.asked: list[news.Pull] = []
-        self.answered: list[news.Pulled] = []
+        self.asked: list[updates.Pull] = []
+        self.answered: list[updates.Pulled] = []
 
     def tell(self, address, message, epoch=0):
         pass
@@ -32,14 +30,14 @@
         if self.losing != "question":
             self.answered.append(self.parent.answer_pull(message, self.rooted))
         if self.losing:
-            raise result.Refusal(result.Result.OVERLOADED)
+            raise result.RequestError(result.ResultCode.OVERLOADED)
         return self.answered[-1]
 
 
 def relay_of(address: str, link: Link) -> relay.Relay:
-    members = types.SimpleNamespace(me=types.SimpleNamespace(address=address), holdings={}, fellows={})
+    members = types.SimpleNamespace(me=types.SimpleNamespace(address=address), holdings={}, peers={})
     one = relay.Relay(link, members, CURRENCY)
-    one.revision = control.Revision(1, 1)
+    one.revision = control_state.Revision(1, 1)
     return one
 
 
@@ -54,8 +52,8 @@
         return runner.run(scene())
 
 
-def set_below(child: relay.Relay, nodes: dict[str, control.Revision]) -> None:
-    child.children["c:1"] = moment.now() + moment.seconds(3600)
+def set_below(child: relay.Relay, nodes: dict[str, control_state.Revision]) -> None:
+    child.children["c:1"] = clock.now() + clock.seconds(3600)
     child.below["c:1"] = relay.subtree_of(dict(nodes))
 
 
@@ -64,10 +62,10 @@
         for seed in range(30):
             chance = random.Random(seed)
             parent, child, link = family()
-            nodes: dict[str, control.Revision] = {}
+            nodes: dict[str, control_state.Revision] = {}
             for _ in range(25):
                 for _ in range(chance.randrange(4)):
-                    nodes[f"n:{chance.randrange(9)}"] = control.Revision(1, chance.randrange(3))
+                    nodes[f"n:{chance.randrange(9)}"] = control_state.Revision(1, chance.randrange(3))
                 if nodes and chance.random() < 0.3:
                     nodes.pop(chance.choice(sorted(nodes)))
                 set_below(child, nodes)
@@ -94,7 +92,7 @@
 def test_a_pull_without_changes_names_nothing_and_is_answered_with_nothing():
     async def scene():
         parent, child, link = family()
-        set_below(child, {f"n:{number}": control.Revision(1, 1) for number in range(200)})
+        set_below(child, {f"n:{number}": control_state.Revision(1, 1) for number in range(200)})
         await child.pull("a:1")
         await child.pull("a:1")
         first, second = link.asked
@@ -112,9 +110,9 @@
         await child.pull("a:1")
         parent.below.clear(), parent.children.clear(), parent.grants.clear()
         end = child.currency_end
-        set_below(child, {"n:1": control.Revision(1, 1)})
+        set_below(child, {"n:1": control_state.Revision(1, 1)})
         await child.pull("a:1")
-        assert link.answered[-1].lost and link.answered[-1].currency == moment.ZERO
+        assert link.answered[-1].lost and link.answered[-1].currency == clock.ZERO
         assert parent.grants == {} and parent.children == {} and child.currency_end == end and child.hurry.is_set()
         await child.pull("a:1")
         assert link.asked[-1].base == b"" and set(parent.grants) == {"b:1", "n:1"}
@@ -147,8 +145,15 @@
 
 def test_patches_between_documents_lead_from_one_to_the_other():
     import random
+
     for seed in range(200):
         chance = random.Random(seed)
-        documents = [{kind: {name: {"value": chance.randrange(3)} for name in "abcd" if chance.random() < 0.6}
-                      for kind in ("lanes", "services") if chance.random() < 0.8} for _ in range(2)]
-        assert plan.merge(documents[0], plan.patch_between(*documents)) == documents[1]
+        documents = [
+            {
+                kind: {name: {"value": chance.randrange(3)} for name in "abcd" if chance.random() < 0.6}
+                for kind in ("lanes", "services")
+                if chance.random() < 0.8
+            }
+            for _ in range(2)
+        ]
+        assert resources.merge(documents[0], resources.patch_between(*documents)) == documents[1]
--- a/aspencroft/relay/stale_parent_test.py
+++ b/aspencroft/distribution/stale_parent_test.py
@@ -2,24 +2,26 @@
 
 import asyncio
 
-import aspencroft.relay.relay as relay
-import aspencroft.seam.moment as moment
-import aspencroft.sim.groups as groups
-import aspencroft.sim.scene as scene
+from aspencroft.distribution import relay
+from aspencroft.runtime import clock
+from aspencroft.simulation import groups, simulated_cluster
 
-SIZE = scene.Size(8, 3, 5, apart=True)
+SIZE = simulated_cluster.Size(8, 3, 5, apart=True)
 
 
 def test_a_change_reaches_all_within_two_seconds_though_cut_off_cores_still_answer_their_children():
     """The cores that are cut off from the others are reached by edges as before, and give them what they know."""
     for seed, one_way in ((1, False), (2, True)):
+
         async def acts(stage: groups.Stage) -> None:
             one = stage.scene
             leader = one.leader(0)
             others = [name for name in one.cores if name != leader]
             one.wire.cut([leader], others, one_way)
             await one.until(lambda: one.leader(0) not in ("", leader), 8, "led again")
-            writing = asyncio.ensure_future(stage.client.put("http://edge-1/plan/services/extra", json={"kind": "plain"}, timeout=40))
+            writing = asyncio.ensure_future(
+                stage.client.put("http://edge-1/plan/services/extra", json={"kind": "plain"}, timeout=40)
+            )
 
             def everywhere() -> bool:
                 return all("extra" in one.nodes[name].relay.plan.services for name in one.edges)
@@ -27,7 +29,7 @@
             await one.until(everywhere, 2.5, "in force on all edges")
             assert (await writing).status_code == 200
 
-        groups.play(seed, acts, SIZE, {"currency": moment.seconds(8)})
+        groups.play(seed, acts, SIZE, {"currency": clock.seconds(8)})
 
 
 def test_a_parent_may_be_as_far_behind_as_its_depth_explains():
--- a/aspencroft/relay/news.py
+++ b/aspencroft/distribution/updates.py
@@ -3,43 +3,42 @@
 import dataclasses
 import datetime
 
-import aspencroft.link.record as record
-import aspencroft.plan.configuration as configuration
-import aspencroft.plan.control as control
+from aspencroft.configuration import control_state, operator_configuration
+from aspencroft.transport import codec
 
 PLAN = "plan"
 
 
-@record.kind(130)
+@codec.kind(130)
 @dataclasses.dataclass(frozen=True)
 class News:
     """A topic's state under a revision; with a base it is a merge patch upon that revision."""
 
     topic: str
-    revision: control.Revision
-    base: control.Revision | None
+    revision: control_state.Revision
+    base: control_state.Revision | None
     body: str
 
 
-@record.kind(131)
+@codec.kind(131)
 @dataclasses.dataclass(frozen=True)
 class Have:
     """A revision of a topic that a node holds."""
 
     topic: str
-    revision: control.Revision
+    revision: control_state.Revision
 
 
-@record.kind(132)
+@codec.kind(132)
 @dataclasses.dataclass(frozen=True)
 class Confirmation:
     """The plan revision that a node of the subtree has in force."""
 
     address: str
-    revision: control.Revision
+    revision: control_state.Revision
 
 
-@record.kind(133)
+@codec.kind(133)
 @dataclasses.dataclass(frozen=True)
 class Pull:
     """A child asks its parent for news and for plan currency, naming its whole subtree.
@@ -57,7 +56,7 @@
     counted: bytes
 
 
-@record.kind(134)
+@codec.kind(134)
 @dataclasses.dataclass(frozen=True)
 class Pulled:
     """News that the child lacks, and how long the plan may be trusted from when the child asked.
@@ -67,20 +66,20 @@
     """
 
     news: tuple[News, ...]
-    revision: control.Revision
+    revision: control_state.Revision
     currency: datetime.timedelta
     counted: tuple[str, ...]
     same: bool
     lost: bool
 
 
-@record.kind(135)
+@codec.kind(135)
 @dataclasses.dataclass(frozen=True)
 class Push:
     """There is something new: pull at once."""
 
 
-@record.kind(136)
+@codec.kind(136)
 @dataclasses.dataclass(frozen=True)
 class Publish:
     """A duty's holder gives the root a topic's new state."""
@@ -88,37 +87,37 @@
     news: News
 
 
-@record.kind(137)
+@codec.kind(137)
 @dataclasses.dataclass(frozen=True)
 class WriteEverywhere:
     """An operator's write; answered once it is in force on every node that may act on a plan."""
 
-    write: control.WritePlan
+    write: control_state.WritePlan
     within: datetime.timedelta
 
 
-@record.kind(138)
+@codec.kind(138)
 @dataclasses.dataclass(frozen=True)
 class Written:
     """The write is stored on both copies and in force everywhere."""
 
-    revision: control.Revision
+    revision: control_state.Revision
     changed: int
     waited: datetime.timedelta
 
 
-@record.kind(139)
+@codec.kind(139)
 @dataclasses.dataclass(frozen=True)
 class ReadEverywhere:
     """Ask the root's node for the newest plan."""
 
-    after: control.Revision
+    after: control_state.Revision
 
 
-@record.kind(140)
+@codec.kind(140)
 @dataclasses.dataclass(frozen=True)
 class ApplyEverywhere:
     """An operator's configuration; answered once it is durable and delivered, at the latest after ``within``."""
 
-    command: configuration.ApplyConfiguration
+    command: operator_configuration.ApplyConfiguration
     within: datetime.timedelta
--- a/aspencroft/stand/agent.py
+++ b/aspencroft/emulator/agent.py
@@ -8,12 +8,11 @@
 import random
 import typing
 
-import aspencroft.code.result as result
-import aspencroft.forward.call as call
-import aspencroft.forward.events as events
-import aspencroft.plan.http_route as http_route
-import aspencroft.seam.moment as moment
-import aspencroft.stand.worker_server as worker_server
+from aspencroft.configuration import http_route
+from aspencroft.emulator import worker_server
+from aspencroft.errors import result
+from aspencroft.proxy import call, events
+from aspencroft.runtime import clock
 
 ANSWERED, REFUSED, BROKEN, GONE, UNDER_WAY = "answered", "refused", "broken off", "left", "under way"
 ENDED, FAILED, SPENT, STOPPED = "ended by itself", "failed", "budget spent", "stopped"
@@ -106,7 +105,7 @@
     heard: bytes = b""
     whole: bool = False
     read: bool = True
-    refusal: result.Refusal | None = None
+    refusal: result.RequestError | None = None
     repeat: bool = False
 
     def good(self) -> bool:
@@ -199,12 +198,26 @@
         attempt = self.name("a")
         target = f"{use.prefix}{more.pop('leaf', 'x')}"
         held = ((b"Host", use.host.encode()), (worker_server.ATTEMPT, attempt.encode()), *headers)
-        for field, name in (("key", worker_server.KEY), ("program", worker_server.PROGRAM), ("session", worker_server.SESSION),
-                            ("previous", worker_server.PREVIOUS), ("resume_after", worker_server.RESUME)):
+        for field, name in (
+            ("key", worker_server.KEY),
+            ("program", worker_server.PROGRAM),
+            ("session", worker_server.SESSION),
+            ("previous", worker_server.PREVIOUS),
+            ("resume_after", worker_server.RESUME),
+        ):
             if more.get(field):
                 held += ((name, more[field].encode()),)
-        return call.Call(method, target, use.host, held, body, attempt, moment.seconds(more.pop("within", use.within)),
-                         moment.now(), **more)
+        return call.Call(
+            method,
+            target,
+            use.host,
+            held,
+            body,
+            attempt,
+            clock.seconds(more.pop("within", use.within)),
+            clock.now(),
+            **more,
+        )
 
     def again(self, one: call.Call, within: float, **more) -> call.Call:
         """The same call as a further try: with another attempt id, and the time that is left.
@@ -212,12 +225,16 @@
         Example: ``agents.again(one, 0.5)``
         """
         attempt = self.name("a")
-        headers = tuple((name, attempt.encode() if name == worker_server.ATTEMPT else value) for name, value in one.headers
-                        if not (more.get("resume_after") and name == worker_server.RESUME))
+        headers = tuple(
+            (name, attempt.encode() if name == worker_server.ATTEMPT else value)
+            for name, value in one.headers
+            if not (more.get("resume_after") and name == worker_server.RESUME)
+        )
         if more.get("resume_after"):
             headers += ((worker_server.RESUME, more["resume_after"].encode()),)
-        return dataclasses.replace(one, attempt=attempt, headers=headers, within=moment.seconds(within), arrived=moment.now(),
-                                   **more)
+        return dataclasses.replace(
+            one, attempt=attempt, headers=headers, within=clock.seconds(within), arrived=clock.now(), **more
+        )
 
     # -- one request -----------------------------------------------------------------------------
 
@@ -232,7 +249,7 @@
         found = Try(one, use, door.name if door else "", self.now())
         self.tries.append(found)
         if door is None:
-            await moment.pause(moment.seconds(0.05))
+            await clock.sleep(clock.seconds(0.05))
             found.outcome, found.read = BROKEN, False
         else:
             try:
@@ -242,7 +259,7 @@
                 found.outcome, found.read = BROKEN, gone.read
             except TimeoutError:
                 found.outcome = GONE
-            except result.Refusal as refusal:
+            except result.RequestError as refusal:
                 found.outcome, found.refusal = REFUSED, refusal
         found.ended = self.now()
         return found
@@ -298,7 +315,7 @@
             pause = 0.02 + 0.05 * self.chance.random()
             if found.refusal is not None and found.refusal.retry is not None:
                 pause = min(found.refusal.retry.total_seconds(), left / 3)
-            await moment.pause(moment.seconds(pause))
+            await clock.sleep(clock.seconds(pause))
             more = {}
             if use.resumable and found.heard:
                 reader = events.Reader()
@@ -316,10 +333,11 @@
 
         Example: ``await agents.run(((habit, 2.0),), lambda: over)``
         """
+
         async def row(group, habit: Habit, rate: float) -> None:
             while not stopped():
                 group.create_task(self.program(habit))
-                await moment.pause(moment.seconds(self.chance.expovariate(rate)))
+                await clock.sleep(clock.seconds(self.chance.expovariate(rate)))
 
         async with asyncio.TaskGroup() as group:
             for habit, rate in habits:
@@ -337,7 +355,10 @@
         runaway = chance.random() < habit.runaway
         need = (turns + 4 * habit.helper_turns) * habit.tokens
         budget = (turns * habit.tokens) if chance.random() < habit.tight or runaway else 2 * need
-        ideal = turns * (habit.think + habit.way + habit.tokens * 0.0022 + habit.tool_share * 0.1) + habit.helper_turns * 0.3
+        ideal = (
+            turns * (habit.think + habit.way + habit.tokens * 0.0022 + habit.tool_share * 0.1)
+            + habit.helper_turns * 0.3
+        )
         one = Program(self.name("p"), habit, budget, now, now + habit.aim_times * ideal + habit.turn.aim, runaway)
         self.programs.append(one)
         try:
@@ -349,8 +370,16 @@
         one.ended = self.now()
         return one
 
-    async def line(self, one: Program, session: str, turns: int, previous: str, lead: bytes, shared: tuple[str, int],
-                   first_line: bool) -> None:
+    async def line(
+        self,
+        one: Program,
+        session: str,
+        turns: int,
+        previous: str,
+        lead: bytes,
+        shared: tuple[str, int],
+        first_line: bool,
+    ) -> None:
         """A row of turns, each behind the one before, with tools and helpers between them.
 
         Example: ``await agents.line(program, "p1.0", 4, "", b"", ("s0", 2000), True)``
@@ -361,23 +390,34 @@
             number += 1
             found = await self.turn(one, session, previous, lead, shared, number)
             previous = found.call.attempt
-            lead += found.call.body if habit.turn.retained else found.call.body[len(lead):]
+            lead += found.call.body if habit.turn.retained else found.call.body[len(lead) :]
             lead += found.output()
-            await moment.pause(moment.seconds(min(4 * habit.think, chance.expovariate(1 / habit.think))))
+            await clock.sleep(clock.seconds(min(4 * habit.think, chance.expovariate(1 / habit.think))))
             if number >= turns and not one.runaway:
                 return
             helps = first_line and (one.runaway or chance.random() < habit.helper_share)
             async with asyncio.TaskGroup() as group:
                 if helps:
                     for helper in range(1 + chance.randrange(3)):
-                        group.create_task(self.line(one, f"{session}.{number}.{helper}", habit.helper_turns, previous, lead,
-                                                    shared, False))
+                        group.create_task(
+                            self.line(
+                                one,
+                                f"{session}.{number}.{helper}",
+                                habit.helper_turns,
+                                previous,
+                                lead,
+                                shared,
+                                False,
+                            )
+                        )
                 else:
                     for use in habit.tools:
                         if chance.random() < habit.tool_share:
                             group.create_task(self.tool(one, session, use))
 
-    async def turn(self, one: Program, session: str, previous: str, lead: bytes, shared: tuple[str, int], number: int) -> Try:
+    async def turn(
+        self, one: Program, session: str, previous: str, lead: bytes, shared: tuple[str, int], number: int
+    ) -> Try:
         """One turn; a failed one is sent again from its start, twice at most.
 
         Example: ``found = await agents.turn(program, "p1.0", "", b"", ("s0", 2000), 1)``
@@ -387,15 +427,28 @@
         body = fresh if use.retained else lead + fresh
         prompt = shared[1] + habit.own + len(lead) // 4
         parts = (shared, (session.replace(".", ""), habit.own + len(lead) // 4))
-        headers = ((worker_server.TOKENS, b"%d,%d" % (prompt, habit.tokens)), (worker_server.MODEL, b"m"),
-                   (worker_server.PARTS, ",".join(f"{name}:{count}" for name, count in parts).encode()))
+        headers = (
+            (worker_server.TOKENS, b"%d,%d" % (prompt, habit.tokens)),
+            (worker_server.MODEL, b"m"),
+            (worker_server.PARTS, ",".join(f"{name}:{count}" for name, count in parts).encode()),
+        )
         for go in range(3):
             if go:
-                await moment.pause(moment.seconds(0.1 + 0.3 * self.chance.random()))
-            made = self.make(use, body, headers=headers, program=one.name, session=session,
-                             program_within=moment.seconds(max(0.0, one.aim - self.now())), budget=one.budget,
-                             prompt_tokens=prompt, reserve=habit.tokens, previous=previous if use.retained else "", model="m",
-                             parts=parts)
+                await clock.sleep(clock.seconds(0.1 + 0.3 * self.chance.random()))
+            made = self.make(
+                use,
+                body,
+                headers=headers,
+                program=one.name,
+                session=session,
+                program_within=clock.seconds(max(0.0, one.aim - self.now())),
+                budget=one.budget,
+                prompt_tokens=prompt,
+                reserve=habit.tokens,
+                previous=previous if use.retained else "",
+                model="m",
+                parts=parts,
+            )
             leaves = self.chance.random() * 0.5 if self.chance.random() < habit.leaves else None
             found = await self.ask(use, made, leaves)
             if found.good():
@@ -405,7 +458,7 @@
                 return found
             if found.outcome == GONE and leaves is not None:
                 raise Stop(STOPPED, "its caller left")
-            if found.refusal is not None and found.refusal.result is result.Result.OUT_OF_BUDGET:
+            if found.refusal is not None and found.refusal.result is result.ResultCode.OUT_OF_BUDGET:
                 if not one.runaway or go == 2:
                     raise Stop(SPENT, "the budget is spent")
             elif found.refusal is not None and found.refusal.result.name in FINAL:
@@ -423,8 +476,18 @@
         body = b"" if method == "GET" else f"<{self.name('b')}>".encode()
         key = self.name("k") if use.kind == http_route.KEYED else ""
         work = use.work * min(4.0, self.chance.expovariate(1.0))
-        made = self.make(use, body, method, ((worker_server.WORK, b"%.1f" % (work * 1000)),), program=one.name, session=session,
-                         program_within=moment.seconds(max(0.0, one.aim - self.now())), key=key, tenant="one", leaf="tool?a=1")
+        made = self.make(
+            use,
+            body,
+            method,
+            ((worker_server.WORK, b"%.1f" % (work * 1000)),),
+            program=one.name,
+            session=session,
+            program_within=clock.seconds(max(0.0, one.aim - self.now())),
+            key=key,
+            tenant="one",
+            leaf="tool?a=1",
+        )
         leaves = self.chance.random() * 0.15 if self.chance.random() < one.habit.leaves else None
         found = await self.ask(use, made, leaves)
         if found.outcome == GONE and leaves is not None:
@@ -435,8 +498,9 @@
                 task = asyncio.ensure_future(self.repeat(use, made))
                 self.background.add(task)
                 task.add_done_callback(self.background.discard)
-        if not found.good() and not (found.status in (500, 504) or
-                                     (found.outcome == BROKEN and use.kind == http_route.NON_IDEMPOTENT)):
+        if not found.good() and not (
+            found.status in (500, 504) or (found.outcome == BROKEN and use.kind == http_route.NON_IDEMPOTENT)
+        ):
             raise Stop(FAILED, f"call {found.call.attempt}: {found.refusal or found.outcome} {found.status}")
         return found
 
@@ -446,7 +510,7 @@
         Example: ``await agents.repeat(use, call, times=3)``
         """
         for _ in range(times):
-            await moment.pause(moment.seconds(self.chance.random() * pause))
+            await clock.sleep(clock.seconds(self.chance.random() * pause))
             found = await self.once(use, self.again(made, use.within))
             found.repeat = True
 
@@ -464,14 +528,26 @@
         async def ask_for(use: Use, behind: Try) -> None:
             while self.now() < end + 2:
                 body = f"[again {self.name('g')}]".encode()
-                headers = ((worker_server.TOKENS, b"600,20"), (worker_server.PARTS, b"s0:400,again:200"),
-                           (worker_server.MODEL, b"m"))
-                made = self.make(use, body, headers=headers, program=self.name("q"), session=self.name("z"), budget=10_000,
-                                 reserve=20, previous=behind.call.attempt, prompt_tokens=600)
+                headers = (
+                    (worker_server.TOKENS, b"600,20"),
+                    (worker_server.PARTS, b"s0:400,again:200"),
+                    (worker_server.MODEL, b"m"),
+                )
+                made = self.make(
+                    use,
+                    body,
+                    headers=headers,
+                    program=self.name("q"),
+                    session=self.name("z"),
+                    budget=10_000,
+                    reserve=20,
+                    previous=behind.call.attempt,
+                    prompt_tokens=600,
+                )
                 found = await self.ask(use, made)
                 if found.good():
                     return
-                await moment.pause(moment.seconds(0.3))
+                await clock.sleep(clock.seconds(0.3))
 
         async with asyncio.TaskGroup() as group:
             for _, use, behind in self.chance.sample(kept, min(6, len(kept))):
--- a/aspencroft/stand/agent_test.py
+++ b/aspencroft/emulator/agent_test.py
@@ -2,10 +2,10 @@
 
 import random
 
-import aspencroft.code.result as result
-import aspencroft.forward.call as call
-import aspencroft.sim.loop as loop
-import aspencroft.stand.agent as agent
+from aspencroft.emulator import agent
+from aspencroft.errors import result
+from aspencroft.proxy import call
+from aspencroft.simulation import loop
 
 CHAT = agent.Use("chat", "h", "/chat/", "stream", 0.25, 3.0, 1, retained=True)
 SAFE = agent.Use("light", "h", "/light/", "safe", 0.1, 1.0, 2)
@@ -55,21 +55,27 @@
     return len(door.seen), found.good(), found.ended
 
 
-PROMISE = result.Refusal(result.Result.OVERLOADED, retry=None)
-UNSURE = result.Refusal(result.Result.WORKER_LOST, result.Ran.UNKNOWN)
+PROMISE = result.RequestError(result.ResultCode.OVERLOADED, retry=None)
+UNSURE = result.RequestError(result.ResultCode.WORKER_LOST, result.Ran.UNKNOWN)
 
 
 def test_only_what_may_be_repeated_is_sent_again():
-    assert tries([UNSURE, 200], SAFE)[:2] == (2, True) and tries([agent.Gone(True), UNSURE, 200], KEYED)[:2] == (3, True)
+    assert tries([UNSURE, 200], SAFE)[:2] == (2, True) and tries([agent.Gone(True), UNSURE, 200], KEYED)[:2] == (
+        3,
+        True,
+    )
     assert tries([UNSURE, 200], ONCE)[:2] == (1, False) and tries([PROMISE, 200], ONCE)[:2] == (2, True)
-    assert tries([agent.Gone(False), 200], ONCE)[:2] == (2, True) and tries([agent.Gone(True), 200], ONCE)[:2] == (1, False)
+    assert tries([agent.Gone(False), 200], ONCE)[:2] == (2, True) and tries([agent.Gone(True), 200], ONCE)[:2] == (
+        1,
+        False,
+    )
     assert tries([404, 200], SAFE)[:2] == (1, False) and tries([200], SAFE)[:2] == (1, True)
-    assert tries([result.Refusal(result.Result.UNKNOWN_ROUTE), 200], SAFE)[:2] == (1, False)
+    assert tries([result.RequestError(result.ResultCode.UNKNOWN_ROUTE), 200], SAFE)[:2] == (1, False)
     assert tries([500], SAFE)[:2] == (3, False)
 
 
 def test_a_time_to_return_is_honoured_up_to_a_third_of_what_is_left():
-    later = result.Refusal(result.Result.OVERLOADED, retry=agent.moment.seconds(0.2))
+    later = result.RequestError(result.ResultCode.OVERLOADED, retry=agent.clock.seconds(0.2))
     assert abs(tries([later, 200], ONCE)[2] - 0.2) < 0.01
     assert PROMISE.retry.total_seconds() == 1 and abs(tries([PROMISE, 200], ONCE)[2] - 1 / 3) < 0.01
 
@@ -92,7 +98,7 @@
 
 
 def test_a_runaway_goes_on_until_its_budget_stops_it_and_others_end_with_it():
-    spent = result.Refusal(result.Result.OUT_OF_BUDGET)
+    spent = result.RequestError(result.ResultCode.OUT_OF_BUDGET)
     for runaway, more in ((1.0, 3), (0.0, 1)):
         habit = agent.Habit(CHAT, (), turns=5, helper_share=0.0, runaway=runaway, leaves=0.0)
         done, _, door = played([b"data: a\n\n", spent], lambda agents: agents.program(habit))
--- a/aspencroft/stand/backend.py
+++ b/aspencroft/emulator/backend.py
@@ -10,11 +10,10 @@
 import litestar
 import litestar.response
 
-import aspencroft.keep.candidate as candidate
-import aspencroft.keep.keepplan as keepplan
-import aspencroft.seam.moment as moment
+from aspencroft.residency import candidate, keep_plan
+from aspencroft.runtime import clock
 
-PIECE = moment.seconds(0.01)
+PIECE = clock.seconds(0.01)
 SHRINK = 20.0
 PLACES = 8
 
@@ -55,8 +54,15 @@
     Example: ``ModelWorker("m1", ("planner",), sizes, random.Random(1))``
     """
 
-    def __init__(self, name: str, services: tuple[str, ...], sizes: dict[str, int], chance: random.Random,
-                 faults: Faults | None = None, memory: int = 72_000_000_000):
+    def __init__(
+        self,
+        name: str,
+        services: tuple[str, ...],
+        sizes: dict[str, int],
+        chance: random.Random,
+        faults: Faults | None = None,
+        memory: int = 72_000_000_000,
+    ):
         self.name = name
         self.services = services
         self.sizes = sizes
@@ -84,8 +90,15 @@
 
         Example: ``stand.row("http://127.0.0.1:9001")``
         """
-        return {"name": self.name, "url": url, "kind": "model", "services": list(self.services),
-                "leaving": leaving, "memory": self.memory, "places": PLACES}
+        return {
+            "name": self.name,
+            "url": url,
+            "kind": "model",
+            "services": list(self.services),
+            "leaving": leaving,
+            "memory": self.memory,
+            "places": PLACES,
+        }
 
     def count_energy(self) -> float:
         """Add what the machine took since this was last asked; all of it in joules.
@@ -94,7 +107,7 @@
 
         Example: ``stand.count_energy()``
         """
-        now = moment.now().total_seconds()
+        now = clock.now().total_seconds()
         watts = self.power.asleep if self.asleep else self.power.busy if self.running else self.power.idle
         if self.counted_to is not None:
             self.joules += watts * (now - self.counted_to)
@@ -107,7 +120,7 @@
         Example: ``stand.rest(False)["awake_in"]``
         """
         self.count_energy()
-        now = moment.now().total_seconds()
+        now = clock.now().total_seconds()
         if asleep and not self.asleep:
             self.counts["put to rest"] += 1
             self.counts["put to rest while busy"] += self.running > 0
@@ -123,22 +136,24 @@
 
         Example: ``stand.sleeps()``
         """
-        return self.asleep or moment.now().total_seconds() < self.awake_at
+        return self.asleep or clock.now().total_seconds() < self.awake_at
 
     def used(self) -> int:
         """Bytes taken on the device.
 
         Example: ``stand.used() <= stand.memory``
         """
-        return sum(one["size"] for one in self.kept.values() if one["place"] != keepplan.HOST)
+        return sum(one["size"] for one in self.kept.values() if one["place"] != keep_plan.HOST)
 
     def report(self) -> dict:
         """What the report page shows; a late one shows the state before.
 
         Example: ``stand.report()["kept"]``
         """
-        fresh = {"memory": self.memory,
-                 "kept": [{"name": name, **one} for name, one in sorted(self.kept.items())]}
+        fresh = {
+            "memory": self.memory,
+            "kept": [{"name": name, **one} for name, one in sorted(self.kept.items())],
+        }
         shown = self.old_report if self.faults.late_report else fresh
         self.old_report = fresh
         return shown
@@ -148,7 +163,7 @@
 
         Example: ``await stand.load("model:planner")``
         """
-        if name in self.kept and self.kept[name]["place"] in (keepplan.DEVICE, keepplan.LOADING):
+        if name in self.kept and self.kept[name]["place"] in (keep_plan.DEVICE, keep_plan.LOADING):
             await self.ready[name].wait()
             return
         size = self.sizes.get(name.partition(":")[2], 15_200_000_000)
@@ -156,11 +171,11 @@
             if self.used() + size > self.memory and other != name:
                 self.counts["dropped"] += 1
                 del self.kept[other]
-        self.kept[name] = {"size": size, "tokens": 0, "place": keepplan.LOADING, "busy": 0}
+        self.kept[name] = {"size": size, "tokens": 0, "place": keep_plan.LOADING, "busy": 0}
         self.ready[name] = asyncio.Event()
-        await moment.pause(candidate.reload_cost(size, candidate.WEIGHT_STARTUP) / SHRINK * 2)
+        await clock.sleep(candidate.reload_cost(size, candidate.WEIGHT_STARTUP) / SHRINK * 2)
         if name in self.kept:
-            self.kept[name]["place"] = keepplan.DEVICE
+            self.kept[name]["place"] = keep_plan.DEVICE
         self.ready[name].set()
 
     async def order(self, order: dict) -> tuple[int, dict]:
@@ -177,7 +192,7 @@
                 del self.kept[name]
         for name in order["offload"]:
             if name in self.kept and not self.kept[name]["busy"]:
-                self.kept[name]["place"] = keepplan.HOST
+                self.kept[name]["place"] = keep_plan.HOST
         for name in order["load"]:
             if name not in self.kept:
                 self.counts["loads ordered"] += 1
@@ -185,7 +200,7 @@
                 self.loading = task
         for name in order["restore"]:
             if name in self.kept:
-                self.kept[name]["place"] = keepplan.DEVICE
+                self.kept[name]["place"] = keep_plan.DEVICE
         return 200, {"held": sorted(self.kept)}
 
     async def generate(self, body: dict) -> collections.abc.AsyncIterator[bytes]:
@@ -193,19 +208,19 @@
 
         Example: ``async for line in stand.generate(body): ...``
         """
-        name = keepplan.key(candidate.MODEL, body["model"])
+        name = keep_plan.key(candidate.MODEL, body["model"])
         try:
             if name not in self.kept:
                 self.counts["cold"] += 1
             await self.load(name)
             if name in self.kept:
                 self.kept[name]["busy"] += 1
-            words = answer_words(body)[:body["max_output"]]
+            words = answer_words(body)[: body["max_output"]]
             cut = self.chance.randrange(len(words)) if self.chance.random() < self.faults.cut_stream else None
             for number, text in enumerate(words):
                 if number == cut:
                     raise ConnectionError("cut in the middle")
-                await moment.pause(PIECE * self.pace)
+                await clock.sleep(PIECE * self.pace)
                 self.put_out[body["request"]] += 1
                 yield line({"request": body["request"], "piece": number, "text": text, "tokens": 1})
             yield line({"request": body["request"], "end": True, "pieces": len(words)})
@@ -215,8 +230,12 @@
             if name in self.kept:
                 self.kept[name]["busy"] -= 1
             tokens = sum(len(part) for turn in body["history"] for part in turn) // 4
-            self.kept[keepplan.key(candidate.KV, body["program"])] = {
-                "size": max(1, tokens) * candidate.KV_BYTES, "tokens": tokens, "place": keepplan.DEVICE, "busy": 0}
+            self.kept[keep_plan.key(candidate.KV, body["program"])] = {
+                "size": max(1, tokens) * candidate.KV_BYTES,
+                "tokens": tokens,
+                "place": keep_plan.DEVICE,
+                "busy": 0,
+            }
             while self.used() > self.memory:
                 victim = next(iter(one for one in self.kept if one.startswith(candidate.KV)))
                 del self.kept[victim]
@@ -230,6 +249,7 @@
 
         Example: ``litestar.Litestar(stand.handlers())``
         """
+
         @litestar.post("/api/generate", status_code=200)
         async def generate(request: litestar.Request) -> litestar.Response:
             body = await request.json()
@@ -241,7 +261,7 @@
             self.ran[body["request"]] += 1
             self.count_energy()
             self.running += 1
-            self.seen.append({**body, "at": moment.now().total_seconds()})
+            self.seen.append({**body, "at": clock.now().total_seconds()})
             if self.chance.random() < self.faults.lose_answer:
                 self.counts["answers lost"] += 1
                 self.count_energy()
@@ -291,14 +311,21 @@
 
         Example: ``stand.row("http://127.0.0.1:9101")``
         """
-        return {"name": self.name, "url": url, "kind": "plain", "services": list(self.services),
-                "leaving": leaving, "places": 16}
+        return {
+            "name": self.name,
+            "url": url,
+            "kind": "plain",
+            "services": list(self.services),
+            "leaving": leaving,
+            "places": 16,
+        }
 
     def handlers(self) -> list:
         """The pages that a plain worker serves.
 
         Example: ``litestar.Litestar(stand.handlers())``
         """
+
         @litestar.post("/api/run", status_code=200)
         async def run(request: litestar.Request) -> litestar.Response:
             body = await request.json()
@@ -306,13 +333,18 @@
                 self.counts["put back"] += 1
                 return litestar.Response({"put_back": True}, status_code=503)
             self.ran[body["request"]] += 1
-            self.seen.append({**body, "at": moment.now().total_seconds()})
-            await moment.pause(PIECE)
+            self.seen.append({**body, "at": clock.now().total_seconds()})
+            await clock.sleep(PIECE)
             if self.chance.random() < self.faults.lose_answer:
                 self.counts["answers lost"] += 1
                 return litestar.Response({"lost": True}, status_code=500)
-            return litestar.Response({"request": body["request"], "done": True,
-                                      "answer": self.answer or {"by": self.name, "service": body["service"]}})
+            return litestar.Response(
+                {
+                    "request": body["request"],
+                    "done": True,
+                    "answer": self.answer or {"by": self.name, "service": body["service"]},
+                }
+            )
 
         return [run]
 
--- a/aspencroft/stand/caller.py
+++ b/aspencroft/emulator/caller.py
@@ -7,9 +7,8 @@
 
 import httpx
 
-import aspencroft.seam.moment as moment
-import aspencroft.stand.backend as backend
-import aspencroft.stand.shape as shape
+from aspencroft.emulator import backend, shape
+from aspencroft.runtime import clock
 
 
 @dataclasses.dataclass(frozen=True)
@@ -41,8 +40,13 @@
     Example: ``await Caller(shape, addresses, transport, random.Random(1)).program("p1")``
     """
 
-    def __init__(self, mix: shape.Shape, addresses: tuple[str, ...], transport: httpx.AsyncBaseTransport,
-                 chance: random.Random):
+    def __init__(
+        self,
+        mix: shape.Shape,
+        addresses: tuple[str, ...],
+        transport: httpx.AsyncBaseTransport,
+        chance: random.Random,
+    ):
         self.shape = mix
         self.addresses = addresses
         self.chance = chance
@@ -52,17 +56,34 @@
         self.firsts: list[float] = []
         self.counts: collections.Counter = collections.Counter()
 
-    async def ask(self, lane: str, given, program: str = "", helper: str = "", after: int = 0,
-                  operation: str = "", tool: str = "", budget: int = 0) -> Noted:
+    async def ask(
+        self,
+        lane: str,
+        given,
+        program: str = "",
+        helper: str = "",
+        after: int = 0,
+        operation: str = "",
+        tool: str = "",
+        budget: int = 0,
+    ) -> Noted:
         """One request to a node at random; never asked twice by itself.
 
         Example: ``noted = await caller.ask("alert", {"text": "nova"}, operation="k1")``
         """
-        body = {"lane": lane, "input": given, "program": program, "helper": helper, "after": after,
-                "operation": operation, "tool": tool, "budget": budget}
+        body = {
+            "lane": lane,
+            "input": given,
+            "program": program,
+            "helper": helper,
+            "after": after,
+            "operation": operation,
+            "tool": tool,
+            "budget": budget,
+        }
         address = self.chance.choice(self.addresses)
         self.counts["asked"] += 1
-        began = moment.now()
+        began = clock.now()
         request, ran, number, parts, used, status = "", "unknown", -1, [], 0, 0
         try:
             async with self.client.stream("POST", f"http://{address}/requests", json=body) as response:
@@ -77,7 +98,7 @@
                             if shown["piece"] != len(parts):
                                 self.faults.append(f"{request}: piece {shown['piece']} after {len(parts)}")
                             if not parts:
-                                self.firsts.append((moment.now() - began).total_seconds())
+                                self.firsts.append((clock.now() - began).total_seconds())
                             parts.append(shown["text"])
                             used += shown["tokens"]
                         elif shown.get("end"):
@@ -102,8 +123,22 @@
             ran = "not run"
         except (httpx.HTTPError, ValueError):
             pass
-        noted = Noted(lane, request, program, helper, after, operation, ran, number, "".join(parts), used, status,
-                      address, began.total_seconds(), moment.now().total_seconds())
+        noted = Noted(
+            lane,
+            request,
+            program,
+            helper,
+            after,
+            operation,
+            ran,
+            number,
+            "".join(parts),
+            used,
+            status,
+            address,
+            began.total_seconds(),
+            clock.now().total_seconds(),
+        )
         self.noted.append(noted)
         self.counts[f"{ran} {number}" if number > 0 else ran if number == 0 else f"{ran}, no answer"] += 1
         return noted
@@ -113,7 +148,11 @@
 
         Example: ``caller.check_refusal(request, shown["error"], response.headers)``
         """
-        given_up = 1100 <= error["result"] < 1300 or 1400 <= error["result"] < 1500 or error["result"] in (1008, 1009, 1010, 1901)
+        given_up = (
+            1100 <= error["result"] < 1300
+            or 1400 <= error["result"] < 1500
+            or error["result"] in (1008, 1009, 1010, 1901)
+        )
         if error["ran"] not in ("not run", "unknown", "ran") or (given_up and not error["retry_after"]):
             self.faults.append(f"{request}: {error!r} does not say when to come back")
         if headers is not None and given_up and int(headers.get("retry-after", 0)) < (error["retry_after"] or 0):
@@ -140,7 +179,7 @@
             noted = await self.ask(kind.lane, {"name": name, "keyed": bool(operation)}, operation=operation)
             if noted.ran == "done" or not operation:
                 return
-            await moment.pause(moment.seconds(1 + self.chance.random()))
+            await clock.sleep(clock.seconds(1 + self.chance.random()))
 
     async def program(self, name: str, kind: shape.Kind) -> None:
         """Turns that build on each other; a planner's tool call is followed by a helper's turn.
@@ -159,16 +198,15 @@
                 said.append([given, noted.text])
                 after += 1
                 if tool:
-                    await moment.pause(moment.seconds(self.chance.random() * 0.3))
-                    await self.ask(kind.lane, f"{name} helps {after}", program=name, helper=f"{tool}-{after}",
-                                   tool=tool)
-            elif noted.result in (1007, 1005):
-                return
-            elif noted.result == 1006 and tries > 1:
+                    await clock.sleep(clock.seconds(self.chance.random() * 0.3))
+                    await self.ask(
+                        kind.lane, f"{name} helps {after}", program=name, helper=f"{tool}-{after}", tool=tool
+                    )
+            elif noted.result in (1007, 1005) or (noted.result == 1006 and tries > 1):
                 return
             else:
-                await moment.pause(moment.seconds(0.5 + self.chance.random()))
-            await moment.pause(moment.seconds(self.chance.random() * 0.3))
+                await clock.sleep(clock.seconds(0.5 + self.chance.random()))
+            await clock.sleep(clock.seconds(self.chance.random() * 0.3))
 
     async def vanish(self, name: str) -> None:
         """A first turn whose caller goes away after its first piece.
@@ -179,7 +217,9 @@
         body = {"lane": kind.lane, "input": f"long {name}", "program": name}
         self.counts["vanished"] += 1
         try:
-            async with self.client.stream("POST", f"http://{self.chance.choice(self.addresses)}/requests", json=body) as response:
+            async with self.client.stream(
+                "POST", f"http://{self.chance.choice(self.addresses)}/requests", json=body
+            ) as response:
                 async for _ in response.aiter_lines():
                     return
         except httpx.HTTPError:
@@ -206,8 +246,11 @@
             if noted.ran != "done" and noted.result != 1007:
                 found.append(f"{program}: a turn after {len(turns)} was answered {noted.ran} {noted.result}")
         for kind in self.shape.kinds:
-            noted = await self.ask(kind.lane, {"name": f"last-{kind.lane}", "keyed": False},
-                                   program=f"last-{kind.lane}" if kind.turns else "")
+            noted = await self.ask(
+                kind.lane,
+                {"name": f"last-{kind.lane}", "keyed": False},
+                program=f"last-{kind.lane}" if kind.turns else "",
+            )
             if noted.ran != "done":
                 found.append(f"{kind.lane} is not served at the end: {noted.ran} {noted.result}")
         return found
--- a/aspencroft/stand/engine.py
+++ b/aspencroft/emulator/engine.py
@@ -5,7 +5,7 @@
 import dataclasses
 import datetime
 
-import aspencroft.seam.moment as moment
+from aspencroft.runtime import clock
 
 WAITING, READING, RUNNING, OVER = "waiting", "reading", "running", "over"
 
@@ -35,8 +35,8 @@
 
     slots: int = 8
     queue: int = 24
-    step: datetime.timedelta = moment.seconds(0.002)
-    step_more: datetime.timedelta = moment.seconds(0.0001)
+    step: datetime.timedelta = clock.seconds(0.002)
+    step_more: datetime.timedelta = clock.seconds(0.0001)
     reading: float = 100_000.0
     chunk: int = 2048
     memory: int = 60_000
@@ -247,7 +247,7 @@
             steps = min(self.shape.at_once, *(min(stride - one.made % stride, one.most - one.made) for one in running))
             steps = max(1, steps)
         span = (self.shape.step + self.shape.step_more * max(0, len(self.active) - 1)) * steps
-        span += moment.seconds(sum(piece for _, piece in reads) / self.shape.reading)
+        span += clock.seconds(sum(piece for _, piece in reads) / self.shape.reading)
         return span * self.slowness, steps, reads
 
     def end_step(self, now: datetime.timedelta, steps: int, reads: list[tuple[Job, int]]) -> None:
@@ -289,14 +289,14 @@
         Example: ``group.create_task(engine.run())``
         """
         while True:
-            step = self.begin_step(moment.now())
+            step = self.begin_step(clock.now())
             if step is None:
                 self.hurry.clear()
                 await self.hurry.wait()
                 continue
             span, steps, reads = step
-            await moment.pause(span)
-            self.end_step(moment.now(), steps, reads)
+            await clock.sleep(span)
+            self.end_step(clock.now(), steps, reads)
 
     def events(self, job: Job) -> int:
         """How many events of a request are ready.
@@ -333,7 +333,7 @@
         turn = asyncio.get_running_loop().create_future()
         self.waiting.append(turn)
         try:
-            async with moment.limit(end - moment.now()):
+            async with clock.limit(end - clock.now()):
                 await turn
         except TimeoutError:
             self.stand_back(turn)
--- a/aspencroft/stand/engine_test.py
+++ b/aspencroft/emulator/engine_test.py
@@ -3,12 +3,21 @@
 import asyncio
 import dataclasses
 
-import aspencroft.seam.moment as moment
-import aspencroft.sim.loop as loop
-import aspencroft.stand.engine as engine
-
-SHAPE = engine.Shape(slots=4, queue=3, step=moment.seconds(0.002), step_more=moment.seconds(0.001), reading=100_000.0,
-                     chunk=1000, memory=10_000, stride=10, at_once=5)
+from aspencroft.emulator import engine
+from aspencroft.runtime import clock
+from aspencroft.simulation import loop
+
+SHAPE = engine.Shape(
+    slots=4,
+    queue=3,
+    step=clock.seconds(0.002),
+    step_more=clock.seconds(0.001),
+    reading=100_000.0,
+    chunk=1000,
+    memory=10_000,
+    stride=10,
+    at_once=5,
+)
 
 
 def played(story):
@@ -20,7 +29,7 @@
 
 
 def job(parts, most=20, within=100.0):
-    return engine.Job("m", parts, most, moment.seconds(within))
+    return engine.Job("m", parts, most, clock.seconds(within))
 
 
 async def until_over(own, *jobs):
@@ -32,7 +41,7 @@
             one.news.clear()
             await one.news.wait()
     running.cancel()
-    return moment.now().total_seconds()
+    return clock.now().total_seconds()
 
 
 def test_tokens_come_more_slowly_the_more_requests_run():
@@ -100,7 +109,7 @@
             own.offer(one)
         most = 0
         while any(one.state != engine.OVER for one in jobs):
-            await moment.pause(moment.seconds(0.01))
+            await clock.sleep(clock.seconds(0.01))
             most = max(most, own.taken())
             assert own.in_use() <= own.taken()
             for one in jobs[:5]:
@@ -123,7 +132,7 @@
             except engine.Full:
                 turned += 1
         running = asyncio.ensure_future(own.run())
-        own.waiting[0].end = moment.seconds(-1)
+        own.waiting[0].end = clock.seconds(-1)
         first, second = own.waiting[0], own.waiting[1]
         while second.state != engine.OVER:
             second.news.clear()
@@ -140,18 +149,18 @@
 
         async def ask(number, within):
             try:
-                await own.enter(moment.now() + moment.seconds(within))
+                await own.enter(clock.now() + clock.seconds(within))
             except (engine.Full, engine.Late) as error:
                 told.append(type(error).__name__)
                 return
             order.append(number)
             try:
-                await moment.pause(moment.seconds(0.1))
+                await clock.sleep(clock.seconds(0.1))
             finally:
                 own.leave()
 
         tasks = [asyncio.ensure_future(ask(number, 0.05 if number == 2 else 1)) for number in range(6)]
-        await moment.pause(moment.seconds(0.06))
+        await clock.sleep(clock.seconds(0.06))
         tasks[3].cancel()
         await asyncio.wait(tasks)
         return order, sorted(told), own.running, len(own.waiting)
--- a/aspencroft/stand/worker_server.py
+++ b/aspencroft/emulator/worker_server.py
@@ -13,20 +13,30 @@
 
 import h11
 
-import aspencroft.forward.call as call
-import aspencroft.seam.moment as moment
-import aspencroft.seam.steady as steady
-import aspencroft.seam.surroundings as surroundings
-import aspencroft.stand.engine as engine
+from aspencroft.emulator import engine
+from aspencroft.proxy import call
+from aspencroft.runtime import clock, environment, supervision
 
 ATTEMPT, SEAL, NOT_RUN, LOAD, INSTANCE = b"x-attempt", b"x-seal", b"x-not-run", b"x-load", b"x-instance"
-EXPECT, REMAINING, WORK, TOKENS, PARTS, MODEL = (b"x-expect-instance", b"x-remaining-ms", b"x-work-ms", b"x-tokens",
-                                                 b"x-parts", b"x-model")
-RESUME, KEY, BUDGET, PREVIOUS, PROGRAM, SESSION = (b"x-resume-after", b"x-key", b"x-budget", b"x-previous", b"x-program",
-                                                   b"x-session")
+EXPECT, REMAINING, WORK, TOKENS, PARTS, MODEL = (
+    b"x-expect-instance",
+    b"x-remaining-ms",
+    b"x-work-ms",
+    b"x-tokens",
+    b"x-parts",
+    b"x-model",
+)
+RESUME, KEY, BUDGET, PREVIOUS, PROGRAM, SESSION = (
+    b"x-resume-after",
+    b"x-key",
+    b"x-budget",
+    b"x-previous",
+    b"x-program",
+    b"x-session",
+)
 HOPS = frozenset((b"connection", b"keep-alive", b"transfer-encoding", b"content-length", LOAD, INSTANCE))
 READ = 1 << 16
-PIECES = moment.seconds(0.05)
+PIECES = clock.seconds(0.05)
 STREAM = b"text/event-stream"
 
 
@@ -52,18 +62,28 @@
         """
         known = {name.lower(): value for name, value in headers}
         load = tuple(int(one) for one in known[LOAD].split(b",")) if LOAD in known else None
-        return call.Head(status, headers, known.get(ATTEMPT, b"").decode(), NOT_RUN in known or status == 421,
-                         status == 421, load, b"close" in known.get(b"connection", b"").lower(),
-                         known.get(INSTANCE, b"").decode(), SEAL in known)
+        return call.Head(
+            status,
+            headers,
+            known.get(ATTEMPT, b"").decode(),
+            NOT_RUN in known or status == 421,
+            status == 421,
+            load,
+            b"close" in known.get(b"connection", b"").lower(),
+            known.get(INSTANCE, b"").decode(),
+            SEAL in known,
+        )
 
     def accepts(self, attempt: str):
         """Whether an answer is one to the request with this id, for ``Pool.request``.
 
         Example: ``await pool.request(..., accepts=dialect.accepts("id"))``
         """
+
         def accept(status: int, headers: call.Headers) -> bool:
             head = self.head(status, headers, attempt)
             return head.attempt == attempt or (not head.attempt and head.not_run)
+
         return accept
 
     def answer_headers(self, headers: call.Headers) -> call.Headers:
@@ -108,10 +128,10 @@
     slots: int = 6
     queue: int = 24
     connections: int = 100
-    handshake: datetime.timedelta = moment.seconds(0.001)
-    idle: datetime.timedelta = moment.seconds(5)
+    handshake: datetime.timedelta = clock.seconds(0.001)
+    idle: datetime.timedelta = clock.seconds(5)
     tells_load: bool = True
-    report_lag: datetime.timedelta = moment.seconds(0.2)
+    report_lag: datetime.timedelta = clock.seconds(0.2)
     event_bytes: int = 40
     answer_bytes: int = 200
 
@@ -198,8 +218,13 @@
         """
         running, waiting, _ = self.load()
         memory = self.work.shape.memory if self.work.shape is not None else 0
-        return {"active": running, "queued": waiting, "memory-in-use": self.engine.in_use() if self.engine else 0,
-                "memory": memory, "instance": self.name}
+        return {
+            "active": running,
+            "queued": waiting,
+            "memory-in-use": self.engine.in_use() if self.engine else 0,
+            "memory": memory,
+            "instance": self.name,
+        }
 
     async def report_late(self) -> None:
         """Keep a report that lags.
@@ -208,17 +233,17 @@
         """
         while True:
             self.report = self.look()
-            await moment.pause(self.work.report_lag)
+            await clock.sleep(self.work.report_lag)
 
     # -- serving ---------------------------------------------------------------------------------
 
-    async def serve(self, network: surroundings.Network, address: str) -> None:
+    async def serve(self, network: environment.Network, address: str) -> None:
         """Serve at an address until this life ends.
 
         Example: ``group.create_task(life.serve(network, "127.0.0.1:9000"))``
         """
         accepted = await network.listen(address)
-        async with steady.Group() as group:
+        async with supervision.Group() as group:
             group.create_task(self.report_late())
             if self.engine is not None:
                 group.create_task(self.engine.run())
@@ -229,14 +254,14 @@
                 else:
                     group.create_task(self.converse(channel))
 
-    async def converse(self, channel: surroundings.Channel) -> None:
+    async def converse(self, channel: environment.Channel) -> None:
         """One connection, from its first byte to its end.
 
         Example: ``group.create_task(life.converse(channel))``
         """
         self.open += 1
         try:
-            await moment.pause(self.work.handshake)
+            await clock.sleep(self.work.handshake)
             await Conversation(self, channel).run()
             channel.close()
         except (OSError, EOFError, Broken, h11.ProtocolError):
@@ -256,8 +281,16 @@
 
         Example: ``run = life.begin(asked)``
         """
-        run = Run(request.attempt, request.method, request.target, request.host, request.headers, request.body,
-                  moment.now().total_seconds(), self.seal(request.attempt, len(self.runs)))
+        run = Run(
+            request.attempt,
+            request.method,
+            request.target,
+            request.host,
+            request.headers,
+            request.body,
+            clock.now().total_seconds(),
+            self.seal(request.attempt, len(self.runs)),
+        )
         self.runs.append(run)
         return run
 
@@ -302,7 +335,7 @@
 class Conversation:
     """The requests of one connection, one after the other."""
 
-    def __init__(self, worker: Worker, channel: surroundings.Channel):
+    def __init__(self, worker: Worker, channel: environment.Channel):
         self.worker = worker
         self.channel = channel
         self.connection = h11.Connection(h11.SERVER, max_incomplete_event_size=1 << 17)
@@ -352,7 +385,7 @@
                     return None
                 self.came.clear()
                 try:
-                    async with moment.limit(self.worker.work.idle):
+                    async with clock.limit(self.worker.work.idle):
                         await self.came.wait()
                 except TimeoutError:
                     return None
@@ -401,7 +434,7 @@
 
         Example: ``await conversation.serve(asked)``
         """
-        worker, now = self.worker, moment.now()
+        worker, now = self.worker, clock.now()
         if asked.target == "/report":
             return await self.say(asked, 200, json.dumps(worker.report).encode(), run=None)
         if asked.target == "/health":
@@ -414,7 +447,7 @@
         if not asked.attempt:
             return await self.say(asked, 400, b"no id", run=None, not_run=True)
         left = float(asked.text(REMAINING) or 30_000)
-        end = now + moment.seconds(left / 1000)
+        end = now + clock.seconds(left / 1000)
         try:
             if worker.engine is not None and asked.text(TOKENS):
                 await self.generate(asked, end)
@@ -436,14 +469,14 @@
         await worker.slots.enter(end)
         try:
             run = worker.begin(asked)
-            span = moment.seconds(float(asked.text(WORK) or 10) / 1000) * worker.slots.slowness
-            within = end - moment.now()
-            await moment.pause(min(span, within))
+            span = clock.seconds(float(asked.text(WORK) or 10) / 1000) * worker.slots.slowness
+            within = end - clock.now()
+            await clock.sleep(min(span, within))
         finally:
             worker.slots.leave()
         status = 504 if span > within else 500 if worker.hit(worker.faults.failed) else 200
         text = f"{run.seal} {asked.attempt} ".encode()
-        run.output = (text * (1 + worker.work.answer_bytes // len(text)))[:worker.work.answer_bytes]
+        run.output = (text * (1 + worker.work.answer_bytes // len(text)))[: worker.work.answer_bytes]
         await self.say(asked, status, run.output, run)
 
     async def generate(self, asked: Asked, end: datetime.timedelta) -> None:
@@ -454,8 +487,9 @@
         worker = self.worker
         most = int(asked.text(TOKENS).split(",")[1])
         after = int(asked.text(RESUME) or 0)
-        parts = tuple((name, int(count)) for name, count in
-                      (one.split(":") for one in asked.text(PARTS).split(",") if one))
+        parts = tuple(
+            (name, int(count)) for name, count in (one.split(":") for one in asked.text(PARTS).split(",") if one)
+        )
         done = after * worker.work.shape.stride
         job = engine.Job(asked.text(MODEL), parts, max(1, most - done), end)
         worker.engine.offer(job)
@@ -482,14 +516,14 @@
                 told += 1
                 number = after + told
                 text = f"{run.seal} {number} ".encode()
-                data = (text * (1 + worker.work.event_bytes // len(text)))[:worker.work.event_bytes]
+                data = (text * (1 + worker.work.event_bytes // len(text)))[: worker.work.event_bytes]
                 event = b"id: %d\ndata: %s\n\n" % (number, data)
                 run.output += event
                 run.events = told
-                run.first = run.first or moment.now().total_seconds()
+                run.first = run.first or clock.now().total_seconds()
                 await self.send(h11.Data(event))
                 if told == cut_at:
-                    run.broke, run.ended = True, moment.now().total_seconds()
+                    run.broke, run.ended = True, clock.now().total_seconds()
                     raise Broken
             if job.state == engine.OVER:
                 break
@@ -497,7 +531,7 @@
             await job.news.wait()
         if not job.whole():
             if run is not None:
-                run.ended, run.broke = moment.now().total_seconds(), True
+                run.ended, run.broke = clock.now().total_seconds(), True
             if told:
                 raise Broken
             if run is None:
@@ -505,7 +539,7 @@
             run.status = 504
             run.output = b"late"
             return await self.say(asked, 504, run.output, run)
-        run.ended = moment.now().total_seconds()
+        run.ended = clock.now().total_seconds()
         if cut_at:
             run.broke = True
             if worker.hit(0.5):
@@ -527,7 +561,9 @@
 
     # -- answers ---------------------------------------------------------------------------------
 
-    def head_of(self, asked: Asked, status: int, run: Run | None, more: call.Headers, not_run: bool = False) -> h11.Response:
+    def head_of(
+        self, asked: Asked, status: int, run: Run | None, more: call.Headers, not_run: bool = False
+    ) -> h11.Response:
         """The head of an answer.
 
         Example: ``conversation.head_of(asked, 200, run, ())``
@@ -562,7 +598,7 @@
         """
         worker = self.worker
         if run is not None:
-            run.status, run.first = status, moment.now().total_seconds()
+            run.status, run.first = status, clock.now().total_seconds()
             run.ended = run.first
             if worker.hit(worker.faults.lost):
                 run.broke = True
@@ -575,16 +611,18 @@
                 run.broke = True
                 await self.channel.write(bytes(worker.chance.randrange(1, 256) for _ in range(60)) + b"\r\n\r\n")
                 raise Broken
-        head = self.connection.send(self.head_of(asked, status, run, ((b"content-length", b"%d" % len(body)),), not_run))
+        head = self.connection.send(
+            self.head_of(asked, status, run, ((b"content-length", b"%d" % len(body)),), not_run)
+        )
         raw = head + (self.connection.send(h11.Data(body)) if body else b"") + self.connection.send(h11.EndOfMessage())
         if run is not None and worker.hit(worker.faults.cut):
             run.broke = True
-            await self.channel.write(raw[:len(raw) - 1 - worker.chance.randrange(len(body) or 1)])
+            await self.channel.write(raw[: len(raw) - 1 - worker.chance.randrange(len(body) or 1)])
             raise Broken
         if run is not None and worker.hit(worker.faults.pieces):
             await self.channel.write(head)
-            await moment.pause(PIECES)
-            await self.channel.write(raw[len(head):])
+            await clock.sleep(PIECES)
+            await self.channel.write(raw[len(head) :])
         else:
             await self.channel.write(raw)
         if run is not None:
@@ -598,8 +636,10 @@
         """
         await self.send(h11.EndOfMessage())
         run.whole = True
-        await self.exceed(b"HTTP/1.1 200 OK\r\nx-attempt: %s\r\nx-seal: %s\r\ncontent-length: 2\r\n\r\nno" %
-                          (asked.attempt.encode(), run.seal.encode()))
+        await self.exceed(
+            b"HTTP/1.1 200 OK\r\nx-attempt: %s\r\nx-seal: %s\r\ncontent-length: 2\r\n\r\nno"
+            % (asked.attempt.encode(), run.seal.encode())
+        )
 
     async def exceed(self, raw: bytes) -> None:
         """Send an answer in excess, at once or in the place of the next.
--- a/aspencroft/stand/worker_server_test.py
+++ b/aspencroft/emulator/worker_server_test.py
@@ -4,15 +4,12 @@
 import collections
 import random
 
-import aspencroft.code.result as result
-import aspencroft.forward.call as call
-import aspencroft.seam.moment as moment
-import aspencroft.seam.surroundings as surroundings
-import aspencroft.sim.loop as loop
-import aspencroft.sim.wire as wire
-import aspencroft.stand.engine as engine
-import aspencroft.stand.worker_server as worker_server
-import aspencroft.worker.pool as pool
+from aspencroft.emulator import engine, worker_server
+from aspencroft.errors import result
+from aspencroft.proxy import call
+from aspencroft.runtime import clock, environment
+from aspencroft.simulation import loop, wire
+from aspencroft.workers import pool
 
 SHAPE = engine.Shape(slots=2, queue=2, memory=5000)
 DIALECT = worker_server.StandDialect()
@@ -26,10 +23,10 @@
     life.faults = faults
 
     async def whole():
-        around = surroundings.Surroundings(wire.SimNetwork(weather, "edge"), None, None, random.Random(3), None)
+        around = environment.Environment(wire.SimNetwork(weather, "edge"), None, None, random.Random(3), None)
         connections = pool.Pool(around, collections.Counter())
         serving = asyncio.ensure_future(life.serve(wire.SimNetwork(weather, "w1"), ADDRESS))
-        await moment.pause(moment.seconds(0.001))
+        await clock.sleep(clock.seconds(0.001))
         try:
             return await story(connections, life)
         finally:
@@ -42,11 +39,25 @@
 
 
 async def ask(connections, attempt="a1", headers=(), meant="i-1", within=2.0, body=b"in"):
-    one = call.Call("POST", "/chat/", "h.example", ((b"host", b"h.example"), (b"x-attempt", attempt.encode()), *headers),
-                    body, attempt, moment.seconds(within), moment.now())
-    response = await connections.request(ADDRESS, one.method, one.target,
-                                         DIALECT.request_headers(one, meant, one.within), body,
-                                         one.end() + moment.seconds(0.1), 100)
+    one = call.Call(
+        "POST",
+        "/chat/",
+        "h.example",
+        ((b"host", b"h.example"), (b"x-attempt", attempt.encode()), *headers),
+        body,
+        attempt,
+        clock.seconds(within),
+        clock.now(),
+    )
+    response = await connections.request(
+        ADDRESS,
+        one.method,
+        one.target,
+        DIALECT.request_headers(one, meant, one.within),
+        body,
+        one.end() + clock.seconds(0.1),
+        100,
+    )
     head = DIALECT.head(response.status, response.headers, attempt)
     try:
         return head, await response.read()
@@ -100,7 +111,7 @@
         slow = ((b"x-work-ms", b"300"),)
         async with asyncio.TaskGroup() as group:
             tasks = [group.create_task(ask(connections, f"b{number}", slow, within=0.4)) for number in range(2)]
-            await moment.pause(moment.seconds(0.01))
+            await clock.sleep(clock.seconds(0.01))
             for number in range(2):
                 tasks.append(group.create_task(ask(connections, f"c{number}", slow, within=0.2)))
         return [one.result()[0] for one in tasks], [one.attempt for one in life.runs]
@@ -112,9 +123,9 @@
 def test_a_request_whose_connection_closes_is_dropped():
     async def story(connections, life):
         one = asyncio.ensure_future(ask(connections, headers=((b"x-tokens", b"0,2000"),)))
-        await moment.pause(moment.seconds(0.1))
+        await clock.sleep(clock.seconds(0.1))
         one.cancel()
-        await moment.pause(moment.seconds(0.1))
+        await clock.sleep(clock.seconds(0.1))
         return life.engine.active, life.open, life.runs[0].whole
 
     assert played(story) == ([], 0, False)
@@ -124,7 +135,7 @@
     async def story(connections, life):
         try:
             found = await ask(connections, headers=headers, within=0.5)
-        except result.Refusal as refusal:
+        except result.RequestError as refusal:
             found = refusal
         return found, life.runs
 
@@ -137,16 +148,17 @@
             if kind == "garbage" and headers is TURN:
                 continue
             found, runs = outcome(worker_server.Faults(**{kind: 1.0}), headers)
-            assert isinstance(found, result.Refusal) and found.ran is result.Ran.UNKNOWN, (kind, found)
+            assert isinstance(found, result.RequestError) and found.ran is result.Ran.UNKNOWN, (kind, found)
             assert len(runs) == 1 and runs[0].broke and not runs[0].whole, kind
 
 
 def test_an_answer_in_excess_never_becomes_the_next_one():
     for kind in ("surplus", "late"):
+
         async def story(connections, life):
             first, _ = await ask(connections, "a1", ((b"x-work-ms", b"5"),))
             life.faults = worker_server.Faults()
-            await moment.pause(moment.seconds(0.05))
+            await clock.sleep(clock.seconds(0.05))
             second, _ = await ask(connections, "a2", ((b"x-work-ms", b"5"),))
             return first.attempt, second.attempt
 
@@ -157,12 +169,12 @@
 def test_a_report_lags_and_costs_no_slot():
     async def story(connections, life):
         asked = asyncio.ensure_future(ask(connections, "a1", ((b"x-tokens", b"0,2000"),), within=20))
-        await moment.pause(moment.seconds(0.05))
-        response = await connections.request(ADDRESS, "GET", "/report", ((b"host", b"h"),), b"", moment.seconds(5), 100)
+        await clock.sleep(clock.seconds(0.05))
+        response = await connections.request(ADDRESS, "GET", "/report", ((b"host", b"h"),), b"", clock.seconds(5), 100)
         early = await response.read()
         await response.close(True)
-        await moment.pause(moment.seconds(0.3))
-        response = await connections.request(ADDRESS, "GET", "/report", ((b"host", b"h"),), b"", moment.seconds(5), 100)
+        await clock.sleep(clock.seconds(0.3))
+        response = await connections.request(ADDRESS, "GET", "/report", ((b"host", b"h"),), b"", clock.seconds(5), 100)
         late = await response.read()
         await response.close(True)
         asked.cancel()
@@ -175,17 +187,32 @@
 def test_it_serves_over_real_sockets_too():
     async def story():
         life = worker_server.Worker("i-1", "chat", "north", worker_server.Work(shape=SHAPE), random.Random(2))
-        network = surroundings.SocketNetwork()
+        network = environment.SocketNetwork()
         serving = asyncio.ensure_future(life.serve(network, "127.0.0.1:0"))
         while not network.servers:
             await asyncio.sleep(0)
         host, port = network.servers[0].sockets[0].getsockname()
-        around = surroundings.Surroundings(network, None, None, random.Random(3), None)
+        around = environment.Environment(network, None, None, random.Random(3), None)
         connections = pool.Pool(around, collections.Counter())
-        one = call.Call("POST", "/chat/", "h", ((b"host", b"h"), (b"x-attempt", b"a1"), *TURN), b"in", "a1", moment.seconds(5),
-                        moment.now())
-        response = await connections.request(f"{host}:{port}", "POST", "/chat/", DIALECT.request_headers(one, "i-1", one.within),
-                                             b"in", one.end(), 10)
+        one = call.Call(
+            "POST",
+            "/chat/",
+            "h",
+            ((b"host", b"h"), (b"x-attempt", b"a1"), *TURN),
+            b"in",
+            "a1",
+            clock.seconds(5),
+            clock.now(),
+        )
+        response = await connections.request(
+            f"{host}:{port}",
+            "POST",
+            "/chat/",
+            DIALECT.request_headers(one, "i-1", one.within),
+            b"in",
+            one.end(),
+            10,
+        )
         body = await response.read()
         await response.close(True)
         await connections.close()
--- a/aspencroft/stand/world.py
+++ b/aspencroft/emulator/world.py
@@ -5,8 +5,7 @@
 
 import litestar
 
-import aspencroft.stand.backend as backend
-import aspencroft.stand.shape as shape
+from aspencroft.emulator import backend, shape
 
 
 @dataclasses.dataclass
@@ -22,10 +21,14 @@
 
     def __post_init__(self):
         sizes = self.shape.sizes()
-        self.models = [backend.ModelWorker(f"model-{number}", services, sizes, self.chance, self.faults)
-                       for number, services in enumerate(self.shape.model_workers)]
-        self.plains = [backend.PlainWorker(f"plain-{number}", services, self.chance, self.faults)
-                       for number, services in enumerate(self.shape.plain_workers)]
+        self.models = [
+            backend.ModelWorker(f"model-{number}", services, sizes, self.chance, self.faults)
+            for number, services in enumerate(self.shape.model_workers)
+        ]
+        self.plains = [
+            backend.PlainWorker(f"plain-{number}", services, self.chance, self.faults)
+            for number, services in enumerate(self.shape.plain_workers)
+        ]
         self.addresses: dict[str, str] = {}
         self.leaving: set[str] = set()
         self.gone: set[str] = set()
@@ -42,14 +45,18 @@
 
         Example: ``world.rows()[0]["leaving"]``
         """
-        return [one.row(f"http://{self.addresses[one.name]}", one.name in self.leaving)
-                for one in self.workers() if one.name not in self.gone]
+        return [
+            one.row(f"http://{self.addresses[one.name]}", one.name in self.leaving)
+            for one in self.workers()
+            if one.name not in self.gone
+        ]
 
     def platform(self) -> litestar.Litestar:
         """The platform's page.
 
         Example: ``world.platform()``
         """
+
         @litestar.get("/api/workers", sync_to_thread=False)
         def workers() -> dict:
             return {"workers": self.rows()}
--- a/aspencroft/code/result.py
+++ b/aspencroft/errors/result.py
@@ -12,7 +12,7 @@
     RAN = "ran"
 
 
-class Result(enum.Enum):
+class ResultCode(enum.Enum):
     """Number, HTTP status and meaning of each result; docs/result-codes.md is made from it."""
 
     DONE = (0, 200, "done")
@@ -21,7 +21,11 @@
     UNKNOWN_LANE = (1003, 404, "no lane of that name is in the plan in force")
     UNKNOWN_SERVICE = (1004, 404, "the lane does not allow that service")
     UNKNOWN_PROGRAM = (1005, 404, "no kept history for that program")
-    STALE_TURN = (1006, 409, "the turn named as predecessor is not the program's last one, or the attempt ended before")
+    STALE_TURN = (
+        1006,
+        409,
+        "the turn named as predecessor is not the program's last one, or the attempt ended before",
+    )
     OUT_OF_BUDGET = (1007, 403, "the program's budget is spent or reserved")
     TURN_UNDER_WAY = (1008, 409, "a turn of the program after the same predecessor is under way")
     OPERATION_IN_PROGRESS = (1009, 409, "a request with the same operation key is in progress")
@@ -67,11 +71,14 @@
 
 
 SOON = datetime.timedelta(seconds=1)
-COME_BACK = {Result.TURN_UNDER_WAY.number: SOON, Result.OPERATION_IN_PROGRESS.number: SOON,
-             Result.OPERATION_UNKNOWN.number: datetime.timedelta(minutes=1)}
+COME_BACK = {
+    ResultCode.TURN_UNDER_WAY.number: SOON,
+    ResultCode.OPERATION_IN_PROGRESS.number: SOON,
+    ResultCode.OPERATION_UNKNOWN.number: datetime.timedelta(minutes=1),
+}
 
 
-class Refusal(Exception):
+class RequestError(Exception):
     """A result other than done, on its way to whoever asked.
 
     Whatever is given up names when to come back, if only by default; a fault of the asker's own does not.
@@ -79,8 +86,13 @@
     Example: ``raise Refusal(Result.NO_WORKER, Ran.NOT_RUN, retry=moment.seconds(1))``
     """
 
-    def __init__(self, result: Result, ran: Ran = Ran.NOT_RUN, detail: str = "",
-                 retry: datetime.timedelta | None = None):
+    def __init__(
+        self,
+        result: ResultCode,
+        ran: Ran = Ran.NOT_RUN,
+        detail: str = "",
+        retry: datetime.timedelta | None = None,
+    ):
         super().__init__(f"{result.number} {result.meaning}" + (f": {detail}" if detail else ""))
         self.result = result
         self.ran = ran
@@ -92,20 +104,24 @@
 
         Example: ``{"result": 1104, "meaning": "...", "ran": "not run", "detail": "", "retry_after": 1.0}``
         """
-        return {"result": self.result.number, "meaning": self.result.meaning, "ran": self.ran.value,
-                "detail": self.detail,
-                "retry_after": None if self.retry is None else self.retry.total_seconds()}
+        return {
+            "result": self.result.number,
+            "meaning": self.result.meaning,
+            "ran": self.ran.value,
+            "detail": self.detail,
+            "retry_after": None if self.retry is None else self.retry.total_seconds(),
+        }
 
 
-def by_number(number: int) -> Result:
+def by_number(number: int) -> ResultCode:
     """The result with a number; an unknown number is INTERNAL.
 
     Example: ``by_number(1104) is Result.NO_WORKER``
     """
-    for result in Result:
+    for result in ResultCode:
         if result.number == number:
             return result
-    return Result.INTERNAL
+    return ResultCode.INTERNAL
 
 
 def table() -> str:
@@ -113,5 +129,5 @@
 
     Example: ``print(result.table())`` writes docs/result-codes.md.
     """
-    rows = [f"| {entry.number} | {entry.name} | {entry.status} | {entry.meaning} |" for entry in Result]
+    rows = [f"| {entry.number} | {entry.name} | {entry.status} | {entry.meaning} |" for entry in ResultCode]
     return "\n".join(["| number | name | HTTP | meaning |", "|---|---|---|---|", *rows]) + "\n"
--- a/aspencroft/edge/call.py
+++ b/aspencroft/gateway/call.py
@@ -6,13 +6,13 @@
 import hashlib
 import json
 
-import aspencroft.code.result as result
-import aspencroft.plan.lane as lane
-import aspencroft.seam.moment as moment
-import aspencroft.talk.speech as speech
+from aspencroft.configuration import lane
+from aspencroft.errors import result
+from aspencroft.runtime import clock
+from aspencroft.sessions import messages
 
 PIECES = 256
-PATIENCE = moment.seconds(0.5)
+PATIENCE = clock.seconds(0.5)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -38,7 +38,16 @@
 
         Example: ``request.digest() == again.digest()``
         """
-        whole = [self.lane, self.program, self.helper, self.after, self.input, self.most, self.budget, self.tool]
+        whole = [
+            self.lane,
+            self.program,
+            self.helper,
+            self.after,
+            self.input,
+            self.most,
+            self.budget,
+            self.tool,
+        ]
         return hashlib.blake2b(json.dumps(whole, sort_keys=True).encode(), digest_size=16).digest()
 
 
@@ -58,7 +67,7 @@
     end: datetime.timedelta
     out: asyncio.Queue = dataclasses.field(default_factory=asyncio.Queue)
     room: asyncio.Semaphore = dataclasses.field(default_factory=lambda: asyncio.Semaphore(PIECES))
-    granted: speech.TurnGranted | None = None
+    granted: messages.TurnGranted | None = None
     claimed: bool = False
     sent: bool = False
     unsure: bool = False
@@ -69,7 +78,7 @@
     goes: int = 0
     repeats: int = 0
     handed: int = 0
-    sent_at: datetime.timedelta = moment.ZERO
+    sent_at: datetime.timedelta = clock.ZERO
     worker: object = None
     service: str = ""
 
@@ -101,13 +110,13 @@
         """
         while not self.deaf:
             try:
-                async with moment.limit(PATIENCE):
+                async with clock.limit(PATIENCE):
                     await self.room.acquire()
                 self.handed += 1
                 self.out.put_nowait(event)
                 return
             except TimeoutError:
-                if moment.now() > self.end:
+                if clock.now() > self.end:
                     self.deaf = True
 
     def close(self, end: "Ended") -> None:
@@ -139,4 +148,4 @@
     pieces: int
     used: int
     answer: object
-    refusal: result.Refusal | None
+    refusal: result.RequestError | None
--- a/aspencroft/edge/callers.py
+++ b/aspencroft/gateway/callers.py
@@ -7,27 +7,28 @@
 import litestar.response
 import voluptuous
 
-import aspencroft.code.result as result
-import aspencroft.edge.call as call
-import aspencroft.edge.path as path
-import aspencroft.node.operator as operator
-import aspencroft.plan.lane as lane
-import aspencroft.seam.moment as moment
-
-SLACK = moment.seconds(0.3)
+from aspencroft.configuration import lane
+from aspencroft.errors import result
+from aspencroft.gateway import call, path
+from aspencroft.node import operator
+from aspencroft.runtime import clock
+
+SLACK = clock.seconds(0.3)
 IDENTITY = voluptuous.All(str, voluptuous.Length(min=1, max=200))
 COUNT = voluptuous.All(int, voluptuous.Range(min=0, max=1 << 40))
-SCHEMA = voluptuous.Schema({
-    voluptuous.Required("lane"): lane.NAME,
-    voluptuous.Required("input"): object,
-    voluptuous.Optional("program", default=""): voluptuous.Any("", IDENTITY),
-    voluptuous.Optional("helper", default=""): voluptuous.Any("", IDENTITY),
-    voluptuous.Optional("after", default=0): COUNT,
-    voluptuous.Optional("operation", default=""): voluptuous.Any("", IDENTITY),
-    voluptuous.Optional("most", default=0): COUNT,
-    voluptuous.Optional("budget", default=0): COUNT,
-    voluptuous.Optional("tool", default=""): voluptuous.Any("", lane.NAME),
-})
+SCHEMA = voluptuous.Schema(
+    {
+        voluptuous.Required("lane"): lane.NAME,
+        voluptuous.Required("input"): object,
+        voluptuous.Optional("program", default=""): voluptuous.Any("", IDENTITY),
+        voluptuous.Optional("helper", default=""): voluptuous.Any("", IDENTITY),
+        voluptuous.Optional("after", default=0): COUNT,
+        voluptuous.Optional("operation", default=""): voluptuous.Any("", IDENTITY),
+        voluptuous.Optional("most", default=0): COUNT,
+        voluptuous.Optional("budget", default=0): COUNT,
+        voluptuous.Optional("tool", default=""): voluptuous.Any("", lane.NAME),
+    }
+)
 
 
 def request_of(body, lanes: dict[str, lane.Lane], identity: str) -> call.Request:
@@ -39,14 +40,24 @@
         full = SCHEMA(body)
     except voluptuous.MultipleInvalid as error:
         detail = "; ".join(f"{'/'.join(str(part) for part in one.path)}: {one.msg}" for one in error.errors)
-        raise result.Refusal(result.Result.MALFORMED, detail=detail) from None
+        raise result.RequestError(result.ResultCode.MALFORMED, detail=detail) from None
     known = lanes.get(full["lane"])
     if known is None:
-        raise result.Refusal(result.Result.UNKNOWN_LANE, detail=full["lane"])
+        raise result.RequestError(result.ResultCode.UNKNOWN_LANE, detail=full["lane"])
     most = min(full["most"] or known.turn_output, known.turn_output)
     budget = min(full["budget"] or known.budget, known.budget)
-    return call.Request(identity, full["lane"], full["program"], full["helper"], full["after"],
-                        full["input"], full["operation"], most, budget, full["tool"])
+    return call.Request(
+        identity,
+        full["lane"],
+        full["program"],
+        full["helper"],
+        full["after"],
+        full["input"],
+        full["operation"],
+        most,
+        budget,
+        full["tool"],
+    )
 
 
 async def next_event(one: call.Call):
@@ -55,13 +66,13 @@
     Example: ``event = await next_event(one)``
     """
     try:
-        async with moment.limit(one.end + (SLACK if one.sent else moment.ZERO) - moment.now()):
+        async with clock.limit(one.end + (SLACK if one.sent else clock.ZERO) - clock.now()):
             return await one.take()
     except TimeoutError:
-        if one.sent and moment.now() < one.end + SLACK:
+        if one.sent and clock.now() < one.end + SLACK:
             return await next_event(one)
         one.abandoned = one.deaf = True
-        return call.Ended(0, 0, 0, None, result.Refusal(result.Result.DEADLINE, one.ran()))
+        return call.Ended(0, 0, 0, None, result.RequestError(result.ResultCode.DEADLINE, one.ran()))
 
 
 def final_line(one: call.Call, end: call.Ended) -> bytes:
@@ -72,8 +83,13 @@
     if end.refusal is not None:
         shown = {"error": end.refusal.document(), "request": one.request.identity}
     else:
-        shown = {"end": True, "request": one.request.identity, "turn": end.turn, "pieces": end.pieces,
-                 "used": end.used}
+        shown = {
+            "end": True,
+            "request": one.request.identity,
+            "turn": end.turn,
+            "pieces": end.pieces,
+            "used": end.used,
+        }
     return json.dumps(shown).encode() + b"\n"
 
 
@@ -85,8 +101,17 @@
     event = first
     try:
         while not isinstance(event, call.Ended):
-            yield json.dumps({"request": one.request.identity, "piece": event.number, "text": event.text,
-                              "tokens": event.tokens}).encode() + b"\n"
+            yield (
+                json.dumps(
+                    {
+                        "request": one.request.identity,
+                        "piece": event.number,
+                        "text": event.text,
+                        "tokens": event.tokens,
+                    }
+                ).encode()
+                + b"\n"
+            )
             event = await next_event(one)
         yield final_line(one, event)
     finally:
@@ -98,16 +123,17 @@
 
     Example: ``operator.application(own, callers.handlers(edge))``
     """
+
     @litestar.post("/requests", status_code=200)
     async def take(request: litestar.Request) -> litestar.Response:
-        identity = path.new_identity(edge.node.surroundings.randomness)
+        identity = path.new_identity(edge.node.environment.randomness)
         headers = {"X-Request": identity}
         try:
             body = operator.json_body(await request.body())
             edge.check_open()
             one = edge.take_in(request_of(body, edge.node.relay.plan.lanes, identity))
-        except result.Refusal as refusal:
-            edge.stories.add(identity, "", moment.ZERO, "refused at the door", str(refusal))
+        except result.RequestError as refusal:
+            edge.stories.add(identity, "", clock.ZERO, "refused at the door", str(refusal))
             response = operator.refusal_response(refusal)
             response.headers.update(headers)
             return response
@@ -118,8 +144,9 @@
             return response
         if one.lane.kind == lane.TURNS:
             return litestar.response.Stream(lines(one, event), media_type="application/x-ndjson", headers=headers)
-        return litestar.Response({"request": one.request.identity, "done": True, "answer": event.answer},
-                                 headers=headers)
+        return litestar.Response(
+            {"request": one.request.identity, "done": True, "answer": event.answer}, headers=headers
+        )
 
     @litestar.get("/path", sync_to_thread=False)
     def show_path() -> dict:
--- a/aspencroft/edge/callers_test.py
+++ b/aspencroft/gateway/callers_test.py
@@ -1,19 +1,25 @@
-"""Tests of ``aspencroft.edge.callers``."""
+"""Tests of ``aspencroft.gateway.callers``."""
 
-import aspencroft.code.result as result
-import aspencroft.edge.callers as callers
-import aspencroft.plan.lane as lane
+from aspencroft.configuration import lane
+from aspencroft.errors import result
+from aspencroft.gateway import callers
 
 
 def test_requests_are_checked_and_bounded_by_the_lane():
     lanes = {"chat": lane.of("chat", {"kind": "turns", "services": ["a"], "budget": 100, "turn_output": 10})}
     asked = callers.request_of({"lane": "chat", "input": "x", "program": "p", "most": 50, "budget": 70}, lanes, "id")
     assert asked.most == 10 and asked.budget == 70
-    for body in ({}, [], {"lane": "chat"}, {"lane": "other", "input": 1}, {"lane": "chat", "input": 1, "x": 1},
-                 {"lane": "chat", "input": 1, "after": -1}):
+    for body in (
+        {},
+        [],
+        {"lane": "chat"},
+        {"lane": "other", "input": 1},
+        {"lane": "chat", "input": 1, "x": 1},
+        {"lane": "chat", "input": 1, "after": -1},
+    ):
         try:
             callers.request_of(body, lanes, "id")
-        except result.Refusal as refusal:
+        except result.RequestError as refusal:
             assert refusal.ran is result.Ran.NOT_RUN
             continue
         raise AssertionError(body)
--- a/aspencroft/edge/closing.py
+++ b/aspencroft/gateway/closing.py
@@ -3,14 +3,14 @@
 import collections
 import dataclasses
 
-import aspencroft.code.result as result
-import aspencroft.edge.lineup as lineup
-import aspencroft.node.node as node
-import aspencroft.seam.moment as moment
+from aspencroft.errors import result
+from aspencroft.gateway import priority_queue
+from aspencroft.node import node
+from aspencroft.runtime import clock
 
 BOUND = 1024
 CLOSERS = 4
-WITHIN = moment.seconds(12)
+WITHIN = clock.seconds(12)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -31,7 +31,7 @@
 
     def __init__(self, own: node.Node):
         self.node = own
-        self.rows = {pair: lineup.Lineup(BOUND) for pair in range(1, own.settings.pairs)}
+        self.rows = {pair: priority_queue.Lineup(BOUND) for pair in range(1, own.settings.pairs)}
         self.open: collections.Counter = collections.Counter()
         self.counts: collections.Counter = collections.Counter()
 
@@ -50,13 +50,16 @@
 
         Example: ``for name, work in closings.works(): ...``
         """
-        def closer(row: lineup.Lineup, pair: int):
+
+        def closer(row: priority_queue.Lineup, pair: int):
             async def work() -> None:
                 await self.close_each(pair, row)
+
             return work
+
         return [(f"closing {pair}", closer(row, pair)) for pair, row in self.rows.items() for _ in range(CLOSERS)]
 
-    async def close_each(self, pair: int, row: lineup.Lineup) -> None:
+    async def close_each(self, pair: int, row: priority_queue.Lineup) -> None:
         """Close one after the other.
 
         Example: ``await closings.close_each(1, row)``
@@ -66,7 +69,7 @@
             try:
                 await self.node.submit(pair, one.command, WITHIN)
                 self.counts["closed"] += 1
-            except result.Refusal:
+            except result.RequestError:
                 self.counts["left to the pair"] += 1
             finally:
                 self.open[one.request] -= 1
--- a/aspencroft/edge/path.py
+++ b/aspencroft/gateway/path.py
@@ -7,40 +7,33 @@
 
 import logbook
 
-import aspencroft.alert.sample as sample
-import aspencroft.code.result as result
-import aspencroft.edge.call as call
-import aspencroft.edge.closing as closing
-import aspencroft.edge.draw as draw
-import aspencroft.edge.lineup as lineup
-import aspencroft.edge.parked as parked
-import aspencroft.edge.sight as sight
-import aspencroft.edge.story as story
-import aspencroft.keep.tap as tap
-import aspencroft.keep.word as word
-import aspencroft.node.node as node
-import aspencroft.pair.recruiting as recruiting
-import aspencroft.plan.lane as lane
-import aspencroft.ring.fellow as fellow
-import aspencroft.seam.moment as moment
-import aspencroft.seam.steady as steady
-import aspencroft.talk.speech as speech
-import aspencroft.worker.adapter as adapter
+import aspencroft.residency.messages as residency_messages
+import aspencroft.sessions.messages as sessions_messages
+from aspencroft.alerts import sample
+from aspencroft.configuration import lane
+from aspencroft.errors import result
+from aspencroft.gateway import call, closing, priority_queue, selection, trace, wait_queue, worker_view
+from aspencroft.membership import cluster_member
+from aspencroft.node import node
+from aspencroft.replication import replica_changes
+from aspencroft.residency import tap
+from aspencroft.runtime import clock, supervision
+from aspencroft.workers import adapter
 
 LOG = logbook.Logger("path")
 BOUND = 64
 ACCEPTORS, LEAST_ACCEPTORS = 192, 4
 SENDERS = {True: 160, False: 64}
-LIST = moment.seconds(0.5)
-LOOK = moment.seconds(0.1)
-CLOSE = moment.seconds(5)
-SOON = moment.seconds(1)
-SHED = moment.seconds(5)
-GRACE, UNSENT = moment.seconds(7.5), moment.seconds(4)
+LIST = clock.seconds(0.5)
+LOOK = clock.seconds(0.1)
+CLOSE = clock.seconds(5)
+SOON = clock.seconds(1)
+SHED = clock.seconds(5)
+GRACE, UNSENT = clock.seconds(7.5), clock.seconds(4)
 MOST_GOES = 16
 TOKEN_LETTERS = 4
 SMOOTH = 16
-REPEATED = (result.Result.WORKER_LOST, result.Result.WORKER_BROKE, result.Result.WORKER_REFUSED)
+REPEATED = (result.ResultCode.WORKER_LOST, result.ResultCode.WORKER_BROKE, result.ResultCode.WORKER_REFUSED)
 
 
 def pair_of(key: str, talk_pairs: int) -> int:
@@ -48,7 +41,7 @@
 
     Example: ``1 <= pair_of("program", 4) <= 4``
     """
-    return 1 + recruiting.hash_of(key) % talk_pairs
+    return 1 + replica_changes.hash_of(key) % talk_pairs
 
 
 class Path:
@@ -64,18 +57,18 @@
     def __init__(self, own: node.Node, back: adapter.Adapter):
         self.node = own
         self.adapter = back
-        self.stories = story.Stories(own.address)
+        self.stories = trace.Traces(own.address)
         pairs = range(1, own.settings.pairs)
-        self.accepting = {(pair, turns): lineup.Lineup(BOUND) for pair in pairs for turns in (True, False)}
-        self.accept_mean = {key: moment.seconds(0.02) for key in self.accepting}
+        self.accepting = {(pair, turns): priority_queue.Lineup(BOUND) for pair in pairs for turns in (True, False)}
+        self.accept_mean = {key: clock.seconds(0.02) for key in self.accepting}
         self.acceptors = max(LEAST_ACCEPTORS, ACCEPTORS // len(self.accepting))
-        self.drawing = lineup.Lineup(BOUND * 8)
-        self.sending = {turns: lineup.Lineup(count) for turns, count in SENDERS.items()}
-        self.parked = parked.Parked()
+        self.drawing = priority_queue.Lineup(BOUND * 8)
+        self.sending = {turns: priority_queue.Lineup(count) for turns, count in SENDERS.items()}
+        self.parked = wait_queue.Parked()
         self.closings = closing.Closings(own)
-        self.sight = sight.Sight(own)
+        self.sight = worker_view.Sight(own)
         self.active: dict[str, call.Call] = {}
-        self.mean = {True: moment.seconds(0.2), False: moment.seconds(0.05)}
+        self.mean = {True: clock.seconds(0.2), False: clock.seconds(0.05)}
         self.woken: dict[str, datetime.timedelta] = {}
         self.counts: collections.Counter = collections.Counter()
         own.sampled.append(self.samples)
@@ -88,9 +81,9 @@
         Example: ``path.check_open()``
         """
         if self.node.stopping.is_set():
-            raise result.Refusal(result.Result.LEAVING, retry=SOON)
+            raise result.RequestError(result.ResultCode.LEAVING, retry=SOON)
         if not self.node.relay.current():
-            raise result.Refusal(result.Result.NO_PLAN, retry=SOON)
+            raise result.RequestError(result.ResultCode.NO_PLAN, retry=SOON)
 
     def take_in(self, request: call.Request) -> call.Call:
         """Check a request and queue it, or refuse it at once, not run.
@@ -101,12 +94,12 @@
         self.check_open()
         known = self.node.relay.plan.lanes.get(request.lane)
         if known is None:
-            raise result.Refusal(result.Result.UNKNOWN_LANE, detail=request.lane)
+            raise result.RequestError(result.ResultCode.UNKNOWN_LANE, detail=request.lane)
         if known.kind == lane.TURNS and not request.program:
-            raise result.Refusal(result.Result.MALFORMED, detail="program: a turn belongs to a program")
+            raise result.RequestError(result.ResultCode.MALFORMED, detail="program: a turn belongs to a program")
         if known.urgency >= self.node.control("shed", 10):
-            raise result.Refusal(result.Result.SHED, detail=request.lane, retry=SHED)
-        now = moment.now()
+            raise result.RequestError(result.ResultCode.SHED, detail=request.lane, retry=SHED)
+        now = clock.now()
         one = call.Call(request, known, now, now + known.deadline)
         refusal = self.pass_on(one)
         if refusal is not None:
@@ -115,7 +108,7 @@
         self.tell(one, "taken in", f"plan {self.node.relay.revision.text()}")
         return one
 
-    def pass_on(self, one: call.Call) -> result.Refusal | None:
+    def pass_on(self, one: call.Call) -> result.RequestError | None:
         """Queue a call for its next stage: its key's pair, its program's pair, or the drawing.
 
         Example: ``refusal = path.pass_on(one)``
@@ -127,21 +120,23 @@
         else:
             if self.drawing.offer(one.lane.urgency, one):
                 return None
-            return result.Refusal(result.Result.OVERLOADED, retry=SOON)
+            return result.RequestError(result.ResultCode.OVERLOADED, retry=SOON)
         key = (pair, one.turns())
         expected = self.accept_mean[key] * self.accepting[key].ahead(one.lane.urgency) / self.acceptors
-        if moment.now() + expected > one.end:
-            return result.Refusal(result.Result.OVERLOADED, detail="the deadline cannot be met", retry=expected)
+        if clock.now() + expected > one.end:
+            return result.RequestError(
+                result.ResultCode.OVERLOADED, detail="the deadline cannot be met", retry=expected
+            )
         if self.accepting[key].offer(one.lane.urgency, one):
             return None
-        return result.Refusal(result.Result.OVERLOADED, retry=max(SOON, expected))
+        return result.RequestError(result.ResultCode.OVERLOADED, retry=max(SOON, expected))
 
     def tell(self, one: call.Call, what: str, detail: str = "") -> None:
         """Add a line to the request's story.
 
         Example: ``path.tell(one, "drawn", "m1")``
         """
-        self.stories.add(one.request.identity, one.lane.name, moment.now() - one.began, what, detail)
+        self.stories.add(one.request.identity, one.lane.name, clock.now() - one.began, what, detail)
 
     # -- stages ----------------------------------------------------------------------------------
 
@@ -150,13 +145,17 @@
 
         Example: ``group.create_task(path.run())``
         """
-        works = [("list", self.read_list), ("draw", self.draw_stage), ("look", self.look_stage),
-                 *self.closings.works()]
+        works = [
+            ("list", self.read_list),
+            ("draw", self.draw_stage),
+            ("look", self.look_stage),
+            *self.closings.works(),
+        ]
         works.extend((f"accept {key[0]}", self.acceptor(key)) for key in self.accepting for _ in range(self.acceptors))
         works.extend(("send on", self.sender(turns)) for turns, count in SENDERS.items() for _ in range(count))
-        async with steady.Group() as group:
+        async with supervision.Group() as group:
             for name, work in works:
-                group.create_task(steady.stand(name, work, self.node.standing))
+                group.create_task(supervision.stand(name, work, self.node.standing))
 
     async def read_list(self) -> None:
         """Read the platform's list of workers again and again; the last one read stays in use.
@@ -167,33 +166,35 @@
             try:
                 self.sight.take_list(await self.adapter.workers(self.node.settings.workers))
                 self.look()
-            except result.Refusal as refusal:
+            except result.RequestError as refusal:
                 self.counts["lists missed"] += 1
                 LOG.info("{}", refusal)
-            await moment.pause(LIST)
+            await clock.sleep(LIST)
 
     def acceptor(self, key: tuple[int, bool]):
         """The work of one acceptor of a pair.
 
         Example: ``group.create_task(path.acceptor((1, True))())``
         """
+
         async def work() -> None:
             while True:
                 one = await self.accepting[key].take()
-                began = moment.now()
+                began = clock.now()
                 try:
                     if self.over(one):
-                        raise result.Refusal(result.Result.DEADLINE)
+                        raise result.RequestError(result.ResultCode.DEADLINE)
                     if await self.accept(one):
                         refusal = self.pass_on(one)
                         if refusal is not None:
                             raise refusal
-                except result.Refusal as refusal:
+                except result.RequestError as refusal:
                     self.finish(one, refusal)
                 except Exception:
                     LOG.exception("accepting {}", one.request.identity)
-                    self.finish(one, result.Refusal(result.Result.INTERNAL, result.Ran.UNKNOWN))
-                self.accept_mean[key] += (moment.now() - began - self.accept_mean[key]) / SMOOTH
+                    self.finish(one, result.RequestError(result.ResultCode.INTERNAL, result.Ran.UNKNOWN))
+                self.accept_mean[key] += (clock.now() - began - self.accept_mean[key]) / SMOOTH
+
         return work
 
     def over(self, one: call.Call) -> bool:
@@ -201,14 +202,14 @@
 
         Example: ``if path.over(one): ...``
         """
-        return one.abandoned or moment.now() >= one.end
+        return one.abandoned or clock.now() >= one.end
 
     def within(self, one: call.Call) -> datetime.timedelta:
         """The time that a write may take for this call.
 
         Example: ``path.within(one)``
         """
-        return min(CLOSE, max(one.end - moment.now(), moment.seconds(0.05)))
+        return min(CLOSE, max(one.end - clock.now(), clock.seconds(0.05)))
 
     async def accept(self, one: call.Call) -> bool:
         """Claim the key, or else open the turn; False when the key's record was handed out instead.
@@ -218,9 +219,18 @@
         asked = one.request
         if asked.operation and not one.claimed:
             pair = pair_of(asked.operation, self.node.settings.talk_pairs)
-            state = await self.node.submit(pair, speech.ClaimOperation(
-                asked.operation, asked.lane, asked.identity, asked.digest(), one.lane.deadline, one.lane.keep),
-                self.within(one))
+            state = await self.node.submit(
+                pair,
+                sessions_messages.ClaimOperation(
+                    asked.operation,
+                    asked.lane,
+                    asked.identity,
+                    asked.digest(),
+                    one.lane.deadline,
+                    one.lane.keep,
+                ),
+                self.within(one),
+            )
             if not state.mine:
                 self.answer_known(one, state)
                 return False
@@ -228,20 +238,33 @@
             self.tell(one, "key claimed", f"pair {pair}")
             return True
         pair = pair_of(asked.program, self.node.settings.talk_pairs)
-        one.granted = await self.node.submit(pair, speech.OpenTurn(
-            asked.program, asked.helper, asked.after, asked.lane, one.go(), asked.most, asked.budget,
-            one.lane.keep, one.lane.deadline, self.node.life()), self.within(one))
+        one.granted = await self.node.submit(
+            pair,
+            sessions_messages.OpenTurn(
+                asked.program,
+                asked.helper,
+                asked.after,
+                asked.lane,
+                one.go(),
+                asked.most,
+                asked.budget,
+                one.lane.keep,
+                one.lane.deadline,
+                self.node.life(),
+            ),
+            self.within(one),
+        )
         self.tell(one, "turn opened", f"turn {one.granted.number}, pair {pair}")
         return True
 
-    def answer_known(self, one: call.Call, state: speech.Operation) -> None:
+    def answer_known(self, one: call.Call, state: sessions_messages.Operation) -> None:
         """A second request with a key gets what is known of the first and never runs.
 
         The count of pieces is that of this response, which hands out the whole text as one.
 
         Example: ``path.answer_known(one, state)``
         """
-        if state.outcome == speech.DONE and state.answer:
+        if state.outcome == sessions_messages.DONE and state.answer:
             kept = json.loads(state.answer)
             self.tell(one, "answered from the key's record", state.go)
             pieces = 1 if one.turns() and kept["text"] else 0
@@ -249,10 +272,12 @@
                 one.out.put_nowait(adapter.Piece(0, kept["text"], kept["used"]))
             self.last(one, call.Ended(kept["turn"], pieces, kept["used"], kept["answer"], None))
             return
-        refusals = {speech.DONE: (result.Result.ANSWER_NOT_KEPT, result.Ran.RAN),
-                    speech.UNKNOWN: (result.Result.OPERATION_UNKNOWN, result.Ran.UNKNOWN)}
-        code, ran = refusals.get(state.outcome, (result.Result.OPERATION_IN_PROGRESS, result.Ran.UNKNOWN))
-        self.last(one, call.Ended(0, 0, 0, None, result.Refusal(code, ran, state.go)))
+        refusals = {
+            sessions_messages.DONE: (result.ResultCode.ANSWER_NOT_KEPT, result.Ran.RAN),
+            sessions_messages.UNKNOWN: (result.ResultCode.OPERATION_UNKNOWN, result.Ran.UNKNOWN),
+        }
+        code, ran = refusals.get(state.outcome, (result.ResultCode.OPERATION_IN_PROGRESS, result.Ran.UNKNOWN))
+        self.last(one, call.Ended(0, 0, 0, None, result.RequestError(code, ran, state.go)))
 
     async def draw_stage(self) -> None:
         """Draw a worker for each call; those that find all full are parked.
@@ -274,21 +299,22 @@
         """
         self.counts["draws"] += 1
         if self.over(one):
-            self.finish(one, result.Refusal(result.Result.DEADLINE))
+            self.finish(one, result.RequestError(result.ResultCode.DEADLINE))
             return True
         current = self.node.relay.plan
         if one.lane.name not in current.lanes:
-            self.finish(one, result.Refusal(result.Result.UNKNOWN_LANE, detail=one.lane.name))
+            self.finish(one, result.RequestError(result.ResultCode.UNKNOWN_LANE, detail=one.lane.name))
             return True
         allowed = current.allowed(one.lane.name, one.request.tool)
-        drawn = draw.draw(allowed, one.request.program, self.sight.view(), one.tried,
-                          self.node.surroundings.randomness)
+        drawn = selection.draw(
+            allowed, one.request.program, self.sight.view(), one.tried, self.node.environment.randomness
+        )
         self.wake(drawn.wake)
         if drawn.worker is None:
-            unlisted = not self.sight.listed and moment.now() - one.began < SOON
+            unlisted = not self.sight.listed and clock.now() - one.began < SOON
             if not drawn.full and not one.tried and not unlisted:
                 self.tell(one, "no worker", str(drawn.reasons))
-                self.finish(one, result.Refusal(result.Result.NO_WORKER, detail=", ".join(allowed)))
+                self.finish(one, result.RequestError(result.ResultCode.NO_WORKER, detail=", ".join(allowed)))
                 return True
             one.tried = frozenset()
             return False
@@ -308,9 +334,12 @@
         current = self.node.relay.plan
         services = current.allowed(one.lane.name, one.request.tool) if one.lane.name in current.lanes else ()
         guess = self.mean[one.turns()] / max(1, self.sight.places(services))
-        retry = self.parked.offer((one.lane.name, one.request.tool), one.lane.urgency, one, moment.now(), guess, front)
+        retry = self.parked.offer((one.lane.name, one.request.tool), one.lane.urgency, one, clock.now(), guess, front)
         if retry is not None:
-            self.finish(one, result.Refusal(result.Result.OVERLOADED, detail="the deadline cannot be met", retry=retry))
+            self.finish(
+                one,
+                result.RequestError(result.ResultCode.OVERLOADED, detail="the deadline cannot be met", retry=retry),
+            )
 
     def look(self) -> None:
         """Draw for those that wait, the most urgent rows first, each until its first call finds no place.
@@ -324,7 +353,7 @@
                 one = self.parked.head(key)
                 if not self.draw_one(one):
                     break
-                self.parked.pop(key, moment.now(), served=one.worker is not None)
+                self.parked.pop(key, clock.now(), served=one.worker is not None)
 
     async def look_stage(self) -> None:
         """Look at the rows again and again, for places that others freed; refuse what comes too late now.
@@ -332,22 +361,28 @@
         Example: ``group.create_task(path.look_stage())``
         """
         while True:
-            await moment.pause(LOOK)
+            await clock.sleep(LOOK)
             self.look()
-            for one, retry in self.parked.too_late(moment.now()):
-                self.finish(one, result.Refusal(result.Result.DEADLINE if self.over(one) else result.Result.OVERLOADED,
-                                                detail="the deadline cannot be met", retry=retry))
+            for one, retry in self.parked.too_late(clock.now()):
+                self.finish(
+                    one,
+                    result.RequestError(
+                        result.ResultCode.DEADLINE if self.over(one) else result.ResultCode.OVERLOADED,
+                        detail="the deadline cannot be met",
+                        retry=retry,
+                    ),
+                )
 
     def wake(self, names: tuple[str, ...]) -> None:
         """Have resting workers woken; said again once a second while they are needed.
 
         Example: ``path.wake(("m3",))``
         """
-        now = moment.now()
+        now = clock.now()
         for name in names:
-            if self.woken.get(name, moment.ZERO) <= now:
+            if self.woken.get(name, clock.ZERO) <= now:
                 self.woken[name] = now + SOON
-                self.tell_duty("quiet", word.Wanted(name))
+                self.tell_duty("quiet", residency_messages.Wanted(name))
 
     def undraw(self, one: call.Call) -> None:
         """Give a drawn worker's place back without looking who else could use it.
@@ -375,18 +410,20 @@
 
         Example: ``group.create_task(path.sender(True)())``
         """
+
         async def work() -> None:
             while True:
                 one = await self.sending[turns].take()
                 try:
                     await self.send_on(one)
-                except result.Refusal as refusal:
+                except result.RequestError as refusal:
                     self.finish(one, refusal)
                 except Exception:
                     LOG.exception("sending on {}", one.request.identity)
-                    self.finish(one, result.Refusal(result.Result.INTERNAL, one.ran()))
+                    self.finish(one, result.RequestError(result.ResultCode.INTERNAL, one.ran()))
                 finally:
                     self.release(one)
+
         return work
 
     def sendable(self, one: call.Call) -> str:
@@ -409,7 +446,7 @@
         Example: ``await path.send_on(one)``
         """
         if self.over(one):
-            raise result.Refusal(result.Result.DEADLINE)
+            raise result.RequestError(result.ResultCode.DEADLINE)
         why = self.sendable(one)
         if why:
             self.tell(one, "not sent", why)
@@ -418,32 +455,43 @@
             return
         asked = one.request
         past = tuple((turn.input, turn.output) for turn in one.granted.past) if one.granted else ()
-        work = adapter.Work(one.go(), one.service, asked.program, asked.helper,
-                            one.granted.number if one.granted else 0, past, asked.input, asked.most,
-                            one.end - moment.now())
+        work = adapter.Work(
+            one.go(),
+            one.service,
+            asked.program,
+            asked.helper,
+            one.granted.number if one.granted else 0,
+            past,
+            asked.input,
+            asked.most,
+            one.end - clock.now(),
+        )
         drawn = one.worker.name
-        one.sent, one.goes, one.sent_at = True, one.goes + 1, moment.now()
+        one.sent, one.goes, one.sent_at = True, one.goes + 1, clock.now()
         if one.worker.name in self.sight.quiet():
             self.wake((one.worker.name,))
         self.tell(one, "sent on", f"go {one.goes} to {one.worker.name}")
         self.share_story(one)
         self.counts["goes"] += 1
         try:
-            async with moment.limit(one.end - moment.now()):
+            async with clock.limit(one.end - clock.now()):
                 await self.stream(one, work)
         except TimeoutError:
-            raise result.Refusal(result.Result.DEADLINE, result.Ran.UNKNOWN, drawn) from None
-        except result.Refusal as refusal:
+            raise result.RequestError(result.ResultCode.DEADLINE, result.Ran.UNKNOWN, drawn) from None
+        except result.RequestError as refusal:
             await self.after_refusal(one, refusal)
 
-    async def after_refusal(self, one: call.Call, refusal: result.Refusal) -> None:
+    async def after_refusal(self, one: call.Call, refusal: result.RequestError) -> None:
         """Draw anew after a go that did not run, or whose work may be repeated; else the refusal stands.
 
         Example: ``await path.after_refusal(one, refusal)``
         """
-        if one.worker is not None and refusal.result in (result.Result.UNREACHABLE, result.Result.WORKER_LOST):
+        if one.worker is not None and refusal.result in (
+            result.ResultCode.UNREACHABLE,
+            result.ResultCode.WORKER_LOST,
+        ):
             self.sight.failed(one.worker.name)
-        if refusal.result is result.Result.PUT_BACK and one.worker is not None:
+        if refusal.result is result.ResultCode.PUT_BACK and one.worker is not None:
             self.sight.put_back(one.worker.name)
         if refusal.ran is result.Ran.NOT_RUN:
             one.sent = False
@@ -455,22 +503,28 @@
             one.tried |= {one.worker.name}
         self.release(one)
         if self.over(one) or one.goes >= MOST_GOES:
-            raise result.Refusal(refusal.result, one.ran(), refusal.detail)
+            raise result.RequestError(refusal.result, one.ran(), refusal.detail)
         if refusal.ran is not result.Ran.NOT_RUN:
             await self.repeat(one, refusal)
         if not self.drawing.offer(one.lane.urgency, one, back=True):
             raise refusal
 
-    def repeatable(self, one: call.Call, refusal: result.Refusal) -> bool:
+    def repeatable(self, one: call.Call, refusal: result.RequestError) -> bool:
         """Whether work whose outcome is unknown may be done again: the lane says so, the caller got nothing
         of it yet, and no operation key asks for one run.
 
         Example: ``path.repeatable(one, refusal)``
         """
-        return (one.lane.repeatable and not one.request.operation and not one.handed
-                and refusal.result in REPEATED and not self.over(one) and one.goes < MOST_GOES)
+        return (
+            one.lane.repeatable
+            and not one.request.operation
+            and not one.handed
+            and refusal.result in REPEATED
+            and not self.over(one)
+            and one.goes < MOST_GOES
+        )
 
-    async def repeat(self, one: call.Call, refusal: result.Refusal) -> None:
+    async def repeat(self, one: call.Call, refusal: result.RequestError) -> None:
         """Before another go: the one before is charged in full to the program, and the turn opened anew.
 
         Example: ``await path.repeat(one, refusal)``
@@ -479,7 +533,7 @@
         self.counts["goes repeated"] += 1
         self.tell(one, "repeated", str(refusal))
         if one.granted is not None:
-            await self.close_turn(one, speech.UNKNOWN, "", 0)
+            await self.close_turn(one, sessions_messages.UNKNOWN, "", 0)
         one.sent, one.granted, one.repeats = False, None, one.repeats + 1
         if one.turns():
             await self.accept(one)
@@ -498,7 +552,7 @@
                 listening, intents = listening.feed(event.text)
                 for intent in intents:
                     self.tell(one, "intent", ", ".join(intent.models))
-                    self.tell_duty("keeps", word.Intended(self.session(one), intent.models))
+                    self.tell_duty("keeps", residency_messages.Intended(self.session(one), intent.models))
                 await one.put(event)
             else:
                 await self.complete(one, event, "".join(parts))
@@ -525,36 +579,36 @@
         Example: ``await path.complete(one, end, "text")``
         """
         asked, turn, used_by = one.request, 0, one.worker.name
-        took = moment.now() - one.sent_at
+        took = clock.now() - one.sent_at
         self.mean[one.turns()] += (took - self.mean[one.turns()]) / SMOOTH
         self.release(one)
         if one.granted is not None:
             turn = one.granted.number
             try:
-                await self.close_turn(one, speech.DONE, text, end.used)
-            except result.Refusal as refusal:
-                raise result.Refusal(result.Result.OUTCOME_UNKNOWN, result.Ran.UNKNOWN, str(refusal)) from None
+                await self.close_turn(one, sessions_messages.DONE, text, end.used)
+            except result.RequestError as refusal:
+                raise result.RequestError(result.ResultCode.OUTCOME_UNKNOWN, result.Ran.UNKNOWN, str(refusal)) from None
         if one.claimed:
             kept = {"turn": turn, "used": end.used, "answer": end.answer, "text": text}
             try:
                 await self.close_operation(one, json.dumps(kept).encode())
-            except result.Refusal as refusal:
+            except result.RequestError as refusal:
                 self.tell(one, "key not closed", str(refusal))
         past = sum(len(before.input) + len(before.output) for before in one.granted.past) if one.granted else 0
         letters = past + len(json.dumps(asked.input)) + len(text)
-        called = word.Called(self.session(one), one.service, used_by, letters // TOKEN_LETTERS, took)
+        called = residency_messages.Called(self.session(one), one.service, used_by, letters // TOKEN_LETTERS, took)
         self.tell_duty("keeps", called)
         self.tell_duty("quiet", called)
         self.last(one, call.Ended(turn, end.pieces, end.used, end.answer, None))
 
-    def closed_turn(self, one: call.Call, outcome: str, text: str, used: int) -> speech.CloseTurn:
+    def closed_turn(self, one: call.Call, outcome: str, text: str, used: int) -> sessions_messages.CloseTurn:
         """The command that tells how the turn ended.
 
         Example: ``path.closed_turn(one, speech.UNKNOWN, "", 0)``
         """
         asked = one.request
         given = asked.input if isinstance(asked.input, str) else json.dumps(asked.input)
-        return speech.CloseTurn(asked.program, asked.helper, one.go(), outcome, given, text, used)
+        return sessions_messages.CloseTurn(asked.program, asked.helper, one.go(), outcome, given, text, used)
 
     async def close_turn(self, one: call.Call, outcome: str, text: str, used: int) -> None:
         """Write how the turn ended.
@@ -571,7 +625,11 @@
         """
         asked = one.request
         pair = pair_of(asked.operation, self.node.settings.talk_pairs)
-        await self.node.submit(pair, speech.CloseOperation(asked.operation, asked.identity, speech.DONE, answer), CLOSE)
+        await self.node.submit(
+            pair,
+            sessions_messages.CloseOperation(asked.operation, asked.identity, sessions_messages.DONE, answer),
+            CLOSE,
+        )
 
     def last(self, one: call.Call, end: call.Ended) -> None:
         """Hand out the final event and forget the call.
@@ -591,13 +649,19 @@
 
         Example: ``path.share_story(one)``
         """
-        edges = sorted((each.address for each in self.node.ring.fellows.values()
-                        if each.role == "edge" and each.state == fellow.LIVE), key=fellow.position)
+        edges = sorted(
+            (
+                each.address
+                for each in self.node.ring.peers.values()
+                if each.role == "edge" and each.state == cluster_member.LIVE
+            ),
+            key=cluster_member.position,
+        )
         if self.node.address in edges and len(edges) > 1:
             mate = edges[(edges.index(self.node.address) + 1) % len(edges)]
             self.node.link.tell(mate, self.stories.held[one.request.identity])
 
-    def finish(self, one: call.Call, refusal: result.Refusal) -> None:
+    def finish(self, one: call.Call, refusal: result.RequestError) -> None:
         """Give a call up: the caller hears it at once; key and turn are released or charged behind it.
 
         Example: ``path.finish(one, result.Refusal(result.Result.NO_WORKER))``
@@ -606,14 +670,24 @@
             return
         ran = one.ran()
         unclear = refusal.ran is result.Ran.UNKNOWN
-        self.last(one, call.Ended(0, 0, 0, None, result.Refusal(refusal.result, ran, refusal.detail, refusal.retry)))
-        outcome, asked = (speech.UNKNOWN if one.sent else speech.NOT_RUN), one.request
+        self.last(
+            one,
+            call.Ended(0, 0, 0, None, result.RequestError(refusal.result, ran, refusal.detail, refusal.retry)),
+        )
+        outcome, asked = (sessions_messages.UNKNOWN if one.sent else sessions_messages.NOT_RUN), one.request
         if one.granted is not None or (one.turns() and unclear):
-            self.closings.offer(pair_of(asked.program, self.node.settings.talk_pairs),
-                                closing.Closing(asked.identity, self.closed_turn(one, outcome, "", 0)))
+            self.closings.offer(
+                pair_of(asked.program, self.node.settings.talk_pairs),
+                closing.Closing(asked.identity, self.closed_turn(one, outcome, "", 0)),
+            )
         if one.claimed or (asked.operation and unclear):
-            self.closings.offer(pair_of(asked.operation, self.node.settings.talk_pairs), closing.Closing(
-                asked.identity, speech.CloseOperation(asked.operation, asked.identity, outcome, b"")))
+            self.closings.offer(
+                pair_of(asked.operation, self.node.settings.talk_pairs),
+                closing.Closing(
+                    asked.identity,
+                    sessions_messages.CloseOperation(asked.operation, asked.identity, outcome, b""),
+                ),
+            )
 
     async def drain(self) -> None:
         """Let what is under way end, within the grace; what was not sent by then is refused as not run, and
@@ -621,28 +695,36 @@
 
         Example: ``await path.drain()``
         """
-        began = moment.now()
-        while (self.active or self.closings.open) and moment.now() < began + GRACE:
-            await moment.pause(LOOK / 2)
+        began = clock.now()
+        while (self.active or self.closings.open) and clock.now() < began + GRACE:
+            await clock.sleep(LOOK / 2)
             for one in list(self.active.values()):
-                if moment.now() > began + (GRACE - SOON if one.sent else UNSENT):
+                if clock.now() > began + (GRACE - SOON if one.sent else UNSENT):
                     one.abandoned = True
-                    self.finish(one, result.Refusal(result.Result.LEAVING))
+                    self.finish(one, result.RequestError(result.ResultCode.LEAVING))
 
     def samples(self) -> list[sample.Sample]:
         """What an edge says of itself in numbers.
 
         Example: ``path.samples()[0].name``
         """
-        found = [sample.sample("aspencroft_parked", self.parked.total()), sample.sample("aspencroft_active", len(self.active)),
-                 sample.sample("aspencroft_asked_total", self.counts["asked"]),
-                 sample.sample("aspencroft_answered_total", self.counts["answered"]),
-                 sample.sample("aspencroft_goes_total", self.counts["goes"]),
-                 sample.sample("aspencroft_workers_listed", len(self.sight.workers)),
-                 sample.sample("aspencroft_workers_quiet", len(self.sight.quiet()))]
-        found.extend(sample.sample("aspencroft_refused_total", count, result=name.split()[1])
-                     for name, count in sorted(self.counts.items()) if name.startswith("refused "))
-        found.extend(sample.sample("aspencroft_demand", count, worker=name) for name, count in sorted(self.sight.demand.items()))
+        found = [
+            sample.sample("aspencroft_parked", self.parked.total()),
+            sample.sample("aspencroft_active", len(self.active)),
+            sample.sample("aspencroft_asked_total", self.counts["asked"]),
+            sample.sample("aspencroft_answered_total", self.counts["answered"]),
+            sample.sample("aspencroft_goes_total", self.counts["goes"]),
+            sample.sample("aspencroft_workers_listed", len(self.sight.workers)),
+            sample.sample("aspencroft_workers_quiet", len(self.sight.quiet())),
+        ]
+        found.extend(
+            sample.sample("aspencroft_refused_total", count, result=name.split()[1])
+            for name, count in sorted(self.counts.items())
+            if name.startswith("refused ")
+        )
+        found.extend(
+            sample.sample("aspencroft_demand", count, worker=name) for name, count in sorted(self.sight.demand.items())
+        )
         return found
 
     def shown(self) -> dict:
@@ -650,12 +732,20 @@
 
         Example: ``path.shown()["parked"]``
         """
-        return {"counts": dict(self.counts), "active": len(self.active), "parked": self.parked.total(),
-                "accepting": {f"pair {pair} {'turns' if turns else 'signals'}": row.ahead(9)
-                              for (pair, turns), row in self.accepting.items()},
-                "closings": dict(self.closings.counts), "workers": [one.name for one in self.sight.workers],
-                "demand": {name: count for name, count in self.sight.demand.items() if count},
-                "seconds a turn": self.mean[True].total_seconds(), "seconds a signal": self.mean[False].total_seconds()}
+        return {
+            "counts": dict(self.counts),
+            "active": len(self.active),
+            "parked": self.parked.total(),
+            "accepting": {
+                f"pair {pair} {'turns' if turns else 'signals'}": row.ahead(9)
+                for (pair, turns), row in self.accepting.items()
+            },
+            "closings": dict(self.closings.counts),
+            "workers": [one.name for one in self.sight.workers],
+            "demand": {name: count for name, count in self.sight.demand.items() if count},
+            "seconds a turn": self.mean[True].total_seconds(),
+            "seconds a signal": self.mean[False].total_seconds(),
+        }
 
 
 def new_identity(randomness: random.Random) -> str:
--- a/aspencroft/edge/draw.py
+++ b/aspencroft/gateway/selection.py
@@ -4,7 +4,7 @@
 import itertools
 import random
 
-import aspencroft.worker.worker as worker
+from aspencroft.workers import worker
 
 FAILED, RESTS = "failed lately", "at rest"
 RELUCTANCE = {"": 0, FAILED: 1, RESTS: 2}
@@ -58,8 +58,7 @@
     return ""
 
 
-def draw(allowed: tuple[str, ...], program: str, view: View, tried: frozenset[str],
-         chance: random.Random) -> Drawn:
+def draw(allowed: tuple[str, ...], program: str, view: View, tried: frozenset[str], chance: random.Random) -> Drawn:
     """The best worker: a program's home, then holders of the model, then the lesser demand of two by lot.
 
     All edges know the same list, so equal ranks are broken by lot: a tie by name would send the calls of
@@ -101,8 +100,19 @@
     best = min(two, key=lambda entry: view.demand.get(entry[1].name, 0) / entry[1].places)
     for rank, one, _, state in ranked:
         if one is not best[1]:
-            reasons.append((one.name, state or ("the lot, or more demand" if rank == best[0]
-                                                else "does not hold the model" if rank[2] else "is not the home")))
+            reasons.append(
+                (
+                    one.name,
+                    state
+                    or (
+                        "the lot, or more demand"
+                        if rank == best[0]
+                        else "does not hold the model"
+                        if rank[2]
+                        else "is not the home"
+                    ),
+                )
+            )
     return Drawn(best[1], best[2], tuple(reasons), full, ())
 
 
--- a/aspencroft/edge/story.py
+++ b/aspencroft/gateway/trace.py
@@ -4,12 +4,12 @@
 import dataclasses
 import datetime
 
-import aspencroft.link.record as record
+from aspencroft.transport import codec
 
 MOST = 4096
 
 
-@record.kind(150)
+@codec.kind(150)
 @dataclasses.dataclass(frozen=True)
 class Line:
     """One thing that happened to a request, by the node's clock since the request came."""
@@ -19,9 +19,9 @@
     detail: str
 
 
-@record.kind(151)
+@codec.kind(151)
 @dataclasses.dataclass(frozen=True)
-class Story:
+class Trace:
     """A request's lines.
 
     Example: ``story.lines[-1].what == "answered"``
@@ -33,35 +33,35 @@
     lines: tuple[Line, ...]
 
 
-@record.kind(152)
+@codec.kind(152)
 @dataclasses.dataclass(frozen=True)
-class TellStory:
+class TraceRequest:
     """Ask a node for what it knows of a request."""
 
     request: str
 
 
-@record.kind(153)
+@codec.kind(153)
 @dataclasses.dataclass(frozen=True)
 class Told:
     """What a node knows of a request: its own story, and what another edge gave it to keep."""
 
-    stories: tuple[Story, ...]
+    stories: tuple[Trace, ...]
 
 
-def joined(stories: list[Story]) -> list[Story]:
+def joined(stories: list[Trace]) -> list[Trace]:
     """One story for each node that told one: the longest.
 
     Example: ``joined([short, long]) == [long]``
     """
-    best: dict[str, Story] = {}
+    best: dict[str, Trace] = {}
     for one in stories:
         if one.node not in best or len(one.lines) > len(best[one.node].lines):
             best[one.node] = one
     return [best[node] for node in sorted(best)]
 
 
-class Stories:
+class Traces:
     """The newest stories of this node, and those that another edge gave it to keep, in memory.
 
     Example: ``stories.add("id", "chat", span, "drawn", "m1")``
@@ -69,10 +69,10 @@
 
     def __init__(self, node: str):
         self.node = node
-        self.held: collections.OrderedDict[str, Story] = collections.OrderedDict()
-        self.given: collections.OrderedDict[str, Story] = collections.OrderedDict()
+        self.held: collections.OrderedDict[str, Trace] = collections.OrderedDict()
+        self.given: collections.OrderedDict[str, Trace] = collections.OrderedDict()
 
-    def keep(self, one: Story) -> None:
+    def keep(self, one: Trace) -> None:
         """Keep another edge's story, for when that edge is gone.
 
         Example: ``stories.keep(story)``
@@ -82,7 +82,7 @@
         while len(self.given) > MOST:
             self.given.popitem(last=False)
 
-    def told(self, request: str) -> tuple[Story, ...]:
+    def told(self, request: str) -> tuple[Trace, ...]:
         """All that is known here of a request.
 
         Example: ``stories.told("id")``
@@ -94,7 +94,7 @@
 
         Example: ``stories.add("id", "chat", span, "accepted")``
         """
-        known = self.held.pop(request, None) or Story(request, self.node, lane, ())
+        known = self.held.pop(request, None) or Trace(request, self.node, lane, ())
         if len(known.lines) < 64:
             known = dataclasses.replace(known, lines=known.lines + (Line(after, what, detail[:2000]),))
         self.held[request] = known
@@ -102,11 +102,14 @@
             self.held.popitem(last=False)
 
 
-def document(story: Story) -> dict:
+def document(story: Trace) -> dict:
     """A story as JSON.
 
     Example: ``document(story)["lines"][0]["what"]``
     """
-    return {"request": story.request, "node": story.node, "lane": story.lane,
-            "lines": [{"after": one.after.total_seconds(), "what": one.what, "detail": one.detail}
-                      for one in story.lines]}
+    return {
+        "request": story.request,
+        "node": story.node,
+        "lane": story.lane,
+        "lines": [{"after": one.after.total_seconds(), "what": one.what, "detail": one.detail} for one in story.lines],
+    }
--- /dev/null
+++ b/aspencroft/gateway/trace_test.py
@@ -0,0 +1,12 @@
+"""Tests of ``aspencroft.gateway.trace``."""
+
+import datetime
+
+from aspencroft.gateway import trace
+
+
+def test_stories_are_bounded():
+    stories = trace.Traces("n:1")
+    for number in range(trace.MOST + 10):
+        stories.add(f"r{number}", "chat", datetime.timedelta(), "accepted")
+    assert len(stories.held) == trace.MOST and "r0" not in stories.held
--- a/aspencroft/edge/parked.py
+++ b/aspencroft/gateway/wait_queue.py
@@ -4,7 +4,7 @@
 import dataclasses
 import datetime
 
-import aspencroft.seam.moment as moment
+from aspencroft.runtime import clock
 
 BOUND = 256
 SMOOTH = 8
@@ -18,7 +18,7 @@
     guess: datetime.timedelta
     calls: collections.deque = dataclasses.field(default_factory=collections.deque)
     interval: datetime.timedelta | None = None
-    last: datetime.timedelta = moment.ZERO
+    last: datetime.timedelta = clock.ZERO
 
     def expected(self, place: int, now: datetime.timedelta) -> datetime.timedelta:
         """How long the call at a place in the row will wait: the pace so far, once a stall that lasts now is
@@ -27,7 +27,7 @@
         Example: ``row.expected(0, now)``
         """
         interval = self.guess if self.interval is None else self.interval
-        return interval * (place + 1) + max(moment.ZERO, now - self.last - interval)
+        return interval * (place + 1) + max(clock.ZERO, now - self.last - interval)
 
 
 class Parked:
@@ -54,8 +54,15 @@
         """
         return sum(len(row.calls) for row in self.rows.values())
 
-    def offer(self, key: tuple[str, str], urgency: int, one, now: datetime.timedelta, guess: datetime.timedelta,
-              front: bool = False) -> datetime.timedelta | None:
+    def offer(
+        self,
+        key: tuple[str, str],
+        urgency: int,
+        one,
+        now: datetime.timedelta,
+        guess: datetime.timedelta,
+        front: bool = False,
+    ) -> datetime.timedelta | None:
         """Let a call wait; else the time after which it may come back: the row is full, or its turn too late.
 
         Example: ``retry = parked.offer(key, 5, call, now, guess)``
@@ -66,7 +73,7 @@
             row.last = now
         expected = row.expected(0 if front else len(row.calls), now)
         if len(row.calls) >= BOUND or now + expected > one.end:
-            return max(expected, moment.seconds(1))
+            return max(expected, clock.seconds(1))
         row.calls.appendleft(one) if front else row.calls.append(one)
         self.counts["parked"] += 1
         return None
@@ -76,7 +83,10 @@
 
         Example: ``for key in parked.order(): ...``
         """
-        return sorted((key for key, row in self.rows.items() if row.calls), key=lambda key: (self.rows[key].urgency, key))
+        return sorted(
+            (key for key, row in self.rows.items() if row.calls),
+            key=lambda key: (self.rows[key].urgency, key),
+        )
 
     def head(self, key: tuple[str, str]):
         """The first call of a row.
@@ -110,7 +120,7 @@
                 expected = row.expected(len(row.calls) - 1, now)
                 if now + expected <= row.calls[-1].end:
                     break
-                found.append((row.calls.pop(), max(expected, moment.seconds(1))))
+                found.append((row.calls.pop(), max(expected, clock.seconds(1))))
         return found
 
 
--- a/aspencroft/edge/sight.py
+++ b/aspencroft/gateway/worker_view.py
@@ -4,14 +4,14 @@
 import datetime
 import json
 
-import aspencroft.edge.draw as draw
-import aspencroft.node.node as node
-import aspencroft.seam.moment as moment
-import aspencroft.worker.worker as worker
-
-TROUBLE = moment.seconds(2)
-CROWDED, MOST_CROWDED = moment.seconds(0.05), moment.seconds(0.8)
-HELD_LIFE = moment.seconds(3)
+from aspencroft.gateway import selection
+from aspencroft.node import node
+from aspencroft.runtime import clock
+from aspencroft.workers import worker
+
+TROUBLE = clock.seconds(2)
+CROWDED, MOST_CROWDED = clock.seconds(0.05), clock.seconds(0.8)
+HELD_LIFE = clock.seconds(3)
 MOST_HOMES = 20_000
 
 
@@ -66,12 +66,12 @@
         """
         return frozenset(self.topic("quiet").get("workers", ()))
 
-    def view(self) -> draw.View:
+    def view(self) -> selection.View:
         """All of it at this moment.
 
         Example: ``draw.draw(allowed, program, sight.view(), tried, chance)``
         """
-        now = moment.now()
+        now = clock.now()
         held: dict[str, set[str]] = collections.defaultdict(set)
         for name, kept in self.topic("keeps").get("workers", {}).items():
             held[name].update(one.partition(":")[2] for one in kept["ready"])
@@ -80,10 +80,16 @@
                 held[name].add(service)
             else:
                 del self.tokened[name, service]
-        return draw.View(self.workers, self.node.relay.plan.leaving, self.demand,
-                         frozenset(name for name, end in self.troubled.items() if end > now),
-                         frozenset(name for name, (end, _) in self.crowded.items() if end > now),
-                         {name: frozenset(services) for name, services in held.items()}, self.homes, self.quiet())
+        return selection.View(
+            self.workers,
+            self.node.relay.plan.leaving,
+            self.demand,
+            frozenset(name for name, end in self.troubled.items() if end > now),
+            frozenset(name for name, (end, _) in self.crowded.items() if end > now),
+            {name: frozenset(services) for name, services in held.items()},
+            self.homes,
+            self.quiet(),
+        )
 
     def barred(self, name: str) -> bool:
         """Whether a worker must get nothing new at this very moment: not listed any more, or leaving.
@@ -105,16 +111,16 @@
 
         Example: ``sight.failed("m1")``
         """
-        self.troubled[name] = moment.now() + TROUBLE
+        self.troubled[name] = clock.now() + TROUBLE
 
     def put_back(self, name: str) -> None:
         """A worker handed a call back: others fill it; it is left alone for a while, longer each time in a row.
 
         Example: ``sight.put_back("m1")``
         """
-        _, before = self.crowded.get(name, (moment.ZERO, CROWDED / 2))
+        _, before = self.crowded.get(name, (clock.ZERO, CROWDED / 2))
         span = min(2 * before, MOST_CROWDED)
-        self.crowded[name] = (moment.now() + span, span)
+        self.crowded[name] = (clock.now() + span, span)
 
     def first_token(self, name: str, service: str, program: str) -> None:
         """A first token shows that the worker has a place and the model, and makes it the program's home.
@@ -122,7 +128,7 @@
         Example: ``sight.first_token("m1", "planner", "p1")``
         """
         self.crowded.pop(name, None)
-        self.tokened[name, service] = moment.now() + HELD_LIFE
+        self.tokened[name, service] = clock.now() + HELD_LIFE
         if program:
             self.homes.pop(program, None)
             self.homes[program] = name
--- /dev/null
+++ b/aspencroft/leadership/duty_test.py
@@ -0,0 +1,20 @@
+"""Tests of ``aspencroft.leadership.duty``."""
+
+from aspencroft.leadership import duty
+from aspencroft.membership import cluster_member
+
+
+def test_every_node_agrees_on_the_first():
+    peers = {
+        f"n:{number}": cluster_member.ClusterMember(
+            f"n:{number}", 1, 0, cluster_member.LIVE, "a", "core", "", False, ()
+        )
+        for number in range(9)
+    }
+    first = duty.first_of("residency", peers)
+    turned = dict(reversed(peers.items()))
+    assert duty.first_of("residency", turned) == first
+    import dataclasses
+
+    peers[first] = dataclasses.replace(peers[first], state=cluster_member.DOWN)
+    assert duty.first_of("residency", peers) not in ("", first)
--- a/aspencroft/ring/fellow.py
+++ b/aspencroft/membership/cluster_member.py
@@ -5,8 +5,8 @@
 import hashlib
 import re
 
-import aspencroft.link.record as record
-import aspencroft.pair.holding as holding
+from aspencroft.consensus import replica_set
+from aspencroft.transport import codec
 
 LIVE, LEAVING, DOWN = range(3)
 LARGEST = 1 << 60
@@ -14,9 +14,9 @@
 STATES = ("live", "leaving", "down")
 
 
-@record.kind(60)
+@codec.kind(60)
 @dataclasses.dataclass(frozen=True)
-class Fellow:
+class ClusterMember:
     """A node as others know it; a restart is a new incarnation, a denial of its death a new serial.
 
     ``holds`` names the sorts of groups that its disk may hold.
@@ -48,30 +48,34 @@
 
         Example: ``Fellow("", -1, 0, 9, "", "", "", True, ()).sound() is False``
         """
-        return (ADDRESS.match(self.address) is not None and self.state in range(len(STATES))
-                and 0 <= self.incarnation < LARGEST and 0 <= self.serial < LARGEST)
+        return (
+            ADDRESS.match(self.address) is not None
+            and self.state in range(len(STATES))
+            and 0 <= self.incarnation < LARGEST
+            and 0 <= self.serial < LARGEST
+        )
 
 
-@record.kind(61)
+@codec.kind(61)
 @dataclasses.dataclass(frozen=True)
 class Table:
     """Entries of nodes, holders of pairs and the witnesses' roster, as one node knows them."""
 
-    fellows: tuple[Fellow, ...]
-    holdings: tuple[holding.Holding, ...]
-    roster: holding.Roster
+    peers: tuple[ClusterMember, ...]
+    holdings: tuple[replica_set.ReplicaSet, ...]
+    voter_set: replica_set.VoterSet
 
 
-@record.kind(62)
+@codec.kind(62)
 @dataclasses.dataclass(frozen=True)
 class Beat:
     """A sign of life to a watcher, with the digest of the sender's table."""
 
-    fellow: Fellow
+    peer: ClusterMember
     digest: bytes
 
 
-@record.kind(63)
+@codec.kind(63)
 @dataclasses.dataclass(frozen=True)
 class Join:
     """Ask for the table, giving one's own."""
@@ -79,7 +83,7 @@
     table: Table
 
 
-@record.kind(64)
+@codec.kind(64)
 @dataclasses.dataclass(frozen=True)
 class Confirm:
     """Ask a second watcher whether it misses a fellow too."""
@@ -88,7 +92,7 @@
     incarnation: int
 
 
-@record.kind(65)
+@codec.kind(65)
 @dataclasses.dataclass(frozen=True)
 class Confirmed:
     """Whether the second watcher misses it."""
@@ -105,14 +109,16 @@
     return int.from_bytes(hashlib.blake2b(address.encode(), digest_size=6).digest(), "big")
 
 
-def watchers(of: str, fellows: dict[str, Fellow], count: int) -> tuple[str, ...]:
+def watchers(of: str, peers: dict[str, ClusterMember], count: int) -> tuple[str, ...]:
     """The nodes that the ring names as watchers of a node: next ones first, areas spread.
 
     Example: ``watchers("a:1", fellows, 3)``
     """
     own = position(of)
-    around = sorted((one for one in fellows.values() if one.address != of and one.state != DOWN),
-                    key=lambda one: (position(one.address) - own) % (1 << 48))
+    around = sorted(
+        (one for one in peers.values() if one.address != of and one.state != DOWN),
+        key=lambda one: (position(one.address) - own) % (1 << 48),
+    )
     named: list[str] = []
     areas: set[str] = set()
     for one in around:
