--- a/aspencroft/ring/ring.py
+++ b/aspencroft/membership/failure_detector.py
@@ -7,43 +7,44 @@
 
 import logbook
 
-import aspencroft.code.result as result
-import aspencroft.link.link as link
-import aspencroft.link.record as record
-import aspencroft.pair.electorate as electorate
-import aspencroft.pair.holding as holding
-import aspencroft.ring.fellow as fellow
-import aspencroft.ring.members as members
-import aspencroft.seam.moment as moment
-import aspencroft.seam.steady as steady
-import aspencroft.seam.surroundings as surroundings
+from aspencroft.consensus import proposer, replica_set
+from aspencroft.errors import result
+from aspencroft.membership import cluster_member, member_table
+from aspencroft.runtime import clock, environment, supervision
+from aspencroft.transport import codec, connections
 
 LOG = logbook.Logger("ring")
 WATCHERS = 3
-BEAT = moment.seconds(0.5)
-SILENCE = moment.seconds(2)
-SECOND_SILENCE = moment.seconds(1.2)
-ASK = moment.seconds(0.7)
-REJOIN = moment.seconds(1)
-FORGET = moment.seconds(300)
+BEAT = clock.seconds(0.5)
+SILENCE = clock.seconds(2)
+SECOND_SILENCE = clock.seconds(1.2)
+ASK = clock.seconds(0.7)
+REJOIN = clock.seconds(1)
+FORGET = clock.seconds(300)
 
 
-class Ring:
+class FailureDetector:
     """The table of fellows and the work that keeps it true.
 
     Example: ``ring.live()`` lists the addresses that are thought to live.
     """
 
-    def __init__(self, around: surroundings.Surroundings, links: link.Link, me: fellow.Fellow,
-                 seeds: tuple[str, ...], voters: electorate.Electorate):
-        self.surroundings = around
+    def __init__(
+        self,
+        around: environment.Environment,
+        links: connections.Link,
+        me: cluster_member.ClusterMember,
+        seeds: tuple[str, ...],
+        voters: proposer.Proposer,
+    ):
+        self.environment = around
         self.link = links
         self.me = me
         self.seeds = seeds
-        self.electorate = voters
-        self.fellows = members.Members()
-        self.fellows[me.address] = me
-        self.holdings: dict[int, holding.Holding] = members.Counted()
+        self.proposer = voters
+        self.peers = member_table.MemberTable()
+        self.peers[me.address] = me
+        self.holdings: dict[int, replica_set.ReplicaSet] = member_table.Counted()
         self.digested: tuple[tuple, bytes] = ((), b"")
         self.heard: dict[str, datetime.timedelta] = {}
         self.down_since: dict[str, datetime.timedelta] = {}
@@ -57,23 +58,25 @@
 
         Example: ``ring.me.address in ring.live()``
         """
-        return self.fellows.live()
+        return self.peers.live()
 
     def state(self, address: str) -> int:
         """A node's state; an unknown node counts as down.
 
         Example: ``ring.state("a:1") == fellow.LIVE``
         """
-        return self.fellows[address].state if address in self.fellows else fellow.DOWN
+        return self.peers[address].state if address in self.peers else cluster_member.DOWN
 
-    def table(self) -> fellow.Table:
+    def table(self) -> cluster_member.Table:
         """All that this node knows, in a fixed order.
 
         Example: ``ring.take(other.table())``
         """
-        return fellow.Table(tuple(self.fellows[address] for address in sorted(self.fellows)),
-                            tuple(self.holdings[pair] for pair in sorted(self.holdings)),
-                            self.electorate.roster)
+        return cluster_member.Table(
+            tuple(self.peers[address] for address in sorted(self.peers)),
+            tuple(self.holdings[pair] for pair in sorted(self.holdings)),
+            self.proposer.voter_set,
+        )
 
     def digest(self) -> bytes:
         """A digest of the table: equal where nothing needs to be told.
@@ -82,10 +85,13 @@
         """
         changes = self.changes()
         if self.digested[0] != changes:
-            parts = [record.LENGTH.pack(len(self.fellows)), *(self.fellows.packed(address) for address in sorted(self.fellows)),
-                     record.LENGTH.pack(len(self.holdings)),
-                     *(record.pack(self.holdings[pair]) for pair in sorted(self.holdings)),
-                     record.pack(self.electorate.roster)]
+            parts = [
+                codec.LENGTH.pack(len(self.peers)),
+                *(self.peers.packed(address) for address in sorted(self.peers)),
+                codec.LENGTH.pack(len(self.holdings)),
+                *(codec.pack(self.holdings[pair]) for pair in sorted(self.holdings)),
+                codec.pack(self.proposer.voter_set),
+            ]
             self.digested = changes, hashlib.blake2b(b"".join(parts), digest_size=8).digest()
         return self.digested[1]
 
@@ -94,9 +100,9 @@
 
         Example: ``before = ring.changes()``, and later ``ring.changes() != before``
         """
-        return self.fellows.changes, self.holdings.changes, self.electorate.roster
+        return self.peers.changes, self.holdings.changes, self.proposer.voter_set
 
-    def hold(self, fresh: holding.Holding) -> None:
+    def hold(self, fresh: replica_set.ReplicaSet) -> None:
         """Take a newer record of a pair's holders, and pass it on.
 
         Example: ``ring.hold(record)``
@@ -114,25 +120,25 @@
         self.changed.set()
         self.fresh.set()
 
-    def take(self, table: fellow.Table) -> None:
+    def take(self, table: cluster_member.Table) -> None:
         """Merge another node's table; whoever says that this node is down is denied.
 
         Example: ``ring.take(message.table)``
         """
         before = self.changes()
-        for one in table.fellows:
+        for one in table.peers:
             self.take_fellow(one)
         for one in table.holdings:
             known = self.holdings.get(one.pair)
-            if one.pair < 0 or not 0 < one.epoch < fellow.LARGEST:
+            if one.pair < 0 or not 0 < one.epoch < cluster_member.LARGEST:
                 self.counts["odd entries"] += 1
             elif known is None or one.epoch > known.epoch:
                 self.holdings[one.pair] = one
-        self.electorate.learn(table.roster)
+        self.proposer.learn(table.voter_set)
         if self.changes() != before:
             self.tell_change()
 
-    def take_fellow(self, one: fellow.Fellow) -> None:
+    def take_fellow(self, one: cluster_member.ClusterMember) -> None:
         """Merge one entry.
 
         Example: ``ring.take_fellow(entry)``
@@ -145,33 +151,33 @@
                 self.counts["denials"] += 1
                 later = one.incarnation + (one.incarnation > self.me.incarnation)
                 self.me = dataclasses.replace(self.me, incarnation=later, serial=one.serial + 1)
-                self.fellows[self.me.address] = self.me
+                self.peers[self.me.address] = self.me
             return
-        known = self.fellows.get(one.address)
+        known = self.peers.get(one.address)
         if known is None or one.age() > known.age():
-            if one.state == fellow.DOWN and known is None:
+            if one.state == cluster_member.DOWN and known is None:
                 return
-            self.fellows[one.address] = one
-            if one.state == fellow.DOWN:
-                self.down_since[one.address] = moment.now()
+            self.peers[one.address] = one
+            if one.state == cluster_member.DOWN:
+                self.down_since[one.address] = clock.now()
             else:
                 self.down_since.pop(one.address, None)
-                if known is None or known.state == fellow.DOWN:
-                    self.heard[one.address] = moment.now()
+                if known is None or known.state == cluster_member.DOWN:
+                    self.heard[one.address] = clock.now()
 
-    async def beat(self, message: fellow.Beat) -> fellow.Table | holding.Okay:
+    async def beat(self, message: cluster_member.Beat) -> cluster_member.Table | replica_set.Acknowledged:
         """Hear a sign of life; answer with the table when the sender's differs.
 
         Example: ``await ring.beat(message)``
         """
-        self.heard[message.fellow.address] = moment.now()
-        known = self.fellows.get(message.fellow.address)
-        if known is None or message.fellow.age() > known.age():
-            self.take_fellow(message.fellow)
+        self.heard[message.peer.address] = clock.now()
+        known = self.peers.get(message.peer.address)
+        if known is None or message.peer.age() > known.age():
+            self.take_fellow(message.peer)
             self.tell_change()
-        return self.table() if message.digest != self.digest() else holding.Okay()
+        return self.table() if message.digest != self.digest() else replica_set.Acknowledged()
 
-    def join(self, message: fellow.Join) -> fellow.Table:
+    def join(self, message: cluster_member.Join) -> cluster_member.Table:
         """Take a table and give one's own.
 
         Example: ``ring.join(fellow.Join(other.table()))``
@@ -179,15 +185,15 @@
         self.take(message.table)
         return self.table()
 
-    async def confirm(self, message: fellow.Confirm) -> fellow.Confirmed:
+    async def confirm(self, message: cluster_member.Confirm) -> cluster_member.Confirmed:
         """Say as second watcher whether a fellow is missed here too.
 
         Example: ``(await ring.confirm(message)).missing``
         """
         last = self.heard.get(message.address)
-        if last is not None and moment.now() - last < SECOND_SILENCE:
-            return fellow.Confirmed(False)
-        return fellow.Confirmed(not await self.reaches(message.address))
+        if last is not None and clock.now() - last < SECOND_SILENCE:
+            return cluster_member.Confirmed(False)
+        return cluster_member.Confirmed(not await self.reaches(message.address))
 
     async def reaches(self, address: str) -> bool:
         """Whether a node answers at once.
@@ -195,11 +201,11 @@
         Example: ``await ring.reaches("a:1")``
         """
         try:
-            reply = await self.link.ask(address, fellow.Join(self.table()), ASK)
+            reply = await self.link.ask(address, cluster_member.Join(self.table()), ASK)
             self.take(reply)
-            self.heard[address] = moment.now()
+            self.heard[address] = clock.now()
             return True
-        except result.Refusal:
+        except result.RequestError:
             return False
 
     async def run(self) -> None:
@@ -207,7 +213,7 @@
 
         Example: ``group.create_task(ring.run())``
         """
-        async with steady.Group() as group:
+        async with supervision.Group() as group:
             group.create_task(self.send_beats())
             group.create_task(self.watch())
             group.create_task(self.spread())
@@ -219,11 +225,11 @@
         Example: ``group.create_task(ring.send_beats())``
         """
         while True:
-            named = self.fellows.watchers(self.me.address, WATCHERS)
-            async with steady.Group() as group:
+            named = self.peers.watchers(self.me.address, WATCHERS)
+            async with supervision.Group() as group:
                 for address in named:
                     group.create_task(self.beat_one(address))
-                group.create_task(moment.pause(BEAT))
+                group.create_task(clock.sleep(BEAT))
 
     async def beat_one(self, address: str) -> None:
         """One heartbeat to one watcher.
@@ -231,67 +237,66 @@
         Example: ``await ring.beat_one("a:1")``
         """
         try:
-            reply = await self.link.ask(address, fellow.Beat(self.me, self.digest()), BEAT)
-        except result.Refusal:
+            reply = await self.link.ask(address, cluster_member.Beat(self.me, self.digest()), BEAT)
+        except result.RequestError:
             return
-        if isinstance(reply, fellow.Table):
+        if isinstance(reply, cluster_member.Table):
             self.take(reply)
             if self.table() != reply:
                 self.counts["tables sent"] += 1
-                self.link.tell(address, fellow.Join(self.table()))
+                self.link.tell(address, cluster_member.Join(self.table()))
 
     def watched(self) -> tuple[str, ...]:
         """The nodes that name this one as a watcher.
 
         Example: ``ring.watched()``
         """
-        return self.fellows.watched(self.me.address, WATCHERS)
+        return self.peers.watched(self.me.address, WATCHERS)
 
     async def watch(self) -> None:
         """Suspect silent fellows; a suspicion is news only once a second watcher confirms it.
 
         Example: ``group.create_task(ring.watch())``
         """
-        previous = moment.now()
+        previous = clock.now()
         while True:
-            await moment.pause(BEAT / 2)
-            now = moment.now()
+            await clock.sleep(BEAT / 2)
+            now = clock.now()
             if now - previous > SILENCE / 2:
-                self.heard = {address: now for address in self.heard}
+                self.heard = dict.fromkeys(self.heard, now)
             previous = now
-            silent = [address for address in self.watched()
-                      if now - self.heard.setdefault(address, now) > SILENCE]
+            silent = [address for address in self.watched() if now - self.heard.setdefault(address, now) > SILENCE]
             if silent:
-                async with steady.Group() as group:
+                async with supervision.Group() as group:
                     for address in silent:
                         group.create_task(self.suspect(address))
             for address in [one for one, since in self.down_since.items() if now - since > FORGET]:
                 del self.down_since[address]
-                self.fellows.pop(address, None)
+                self.peers.pop(address, None)
 
     async def suspect(self, address: str) -> None:
         """Ask a second watcher; mark the fellow down when it is missed there too.
 
         Example: ``await ring.suspect("a:1")``
         """
-        suspected = self.fellows[address]
+        suspected = self.peers[address]
         self.counts["suspicions"] += 1
         if await self.reaches(address):
             return
-        for second in self.fellows.watchers(address, WATCHERS):
+        for second in self.peers.watchers(address, WATCHERS):
             if second == self.me.address:
                 continue
             try:
-                reply = await self.link.ask(second, fellow.Confirm(address, suspected.incarnation), 2 * ASK)
-            except result.Refusal:
+                reply = await self.link.ask(second, cluster_member.Confirm(address, suspected.incarnation), 2 * ASK)
+            except result.RequestError:
                 continue
             if not reply.missing:
                 return
             break
-        if self.fellows.get(address) == suspected:
+        if self.peers.get(address) == suspected:
             self.counts["confirmed"] += 1
-            self.fellows[address] = dataclasses.replace(suspected, state=fellow.DOWN)
-            self.down_since[address] = moment.now()
+            self.peers[address] = dataclasses.replace(suspected, state=cluster_member.DOWN)
+            self.down_since[address] = clock.now()
             LOG.info("{} is down", address)
             self.tell_change()
 
@@ -305,12 +310,14 @@
         while True:
             await self.fresh.wait()
             self.fresh.clear()
-            neighbours = {*self.fellows.watchers(self.me.address, WATCHERS), *self.watched()}
-            told = fellow.Join(fellow.Table(self.fellows.taken(), self.holdings.taken(), self.electorate.roster))
+            neighbours = {*self.peers.watchers(self.me.address, WATCHERS), *self.watched()}
+            told = cluster_member.Join(
+                cluster_member.Table(self.peers.taken(), self.holdings.taken(), self.proposer.voter_set)
+            )
             for address in sorted(neighbours):
                 self.counts["tables sent"] += 1
                 self.link.tell(address, told)
-            await moment.pause(BEAT / 10)
+            await clock.sleep(BEAT / 10)
 
     async def rejoin(self) -> None:
         """Knock at seeds and at nodes thought down, so that halves of a cut find each other again.
@@ -318,23 +325,26 @@
         Example: ``group.create_task(ring.rejoin())``
         """
         while True:
-            lost = [address for address in (*self.seeds, *self.electorate.roster.everyone())
-                    if address != self.me.address and self.state(address) == fellow.DOWN]
-            down = [one.address for one in self.fellows.values() if one.state == fellow.DOWN]
+            lost = [
+                address
+                for address in (*self.seeds, *self.proposer.voter_set.everyone())
+                if address != self.me.address and self.state(address) == cluster_member.DOWN
+            ]
+            down = [one.address for one in self.peers.values() if one.state == cluster_member.DOWN]
             if down:
-                lost.append(self.surroundings.randomness.choice(sorted(down)))
-            async with steady.Group() as group:
+                lost.append(self.environment.randomness.choice(sorted(down)))
+            async with supervision.Group() as group:
                 for address in dict.fromkeys(lost):
                     group.create_task(self.reaches(address))
-            if len(self.fellows) > 1 or not [seed for seed in self.seeds if seed != self.me.address]:
+            if len(self.peers) > 1 or not [seed for seed in self.seeds if seed != self.me.address]:
                 self.joined.set()
-            await moment.pause(REJOIN if self.joined.is_set() else BEAT / 2)
+            await clock.sleep(REJOIN if self.joined.is_set() else BEAT / 2)
 
     def leave(self) -> None:
         """Tell all that this node is stopping.
 
         Example: ``ring.leave()``
         """
-        self.me = dataclasses.replace(self.me, state=fellow.LEAVING, serial=self.me.serial + 1)
-        self.fellows[self.me.address] = self.me
+        self.me = dataclasses.replace(self.me, state=cluster_member.LEAVING, serial=self.me.serial + 1)
+        self.peers[self.me.address] = self.me
         self.tell_change()
--- a/aspencroft/ring/ring_test.py
+++ b/aspencroft/membership/failure_detector_test.py
@@ -5,11 +5,9 @@
 import hashlib
 import random
 
-import aspencroft.link.record as record
-import aspencroft.pair.holding as holding
-import aspencroft.ring.fellow as fellow
-import aspencroft.ring.members as members
-import aspencroft.ring.ring as ring
+from aspencroft.consensus import replica_set
+from aspencroft.membership import cluster_member, failure_detector, member_table
+from aspencroft.transport import codec
 
 
 class Link:
@@ -25,11 +23,11 @@
 class Voters:
     """An electorate that only keeps its roster."""
 
-    roster = holding.Roster(0, ("n:0", "n:1", "n:2"), ())
+    voter_set = replica_set.VoterSet(0, ("n:0", "n:1", "n:2"), ())
 
-    def learn(self, roster):
-        if roster.number > self.roster.number:
-            self.roster = roster
+    def learn(self, voter_set):
+        if voter_set.number > self.voter_set.number:
+            self.voter_set = voter_set
 
 
 class Around:
@@ -46,18 +44,20 @@
         return self.steps
 
 
-def entry(number: int) -> fellow.Fellow:
-    return fellow.Fellow(f"n:{number}", 1, 0, fellow.LIVE, "abc"[number % 3], "core", "", False, ())
+def entry(number: int) -> cluster_member.ClusterMember:
+    return cluster_member.ClusterMember(
+        f"n:{number}", 1, 0, cluster_member.LIVE, "abc"[number % 3], "core", "", False, ()
+    )
 
 
-def ring_of(count: int) -> ring.Ring:
-    one = ring.Ring(Around(), Link(), entry(0), (), Voters())
+def ring_of(count: int) -> failure_detector.FailureDetector:
+    one = failure_detector.FailureDetector(Around(), Link(), entry(0), (), Voters())
     for number in range(1, count):
-        one.fellows[f"n:{number}"] = entry(number)
+        one.peers[f"n:{number}"] = entry(number)
     return one
 
 
-async def spread_once(one: ring.Ring) -> list[tuple[str, object]]:
+async def spread_once(one: failure_detector.FailureDetector) -> list[tuple[str, object]]:
     one.tell_change()
     task = asyncio.ensure_future(one.spread())
     while not one.link.told:
@@ -70,16 +70,18 @@
 def test_the_digest_is_that_of_the_packed_table_after_every_change():
     async def scene():
         one = ring_of(9)
+
         def fresh():
-            return hashlib.blake2b(record.pack(one.table()), digest_size=8).digest()
+            return hashlib.blake2b(codec.pack(one.table()), digest_size=8).digest()
+
         assert one.digest() == fresh()
         one.take_fellow(dataclasses.replace(entry(3), serial=2))
         assert one.digest() == fresh()
-        one.hold(holding.Holding(0, 3, holding.Member("n:1", "a"), ()))
+        one.hold(replica_set.ReplicaSet(0, 3, replica_set.ReplicaId("n:1", "a"), ()))
         assert one.digest() == fresh()
-        one.electorate.learn(holding.Roster(4, ("n:1", "n:2", "n:3"), ()))
+        one.proposer.learn(replica_set.VoterSet(4, ("n:1", "n:2", "n:3"), ()))
         assert one.digest() == fresh()
-        one.fellows.pop("n:4", None)
+        one.peers.pop("n:4", None)
         assert one.digest() == fresh()
         one.leave()
         assert one.digest() == fresh()
@@ -93,9 +95,9 @@
         one = ring_of(9)
         one.digest()
         packed = []
-        monkeypatch.setattr(members.record, "pack", lambda value: packed.append(value) or b"")
-        beat = fellow.Beat(entry(3), one.digest())
-        assert await one.beat(beat) == holding.Okay() and one.watched() is one.watched()
+        monkeypatch.setattr(member_table.codec, "pack", lambda value: packed.append(value) or b"")
+        beat = cluster_member.Beat(entry(3), one.digest())
+        assert await one.beat(beat) == replica_set.Acknowledged() and one.watched() is one.watched()
         assert packed == []
 
     with asyncio.Runner(loop_factory=Instant) as runner:
@@ -106,15 +108,24 @@
     async def scene():
         one = ring_of(12)
         told = await spread_once(one)
-        assert len(told[0][1].table.fellows) == 12
-        one.take(fellow.Table((dataclasses.replace(entry(5), state=fellow.DOWN), entry(6)), (), one.electorate.roster))
+        assert len(told[0][1].table.peers) == 12
+        one.take(
+            cluster_member.Table(
+                (dataclasses.replace(entry(5), state=cluster_member.DOWN), entry(6)),
+                (),
+                one.proposer.voter_set,
+            )
+        )
         told = await spread_once(one)
-        assert {address for address, _ in told} == {*one.fellows.watchers("n:0", ring.WATCHERS), *one.watched()}
+        assert {address for address, _ in told} == {
+            *one.peers.watchers("n:0", failure_detector.WATCHERS),
+            *one.watched(),
+        }
         for _, message in told:
-            assert message.table.fellows == (one.fellows["n:5"],) and message.table.holdings == ()
-        one.hold(holding.Holding(2, 7, holding.Member("n:1", "a"), ()))
+            assert message.table.peers == (one.peers["n:5"],) and message.table.holdings == ()
+        one.hold(replica_set.ReplicaSet(2, 7, replica_set.ReplicaId("n:1", "a"), ()))
         for _, message in await spread_once(one):
-            assert message.table.fellows == () and message.table.holdings == (one.holdings[2],)
+            assert message.table.peers == () and message.table.holdings == (one.holdings[2],)
 
     with asyncio.Runner(loop_factory=Instant) as runner:
         runner.run(scene())
@@ -123,11 +134,11 @@
 def test_a_node_that_missed_news_is_given_the_table_at_its_next_heartbeat():
     async def scene():
         one, other = ring_of(6), ring_of(6)
-        one.take_fellow(dataclasses.replace(entry(4), state=fellow.DOWN))
-        reply = await one.beat(fellow.Beat(other.me, other.digest()))
-        assert isinstance(reply, fellow.Table)
+        one.take_fellow(dataclasses.replace(entry(4), state=cluster_member.DOWN))
+        reply = await one.beat(cluster_member.Beat(other.me, other.digest()))
+        assert isinstance(reply, cluster_member.Table)
         other.take(reply)
-        assert other.digest() == one.digest() and other.state("n:4") == fellow.DOWN
+        assert other.digest() == one.digest() and other.state("n:4") == cluster_member.DOWN
 
     with asyncio.Runner(loop_factory=Instant) as runner:
         runner.run(scene())
--- a/aspencroft/ring/members.py
+++ b/aspencroft/membership/member_table.py
@@ -2,8 +2,8 @@
 
 import bisect
 
-import aspencroft.link.record as record
-import aspencroft.ring.fellow as fellow
+from aspencroft.membership import cluster_member
+from aspencroft.transport import codec
 
 
 class Counted(dict):
@@ -52,7 +52,7 @@
     clear = setdefault = update = __ior__ = popitem
 
 
-class Members(Counted):
+class MemberTable(Counted):
     """Fellows by address; ``layout`` counts the changes that move anybody's place on the ring or in the tree.
 
     Example: ``members = Members(); members[one.address] = one; members.live() == (one.address,)``
@@ -62,12 +62,12 @@
         super().__init__()
         self.layout = 0
         self.worked_out = -1
-        self.around: list[fellow.Fellow] = []
+        self.around: list[cluster_member.ClusterMember] = []
         self.positions: list[int] = []
         self.named: dict[str, tuple[str, ...]] = {}
         self.naming: dict[str, tuple[str, ...]] | None = None
         self.tree: tuple[str, ...] | None = None
-        self.bytes: dict[str, tuple[fellow.Fellow, bytes]] = {}
+        self.bytes: dict[str, tuple[cluster_member.ClusterMember, bytes]] = {}
 
     def __setitem__(self, address, one):
         known = self.get(address)
@@ -102,9 +102,11 @@
         """
         if self.worked_out == self.layout:
             return
-        self.around = sorted((one for one in self.values() if one.state != fellow.DOWN),
-                             key=lambda one: fellow.position(one.address))
-        self.positions = [fellow.position(one.address) for one in self.around]
+        self.around = sorted(
+            (one for one in self.values() if one.state != cluster_member.DOWN),
+            key=lambda one: cluster_member.position(one.address),
+        )
+        self.positions = [cluster_member.position(one.address) for one in self.around]
         self.named, self.naming, self.tree = {}, None, None
         self.worked_out = self.layout
 
@@ -123,7 +125,7 @@
         """
         self.work_out()
         if of not in self.named:
-            start = bisect.bisect_left(self.positions, fellow.position(of))
+            start = bisect.bisect_left(self.positions, cluster_member.position(of))
             self.named[of] = named_from(of, self.around, start, count)
         return self.named[of]
 
@@ -159,19 +161,19 @@
         one = self[address]
         held = self.bytes.get(address)
         if held is None or held[0] is not one:
-            held = self.bytes[address] = (one, record.pack(one))
+            held = self.bytes[address] = (one, codec.pack(one))
         return held[1]
 
 
-def place_of(one: fellow.Fellow) -> tuple:
+def place_of(one: cluster_member.ClusterMember) -> tuple:
     """What of an entry others' places depend on.
 
     Example: ``place_of(entry) == place_of(dataclasses.replace(entry, serial=9))``
     """
-    return one.state == fellow.DOWN, one.area, one.role
+    return one.state == cluster_member.DOWN, one.area, one.role
 
 
-def named_from(of: str, around: list[fellow.Fellow], start: int, count: int) -> tuple[str, ...]:
+def named_from(of: str, around: list[cluster_member.ClusterMember], start: int, count: int) -> tuple[str, ...]:
     """The next fellows on the ring from a place on: those of areas not named yet first, then any.
 
     Example: ``named_from("a:1", around, 0, 3)``
--- a/aspencroft/node/node.py
+++ b/aspencroft/node/node.py
@@ -9,45 +9,32 @@
 
 import logbook
 
-import aspencroft.alert.sample as sample
-import aspencroft.code.result as result
-import aspencroft.duty.duty as duty
-import aspencroft.edge.story as story
-import aspencroft.keep.word as word
-import aspencroft.link.link as link
-import aspencroft.link.record as record
-import aspencroft.node.settings as settings
-import aspencroft.pair.choice as choice
-import aspencroft.pair.copy as copy
-import aspencroft.pair.electorate as electorate
-import aspencroft.pair.exchange as exchange
-import aspencroft.pair.holding as holding
-import aspencroft.pair.host as host
-import aspencroft.pair.part as part
-import aspencroft.pair.reseat as reseat
-import aspencroft.pair.seat as seat
-import aspencroft.pair.witness as witness
-import aspencroft.plan.configuration as configuration
-import aspencroft.plan.control as control
-import aspencroft.relay.news as news
-import aspencroft.relay.relay as relay
-import aspencroft.ring.fellow as fellow
-import aspencroft.ring.ring as ring
-import aspencroft.seam.moment as moment
-import aspencroft.seam.steady as steady
-import aspencroft.seam.surroundings as surroundings
-import aspencroft.talk.talk as talk
+import aspencroft.replication.messages as replication_messages
+import aspencroft.residency.messages as residency_messages
+from aspencroft.alerts import sample
+from aspencroft.configuration import control_state, operator_configuration
+from aspencroft.consensus import proposer, replica_set, witness, witness_bootstrap, witness_changes, witness_placement
+from aspencroft.distribution import relay, updates
+from aspencroft.errors import result
+from aspencroft.gateway import trace
+from aspencroft.leadership import duty
+from aspencroft.membership import cluster_member, failure_detector
+from aspencroft.node import settings
+from aspencroft.replication import group_replica, group_state, replica
+from aspencroft.runtime import clock, environment, supervision
+from aspencroft.sessions import lane_sessions
+from aspencroft.transport import codec, connections
 
 LOG = logbook.Logger("node")
-STEP = moment.seconds(0.25)
-SAMPLE = moment.seconds(2)
-GO = moment.seconds(1.2)
-AGAIN = moment.seconds(0.05)
-SLICE = moment.seconds(0.1)
-LOST = moment.seconds(3)
-APPLY = moment.seconds(0.85)
-APPLY_ITEM = moment.seconds(0.002)
-LAST_LEG = moment.seconds(0.1)
+STEP = clock.seconds(0.25)
+SAMPLE = clock.seconds(2)
+GO = clock.seconds(1.2)
+AGAIN = clock.seconds(0.05)
+SLICE = clock.seconds(0.1)
+LOST = clock.seconds(3)
+APPLY = clock.seconds(0.85)
+APPLY_ITEM = clock.seconds(0.002)
+LAST_LEG = clock.seconds(0.1)
 IN_SERVICE, EMPTIED = "in service", "emptied"
 
 
@@ -57,37 +44,72 @@
     Example: ``await Node(place, around).run()``
     """
 
-    def __init__(self, place: settings.Settings, around: surroundings.Surroundings):
+    def __init__(self, place: settings.Settings, around: environment.Environment):
         self.settings = place
-        self.surroundings = around
+        self.environment = around
         self.address = place.address
         self.incarnation = int(around.wall().timestamp() * 1000)
-        self.link = link.Link(around, place.address, self)
-        roster = holding.Roster(0, place.seeds, ())
-        self.electorate = electorate.Electorate(around, self.link, roster)
+        self.link = connections.Link(around, place.address, self)
+        voter_set = replica_set.VoterSet(0, place.seeds, ())
+        self.proposer = proposer.Proposer(around, self.link, voter_set)
         data = place.data
-        me = fellow.Fellow(place.address, self.incarnation, 0, fellow.LIVE, place.area, place.role, place.http,
-                           data is not None, place.seeds, place.name or place.address, place.held)
-        self.ring = ring.Ring(around, self.link, me, place.seeds, self.electorate)
-        self.witness = witness.Witness(around, data / "witness" if data else None,
-                                       place.address, self.incarnation, roster)
-        self.seat = seat.Seat(self.witness, self.link, self.electorate, place.address, place.pairs,
-                              place.copies, self.holders, place.witnesses == settings.CORE)
+        me = cluster_member.ClusterMember(
+            place.address,
+            self.incarnation,
+            0,
+            cluster_member.LIVE,
+            place.area,
+            place.role,
+            place.http,
+            data is not None,
+            place.seeds,
+            place.name or place.address,
+            place.held,
+        )
+        self.ring = failure_detector.FailureDetector(around, self.link, me, place.seeds, self.proposer)
+        self.witness = witness.Witness(
+            around, data / "witness" if data else None, place.address, self.incarnation, voter_set
+        )
+        self.seat = witness_bootstrap.WitnessBootstrap(
+            self.witness,
+            self.link,
+            self.proposer,
+            place.address,
+            place.pairs,
+            place.copies,
+            self.holders,
+            place.witnesses == settings.CORE,
+        )
         self.relay = relay.Relay(self.link, self.ring, place.currency)
-        self.reseat = reseat.Reseat(self.link, self.electorate, place.address, self.rooted, self.wished_seeds)
-        self.hosts: dict[int, host.Host] = {}
+        self.reseat = witness_changes.WitnessChanges(
+            self.link, self.proposer, place.address, self.rooted, self.wished_seeds
+        )
+        self.hosts: dict[int, group_replica.GroupReplica] = {}
         if data is not None:
-            for pair in [one for one in range(place.pairs) if holding.sort_of(one) in place.held]:
-                held = copy.Copy(around, data / f"pair-{pair}", pair, talk.Talk if pair else control.Control)
-                around_it = part.Around(functools.partial(self.holders, holding.sort_of(pair)), self.emptied, self.ring.hold,
-                                        self.gone, place.copies, functools.partial(self.goal, pair))
-                self.hosts[pair] = host.Host(held, self.link, self.electorate, place.address, place.area, around_it)
+            for pair in [one for one in range(place.pairs) if replica_set.sort_of(one) in place.held]:
+                held = replica.Replica(
+                    around,
+                    data / f"pair-{pair}",
+                    pair,
+                    lane_sessions.Talk if pair else control_state.ControlState,
+                )
+                around_it = group_state.GroupPolicy(
+                    functools.partial(self.holders, replica_set.sort_of(pair)),
+                    self.emptied,
+                    self.ring.hold,
+                    self.gone,
+                    place.copies,
+                    functools.partial(self.goal, pair),
+                )
+                self.hosts[pair] = group_replica.GroupReplica(
+                    held, self.link, self.proposer, place.address, place.area, around_it
+                )
         self.missed: dict[str, datetime.timedelta] = {}
-        self.looked = moment.ZERO
+        self.looked = clock.ZERO
         self.started = asyncio.Event()
         self.stopping = asyncio.Event()
         self.opened = False
-        self.stories: story.Stories | None = None
+        self.stories: trace.Traces | None = None
         self.duties: dict[str, duty.Duty] = {}
         self.sampled: list[collections.abc.Callable[[], list[sample.Sample]]] = [self.own_samples]
         self.outside: collections.Counter = collections.Counter()
@@ -104,16 +126,19 @@
         Example: ``node.goal(1) == 2``
         """
         if pair == 0 and self.settings.witnesses == settings.CORE:
-            return max(self.settings.copies, len(self.electorate.roster.present) // 2 + 1)
+            return max(self.settings.copies, len(self.proposer.voter_set.present) // 2 + 1)
         return self.settings.copies
 
-    def holders(self, sort: str) -> tuple[part.Candidate, ...]:
+    def holders(self, sort: str) -> tuple[group_state.Candidate, ...]:
         """Live nodes whose disks may hold groups of a sort.
 
         Example: ``node.holders(holding.TALK)``
         """
-        return tuple(part.Candidate(one.address, one.area) for one in self.ring.fellows.values()
-                     if sort in one.holds and one.state == fellow.LIVE)
+        return tuple(
+            group_state.Candidate(one.address, one.area)
+            for one in self.ring.peers.values()
+            if sort in one.holds and one.state == cluster_member.LIVE
+        )
 
     def life(self) -> str:
         """This run of this node, as others may hear of its end.
@@ -128,8 +153,8 @@
         Example: ``node.gone("127.0.0.1:7000 5")``
         """
         address, _, incarnation = life.rpartition(" ")
-        known = self.ring.fellows.get(address)
-        return known is not None and (known.state == fellow.DOWN or str(known.incarnation) != incarnation)
+        known = self.ring.peers.get(address)
+        return known is not None and (known.state == cluster_member.DOWN or str(known.incarnation) != incarnation)
 
     def wished_seeds(self) -> tuple[str, ...]:
         """The witnesses wished for: by the plan, else by the settings of all live nodes if they agree.
@@ -140,9 +165,9 @@
         if not wished and self.settings.witnesses == settings.CORE:
             return self.wished_cores()
         if not wished:
-            named = {one.seeds for one in self.ring.fellows.values() if one.state == fellow.LIVE}
+            named = {one.seeds for one in self.ring.peers.values() if one.state == cluster_member.LIVE}
             wished = named.pop() if len(named) == 1 else ()
-        alive = all(self.ring.state(address) == fellow.LIVE for address in wished)
+        alive = all(self.ring.state(address) == cluster_member.LIVE for address in wished)
         return wished if alive else ()
 
     def wished_cores(self) -> tuple[str, ...]:
@@ -150,23 +175,26 @@
 
         Example: ``node.wished_cores()``
         """
-        now, present = moment.now(), self.electorate.roster.present
-        gone = [address for address in present if self.ring.state(address) != fellow.LIVE]
+        now, present = clock.now(), self.proposer.voter_set.present
+        gone = [address for address in present if self.ring.state(address) != cluster_member.LIVE]
         if now - self.looked > LOST:
             self.missed = {}
         self.looked = now
         self.missed = {address: self.missed.get(address, now) for address in gone}
         lost = frozenset(address for address in gone if now - self.missed[address] >= LOST)
-        cores = tuple(address for address in self.ring.live() if self.ring.state(address) == fellow.LIVE
-                      and self.ring.fellows[address].role == settings.CORE)
-        return choice.witnesses(present, cores, lost)
+        cores = tuple(
+            address
+            for address in self.ring.live()
+            if self.ring.state(address) == cluster_member.LIVE and self.ring.peers[address].role == settings.CORE
+        )
+        return witness_placement.witnesses(present, cores, lost)
 
     def emptied(self, address: str) -> bool:
         """Whether a node is to hold no copies: emptied by an operator, or stopping.
 
         Example: ``node.emptied("127.0.0.1:7001")``
         """
-        return (address in self.relay.plan.emptied or self.ring.state(address) == fellow.LEAVING)
+        return address in self.relay.plan.emptied or self.ring.state(address) == cluster_member.LEAVING
 
     # -- messages --------------------------------------------------------------------------------
 
@@ -176,72 +204,77 @@
         Example: ``reply = await node.answer(holding.Survey("a:1"))``
         """
         match message:
-            case fellow.Beat():
+            case cluster_member.Beat():
                 return await self.ring.beat(message)
-            case news.Pull():
+            case updates.Pull():
                 return self.relay.answer_pull(message, self.rooted())
-            case fellow.Join():
+            case cluster_member.Join():
                 return self.ring.join(message)
-            case news.Push():
+            case updates.Push():
                 self.relay.hurry.set()
-                return holding.Okay()
-            case fellow.Confirm():
+                return replica_set.Acknowledged()
+            case cluster_member.Confirm():
                 return await self.ring.confirm(message)
-            case exchange.Append():
+            case replication_messages.Append():
                 return await self.host(message.holding.pair).append(message)
-            case exchange.Submit():
+            case replication_messages.Submit():
                 return await self.answer_submit(message)
-            case holding.Claim():
+            case replica_set.LeaseRequest():
                 return await self.witness.claim(message)
-            case holding.Raise():
+            case replica_set.Prepare():
                 return await self.witness.raise_ballot(message)
-            case holding.Accept():
+            case replica_set.Accept():
                 return await self.witness.accept(message)
-            case holding.Survey():
+            case replica_set.WitnessStateRequest():
                 return self.witness.survey()
-            case holding.SeedWitness():
-                await self.witness.learn(message.roster, message.ballots)
-                return holding.Okay()
-            case holding.ChosenRoster():
-                self.electorate.learn(message.roster)
-                await self.witness.adopt(message.roster)
-                return holding.Okay()
-            case holding.Report():
+            case replica_set.InstallWitnessState():
+                await self.witness.learn(message.voter_set, message.ballots)
+                return replica_set.Acknowledged()
+            case replica_set.VoterSetChosen():
+                self.proposer.learn(message.voter_set)
+                await self.witness.adopt(message.voter_set)
+                return replica_set.Acknowledged()
+            case replica_set.ReplicaReportRequest():
                 return self.report()
-            case exchange.Fetch():
+            case replication_messages.Fetch():
                 return await self.host(message.holding.pair).fetch(message)
-            case exchange.Compare():
+            case replication_messages.Compare():
                 return self.host(message.pair).compare(message)
-            case exchange.Mend():
-                return await self.host(message.holding.pair).mend(message)
-            case exchange.Ask():
+            case replication_messages.Repair():
+                return await self.host(message.holding.pair).repair(message)
+            case replication_messages.Ask():
                 return self.host(message.pair).stands(message)
-            case exchange.Appoint():
+            case replication_messages.Appoint():
                 return await self.host(message.holding.pair).appoint(message)
-            case news.WriteEverywhere():
+            case updates.WriteEverywhere():
                 return await self.write_here(message)
-            case news.ApplyEverywhere():
+            case updates.ApplyEverywhere():
                 return await self.apply_here(message)
-            case news.ReadEverywhere():
-                return await self.host(0).submit(control.ReadPlan(message.after), GO)
-            case story.TellStory():
+            case updates.ReadEverywhere():
+                return await self.host(0).submit(control_state.ReadPlan(message.after), GO)
+            case trace.TraceRequest():
                 told = self.stories.told(message.request) if self.stories is not None else ()
                 if not told:
-                    raise result.Refusal(result.Result.UNKNOWN_REQUEST, result.Ran.UNKNOWN)
-                return story.Told(told)
-            case story.Story():
+                    raise result.RequestError(result.ResultCode.UNKNOWN_REQUEST, result.Ran.UNKNOWN)
+                return trace.Told(told)
+            case trace.Trace():
                 if self.stories is not None:
                     self.stories.keep(message)
-                return holding.Okay()
-            case word.Called() | word.Intended() | word.Wanted() | sample.Sampled():
+                return replica_set.Acknowledged()
+            case (
+                residency_messages.Called()
+                | residency_messages.Intended()
+                | residency_messages.Wanted()
+                | sample.Sampled()
+            ):
                 self.hear(message)
-                return holding.Okay()
-            case news.Publish():
+                return replica_set.Acknowledged()
+            case updates.Publish():
                 if not self.rooted():
-                    raise result.Refusal(result.Result.NOT_PRIMARY)
+                    raise result.RequestError(result.ResultCode.NOT_PRIMARY)
                 self.relay.learn(message.news)
-                return holding.Okay()
-        raise result.Refusal(result.Result.FRAME_BROKEN, detail=type(message).__name__)
+                return replica_set.Acknowledged()
+        raise result.RequestError(result.ResultCode.FRAME_BROKEN, detail=type(message).__name__)
 
     def hear(self, message) -> None:
         """Give word from an edge to the duties that asked for its kind; what no queue has room for is lost.
@@ -252,62 +285,79 @@
             if not listening.words.full():
                 listening.words.put_nowait(message)
 
-    def host(self, pair: int) -> host.Host:
+    def host(self, pair: int) -> group_replica.GroupReplica:
         """This node's part in a pair; refused without a disk or before the disk was read.
 
         Example: ``node.host(0).claimed()``
         """
         found = self.hosts.get(pair)
         if found is None or not self.opened:
-            raise result.Refusal(result.Result.NOT_PRIMARY, detail="no copy is open here", retry=moment.seconds(1))
+            raise result.RequestError(
+                result.ResultCode.NOT_PRIMARY, detail="no copy is open here", retry=clock.seconds(1)
+            )
         return found
 
-    def report(self) -> holding.Reported:
+    def report(self) -> replica_set.ReplicaReports:
         """The copies on this node's disk.
 
         Example: ``node.report().copies``
         """
-        copies = tuple(holding.CopyReport(pair, self.host(pair).copy.identity, self.host(pair).copy.holding,
-                                          self.host(pair).copy.last().sequence) for pair in self.hosts)
-        return holding.Reported(self.settings.area, copies, holding.Known(
-            max(self.electorate.roster, self.witness.known.roster, key=lambda one: one.number),
-            self.witness.known.disks), self.settings.first_start)
-
-    async def answer_submit(self, message: exchange.Submit) -> exchange.Submitted:
+        copies = tuple(
+            replica_set.ReplicaReport(
+                pair,
+                self.host(pair).copy.identity,
+                self.host(pair).copy.holding,
+                self.host(pair).copy.last().sequence,
+            )
+            for pair in self.hosts
+        )
+        return replica_set.ReplicaReports(
+            self.settings.area,
+            copies,
+            replica_set.RememberedCluster(
+                max(self.proposer.voter_set, self.witness.known.voter_set, key=lambda one: one.number),
+                self.witness.known.disks,
+            ),
+            self.settings.first_start,
+        )
+
+    async def answer_submit(self, message: replication_messages.Submit) -> replication_messages.Submitted:
         """Have a command decided here, if this node is the pair's primary.
 
         Example: ``await node.answer_submit(exchange.Submit(1, within, body))``
         """
         held = self.host(message.pair)
-        reply = await held.submit(record.untagged(message.body), message.within)
-        return exchange.Submitted(record.tagged(reply), held.known)
+        reply = await held.submit(codec.untagged(message.body), message.within)
+        return replication_messages.Submitted(codec.tagged(reply), held.known)
 
     async def submit(self, pair: int, command, within=2 * GO):
         """Have a command decided by a pair's primary, wherever it is; commands bear being said twice.
 
         Example: ``reply = await node.submit(1, speech.OpenTurn(...))``
         """
-        end = moment.now() + within
+        end = clock.now() + within
         unknown = None
         while True:
             held = self.ring.holdings.get(pair)
-            left = end - moment.now()
+            left = end - clock.now()
             try:
                 if held is None:
-                    raise result.Refusal(result.Result.NOT_PRIMARY, detail=f"pair {pair} is not known yet")
-                message = exchange.Submit(pair, min(GO, left), record.tagged(command))
+                    raise result.RequestError(result.ResultCode.NOT_PRIMARY, detail=f"pair {pair} is not known yet")
+                message = replication_messages.Submit(pair, min(GO, left), codec.tagged(command))
                 reply = await self.ask_primary(held, message, min(GO, left))
-                return record.untagged(reply.body)
-            except result.Refusal as refusal:
-                if refusal.ran is result.Ran.UNKNOWN and refusal.result is not result.Result.INTERNAL:
+                return codec.untagged(reply.body)
+            except result.RequestError as refusal:
+                if refusal.ran is result.Ran.UNKNOWN and refusal.result is not result.ResultCode.INTERNAL:
                     unknown = refusal
-                elif refusal.result not in (result.Result.NOT_PRIMARY, result.Result.NO_BACKUP):
+                elif refusal.result not in (result.ResultCode.NOT_PRIMARY, result.ResultCode.NO_BACKUP):
                     raise
-                if moment.now() + AGAIN >= end:
+                if clock.now() + AGAIN >= end:
                     raise unknown or refusal from None
-            await moment.pause(AGAIN)
+            await clock.sleep(AGAIN)
 
-    async def ask_primary(self, held: holding.Holding, message: exchange.Submit, within: datetime.timedelta):
+    async def ask_primary(
+        self, held: replica_set.ReplicaSet, message: replication_messages.Submit, within: datetime.timedelta
+    ):
         """Ask a group's primary; refused as soon as another record names another one, whose answer is then to be asked for.
 
         Example: ``reply = await node.ask_primary(held, message, GO)``
@@ -318,7 +368,7 @@
                 await asyncio.wait((asking,), timeout=SLICE.total_seconds())
                 known = self.ring.holdings.get(held.pair, held)
                 if not asking.done() and known.primary != held.primary:
-                    raise result.Refusal(result.Result.NOT_PRIMARY, result.Ran.UNKNOWN, "the primary changed")
+                    raise result.RequestError(result.ResultCode.NOT_PRIMARY, result.Ran.UNKNOWN, "the primary changed")
             return asking.result()
         finally:
             asking.cancel()
@@ -341,85 +391,96 @@
             held = self.hosts[0]
             if not held.claimed():
                 self.relay.root = False
-                await moment.pause(STEP / 2)
+                await clock.sleep(STEP / 2)
                 continue
             if not self.relay.root:
                 self.relay.become_root()
             held.committed.clear()
             try:
-                self.relay.take_committed(await held.submit(control.ReadPlan(self.relay.revision), GO))
-            except result.Refusal:
-                await moment.pause(STEP / 5)
+                self.relay.take_committed(await held.submit(control_state.ReadPlan(self.relay.revision), GO))
+            except result.RequestError:
+                await clock.sleep(STEP / 5)
             if self.rooted():
-                self.relay.currency_end = max(self.relay.currency_end, held.claim_end)
+                self.relay.currency_end = max(self.relay.currency_end, held.lease_end)
             try:
-                async with moment.limit(STEP):
+                async with clock.limit(STEP):
                     await held.committed.wait()
             except TimeoutError:
                 pass
 
-    async def write_here(self, message: news.WriteEverywhere) -> news.Written:
+    async def write_here(self, message: updates.WriteEverywhere) -> updates.Written:
         """As root: store an operator's write, then wait until it is in force everywhere, or as long as settings say.
 
         Example: ``await node.write_here(message)``
         """
-        started = moment.now()
+        started = clock.now()
         held = self.host(0)
         if held.claimed():
             await held.copy.view.look_ahead(message.write)
         written = await held.submit(message.write, message.within)
         confirm = self.settings.confirm
         try:
-            async with moment.limit(message.within + 2 * self.settings.currency if confirm is None else confirm):
+            async with clock.limit(message.within + 2 * self.settings.currency if confirm is None else confirm):
                 await self.relay.everywhere(written.revision)
         except TimeoutError:
             if confirm is None:
-                raise result.Refusal(result.Result.OUTCOME_UNKNOWN, result.Ran.UNKNOWN,
-                                     "stored, but not known to be in force everywhere") from None
+                raise result.RequestError(
+                    result.ResultCode.OUTCOME_UNKNOWN,
+                    result.Ran.UNKNOWN,
+                    "stored, but not known to be in force everywhere",
+                ) from None
         if not self.rooted():
-            raise result.Refusal(result.Result.OUTCOME_UNKNOWN, result.Ran.UNKNOWN, "the primary changed")
-        return news.Written(written.revision, written.changed, moment.now() - started)
+            raise result.RequestError(result.ResultCode.OUTCOME_UNKNOWN, result.Ran.UNKNOWN, "the primary changed")
+        return updates.Written(written.revision, written.changed, clock.now() - started)
 
-    async def write_plan(self, write: control.WritePlan) -> news.Written:
+    async def write_plan(self, write: control_state.WritePlan) -> updates.Written:
         """Send an operator's write on to the root, wherever it is.
 
         Example: ``await node.write_plan(control.WritePlan("merge", "", "", body, None))``
         """
-        end = moment.now() + moment.seconds(8)
-        message = news.WriteEverywhere(write, 2 * GO)
+        end = clock.now() + clock.seconds(8)
+        message = updates.WriteEverywhere(write, 2 * GO)
         while True:
             held = self.ring.holdings.get(0)
             try:
                 if held is None:
-                    raise result.Refusal(result.Result.NOT_PRIMARY, detail="the control pair is not known yet",
-                                         retry=moment.seconds(1))
+                    raise result.RequestError(
+                        result.ResultCode.NOT_PRIMARY,
+                        detail="the control pair is not known yet",
+                        retry=clock.seconds(1),
+                    )
                 return await self.link.ask(held.primary.address, message, 2 * GO + 3 * self.settings.currency)
-            except result.Refusal as refusal:
-                retried = refusal.result in (result.Result.NOT_PRIMARY, result.Result.NO_BACKUP)
-                if not retried or moment.now() > end:
+            except result.RequestError as refusal:
+                retried = refusal.result in (result.ResultCode.NOT_PRIMARY, result.ResultCode.NO_BACKUP)
+                if not retried or clock.now() > end:
                     raise
-            await moment.pause(AGAIN)
+            await clock.sleep(AGAIN)
 
-    async def apply_here(self, message: news.ApplyEverywhere) -> news.Written:
+    async def apply_here(self, message: updates.ApplyEverywhere) -> updates.Written:
         """As root: take an operator's configuration, then wait until nodes confirmed it, or as long as settings say.
 
         Once it is durable nothing takes it back: an order that was taken before is answered as done.
 
         Example: ``await node.apply_here(message)``
         """
-        started = moment.now()
+        started = clock.now()
         applied = await self.host(0).submit(message.command, message.within)
-        confirm, left = self.settings.confirm, started + message.within - LAST_LEG - moment.now()
+        confirm, left = self.settings.confirm, started + message.within - LAST_LEG - clock.now()
         try:
-            async with moment.limit(left if confirm is None else min(confirm, left)):
-                await self.relay.everywhere(control.revision_of(applied.revision))
+            async with clock.limit(left if confirm is None else min(confirm, left)):
+                await self.relay.everywhere(control_state.revision_of(applied.revision))
         except TimeoutError:
             if confirm is None:
-                raise result.Refusal(result.Result.OUTCOME_UNKNOWN, result.Ran.UNKNOWN,
-                                     "stored, but not known to be in force everywhere") from None
-        return news.Written(control.revision_of(applied.revision), applied.changed, moment.now() - started)
-
-    async def apply(self, command: configuration.ApplyConfiguration, within: datetime.timedelta = APPLY) -> news.Written:
+                raise result.RequestError(
+                    result.ResultCode.OUTCOME_UNKNOWN,
+                    result.Ran.UNKNOWN,
+                    "stored, but not known to be in force everywhere",
+                ) from None
+        return updates.Written(control_state.revision_of(applied.revision), applied.changed, clock.now() - started)
+
+    async def apply(
+        self, command: operator_configuration.ApplyConfiguration, within: datetime.timedelta = APPLY
+    ) -> updates.Written:
         """Have an operator's configuration taken, wherever the control group's primary is; durable once answered.
 
         Asks again for as long as ``within`` (more where there are many items); then a Refusal says whether it may
@@ -428,43 +489,51 @@
         Example: ``await node.apply(configuration.ApplyConfiguration(7, 5, True, items, (), digest))``
         """
         span = within + APPLY_ITEM * len(command.upserts)
-        end, unknown = moment.now() + span, None
+        end, unknown = clock.now() + span, None
         while True:
-            held, left = self.ring.holdings.get(0), end - moment.now()
+            held, left = self.ring.holdings.get(0), end - clock.now()
             try:
                 if held is None:
-                    raise result.Refusal(result.Result.NOT_PRIMARY, detail="the control group is not known yet")
-                async with moment.limit(left):
-                    return await self.link.ask(held.primary.address, news.ApplyEverywhere(command, left), left)
+                    raise result.RequestError(
+                        result.ResultCode.NOT_PRIMARY, detail="the control group is not known yet"
+                    )
+                async with clock.limit(left):
+                    return await self.link.ask(held.primary.address, updates.ApplyEverywhere(command, left), left)
             except TimeoutError:
-                raise result.Refusal(result.Result.OUTCOME_UNKNOWN, result.Ran.UNKNOWN, "no answer in time") from None
-            except result.Refusal as refusal:
+                raise result.RequestError(
+                    result.ResultCode.OUTCOME_UNKNOWN, result.Ran.UNKNOWN, "no answer in time"
+                ) from None
+            except result.RequestError as refusal:
                 if refusal.ran is result.Ran.UNKNOWN:
                     unknown = refusal
-                elif refusal.result not in (result.Result.NOT_PRIMARY, result.Result.NO_BACKUP, result.Result.UNREACHABLE):
+                elif refusal.result not in (
+                    result.ResultCode.NOT_PRIMARY,
+                    result.ResultCode.NO_BACKUP,
+                    result.ResultCode.UNREACHABLE,
+                ):
                     raise
-                if moment.now() + AGAIN >= end:
+                if clock.now() + AGAIN >= end:
                     raise unknown or refusal from None
-            await moment.pause(AGAIN)
+            await clock.sleep(AGAIN)
 
-    async def read_configuration(self, within: datetime.timedelta = APPLY) -> configuration.ConfigurationRead:
+    async def read_configuration(self, within: datetime.timedelta = APPLY) -> operator_configuration.ConfigurationRead:
         """The operator's newest configuration, read at the control group's primary under its claim.
 
         Example: ``(await node.read_configuration()).version``
         """
-        return await self.submit(0, configuration.ReadConfiguration(), within)
+        return await self.submit(0, operator_configuration.ReadConfiguration(), within)
 
     # -- emptying a machine ----------------------------------------------------------------------
 
-    def named(self, name: str) -> fellow.Fellow:
+    def named(self, name: str) -> cluster_member.ClusterMember:
         """The node of a name, the newest run of it where several are known; refused when there is none.
 
         Example: ``node.named("storage-1").address``
         """
-        found = [one for one in self.ring.fellows.values() if name in (one.name, one.address)]
+        found = [one for one in self.ring.peers.values() if name in (one.name, one.address)]
         if not found:
-            raise result.Refusal(result.Result.UNKNOWN_RESOURCE, detail=f"no machine {name}")
-        return max(found, key=lambda one: (one.state != fellow.DOWN, one.incarnation))
+            raise result.RequestError(result.ResultCode.UNKNOWN_RESOURCE, detail=f"no machine {name}")
+        return max(found, key=lambda one: (one.state != cluster_member.DOWN, one.incarnation))
 
     async def empty(self, name: str, within: datetime.timedelta) -> None:
         """Have a machine's groups moved to others, so that it may be taken away; saying it twice does no harm.
@@ -478,15 +547,21 @@
         if one.address in self.relay.plan.emptied:
             return
         for sort in one.holds:
-            left = [other for other in self.holders(sort) if other.address != one.address and not self.emptied(other.address)]
+            left = [
+                other
+                for other in self.holders(sort)
+                if other.address != one.address and not self.emptied(other.address)
+            ]
             if len(left) < self.settings.copies:
-                raise result.Refusal(result.Result.TOO_FEW_LEFT, detail=f"{len(left)} disks for {sort}")
+                raise result.RequestError(result.ResultCode.TOO_FEW_LEFT, detail=f"{len(left)} disks for {sort}")
         body = json.dumps({"machines": {one.address: {"emptied": True}}})
         try:
-            async with moment.limit(within):
-                await self.write_plan(control.WritePlan("merge", "", "", body, None))
+            async with clock.limit(within):
+                await self.write_plan(control_state.WritePlan("merge", "", "", body, None))
         except TimeoutError:
-            raise result.Refusal(result.Result.OUTCOME_UNKNOWN, result.Ran.UNKNOWN, f"emptying {name}") from None
+            raise result.RequestError(
+                result.ResultCode.OUTCOME_UNKNOWN, result.Ran.UNKNOWN, f"emptying {name}"
+            ) from None
 
     async def emptying(self, name: str) -> str:
         """How far a machine is: IN_SERVICE, or EMPTIED once it holds no group and each that it could hold is whole elsewhere.
@@ -498,8 +573,8 @@
         one = self.named(name)
         if one.address not in self.relay.plan.emptied:
             return IN_SERVICE
-        pairs = [pair for pair in range(self.settings.pairs) if holding.sort_of(pair) in one.holds]
-        async with steady.Group() as group:
+        pairs = [pair for pair in range(self.settings.pairs) if replica_set.sort_of(pair) in one.holds]
+        async with supervision.Group() as group:
             asked = [group.create_task(self.stands(pair, one.address)) for pair in pairs]
         return EMPTIED if all(task.result() for task in asked) else IN_SERVICE
 
@@ -512,8 +587,8 @@
         if held is None:
             return False
         try:
-            reply = await self.link.ask(held.primary.address, exchange.Ask(pair, address), GO)
-        except result.Refusal:
+            reply = await self.link.ask(held.primary.address, replication_messages.Ask(pair, address), GO)
+        except result.RequestError:
             return False
         members = reply.holding.members()
         return reply.emptied and len(members) >= self.settings.copies and all(one.address != address for one in members)
@@ -526,22 +601,27 @@
         Example: ``await node.run()``
         """
         ready = asyncio.Event()
-        async with steady.Group() as group:
+        async with supervision.Group() as group:
             group.create_task(self.link.run(ready))
             await ready.wait()
             await self.witness.start(self.settings.witnesses == settings.CORE and self.settings.first_start)
-            self.electorate.learn(self.witness.known.roster)
+            self.proposer.learn(self.witness.known.voter_set)
             for held in self.hosts.values():
                 await held.copy.open()
             self.opened = True
-            works = {"samples": self.tell_samples, "ring": self.ring.run, "seat": self.seat.run, "relay": self.relay.run,
-                     "holdings": self.share_holdings}
+            works = {
+                "samples": self.tell_samples,
+                "ring": self.ring.run,
+                "seat": self.seat.run,
+                "relay": self.relay.run,
+                "holdings": self.share_holdings,
+            }
             works.update({f"pair {pair}": held.run for pair, held in self.hosts.items()})
             works.update({f"pictures {pair}": held.copy.draw_pictures for pair, held in self.hosts.items()})
             if 0 in self.hosts:
                 works.update({"root": self.root, "reseat": self.reseat.run})
             for name, work in works.items():
-                group.create_task(steady.stand(name, work, self.standing))
+                group.create_task(supervision.stand(name, work, self.standing))
             self.started.set()
 
     async def share_holdings(self) -> None:
@@ -555,10 +635,14 @@
                     self.hosts[pair].learn(held)
             if self.witness.voting:
                 for ballot in list(self.witness.ballots.values()):
-                    if ballot.value and ballot.register not in self.ring.holdings and ballot.register != holding.ROSTER:
-                        self.ring.hold(record.untagged(ballot.value))
+                    if (
+                        ballot.value
+                        and ballot.register not in self.ring.holdings
+                        and ballot.register != replica_set.VOTER_SET
+                    ):
+                        self.ring.hold(codec.untagged(ballot.value))
             try:
-                async with moment.limit(STEP):
+                async with clock.limit(STEP):
                     await self.ring.changed.wait()
             except TimeoutError:
                 pass
@@ -569,14 +653,21 @@
 
         Example: ``node.own_samples()[0].name``
         """
-        found = [sample.sample("aspencroft_plan_current", self.relay.current()),
-                 sample.sample("aspencroft_plan_number", self.relay.revision.number),
-                 sample.sample("aspencroft_leaving", self.stopping.is_set()),
-                 sample.sample("aspencroft_fellows_live", sum(one.state == fellow.LIVE for one in self.ring.fellows.values())),
-                 sample.sample("aspencroft_faults_outside", sum(self.outside.values())),
-                 sample.sample("aspencroft_faults_standing", sum(self.standing.values()))]
+        found = [
+            sample.sample("aspencroft_plan_current", self.relay.current()),
+            sample.sample("aspencroft_plan_number", self.relay.revision.number),
+            sample.sample("aspencroft_leaving", self.stopping.is_set()),
+            sample.sample(
+                "aspencroft_fellows_live",
+                sum(one.state == cluster_member.LIVE for one in self.ring.peers.values()),
+            ),
+            sample.sample("aspencroft_faults_outside", sum(self.outside.values())),
+            sample.sample("aspencroft_faults_standing", sum(self.standing.values())),
+        ]
         for pair, held in self.hosts.items():
-            found.append(sample.sample("aspencroft_pair_serving", held.claimed() and held.why == "serving", pair=str(pair)))
+            found.append(
+                sample.sample("aspencroft_pair_serving", held.claimed() and held.why == "serving", pair=str(pair))
+            )
             found.append(sample.sample("aspencroft_pair_entries", held.copy.last().sequence, pair=str(pair)))
         return found
 
@@ -586,8 +677,11 @@
         Example: ``node.samples()``
         """
         own = {"node": self.address, "area": self.settings.area, "role": self.settings.role}
-        return tuple(sample.sample(one.name, one.value, **own, **{label.name: label.value for label in one.labels})
-                     for source in self.sampled for one in source())
+        return tuple(
+            sample.sample(one.name, one.value, **own, **{label.name: label.value for label in one.labels})
+            for source in self.sampled
+            for one in source()
+        )
 
     async def tell_samples(self) -> None:
         """Tell the holder of the alerts duty this node's samples, while the plan holds rules.
@@ -595,7 +689,7 @@
         Example: ``group.create_task(node.tell_samples())``
         """
         while True:
-            await moment.pause(SAMPLE)
+            await clock.sleep(SAMPLE)
             known = self.relay.topics.get("alerts")
             holder = json.loads(known.body).get("holder") if known is not None else None
             if holder and self.relay.plan.rules:
@@ -618,23 +712,53 @@
         Example: ``node.status()["pairs"]``
         """
         return {
-            "address": self.address, "area": self.settings.area, "role": self.settings.role,
-            "incarnation": self.incarnation, "leaving": self.stopping.is_set(),
-            "plan": {"revision": self.relay.revision.text(), "current": self.relay.current(),
-                     "root": self.relay.root, "parent": self.relay.parent(),
-                     "children": sorted(self.relay.children)},
-            "witness": {"voting": self.witness.voting, "why": self.seat.why,
-                        "roster": list(self.electorate.roster.everyone()),
-                        "roster_number": self.electorate.roster.number},
-            "fellows": [{"address": one.address, "state": fellow.STATES[one.state], "area": one.area,
-                         "role": one.role, "http": one.http, "disk": one.disk}
-                        for one in self.ring.table().fellows],
-            "holders": {str(pair): {"epoch": held.epoch, "primary": held.primary.address,
-                                    "backups": [one.address for one in held.backups]}
-                        for pair, held in sorted(self.ring.holdings.items())},
-            "pairs": {str(pair): {"why": held.why, "claimed": held.claimed(),
-                                  "sequence": held.copy.last().sequence, "disk": held.copy.condition.value,
-                                  **held.counts} for pair, held in self.hosts.items()},
+            "address": self.address,
+            "area": self.settings.area,
+            "role": self.settings.role,
+            "incarnation": self.incarnation,
+            "leaving": self.stopping.is_set(),
+            "plan": {
+                "revision": self.relay.revision.text(),
+                "current": self.relay.current(),
+                "root": self.relay.root,
+                "parent": self.relay.parent(),
+                "children": sorted(self.relay.children),
+            },
+            "witness": {
+                "voting": self.witness.voting,
+                "why": self.seat.why,
+                "roster": list(self.proposer.voter_set.everyone()),
+                "roster_number": self.proposer.voter_set.number,
+            },
+            "fellows": [
+                {
+                    "address": one.address,
+                    "state": cluster_member.STATES[one.state],
+                    "area": one.area,
+                    "role": one.role,
+                    "http": one.http,
+                    "disk": one.disk,
+                }
+                for one in self.ring.table().peers
+            ],
+            "holders": {
+                str(pair): {
+                    "epoch": held.epoch,
+                    "primary": held.primary.address,
+                    "backups": [one.address for one in held.backups],
+                }
+                for pair, held in sorted(self.ring.holdings.items())
+            },
+            "pairs": {
+                str(pair): {
+                    "why": held.why,
+                    "claimed": held.claimed(),
+                    "sequence": held.copy.last().sequence,
+                    "disk": held.copy.condition.value,
+                    **held.counts,
+                }
+                for pair, held in self.hosts.items()
+            },
             "duties": {name: {"held": one.held(), "epoch": one.epoch} for name, one in self.duties.items()},
             "faults": {"outside": dict(self.outside), "standing tasks": dict(self.standing)},
             "counts": {"link": dict(self.link.counts), "ring": self.ring.counts, "relay": self.relay.counts},
--- a/aspencroft/node/node_test.py
+++ b/aspencroft/node/node_test.py
@@ -2,12 +2,12 @@
 
 import asyncio
 
-import aspencroft.code.result as result
-import aspencroft.node.node as node
-import aspencroft.seam.moment as moment
-import aspencroft.sim.groups as groups
+from aspencroft.errors import result
+from aspencroft.node import node
+from aspencroft.runtime import clock
+from aspencroft.simulation import groups
 
-WITHIN = moment.seconds(8)
+WITHIN = clock.seconds(8)
 
 
 def test_emptying_a_machine_completes_and_nothing_is_lost():
@@ -34,7 +34,8 @@
         for program in programs:
             assert (await stage.ask("edge-1", "supervisor", "second", program=program, after=1)).ran == "done"
         left = await stage.ask_node(asked, own.empty(one.storages[0], WITHIN))
-        assert isinstance(left, result.Refusal) and left.result is result.Result.TOO_FEW_LEFT
+        assert isinstance(left, result.RequestError) and left.result is result.ResultCode.TOO_FEW_LEFT
+
     for seed in (1, 2):
         groups.play(seed, acts)
 
@@ -44,7 +45,8 @@
         own = stage.scene.nodes["core-2"]
         for work in (own.empty("nobody", WITHIN), own.emptying("nobody")):
             refused = await stage.ask_node("core-2", work)
-            assert isinstance(refused, result.Refusal) and refused.result is result.Result.UNKNOWN_RESOURCE
+            assert isinstance(refused, result.RequestError) and refused.result is result.ResultCode.UNKNOWN_RESOURCE
+
     groups.play(3, acts)
 
 
@@ -55,7 +57,8 @@
         began = one.loop.time()
         assert await stage.write("extra")
         assert 0.9 < one.loop.time() - began < 1.5
-    groups.play(4, acts, more={"confirm": moment.seconds(1)})
+
+    groups.play(4, acts, more={"confirm": clock.seconds(1)})
 
 
 def test_a_node_acts_on_a_plan_no_longer_than_its_currency():
@@ -67,4 +70,5 @@
         began = one.loop.time()
         assert await stage.write("extra")
         assert one.loop.time() - began < 1.6
-    groups.play(5, acts, more={"currency": moment.seconds(1.5)})
+
+    groups.play(5, acts, more={"currency": clock.seconds(1.5)})
--- a/aspencroft/node/settings.py
+++ b/aspencroft/node/settings.py
@@ -7,39 +7,50 @@
 
 import voluptuous
 
-import aspencroft.pair.holding as holding
-import aspencroft.plan.lane as lane
-import aspencroft.plan.plan as plan
-import aspencroft.seam.moment as moment
+from aspencroft.configuration import lane, resources
+from aspencroft.consensus import replica_set
+from aspencroft.runtime import clock
 
 EDGE, STORAGE, CORE = "edge", "storage", "core"
 SEEDS = "seeds"
-SCHEMA = voluptuous.Schema({
-    voluptuous.Required("address"): plan.ADDRESS,
-    voluptuous.Required("http"): plan.ADDRESS,
-    voluptuous.Required("area"): lane.NAME,
-    voluptuous.Required("seeds"): voluptuous.All([plan.ADDRESS], voluptuous.Length(min=3, max=7),
-                                                 voluptuous.Unique()),
-    voluptuous.Optional("role", default=CORE): voluptuous.Any(EDGE, STORAGE, CORE),
-    voluptuous.Optional("data", default=""): str,
-    voluptuous.Optional("workers", default=""): voluptuous.Any("", voluptuous.Match(r"^https?://[^/]+(/.*)?$")),
-    voluptuous.Optional("talk_pairs", default=4): voluptuous.All(int, voluptuous.Range(min=1, max=64)),
-    voluptuous.Optional("log", default=""): str,
-    voluptuous.Optional("name", default=""): voluptuous.Any("", plan.RESOURCE_NAME),
-    voluptuous.Optional("region", default=""): voluptuous.Any("", lane.NAME),
-    voluptuous.Optional("losses", default=1): voluptuous.All(int, voluptuous.Range(min=1, max=4)),
-    voluptuous.Optional("holds", default=[holding.CONTROL, holding.TALK]): voluptuous.All(
-        [voluptuous.In((holding.CONTROL, holding.TALK))], voluptuous.Unique()),
-    voluptuous.Optional("witnesses", default=SEEDS): voluptuous.Any(SEEDS, CORE),
-    voluptuous.Optional("currency", default=4.0): voluptuous.All(voluptuous.Any(int, float), voluptuous.Range(min=0.5, max=60)),
-    voluptuous.Optional("confirm", default=None): voluptuous.Any(None, voluptuous.All(
-        voluptuous.Any(int, float), voluptuous.Range(min=0, max=60))),
-    voluptuous.Optional("first_start", default=True): bool,
-})
-
-
-SCHEMA_WITH_CORE = SCHEMA.extend({voluptuous.Required("seeds"): voluptuous.All([plan.ADDRESS], voluptuous.Length(min=1, max=9),
-                                                                                voluptuous.Unique())})
+SCHEMA = voluptuous.Schema(
+    {
+        voluptuous.Required("address"): resources.ADDRESS,
+        voluptuous.Required("http"): resources.ADDRESS,
+        voluptuous.Required("area"): lane.NAME,
+        voluptuous.Required("seeds"): voluptuous.All(
+            [resources.ADDRESS], voluptuous.Length(min=3, max=7), voluptuous.Unique()
+        ),
+        voluptuous.Optional("role", default=CORE): voluptuous.Any(EDGE, STORAGE, CORE),
+        voluptuous.Optional("data", default=""): str,
+        voluptuous.Optional("workers", default=""): voluptuous.Any("", voluptuous.Match(r"^https?://[^/]+(/.*)?$")),
+        voluptuous.Optional("talk_pairs", default=4): voluptuous.All(int, voluptuous.Range(min=1, max=64)),
+        voluptuous.Optional("log", default=""): str,
+        voluptuous.Optional("name", default=""): voluptuous.Any("", resources.RESOURCE_NAME),
+        voluptuous.Optional("region", default=""): voluptuous.Any("", lane.NAME),
+        voluptuous.Optional("losses", default=1): voluptuous.All(int, voluptuous.Range(min=1, max=4)),
+        voluptuous.Optional("holds", default=[replica_set.CONTROL, replica_set.TALK]): voluptuous.All(
+            [voluptuous.In((replica_set.CONTROL, replica_set.TALK))], voluptuous.Unique()
+        ),
+        voluptuous.Optional("witnesses", default=SEEDS): voluptuous.Any(SEEDS, CORE),
+        voluptuous.Optional("currency", default=4.0): voluptuous.All(
+            voluptuous.Any(int, float), voluptuous.Range(min=0.5, max=60)
+        ),
+        voluptuous.Optional("confirm", default=None): voluptuous.Any(
+            None, voluptuous.All(voluptuous.Any(int, float), voluptuous.Range(min=0, max=60))
+        ),
+        voluptuous.Optional("first_start", default=True): bool,
+    }
+)
+
+
+SCHEMA_WITH_CORE = SCHEMA.extend(
+    {
+        voluptuous.Required("seeds"): voluptuous.All(
+            [resources.ADDRESS], voluptuous.Length(min=1, max=9), voluptuous.Unique()
+        )
+    }
+)
 
 
 class BadSettings(ValueError):
@@ -70,9 +81,9 @@
     name: str = ""
     region: str = ""
     losses: int = 1
-    holds: tuple[str, ...] = (holding.CONTROL, holding.TALK)
+    holds: tuple[str, ...] = (replica_set.CONTROL, replica_set.TALK)
     witnesses: str = SEEDS
-    currency: datetime.timedelta = moment.seconds(4)
+    currency: datetime.timedelta = clock.seconds(4)
     confirm: datetime.timedelta | None = None
     first_start: bool = True
 
@@ -109,14 +120,28 @@
     try:
         full = (SCHEMA_WITH_CORE if raw.get("witnesses") == CORE else SCHEMA)(raw)
     except voluptuous.MultipleInvalid as error:
-        raise BadSettings("; ".join(
-            f"{'/'.join(str(part) for part in one.path)}: {one.msg}" for one in error.errors)) from None
-    return Settings(full["address"], full["http"], full["area"], tuple(full["seeds"]), full["role"],
-                    pathlib.Path(full["data"]) if full["data"] else None, full["workers"].rstrip("/"),
-                    full["talk_pairs"], pathlib.Path(full["log"]) if full["log"] else None,
-                    full["name"] or full["address"], full["region"], full["losses"], tuple(full["holds"]), full["witnesses"],
-                    moment.seconds(full["currency"]), None if full["confirm"] is None else moment.seconds(full["confirm"]),
-                    full["first_start"])
+        raise BadSettings(
+            "; ".join(f"{'/'.join(str(part) for part in one.path)}: {one.msg}" for one in error.errors)
+        ) from None
+    return Settings(
+        full["address"],
+        full["http"],
+        full["area"],
+        tuple(full["seeds"]),
+        full["role"],
+        pathlib.Path(full["data"]) if full["data"] else None,
+        full["workers"].rstrip("/"),
+        full["talk_pairs"],
+        pathlib.Path(full["log"]) if full["log"] else None,
+        full["name"] or full["address"],
+        full["region"],
+        full["losses"],
+        tuple(full["holds"]),
+        full["witnesses"],
+        clock.seconds(full["currency"]),
+        None if full["confirm"] is None else clock.seconds(full["confirm"]),
+        full["first_start"],
+    )
 
 
 def read(path: str, flags: dict | None = None) -> Settings:
--- a/aspencroft/node/settings_test.py
+++ b/aspencroft/node/settings_test.py
@@ -1,6 +1,6 @@
 """Tests of ``aspencroft.node.settings``."""
 
-import aspencroft.node.settings as settings
+from aspencroft.node import settings
 
 
 def test_every_fault_of_the_settings_is_named():
--- a/aspencroft/platform_check/operator_api_test.py
+++ b/aspencroft/platform_check/operator_api_test.py
@@ -4,44 +4,51 @@
 import collections
 import random
 
-import operator_api
 import pytest
-import settings_file
 
 import aspencroft.platform_check.configuration_test as documents
-import aspencroft.platform_check.operators as operators
-import aspencroft.seam.moment as moment
-import aspencroft.sim.scene as scene
-import aspencroft.sim.wire as wire
+from aspencroft.platform_check import operators
+from aspencroft.runtime import clock
+from aspencroft.simulation import simulated_cluster, wire
 
-SIZE = scene.Size(edges=4, storages=3, cores=5, apart=True)
-MORE = {"confirm": moment.seconds(settings_file.CONFIRM), "currency": moment.seconds(settings_file.CURRENCY)}
-SURE = {"confirm": moment.seconds(3), "currency": moment.seconds(4)}
+import operator_api
+import settings_file
 
+SIZE = simulated_cluster.Size(edges=4, storages=3, cores=5, apart=True)
+MORE = {"confirm": clock.seconds(settings_file.CONFIRM), "currency": clock.seconds(settings_file.CURRENCY)}
+SURE = {"confirm": clock.seconds(3), "currency": clock.seconds(4)}
 
-def play(seed: int, acts, size: scene.Size = SIZE, more: dict | None = None) -> scene.Scene:
+
+def play(
+    seed: int, acts, size: simulated_cluster.Size = SIZE, more: dict | None = None
+) -> simulated_cluster.SimulatedCluster:
     """A formed fleet with its control points served; under ``SURE`` an answer says that all nodes confirmed the order.
 
     Example: ``play(1, acts)`` where ``acts`` takes a scene and operators
     """
-    async def story(one: scene.Scene) -> None:
+
+    async def story(one: simulated_cluster.SimulatedCluster) -> None:
         await one.until(one.formed, 30, "formed")
         points = operators.ControlPoints(one, one.cores)
         points.serve()
         await asyncio.sleep(5)
         await acts(one, operators.Operators(one, random.Random(seed), points))
 
-    played = scene.play(seed, story, size=size, weather=wire.Weather(jitter=0.002), more=more or MORE)
+    played = simulated_cluster.play(seed, story, size=size, weather=wire.Weather(jitter=0.002), more=more or MORE)
     assert played.ended == []
     return played
 
 
 def test_each_answer_has_its_status():
-    async def acts(one: scene.Scene, asking: operators.Operators) -> None:
-        async def status(method: str, body: bytes = b"", condition: str | None = None, way: str = operator_api.WAY) -> int:
+    async def acts(one: simulated_cluster.SimulatedCluster, asking: operators.Operators) -> None:
+        async def status(
+            method: str, body: bytes = b"", condition: str | None = None, way: str = operator_api.WAY
+        ) -> int:
             seen = set()
             for name in one.cores:
-                response = await asking.call(method, way, body, {} if condition is None else {"If-Match": condition}, name)
+                response = await asking.call(
+                    method, way, body, {} if condition is None else {"If-Match": condition}, name
+                )
                 assert "json" in response.headers["content-type"] and response.json() is not None, response.text
                 seen.add(response.status_code)
             assert len(seen) == 1, seen
@@ -51,20 +58,30 @@
         assert await status("GET") == 404
         assert await status("PUT", first, "1") == 412
         assert await status("PUT", first) == await status("PUT", first, "x") == await status("PUT", first, "-1") == 400
-        assert await status("PUT", first[:-1], "0") == await status("PUT", b"", "0") == await status("PATCH", b"[]", "0") == 400
+        assert (
+            await status("PUT", first[:-1], "0")
+            == await status("PUT", b"", "0")
+            == await status("PATCH", b"[]", "0")
+            == 400
+        )
         assert await status("PUT", documents.raw(documents.sample(0)), "0") == 400
         assert await status("GET") == 404
         assert await status("PUT", first, "0") == 200
         assert await status("PUT", first, '"0"') == 200
         assert await status("PUT", first, "5") == 400
         assert await status("PUT", documents.raw(documents.sample(9)), "0") == 412
-        assert await status("PATCH", documents.raw({"config-revision": 9, "remove-names": {"service-list": ["s-2"]}}), "5") == 400
+        assert (
+            await status("PATCH", documents.raw({"config-revision": 9, "remove-names": {"service-list": ["s-2"]}}), "5")
+            == 400
+        )
         change = documents.raw({"config-revision": 9, "remove-names": {"route-list": ["r-2", "never"]}})
         assert await status("PATCH", change, "5") == 200
         assert await status("PUT", first, "0") == 200, "an order that was taken is known again when newer ones followed"
         assert await status("PATCH", change, "6") == 412
         shown = (await asking.call("GET", operator_api.WAY)).json()
-        assert documents.canonical(shown) == documents.canonical(documents.sample(9, **{"route-list": [documents.TURNS]}))
+        assert documents.canonical(shown) == documents.canonical(
+            documents.sample(9, **{"route-list": [documents.TURNS]})
+        )
         large = documents.raw(documents.sample(11, note="x" * (4 << 20)))
         assert await status("PUT", large, "9") == 413
         assert await status("GET", way="/api/nothing") == 404 and await status("DELETE") == 405
@@ -74,11 +91,12 @@
         assert await status("POST", b'{"deadline-s": "x"}', way="/api/retire/storage-1") == 400
         for own in one.nodes.values():
             assert own.relay.plan.version == 9 and list(own.relay.plan.http_routes) == ["r-1"]
+
     play(301, acts, more=SURE)
 
 
 def test_a_body_as_large_as_the_limits_allow_is_taken_and_read_back():
-    async def acts(one: scene.Scene, asking: operators.Operators) -> None:
+    async def acts(one: simulated_cluster.SimulatedCluster, asking: operators.Operators) -> None:
         routes = [{**documents.TURNS, "name": f"r-{number}", "path-prefix": f"/{number}/"} for number in range(2500)]
         document = documents.sample(5, **{"route-list": routes})
         body = documents.raw(document)
@@ -90,32 +108,42 @@
         response = await asking.call("PATCH", operator_api.WAY, documents.raw(change), {"If-Match": "5"})
         assert response.status_code == 200, response.text
         for name, own in one.nodes.items():
-            assert own.relay.plan.http_routes["r-7"].timeout == moment.seconds(0.005) and len(own.relay.plan.http_routes) == 2500
+            assert (
+                own.relay.plan.http_routes["r-7"].timeout == clock.seconds(0.005)
+                and len(own.relay.plan.http_routes) == 2500
+            )
             assert own.relay.counts["whole plans"] == before[name]
+
     play(302, acts, more=SURE)
 
 
 def test_on_an_idle_fleet_orders_are_answered_quickly_once_all_nodes_have_them():
-    async def acts(one: scene.Scene, asking: operators.Operators) -> None:
+    async def acts(one: simulated_cluster.SimulatedCluster, asking: operators.Operators) -> None:
         version = 0
         for number in range(20):
-            order = operators.Order(True, version, version + 2, documents.sample(version + 2, mark=number), one.loop.time())
+            order = operators.Order(
+                True, version, version + 2, documents.sample(version + 2, mark=number), one.loop.time()
+            )
             await asking.send(order)
             assert order.status == 200 and order.answered - order.sent < 0.2, order
             version = order.version
             for own in one.nodes.values():
                 assert own.relay.plan.version == version
-    play(303, acts, scene.Size(edges=24, storages=3, cores=5, apart=True), SURE)
+
+    play(303, acts, simulated_cluster.Size(edges=24, storages=3, cores=5, apart=True), SURE)
 
 
 def test_without_a_primary_the_answer_is_503_within_a_second_and_says_when_to_come_back():
-    async def acts(one: scene.Scene, asking: operators.Operators) -> None:
+    async def acts(one: simulated_cluster.SimulatedCluster, asking: operators.Operators) -> None:
         assert (await asking.send(operators.Order(True, 0, 3, documents.sample(3), one.loop.time()))).status == 200
         others = [name for name in one.names() if name != "core-2"]
         one.wire.cut(["core-2"], others)
         await asyncio.sleep(3)
-        for method, body in (("GET", b""), ("PUT", documents.raw(documents.sample(5))),
-                             ("PATCH", documents.raw({"config-revision": 5}))):
+        for method, body in (
+            ("GET", b""),
+            ("PUT", documents.raw(documents.sample(5))),
+            ("PATCH", documents.raw({"config-revision": 5})),
+        ):
             began = one.loop.time()
             response = await asking.call(method, operator_api.WAY, body, {"If-Match": "3"}, "core-2")
             assert response is not None and response.status_code == 503, response
@@ -123,13 +151,16 @@
         one.wire.heal()
         order = await asking.send(operators.Order(True, 3, 5, documents.sample(5), one.loop.time()))
         assert order.status == 200
+
     play(304, acts)
 
 
 def test_a_store_machine_is_emptied_and_too_few_are_never_left():
-    async def acts(one: scene.Scene, asking: operators.Operators) -> None:
+    async def acts(one: simulated_cluster.SimulatedCluster, asking: operators.Operators) -> None:
         async def call(method: str, name: str) -> tuple[int, dict]:
-            response = await asking.call(method, f"/api/retire/{name}", b'{"deadline-s": 10}' if method == "POST" else b"")
+            response = await asking.call(
+                method, f"/api/retire/{name}", b'{"deadline-s": 10}' if method == "POST" else b""
+            )
             return response.status_code, response.json()
 
         assert await call("GET", "storage-1") == (200, {"state": "in_service"})
@@ -142,6 +173,7 @@
         assert status == 200
         status, _ = await call("POST", "storage-2")
         assert status == 409
+
     play(305, acts)
 
 
@@ -152,7 +184,7 @@
     """
     total = collections.Counter()
 
-    async def acts(one: scene.Scene, asking: operators.Operators) -> None:
+    async def acts(one: simulated_cluster.SimulatedCluster, asking: operators.Operators) -> None:
         chance = random.Random(seed)
         async with asyncio.TaskGroup() as group:
             for _ in range(3):
@@ -187,6 +219,7 @@
         assert shown["config-revision"] >= max(order.version for order in taken)
         assert max(asking.spans) < 0.95, seed
         total.update(f"{order.status} {order.valid}" for order in asking.orders)
+
     play(seed, acts)
     return total
 
@@ -198,12 +231,14 @@
 
 
 def test_an_order_survives_the_primary_that_dies_at_any_step_of_it_also_with_its_disk():
-    async def acts(one: scene.Scene, asking: operators.Operators) -> None:
+    async def acts(one: simulated_cluster.SimulatedCluster, asking: operators.Operators) -> None:
         version = 0
         for number in range(14):
             await one.until(one.formed, 30, "formed")
             await asyncio.sleep(2)
-            order = operators.Order(True, version, version + 3, documents.sample(version + 3, mark=number), one.loop.time())
+            order = operators.Order(
+                True, version, version + 3, documents.sample(version + 3, mark=number), one.loop.time()
+            )
             sending = asyncio.ensure_future(asking.send(order))
             await asyncio.sleep(0.003 * number)
             victim = one.leader(0)
@@ -216,17 +251,20 @@
             shown = await asking.read()
             assert documents.canonical(shown) == documents.canonical(order.document)
         assert operators.faults(asking) == []
+
     play(320, acts)
 
 
 def test_what_was_acknowledged_outlives_a_disk_or_all_power_lost_in_the_same_moment():
-    async def acts(one: scene.Scene, asking: operators.Operators) -> None:
+    async def acts(one: simulated_cluster.SimulatedCluster, asking: operators.Operators) -> None:
         version = 0
         for number in range(4):
             await one.until(one.formed, 30, "formed")
             await asyncio.sleep(2)
             leader = one.leader(0)
-            order = operators.Order(True, version, version + 3, documents.sample(version + 3, mark=number), one.loop.time())
+            order = operators.Order(
+                True, version, version + 3, documents.sample(version + 3, mark=number), one.loop.time()
+            )
             assert (await asking.send(order)).status == 200
             version = order.version
             victims = one.names() if number % 2 else [leader, *(one.cores if number % 4 == 2 else [])]
@@ -241,6 +279,7 @@
             shown = await asking.read()
             assert shown is not None and documents.canonical(shown) == documents.canonical(order.document), number
         assert operators.faults(asking) == []
+
     play(330, acts)
 
 
--- a/aspencroft/platform_check/operators.py
+++ b/aspencroft/platform_check/operators.py
@@ -7,10 +7,10 @@
 import random
 
 import httpx
-import operator_api
 
-import aspencroft.sim.scene as scene
-import aspencroft.sim.wire as wire
+from aspencroft.simulation import simulated_cluster, wire
+
+import operator_api
 
 SILENCE = 1.0
 PATIENCE = 12.0
@@ -47,7 +47,7 @@
     Example: ``ControlPoints(one).serve()``
     """
 
-    def __init__(self, one: scene.Scene, names: list[str]):
+    def __init__(self, one: simulated_cluster.SimulatedCluster, names: list[str]):
         self.scene = one
         self.names = names
         self.applications: dict[int, object] = {}
@@ -65,6 +65,7 @@
 
         Example: ``points.page("core-1")``
         """
+
         async def answer(scope, receive, send) -> None:
             own = self.scene.nodes.get(name)
             if own is None:
@@ -72,6 +73,7 @@
             if id(own) not in self.applications:
                 self.applications[id(own)] = operator_api.application(own)
             await self.applications[id(own)](scope, receive, send)
+
         return answer
 
 
@@ -83,11 +85,11 @@
     Example: ``await Operators(one, random.Random(1), points).operate()``
     """
 
-    def __init__(self, one: scene.Scene, chance: random.Random, points: ControlPoints):
+    def __init__(self, one: simulated_cluster.SimulatedCluster, chance: random.Random, points: ControlPoints):
         self.scene = one
         self.chance = chance
         self.points = points
-        self.client = httpx.AsyncClient(transport=wire.SimTransport(one.wire, scene.OUTSIDE))
+        self.client = httpx.AsyncClient(transport=wire.SimTransport(one.wire, simulated_cluster.OUTSIDE))
         self.orders: list[Order] = []
         self.reads: list[Read] = []
         self.over = False
@@ -96,8 +98,9 @@
         self.hurt: set[str] = set()
         self.spans: list[float] = []
 
-    async def call(self, method: str, way: str, body: bytes = b"", headers: dict | None = None,
-                   name: str = "") -> httpx.Response | None:
+    async def call(
+        self, method: str, way: str, body: bytes = b"", headers: dict | None = None, name: str = ""
+    ) -> httpx.Response | None:
         """One call to one control point, none if there was only silence.
 
         Example: ``await operators.call("GET", "/api/configuration")``
@@ -106,7 +109,9 @@
         began, hurt = self.scene.loop.time(), name in self.hurt
         try:
             async with asyncio.timeout(SILENCE):
-                response = await self.client.request(method, f"http://{name}:{PORT}{way}", content=body, headers=headers or {})
+                response = await self.client.request(
+                    method, f"http://{name}:{PORT}{way}", content=body, headers=headers or {}
+                )
         except (TimeoutError, httpx.HTTPError):
             response = None
         if response is not None and not hurt and name not in self.hurt:
@@ -122,8 +127,9 @@
         body = json.dumps(order.document).encode()
         pause, end = 0.1, self.scene.loop.time() + PATIENCE
         while self.scene.loop.time() < end:
-            response = await self.call("PUT" if order.whole else "PATCH", operator_api.WAY, body,
-                                       {"If-Match": str(order.condition)})
+            response = await self.call(
+                "PUT" if order.whole else "PATCH", operator_api.WAY, body, {"If-Match": str(order.condition)}
+            )
             if response is not None and response.status_code in CLEAR:
                 order.status, order.answered = response.status_code, self.scene.loop.time()
                 return order
@@ -162,15 +168,28 @@
         mark = next(self.numbers)
         valid = chance.random() < 0.85
         target = chance.choice(("a", "b")) if valid else "gone"
-        route = {"name": f"r-{chance.randrange(6)}", "host": "h.example", "route-type": "safe", "timeout-ms": 900,
-                 "target-service": target, "mark": mark}
+        route = {
+            "name": f"r-{chance.randrange(6)}",
+            "host": "h.example",
+            "route-type": "safe",
+            "timeout-ms": 900,
+            "target-service": target,
+            "mark": mark,
+        }
         route["path-prefix"] = f"/{route['name']}/"
         if shown is None or chance.random() < 0.3:
-            document = {"config-revision": version, "route-list": [route], "service-list": [{"name": "a"}, {"name": "b"}],
-                        "mark": mark}
+            document = {
+                "config-revision": version,
+                "route-list": [route],
+                "service-list": [{"name": "a"}, {"name": "b"}],
+                "mark": mark,
+            }
             return Order(True, condition, version, document, now, valid=valid)
-        document = {"config-revision": version, "upsert-items": {"route-list": [route]},
-                    "remove-names": {"route-list": [f"r-{chance.randrange(6)}"]}}
+        document = {
+            "config-revision": version,
+            "upsert-items": {"route-list": [route]},
+            "remove-names": {"route-list": [f"r-{chance.randrange(6)}"]},
+        }
         if document["remove-names"]["route-list"] == [route["name"]]:
             del document["remove-names"]
         return Order(False, condition, version, document, now, valid=valid)
@@ -207,7 +226,9 @@
     if order.whole:
         return order.document
     change = order.document
-    rows = [one for one in document["route-list"] if one["name"] not in change.get("remove-names", {}).get("route-list", [])]
+    rows = [
+        one for one in document["route-list"] if one["name"] not in change.get("remove-names", {}).get("route-list", [])
+    ]
     for one in change["upsert-items"]["route-list"]:
         names = [row["name"] for row in rows]
         rows = [one if row["name"] == one["name"] else row for row in rows] + ([] if one["name"] in names else [one])
@@ -238,13 +259,17 @@
     chain: dict | None = None
     documents = {read.document["config-revision"]: read.document for read in reads}
     for read in reads:
-        if json.dumps(documents[read.document["config-revision"]], sort_keys=True) != json.dumps(read.document, sort_keys=True):
+        if json.dumps(documents[read.document["config-revision"]], sort_keys=True) != json.dumps(
+            read.document, sort_keys=True
+        ):
             found.append(f"two documents were read under {read.document['config-revision']}")
     for version in sorted(documents):
         sources = [one for one in orders if one.version == version and one.status in (0, 200) and one.valid]
         if not any(one.whole or one.condition in documents for one in sources):
             continue
-        wanted = [applied(documents.get(one.condition), one) for one in sources if one.whole or one.condition in documents]
+        wanted = [
+            applied(documents.get(one.condition), one) for one in sources if one.whole or one.condition in documents
+        ]
         chain = documents[version]
         if not any(json.dumps(one, sort_keys=True) == json.dumps(chain, sort_keys=True) for one in wanted):
             found.append(f"{version} reads otherwise than it was sent")
--- a/aspencroft/rest/rest.py
+++ b/aspencroft/power/machine_power.py
@@ -7,23 +7,20 @@
 
 import logbook
 
-import aspencroft.code.result as result
-import aspencroft.duty.duty as duty
-import aspencroft.keep.residency as residency
-import aspencroft.keep.word as word
-import aspencroft.node.node as node
-import aspencroft.rest.quiet as quiet
-import aspencroft.seam.moment as moment
-import aspencroft.seam.steady as steady
-import aspencroft.worker.adapter as adapter
-import aspencroft.worker.worker as worker
+from aspencroft.errors import result
+from aspencroft.leadership import duty
+from aspencroft.node import node
+from aspencroft.power import sleeping_machines
+from aspencroft.residency import messages, residency
+from aspencroft.runtime import clock, supervision
+from aspencroft.workers import adapter, worker
 
 LOG = logbook.Logger("rest")
 TOPIC = "quiet"
-WINDOW = moment.seconds(10)
-STEP = moment.seconds(1)
-EMPTYING = moment.seconds(3)
-FIRST_WAKE = moment.seconds(3)
+WINDOW = clock.seconds(10)
+STEP = clock.seconds(1)
+EMPTYING = clock.seconds(3)
+FIRST_WAKE = clock.seconds(3)
 TREND = 6
 
 
@@ -41,7 +38,7 @@
     def __init__(self, own: node.Node, back: adapter.Adapter):
         self.node = own
         self.adapter = back
-        self.duty = duty.Duty("rest", own.address, own.incarnation, lambda: own.ring.fellows, own.submit)
+        self.duty = duty.Duty("rest", own.address, own.incarnation, lambda: own.ring.peers, own.submit)
         own.duties["rest"] = self.duty
         self.served: collections.deque[tuple[datetime.timedelta, str, float]] = collections.deque()
         self.wanted: set[str] = set()
@@ -52,8 +49,8 @@
         self.marks: dict[str, tuple[int, int]] = {}
         self.demands: collections.deque[float] = collections.deque(maxlen=TREND)
         self.wake_time = FIRST_WAKE
-        self.changed = moment.ZERO
-        self.started = moment.ZERO
+        self.changed = clock.ZERO
+        self.started = clock.ZERO
         self.hurry = asyncio.Event()
         self.counts = {"slept": 0, "woken": 0, "orders failed": 0}
 
@@ -62,10 +59,10 @@
 
         Example: ``group.create_task(rest.run())``
         """
-        async with steady.Group() as group:
-            group.create_task(steady.stand("rest duty", self.duty.run, self.node.standing))
-            group.create_task(steady.stand("rest hear", self.hear, self.node.standing))
-            group.create_task(steady.stand("rest work", self.work, self.node.standing))
+        async with supervision.Group() as group:
+            group.create_task(supervision.stand("rest duty", self.duty.run, self.node.standing))
+            group.create_task(supervision.stand("rest hear", self.hear, self.node.standing))
+            group.create_task(supervision.stand("rest work", self.work, self.node.standing))
 
     async def hear(self) -> None:
         """Take word from edges: how long workers worked, and which sleeping ones are needed.
@@ -74,9 +71,9 @@
         """
         while True:
             message = await self.duty.words.get()
-            if isinstance(message, word.Called):
-                self.served.append((moment.now(), message.worker, message.took.total_seconds()))
-            elif isinstance(message, word.Wanted):
+            if isinstance(message, messages.Called):
+                self.served.append((clock.now(), message.worker, message.took.total_seconds()))
+            elif isinstance(message, messages.Wanted):
                 self.wanted.add(message.worker)
                 self.hurry.set()
 
@@ -87,17 +84,17 @@
         """
         while True:
             try:
-                async with moment.limit(STEP):
+                async with clock.limit(STEP):
                     await self.hurry.wait()
             except TimeoutError:
                 pass
             self.hurry.clear()
             if not self.duty.held():
-                self.started = moment.ZERO
+                self.started = clock.ZERO
                 continue
             try:
-                await self.step(moment.now())
-            except result.Refusal as refusal:
+                await self.step(clock.now())
+            except result.RequestError as refusal:
                 LOG.info("{}", refusal)
 
     def take_over(self, now: datetime.timedelta) -> None:
@@ -108,7 +105,7 @@
         known = self.node.relay.topics.get(TOPIC)
         shown = json.loads(known.body) if known is not None else {}
         self.quiet, self.asleep = frozenset(shown.get("workers", ())), set(shown.get("asleep", ()))
-        self.since = {name: now for name in self.quiet}
+        self.since = dict.fromkeys(self.quiet, now)
         self.waking, self.marks, self.started, self.changed = {}, {}, now, now
         self.demands.clear()
 
@@ -117,7 +114,7 @@
 
         Example: ``await rest.step(now)``
         """
-        if self.started == moment.ZERO:
+        if self.started == clock.ZERO:
             self.take_over(now)
         while self.served and now - self.served[0][0] > WINDOW:
             self.served.popleft()
@@ -126,7 +123,7 @@
         leaving = {one.name for one in found if one.leaving} | self.node.relay.plan.leaving
         self.decide(now, targets, leaving)
         await self.publish()
-        async with steady.Group() as group:
+        async with supervision.Group() as group:
             for name in sorted(self.waking):
                 group.create_task(self.wake(targets[name]))
             for name in sorted(self.quiet - self.asleep - set(self.waking)):
@@ -142,22 +139,31 @@
         worked = collections.Counter()
         for _, name, seconds in self.served:
             worked[name] += seconds
-        machines = tuple(quiet.Machine(one.name, one.services, one.places, worked[one.name])
-                         for one in targets.values() if one.name not in leaving)
+        machines = tuple(
+            sleeping_machines.Machine(one.name, one.services, one.places, worked[one.name])
+            for one in targets.values()
+            if one.name not in leaving
+        )
         names = {one.name for one in machines}
         self.asleep &= set(targets)
         self.waking = {name: tries for name, tries in self.waking.items() if name in self.quiet & names}
         listed = (self.quiet & names) - set(self.waking)
         awake = tuple(one for one in machines if one.name not in self.quiet)
-        self.demands.append(quiet.demand(awake, WINDOW))
+        self.demands.append(sleeping_machines.demand(awake, WINDOW))
         wanted = frozenset(self.wanted) & self.quiet
         self.wanted.clear()
-        calm = now - max(self.changed, self.started) > quiet.CALM and not self.waking
+        calm = now - max(self.changed, self.started) > sleeping_machines.CALM and not self.waking
         if self.node.control("keep_awake", False):
             wanted |= self.quiet
         calm = calm and not self.node.control("hold_moves", False) and not self.node.control("keep_awake", False)
-        fresh = quiet.next_list(machines, listed, wanted, WINDOW, calm,
-                                quiet.forecast(tuple(self.demands), STEP, self.wake_time))
+        fresh = sleeping_machines.next_list(
+            machines,
+            listed,
+            wanted,
+            WINDOW,
+            calm,
+            sleeping_machines.forecast(tuple(self.demands), STEP, self.wake_time),
+        )
         woken = listed - fresh
         if any(tries > 0 for tries in self.waking.values()) and not woken:
             woken = frozenset(sorted(listed)[:1])
@@ -166,7 +172,7 @@
         added = fresh - self.quiet
         if woken or added:
             self.changed = now
-        self.since.update({name: now for name in added})
+        self.since.update(dict.fromkeys(added, now))
         self.quiet = (fresh - woken) | set(self.waking) | (self.asleep - names)
 
     async def wake(self, target: worker.Worker) -> None:
@@ -178,7 +184,7 @@
             return
         try:
             left = await self.adapter.rest(target, False)
-        except result.Refusal as refusal:
+        except result.RequestError as refusal:
             self.counts["orders failed"] += 1
             self.waking[target.name] += 1
             LOG.info("waking {}: {}", target.name, refusal)
@@ -186,7 +192,7 @@
         self.wake_time = max(self.wake_time, left)
         self.waking[target.name] = 0
         self.asleep.discard(target.name)
-        if left <= moment.ZERO:
+        if left <= clock.ZERO:
             self.counts["woken"] += 1
             del self.waking[target.name]
             self.quiet -= {target.name}
@@ -216,7 +222,7 @@
             await self.adapter.rest(target, True)
             self.asleep.add(target.name)
             self.counts["slept"] += 1
-        except result.Refusal as refusal:
+        except result.RequestError as refusal:
             self.counts["orders failed"] += 1
             LOG.info("putting {} to sleep: {}", target.name, refusal)
 
@@ -225,8 +231,14 @@
 
         Example: ``await rest.publish()``
         """
-        body = json.dumps({"holder": self.node.address, "epoch": self.duty.epoch,
-                           "workers": sorted(self.quiet), "asleep": sorted(self.asleep)})
+        body = json.dumps(
+            {
+                "holder": self.node.address,
+                "epoch": self.duty.epoch,
+                "workers": sorted(self.quiet),
+                "asleep": sorted(self.asleep),
+            }
+        )
         known = self.node.relay.topics.get(TOPIC)
         if known is None or known.body != body:
             await residency.publish(self.node, self.duty, TOPIC, body)
--- a/aspencroft/rest/quiet.py
+++ b/aspencroft/power/sleeping_machines.py
@@ -3,11 +3,11 @@
 import dataclasses
 import datetime
 
-import aspencroft.seam.moment as moment
+from aspencroft.runtime import clock
 
 LOW, HIGH = 0.25, 0.6
 LEAST_AWAKE = 2
-CALM = moment.seconds(8)
+CALM = clock.seconds(8)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -45,8 +45,14 @@
     return demands[-1] + max(0.0, slope) * (wake_time / step)
 
 
-def next_list(machines: tuple[Machine, ...], quiet: frozenset[str], wanted: frozenset[str],
-              window: datetime.timedelta, calm: bool, expected: float = 0.0) -> frozenset[str]:
+def next_list(
+    machines: tuple[Machine, ...],
+    quiet: frozenset[str],
+    wanted: frozenset[str],
+    window: datetime.timedelta,
+    calm: bool,
+    expected: float = 0.0,
+) -> frozenset[str]:
     """The quiet list one step on: at most one machine more, or as many fewer as the demand asks for.
 
     Every service keeps a machine awake, and at least two stay awake in all. ``expected`` is the forecast.
--- a/aspencroft/rest/quiet_test.py
+++ b/aspencroft/power/sleeping_machines_test.py
@@ -1,28 +1,35 @@
-"""Tests of ``aspencroft.rest.quiet``."""
+"""Tests of ``aspencroft.power.sleeping_machines``."""
 
 import dataclasses
 import random
 
-import aspencroft.rest.quiet as quiet_module
-import aspencroft.seam.moment as moment
+import aspencroft.power.sleeping_machines as quiet_module
+from aspencroft.runtime import clock
 
 
 def test_a_rising_demand_is_seen_ahead_and_a_falling_one_is_not_trusted():
-    step, wake = moment.seconds(1), moment.seconds(4)
+    step, wake = clock.seconds(1), clock.seconds(4)
     assert quiet_module.forecast((0.1, 0.2, 0.3), step, wake) > 0.69
     assert quiet_module.forecast((0.5, 0.3), step, wake) == 0.3
     assert quiet_module.forecast((), step, wake) == 0.0
     machines = tuple(quiet_module.Machine(f"m{number}", ("a",), 8, 24.0) for number in range(4))
-    assert quiet_module.next_list(machines, frozenset({"m3"}), frozenset(), moment.seconds(10), True, 0.3) == {"m3"}
-    assert quiet_module.next_list(machines, frozenset({"m3"}), frozenset(), moment.seconds(10), True, 0.7) == frozenset()
+    assert quiet_module.next_list(machines, frozenset({"m3"}), frozenset(), clock.seconds(10), True, 0.3) == {"m3"}
+    assert quiet_module.next_list(machines, frozenset({"m3"}), frozenset(), clock.seconds(10), True, 0.7) == frozenset()
 
 
 def test_every_service_stays_awake_and_demand_wakes_machines():
-    window = moment.seconds(10)
+    window = clock.seconds(10)
     for seed in range(200):
         chance = random.Random(seed)
-        machines = tuple(quiet_module.Machine(f"m{number}", tuple(chance.sample("abc", chance.randrange(1, 4))), 8,
-                                 chance.random() * chance.choice([1, 60])) for number in range(chance.randrange(1, 9)))
+        machines = tuple(
+            quiet_module.Machine(
+                f"m{number}",
+                tuple(chance.sample("abc", chance.randrange(1, 4))),
+                8,
+                chance.random() * chance.choice([1, 60]),
+            )
+            for number in range(chance.randrange(1, 9))
+        )
         quiet: frozenset[str] = frozenset()
         every = {service for one in machines for service in one.services}
         for _ in range(12):
--- a/aspencroft/forward/chains.py
+++ b/aspencroft/proxy/chains.py
@@ -2,7 +2,7 @@
 
 import collections
 
-import aspencroft.talk.entry as entry
+from aspencroft.sessions import entry
 
 MOST_BYTES = 24 << 20
 
--- a/aspencroft/forward/chains_test.py
+++ b/aspencroft/proxy/chains_test.py
@@ -2,8 +2,8 @@
 
 import random
 
-import aspencroft.forward.chains as chains
-import aspencroft.talk.entry as entry
+from aspencroft.proxy import chains
+from aspencroft.sessions import entry
 
 
 def turn(name, previous):
@@ -36,4 +36,5 @@
                 place = plain[place]
             found = kept.bytes_of(name)
             assert found is None or found == b"".join(
-                turn(one, plain[one]).input + turn(one, plain[one]).output for one in reversed(line))
+                turn(one, plain[one]).input + turn(one, plain[one]).output for one in reversed(line)
+            )
--- a/aspencroft/forward/choose.py
+++ b/aspencroft/proxy/choose.py
@@ -76,8 +76,15 @@
     return sorted(instances, key=lambda one: weight(part, one.name), reverse=True)
 
 
-def choose(instances: tuple[Candidate, ...], parts: tuple[tuple[str, int], ...], last: str, zone: str,
-           randomness: random.Random, share: float = SHARE, most: float = math.inf) -> Choice:
+def choose(
+    instances: tuple[Candidate, ...],
+    parts: tuple[tuple[str, int], ...],
+    last: str,
+    zone: str,
+    randomness: random.Random,
+    share: float = SHARE,
+    most: float = math.inf,
+) -> Choice:
     """One worker: that of the turn before, else the home of the first shared part, else the lesser of two loads.
 
     A home takes requests up to ``share`` of its slots; no worker is chosen whose load is ``most`` times its slots.
--- a/aspencroft/forward/choose_test.py
+++ b/aspencroft/proxy/choose_test.py
@@ -4,7 +4,7 @@
 import dataclasses
 import random
 
-import aspencroft.forward.choose as choose
+from aspencroft.proxy import choose
 
 
 def workers(count: int, **named) -> tuple[choose.Candidate, ...]:
@@ -92,8 +92,13 @@
 def test_the_worker_of_the_turn_before_is_kept_while_it_has_room():
     found = workers(9)
     for name in [one.name for one in found]:
-        for named, kept in (({"load": 15.0}, True), ({"load": 16.0}, False), ({"doubtful": True}, False),
-                            ({"crowded": True}, False), ({"cold": True}, True)):
+        for named, kept in (
+            ({"load": 15.0}, True),
+            ({"load": 16.0}, False),
+            ({"doubtful": True}, False),
+            ({"crowded": True}, False),
+            ({"cold": True}, True),
+        ):
             chosen = choose.choose(swap(found, name, **named), (("x", 9),), name, "a", random.Random(1))
             assert (chosen.kind == choose.LAST) == kept, named
     assert choose.choose(found, (), "gone", "a", random.Random(1)).kind == choose.LEAST
@@ -114,8 +119,9 @@
 def test_edges_with_the_same_old_view_do_not_herd_to_one_worker():
     found = tuple(dataclasses.replace(one, load=float(place % 5)) for place, one in enumerate(workers(30)))
     for seed in range(20):
-        chosen = collections.Counter(choose.choose(found, (), "", "abc"[edge % 3], random.Random(f"{seed} {edge}")).name
-                                     for edge in range(300))
+        chosen = collections.Counter(
+            choose.choose(found, (), "", "abc"[edge % 3], random.Random(f"{seed} {edge}")).name for edge in range(300)
+        )
         assert max(chosen.values()) < 60, chosen
 
 
@@ -148,7 +154,10 @@
             assert choose.choose(held, (), "", "a", random.Random(seed)).name == "i-005"
             assert home_of(held, f"{seed}").name == "i-005"
         full = swap(held, "i-005", load=16.0)
-        assert {choose.choose(full, (), "", "a", random.Random(seed)).name for seed in range(50)} >= {"i-000", "i-003"}
+        assert {choose.choose(full, (), "", "a", random.Random(seed)).name for seed in range(50)} >= {
+            "i-000",
+            "i-003",
+        }
         assert {home_of(full, f"{seed}").name for seed in range(100)} == {f"i-00{number}" for number in range(5)}
         every = tuple(dataclasses.replace(one, **{flag: True}) for one in found)
         assert choose.choose(every, (), "", "a", random.Random(1)).name
--- a/aspencroft/forward/endings.py
+++ b/aspencroft/proxy/endings.py
@@ -3,14 +3,13 @@
 import asyncio
 import collections
 
-import aspencroft.code.result as result
-import aspencroft.node.node as node
-import aspencroft.seam.moment as moment
-import aspencroft.seam.steady as steady
+from aspencroft.errors import result
+from aspencroft.node import node
+from aspencroft.runtime import clock, supervision
 
 BOUND = 1024
 TELLERS = 4
-WITHIN = moment.seconds(12)
+WITHIN = clock.seconds(12)
 
 
 class Endings:
@@ -47,16 +46,17 @@
 
         Example: ``group.create_task(endings.run())``
         """
-        async with steady.Group() as group:
+        async with supervision.Group() as group:
             for number in self.rows:
                 for _ in range(TELLERS):
-                    group.create_task(steady.stand(f"endings {number}", self.teller(number), self.node.standing))
+                    group.create_task(supervision.stand(f"endings {number}", self.teller(number), self.node.standing))
 
     def teller(self, number: int):
         """The work of one teller of a group.
 
         Example: ``await endings.teller(1)()``
         """
+
         async def work() -> None:
             while True:
                 command = await self.rows[number].get()
@@ -64,8 +64,9 @@
                 try:
                     await self.node.submit(number, command, WITHIN)
                     self.counts["told"] += 1
-                except result.Refusal:
+                except result.RequestError:
                     self.counts["left to the group"] += 1
                 finally:
                     self.under_way -= 1
+
         return work
--- a/aspencroft/forward/events_test.py
+++ b/aspencroft/proxy/events_test.py
@@ -2,7 +2,7 @@
 
 import random
 
-import aspencroft.forward.events as events
+from aspencroft.proxy import events
 
 
 def test_events_are_the_same_however_the_stream_is_cut():
@@ -14,7 +14,7 @@
         reader, place = events.Reader(), 0
         while place < len(stream):
             step = chance.randrange(1, 9)
-            reader.feed(stream[place:place + step])
+            reader.feed(stream[place : place + step])
             place += step
         assert reader.count == len(data)
         assert reader.output() == b"".join(one + b"\n" for one in data)
--- a/aspencroft/forward/forwarder.py
+++ b/aspencroft/proxy/forwarder.py
@@ -11,41 +11,37 @@
 
 import logbook
 
-import aspencroft.alert.sample as sample
-import aspencroft.code.result as result
-import aspencroft.edge.path as path
-import aspencroft.edge.story as story
-import aspencroft.forward.call as call
-import aspencroft.forward.chains as chains
-import aspencroft.forward.choose as choose
-import aspencroft.forward.endings as endings
-import aspencroft.forward.events as events
-import aspencroft.forward.instance as instance
-import aspencroft.forward.instances as instances
-import aspencroft.forward.judgement as judgement
-import aspencroft.node.node as node
-import aspencroft.plan.http_route as http_route
-import aspencroft.seam.moment as moment
-import aspencroft.talk.entry as entry
-import aspencroft.talk.speech as speech
-import aspencroft.worker.pool as pool
+from aspencroft.alerts import sample
+from aspencroft.configuration import http_route
+from aspencroft.errors import result
+from aspencroft.gateway import path, trace
+from aspencroft.node import node
+from aspencroft.proxy import call, chains, choose, endings, events, instance, instances, judgement
+from aspencroft.runtime import clock
+from aspencroft.sessions import entry, messages
+from aspencroft.workers import pool
 
 LOG = logbook.Logger("forward")
-SOON = moment.seconds(0.3)
-LATER = moment.seconds(1)
+SOON = clock.seconds(0.3)
+LATER = clock.seconds(1)
 QUARTER = 4
 PART = 0.4
-WINDOW = moment.seconds(60)
-SETTLE = moment.seconds(0.05)
-LOOK = moment.seconds(0.02)
-UNREADY = moment.seconds(2.5)
-GRACE = moment.seconds(7.2)
+WINDOW = clock.seconds(60)
+SETTLE = clock.seconds(0.05)
+LOOK = clock.seconds(0.02)
+UNREADY = clock.seconds(2.5)
+GRACE = clock.seconds(7.2)
 MOST_CALLS = 1024
 MOST_CHOICES = 12
 MOST_CONNECTIONS = 64
 FULL = 1.25
-NOT_HERE = (result.Result.UNREACHABLE, result.Result.NOT_PRIMARY, result.Result.NO_BACKUP, result.Result.OVERLOADED,
-            result.Result.OUTCOME_UNKNOWN)
+NOT_HERE = (
+    result.ResultCode.UNREACHABLE,
+    result.ResultCode.NOT_PRIMARY,
+    result.ResultCode.NO_BACKUP,
+    result.ResultCode.OVERLOADED,
+    result.ResultCode.OUTCOME_UNKNOWN,
+)
 
 
 class Dialect(typing.Protocol):
@@ -101,7 +97,7 @@
         self.dialect = dialect
         self.instances = known
         self.pool = connections
-        self.stories = story.Stories(own.address)
+        self.stories = trace.Traces(own.address)
         self.endings = endings.Endings(own)
         self.chains = chains.Chains()
         self.freed = asyncio.Event()
@@ -135,17 +131,17 @@
         """
         self.counts["asked"] += 1
         if self.closed:
-            raise result.Refusal(result.Result.LEAVING, retry=SOON)
+            raise result.RequestError(result.ResultCode.LEAVING, retry=SOON)
         if not self.node.relay.current():
-            raise result.Refusal(result.Result.NO_PLAN, retry=SOON)
+            raise result.RequestError(result.ResultCode.NO_PLAN, retry=SOON)
         if self.active >= MOST_CALLS:
-            raise result.Refusal(result.Result.OVERLOADED, retry=LATER)
+            raise result.RequestError(result.ResultCode.OVERLOADED, retry=LATER)
         route = self.node.relay.plan.route_table.match(one.host, one.path())
         if route is None:
-            raise result.Refusal(result.Result.UNKNOWN_ROUTE, detail=one.path()[:200])
+            raise result.RequestError(result.ResultCode.UNKNOWN_ROUTE, detail=one.path()[:200])
         end = min(one.end(), one.arrived + route.timeout)
-        if end <= moment.now():
-            raise result.Refusal(result.Result.DEADLINE, retry=SOON)
+        if end <= clock.now():
+            raise result.RequestError(result.ResultCode.DEADLINE, retry=SOON)
         return Passage(one, route, end, one.body, program=one.program or one.session or one.attempt)
 
     async def wait_for_plan(self, one: call.Call) -> None:
@@ -153,13 +149,13 @@
 
         Example: ``await forwarder.wait_for_plan(call)``
         """
-        limit = moment.now() + one.within * PART
-        while not (self.node.relay.current() and self.instances.listed) and moment.now() < limit and not self.closed:
+        limit = clock.now() + one.within * PART
+        while not (self.node.relay.current() and self.instances.listed) and clock.now() < limit and not self.closed:
             if self.waiting >= MOST_CALLS:
                 return
             self.waiting += 1
             try:
-                await moment.pause(LOOK)
+                await clock.sleep(LOOK)
             finally:
                 self.waiting -= 1
 
@@ -182,12 +178,12 @@
             answer = await self.forward(passage)
             handed = answer.parts is not None
             return answer
-        except result.Refusal as refusal:
+        except result.RequestError as refusal:
             self.tell(passage, "refused", str(refusal))
             self.counts[f"refused {refusal.result.number}"] += 1
             self.give_up(passage)
             if passage.ran and refusal.ran is result.Ran.NOT_RUN:
-                raise result.Refusal(refusal.result, result.Ran.UNKNOWN, refusal.detail, refusal.retry) from None
+                raise result.RequestError(refusal.result, result.Ran.UNKNOWN, refusal.detail, refusal.retry) from None
             raise
         except BaseException:
             self.give_up(passage)
@@ -202,7 +198,7 @@
         Example: ``forwarder.tell(passage, "chosen", "w1: home of its prefix")``
         """
         one = passage.call
-        self.stories.add(one.attempt, passage.route.name, moment.now() - one.arrived, what, detail)
+        self.stories.add(one.attempt, passage.route.name, clock.now() - one.arrived, what, detail)
 
     # -- begin -----------------------------------------------------------------------------------
 
@@ -213,8 +209,8 @@
 
         Example: ``forwarder.patience(passage)``
         """
-        left = passage.end - moment.now()
-        return max(min(max(passage.route.aim, left * PART), left), moment.ZERO)
+        left = passage.end - clock.now()
+        return max(min(max(passage.route.aim, left * PART), left), clock.ZERO)
 
     async def ask_group(self, passage: Passage, group_key: str, command):
         """Have a talk group decide a command; what no group can decide now is refused, not run.
@@ -223,9 +219,9 @@
         """
         try:
             return await self.node.submit(self.group_of(group_key), command, self.patience(passage))
-        except result.Refusal as refusal:
+        except result.RequestError as refusal:
             if refusal.result in NOT_HERE:
-                raise result.Refusal(refusal.result, result.Ran.NOT_RUN, refusal.detail, SOON) from None
+                raise result.RequestError(refusal.result, result.Ran.NOT_RUN, refusal.detail, SOON) from None
             raise
 
     def group_of(self, key: str) -> int:
@@ -243,15 +239,27 @@
         one, route = passage.call, passage.route
         previous = one.previous if route.retained else ""
         have = previous if previous and self.chains.holds(previous) else ""
-        keep = max(route.keep, WINDOW, one.program_within or moment.ZERO)
-        command = entry.BeginTurn(passage.program, one.session, one.attempt, previous, one.reserve, one.budget,
-                                  route.retained, keep, passage.end - moment.now(), self.node.life(), have, ())
+        keep = max(route.keep, WINDOW, one.program_within or clock.ZERO)
+        command = entry.BeginTurn(
+            passage.program,
+            one.session,
+            one.attempt,
+            previous,
+            one.reserve,
+            one.budget,
+            route.retained,
+            keep,
+            passage.end - clock.now(),
+            self.node.life(),
+            have,
+            (),
+        )
         passage.begun = True
         try:
             reply = await self.ask_group(passage, passage.program, command)
-        except result.Refusal as refusal:
-            if refusal.result is not result.Result.UNKNOWN_TURN:
-                if refusal.result is result.Result.OUT_OF_BUDGET:
+        except result.RequestError as refusal:
+            if refusal.result is not result.ResultCode.UNKNOWN_TURN:
+                if refusal.result is result.ResultCode.OUT_OF_BUDGET:
                     passage.begun = False
                 raise
             chain = await self.find_elsewhere(passage, previous)
@@ -261,7 +269,7 @@
             self.chains.keep(reply.chain)
             whole = self.chains.bytes_of(previous)
             if whole is None:
-                raise result.Refusal(result.Result.INTERNAL, detail="a chain came with a gap")
+                raise result.RequestError(result.ResultCode.INTERNAL, detail="a chain came with a gap")
             passage.body = whole + one.body
         self.tell(passage, "turn begun", f"behind {previous or 'nothing'}")
 
@@ -277,7 +285,7 @@
         async def ask(group: int) -> None:
             try:
                 found.append(await self.node.submit(group, entry.FindTurn(turn), self.patience(passage)))
-            except result.Refusal:
+            except result.RequestError:
                 missed.append(group)
 
         async with asyncio.TaskGroup() as tasks:
@@ -289,8 +297,8 @@
                 self.counts["chains found elsewhere"] += 1
                 return reply.chain
         if missed:
-            raise result.Refusal(result.Result.NOT_PRIMARY, detail=f"groups {missed} cannot tell", retry=LATER)
-        raise result.Refusal(result.Result.UNKNOWN_TURN, detail=turn)
+            raise result.RequestError(result.ResultCode.NOT_PRIMARY, detail=f"groups {missed} cannot tell", retry=LATER)
+        raise result.RequestError(result.ResultCode.UNKNOWN_TURN, detail=turn)
 
     async def claim_key(self, passage: Passage) -> call.Answer | None:
         """Claim the operation's key; the record's answer when it is another's.
@@ -298,20 +306,23 @@
         Example: ``known = await forwarder.claim_key(passage)``
         """
         one = passage.call
-        digest = hashlib.blake2b(b"\0".join([one.method.encode(), one.host.encode(), one.target.encode(), one.body]),
-                                 digest_size=16).digest()
+        digest = hashlib.blake2b(
+            b"\0".join([one.method.encode(), one.host.encode(), one.target.encode(), one.body]),
+            digest_size=16,
+        ).digest()
         passage.claimed = True
-        command = entry.ClaimKey(self.key_of(one), one.attempt, digest, passage.end - moment.now(), WINDOW,
-                                 self.node.life())
+        command = entry.ClaimKey(
+            self.key_of(one), one.attempt, digest, passage.end - clock.now(), WINDOW, self.node.life()
+        )
         held = await self.ask_group(passage, self.key_of(one), command)
         if held.mine:
             self.tell(passage, "key claimed")
             return None
         passage.claimed = False
         self.tell(passage, "key known", held.outcome or "at work")
-        if held.outcome == speech.DONE and held.status:
+        if held.outcome == messages.DONE and held.status:
             return call.Answer(held.status, tuple((pair.name, pair.value) for pair in held.headers), held.body)
-        raise result.Refusal(result.Result.OPERATION_IN_PROGRESS, result.Ran.UNKNOWN, held.outcome)
+        raise result.RequestError(result.ResultCode.OPERATION_IN_PROGRESS, result.Ran.UNKNOWN, held.outcome)
 
     def key_of(self, one: call.Call) -> str:
         """The operation's key within its tenant.
@@ -329,12 +340,18 @@
         """
         route = self.node.relay.plan.http_routes.get(passage.route.name)
         if route is None or (route.host, route.prefix) != (passage.route.host, passage.route.prefix):
-            raise result.Refusal(result.Result.UNKNOWN_ROUTE, detail=passage.route.name)
+            raise result.RequestError(result.ResultCode.UNKNOWN_ROUTE, detail=passage.route.name)
         passage.route = route
-        service = draw_service(route, self.node.surroundings.randomness)
+        service = draw_service(route, self.node.environment.randomness)
         candidates = self.instances.candidates(service, passage.tried, passage.repeatable())
-        chosen = choose.choose(candidates, passage.call.parts, passage.last_worker, self.node.settings.area,
-                               self.node.surroundings.randomness, most=FULL)
+        chosen = choose.choose(
+            candidates,
+            passage.call.parts,
+            passage.last_worker,
+            self.node.settings.area,
+            self.node.environment.randomness,
+            most=FULL,
+        )
         return self.instances.listed.get(chosen.name), f"{service}: {chosen.reason}"
 
     async def place(self, passage: Passage) -> instance.Instance:
@@ -342,18 +359,21 @@
 
         Example: ``chosen = await forwarder.place(passage)``
         """
-        limit = moment.now() + min(passage.route.aim or passage.route.timeout, passage.end - moment.now()) / QUARTER
+        limit = clock.now() + min(passage.route.aim or passage.route.timeout, passage.end - clock.now()) / QUARTER
         while True:
             chosen, why = self.choose(passage)
             if chosen is not None:
                 self.tell(passage, "chosen", f"{chosen.name}: {why}")
                 return chosen
-            if moment.now() >= limit:
-                raise result.Refusal(result.Result.OVERLOADED if bool(self.instances.listed) else result.Result.NO_WORKER,
-                                     detail=why, retry=SOON)
+            if clock.now() >= limit:
+                raise result.RequestError(
+                    result.ResultCode.OVERLOADED if bool(self.instances.listed) else result.ResultCode.NO_WORKER,
+                    detail=why,
+                    retry=SOON,
+                )
             self.freed.clear()
             try:
-                async with moment.limit(min(LOOK, limit - moment.now())):
+                async with clock.limit(min(LOOK, limit - clock.now())):
                     await self.freed.wait()
             except TimeoutError:
                 pass
@@ -410,14 +430,14 @@
             passage.at = chosen.name
             try:
                 return await self.attempt(passage, chosen)
-            except result.Refusal as refusal:
+            except result.RequestError as refusal:
                 self.tell(passage, "attempt failed", f"{chosen.name}: {refusal}")
                 passage.tried |= {chosen.name}
                 if refusal.ran is not result.Ran.NOT_RUN and not passage.repeatable():
                     raise
-                if passage.hedged or passage.sent >= attempts or moment.now() >= passage.end:
+                if passage.hedged or passage.sent >= attempts or clock.now() >= passage.end:
                     raise
-        raise result.Refusal(result.Result.PUT_BACK, retry=SOON)
+        raise result.RequestError(result.ResultCode.PUT_BACK, retry=SOON)
 
     async def attempt(self, passage: Passage, chosen: instance.Instance) -> call.Answer:
         """One attempt at one worker; whatever comes is counted for the choice of later ones.
@@ -429,19 +449,27 @@
         ended = False
         try:
             if self.instances.barred(chosen.name):
-                raise result.Refusal(result.Result.PUT_BACK, detail="the worker is leaving")
-            remaining = passage.end - moment.now()
-            if remaining <= moment.ZERO:
-                raise result.Refusal(result.Result.DEADLINE, retry=SOON)
+                raise result.RequestError(result.ResultCode.PUT_BACK, detail="the worker is leaving")
+            remaining = passage.end - clock.now()
+            if remaining <= clock.ZERO:
+                raise result.RequestError(result.ResultCode.DEADLINE, retry=SOON)
             service = self.node.relay.plan.services.get(chosen.service)
             most = service.max_connections if service is not None and service.max_connections else MOST_CONNECTIONS
             headers = self.dialect.request_headers(one, chosen.name, remaining)
             passage.sent += 1
             before, passage.ran = passage.ran, True
             try:
-                response = await self.pool.request(chosen.address, one.method, one.target, headers, passage.body,
-                                                   passage.end, most, self.dialect.accepts(one.attempt))
-            except result.Refusal as refusal:
+                response = await self.pool.request(
+                    chosen.address,
+                    one.method,
+                    one.target,
+                    headers,
+                    passage.body,
+                    passage.end,
+                    most,
+                    self.dialect.accepts(one.attempt),
+                )
+            except result.RequestError as refusal:
                 if refusal.ran is result.Ran.NOT_RUN:
                     passage.sent -= 1
                     passage.ran = before
@@ -452,10 +480,12 @@
             if head.misdirected or head.not_run:
                 await self.dismiss(response)
                 passage.ran = before
-                raise result.Refusal(result.Result.PUT_BACK, detail=str(head.status), retry=SOON)
+                raise result.RequestError(result.ResultCode.PUT_BACK, detail=str(head.status), retry=SOON)
             if not head.stamped and 200 <= head.status < 300:
                 await response.close(False)
-                raise result.Refusal(result.Result.WORKER_BROKE, result.Ran.UNKNOWN, "an answer without its stamp")
+                raise result.RequestError(
+                    result.ResultCode.WORKER_BROKE, result.Ran.UNKNOWN, "an answer without its stamp"
+                )
             if passage.route.kind == http_route.STREAM and 200 <= head.status < 300:
                 answer = await self.begin_stream(passage, chosen, response, head)
                 ended = True
@@ -480,7 +510,7 @@
         """
         try:
             await response.read()
-        except result.Refusal:
+        except result.RequestError:
             return
         finally:
             await response.close(True)
@@ -501,15 +531,16 @@
         if head.leaving:
             self.instances.leaving(chosen.name)
 
-    async def whole(self, passage: Passage, chosen: instance.Instance, response: pool.Response,
-                    head: call.Head) -> call.Answer:
+    async def whole(
+        self, passage: Passage, chosen: instance.Instance, response: pool.Response, head: call.Head
+    ) -> call.Answer:
         """A plain answer, read whole before any of it goes out.
 
         Example: ``answer = await forwarder.whole(passage, chosen, response, head)``
         """
         try:
             body = await response.read()
-        except result.Refusal as refusal:
+        except result.RequestError as refusal:
             self.instances.failed(chosen.name, judgement.kind_of(refusal))
             raise
         except BaseException:
@@ -520,19 +551,22 @@
         if passage.claimed:
             pairs = tuple(entry.Pair(name, value) for name, value in answer.headers)
             key = self.key_of(passage.call)
-            self.endings.offer(self.group_of(key), entry.CloseKey(
-                key, passage.call.attempt, speech.DONE, answer.status, pairs, body))
+            self.endings.offer(
+                self.group_of(key),
+                entry.CloseKey(key, passage.call.attempt, messages.DONE, answer.status, pairs, body),
+            )
             passage.claimed = False
         if passage.begun:
-            self.end_turn_later(passage, speech.UNKNOWN)
+            self.end_turn_later(passage, messages.UNKNOWN)
         self.counts["answered"] += 1
         self.tell(passage, "answered", f"{chosen.name}: {response.status}")
         return answer
 
     # -- stream ----------------------------------------------------------------------------------
 
-    async def begin_stream(self, passage: Passage, chosen: instance.Instance, response: pool.Response,
-                           head: call.Head) -> call.Answer:
+    async def begin_stream(
+        self, passage: Passage, chosen: instance.Instance, response: pool.Response, head: call.Head
+    ) -> call.Answer:
         """Wait for the stream's first bytes, then hand the rest on as it comes.
 
         Example: ``answer = await forwarder.begin_stream(passage, chosen, response, head)``
@@ -540,18 +574,28 @@
         parts = response.parts()
         try:
             first = await anext(parts, b"")
-        except result.Refusal as refusal:
+        except result.RequestError as refusal:
             self.instances.failed(chosen.name, judgement.kind_of(refusal))
             raise
         except BaseException:
             await response.close(False)
             raise
         self.tell(passage, "first part", chosen.name)
-        return call.Answer(response.status, self.dialect.answer_headers(response.headers), b"",
-                           self.stream(passage, chosen, response, parts, first))
-
-    async def stream(self, passage: Passage, chosen: instance.Instance, response: pool.Response,
-                     parts: collections.abc.AsyncIterator[bytes], first: bytes) -> collections.abc.AsyncIterator[bytes]:
+        return call.Answer(
+            response.status,
+            self.dialect.answer_headers(response.headers),
+            b"",
+            self.stream(passage, chosen, response, parts, first),
+        )
+
+    async def stream(
+        self,
+        passage: Passage,
+        chosen: instance.Instance,
+        response: pool.Response,
+        parts: collections.abc.AsyncIterator[bytes],
+        first: bytes,
+    ) -> collections.abc.AsyncIterator[bytes]:
         """The parts of a stream; it ends only once the turn is kept, and raises when it was broken off.
 
         Example: ``async for part in forwarder.stream(...): ...``
@@ -571,7 +615,7 @@
                 await self.end_turn(passage, chosen, reader)
             self.counts["answered"] += 1
             self.tell(passage, "answered", f"{chosen.name}: {reader.count} events")
-        except result.Refusal as refusal:
+        except result.RequestError as refusal:
             self.counts["streams broken"] += 1
             if not whole:
                 self.instances.failed(chosen.name, judgement.kind_of(refusal))
@@ -583,7 +627,7 @@
                 await response.close(False)
                 self.release(chosen)
             if passage.begun:
-                self.end_turn_later(passage, speech.UNKNOWN)
+                self.end_turn_later(passage, messages.UNKNOWN)
 
     async def end_turn(self, passage: Passage, chosen: instance.Instance, reader: events.Reader) -> None:
         """Have the turn kept and charged, before its caller hears of its end.
@@ -594,13 +638,21 @@
         service = self.node.relay.plan.services.get(chosen.service)
         stride = service.engine.stride if service is not None and service.engine is not None else 1
         retained = passage.route.retained
-        command = entry.EndTurn(passage.program, one.session, one.attempt, speech.DONE, one.body if retained else b"",
-                                output if retained else b"", reader.count * stride, chosen.name)
-        within = max(passage.end - moment.now(), LATER)
+        command = entry.EndTurn(
+            passage.program,
+            one.session,
+            one.attempt,
+            messages.DONE,
+            one.body if retained else b"",
+            output if retained else b"",
+            reader.count * stride,
+            chosen.name,
+        )
+        within = max(passage.end - clock.now(), LATER)
         try:
             await self.node.submit(self.group_of(passage.program), command, within)
-        except result.Refusal as refusal:
-            raise result.Refusal(result.Result.OUTCOME_UNKNOWN, result.Ran.UNKNOWN, str(refusal)) from None
+        except result.RequestError as refusal:
+            raise result.RequestError(result.ResultCode.OUTCOME_UNKNOWN, result.Ran.UNKNOWN, str(refusal)) from None
         passage.begun = False
         if retained:
             self.chains.keep((entry.Turn(one.attempt, one.previous, one.body, output, chosen.name),))
@@ -614,15 +666,17 @@
         """
         one = passage.call
         passage.begun = False
-        self.endings.offer(self.group_of(passage.program), entry.EndTurn(
-            passage.program, one.session, one.attempt, outcome, b"", b"", 0, ""))
+        self.endings.offer(
+            self.group_of(passage.program),
+            entry.EndTurn(passage.program, one.session, one.attempt, outcome, b"", b"", 0, ""),
+        )
 
     def give_up(self, passage: Passage) -> None:
         """Free or charge what was begun for a call that failed.
 
         Example: ``forwarder.give_up(passage)``
         """
-        outcome = speech.UNKNOWN if passage.ran else speech.NOT_RUN
+        outcome = messages.UNKNOWN if passage.ran else messages.NOT_RUN
         if passage.begun:
             self.end_turn_later(passage, outcome)
         if passage.claimed:
@@ -635,11 +689,11 @@
 
         Example: ``await forwarder.drain()``
         """
-        began = moment.now()
+        began = clock.now()
         self.draining = True
-        while moment.now() < began + GRACE:
-            await moment.pause(SETTLE)
-            self.closed = moment.now() > began + UNREADY
+        while clock.now() < began + GRACE:
+            await clock.sleep(SETTLE)
+            self.closed = clock.now() > began + UNREADY
             if self.closed and not self.active and not self.endings.open():
                 return
 
@@ -648,11 +702,16 @@
 
         Example: ``forwarder.samples()[0].name``
         """
-        found = [sample.sample("aspencroft_calls_active", self.active),
-                 sample.sample("aspencroft_calls_asked_total", self.counts["asked"]),
-                 sample.sample("aspencroft_calls_answered_total", self.counts["answered"])]
-        found.extend(sample.sample("aspencroft_calls_refused_total", count, result=name.split()[1])
-                     for name, count in sorted(self.counts.items()) if name.startswith("refused "))
+        found = [
+            sample.sample("aspencroft_calls_active", self.active),
+            sample.sample("aspencroft_calls_asked_total", self.counts["asked"]),
+            sample.sample("aspencroft_calls_answered_total", self.counts["answered"]),
+        ]
+        found.extend(
+            sample.sample("aspencroft_calls_refused_total", count, result=name.split()[1])
+            for name, count in sorted(self.counts.items())
+            if name.startswith("refused ")
+        )
         return found
 
 
--- a/aspencroft/forward/forwarder_test.py
+++ b/aspencroft/proxy/forwarder_test.py
@@ -5,32 +5,38 @@
 import random
 import types
 
-import aspencroft.code.result as result
-import aspencroft.forward.call as call
-import aspencroft.forward.forwarder as forwarder
-import aspencroft.forward.instance as instance
-import aspencroft.forward.instances as instances
-import aspencroft.plan.http_route as http_route
-import aspencroft.plan.route_table as route_table
-import aspencroft.seam.moment as moment
-import aspencroft.seam.surroundings as surroundings
-import aspencroft.sim.loop as loop
-import aspencroft.sim.wire as wire
-import aspencroft.stand.worker_server as worker_server
-import aspencroft.worker.pool as pool
-
-ROUTE = {"host": "h", "prefix": "/", "kind": "safe", "targets": [{"service": "tool"}], "attempts": 3, "timeout": 2.0, "aim": 0.4}
+from aspencroft.configuration import http_route, route_table
+from aspencroft.emulator import worker_server
+from aspencroft.errors import result
+from aspencroft.proxy import call, forwarder, instance, instances
+from aspencroft.runtime import clock, environment
+from aspencroft.simulation import loop, wire
+from aspencroft.workers import pool
+
+ROUTE = {
+    "host": "h",
+    "prefix": "/",
+    "kind": "safe",
+    "targets": [{"service": "tool"}],
+    "attempts": 3,
+    "timeout": 2.0,
+    "aim": 0.4,
+}
 
 
 def own_node(simulated_wire, route):
     """Of a node just what the forwarding of plain calls asks for."""
-    around = surroundings.Surroundings(wire.SimNetwork(simulated_wire, "edge"), None, None, random.Random(3), None)
+    around = environment.Environment(wire.SimNetwork(simulated_wire, "edge"), None, None, random.Random(3), None)
     table = route_table.EMPTY.changed((), (route,))
     plan = types.SimpleNamespace(http_routes={route.name: route}, services={}, route_table=table)
     return types.SimpleNamespace(
-        address="edge:1", surroundings=around, sampled=[], stopping=asyncio.Event(),
+        address="edge:1",
+        environment=around,
+        sampled=[],
+        stopping=asyncio.Event(),
         settings=types.SimpleNamespace(pairs=2, talk_pairs=1, area="north", address="edge:1"),
-        relay=types.SimpleNamespace(plan=plan, current=lambda: True))
+        relay=types.SimpleNamespace(plan=plan, current=lambda: True),
+    )
 
 
 def played(story, *troubles, **route):
@@ -46,11 +52,16 @@
             life.faults = worker_server.Faults(**trouble)
             lives.append(life)
             simulated.create_task(life.serve(wire.SimNetwork(ways, f"w{number}"), f"w{number}:80"))
-        known.take([instance.Instance(life.name, f"w{number}:80", "tool", "north", "v1", 6, False, moment.ZERO)
-                    for number, life in enumerate(lives)], moment.now())
-        connections = pool.Pool(own.surroundings, collections.Counter())
+        known.take(
+            [
+                instance.Instance(life.name, f"w{number}:80", "tool", "north", "v1", 6, False, clock.ZERO)
+                for number, life in enumerate(lives)
+            ],
+            clock.now(),
+        )
+        connections = pool.Pool(own.environment, collections.Counter())
         forwarding = forwarder.Forwarder(own, worker_server.StandDialect(), known, connections)
-        await moment.pause(moment.seconds(0.01))
+        await clock.sleep(clock.seconds(0.01))
         return await story(forwarding, lives)
 
     try:
@@ -60,14 +71,22 @@
 
 
 def asked(within=1.0, work=b"5"):
-    return call.Call("GET", "/x", "h", ((b"host", b"h"), (b"x-attempt", b"a1"), (b"x-work-ms", work)), b"", "a1",
-                     moment.seconds(within), moment.now())
+    return call.Call(
+        "GET",
+        "/x",
+        "h",
+        ((b"host", b"h"), (b"x-attempt", b"a1"), (b"x-work-ms", work)),
+        b"",
+        "a1",
+        clock.seconds(within),
+        clock.now(),
+    )
 
 
 async def refusal_of(forwarding):
     try:
         await forwarding.take(asked())
-    except result.Refusal as refusal:
+    except result.RequestError as refusal:
         return refusal
 
 
@@ -97,11 +116,11 @@
     async def story(forwarding, lives):
         for pause in (0.011, 0.02, 0.03, 0.04, 0.05):
             task = asyncio.ensure_future(forwarding.take(asked()))
-            await moment.pause(moment.seconds(pause))
+            await clock.sleep(clock.seconds(pause))
             task.cancel()
             await asyncio.wait([task])
         resting = sum(len(row) for row in forwarding.pool.resting.values())
-        await moment.pause(moment.seconds(0.2))
+        await clock.sleep(clock.seconds(0.2))
         running = forwarding.instances.known["i-0"].running
         return forwarding.pool.total - resting, lives[0].open - resting, forwarding.active, running
 
@@ -111,7 +130,7 @@
 def test_work_that_may_be_repeated_is_asked_of_another_worker_when_one_is_silent_beyond_the_aim():
     async def story(forwarding, lives):
         answer = await forwarding.take(asked())
-        return answer.status, forwarding.counts["hedged"], moment.now() < moment.seconds(0.6), forwarding.active
+        return answer.status, forwarding.counts["hedged"], clock.now() < clock.seconds(0.6), forwarding.active
 
     for silent in (0, 1):
         troubles = [{}, {}]
@@ -126,6 +145,14 @@
         refusal = await refusal_of(forwarding)
         return refusal.ran, sum(len(life.runs) for life in lives), forwarding.active
 
-    assert played(story, {"silent": 1.0}, {"silent": 1.0}, {"silent": 1.0}, attempts=2) == (result.Ran.UNKNOWN, 2, 0)
+    assert played(story, {"silent": 1.0}, {"silent": 1.0}, {"silent": 1.0}, attempts=2) == (
+        result.Ran.UNKNOWN,
+        2,
+        0,
+    )
     assert played(story, {"silent": 1.0}, {"silent": 1.0}, attempts=1) == (result.Ran.UNKNOWN, 1, 0)
-    assert played(story, {"silent": 1.0}, {"silent": 1.0}, kind="non_idempotent") == (result.Ran.UNKNOWN, 1, 0)
+    assert played(story, {"silent": 1.0}, {"silent": 1.0}, kind="non_idempotent") == (
+        result.Ran.UNKNOWN,
+        1,
+        0,
+    )
--- a/aspencroft/forward/instances.py
+++ b/aspencroft/proxy/instances.py
@@ -5,18 +5,16 @@
 import datetime
 import math
 
-import aspencroft.forward.choose as choose
-import aspencroft.forward.instance as instance
-import aspencroft.forward.judgement as judgement
-import aspencroft.seam.moment as moment
+from aspencroft.proxy import choose, instance, judgement
+from aspencroft.runtime import clock
 
-FIRST_BAR, MOST_BAR = moment.seconds(0.25), moment.seconds(8)
-FORGIVEN = moment.seconds(20)
-MISDIRECTED = moment.seconds(4)
-FIRST_CROWD, MOST_CROWD = moment.seconds(0.05), moment.seconds(0.8)
-CLOSES, LEAVING = 3, moment.seconds(1.5)
-DECAY = moment.seconds(1)
-FORGOTTEN = moment.seconds(60)
+FIRST_BAR, MOST_BAR = clock.seconds(0.25), clock.seconds(8)
+FORGIVEN = clock.seconds(20)
+MISDIRECTED = clock.seconds(4)
+FIRST_CROWD, MOST_CROWD = clock.seconds(0.05), clock.seconds(0.8)
+CLOSES, LEAVING = 3, clock.seconds(1.5)
+DECAY = clock.seconds(1)
+FORGOTTEN = clock.seconds(60)
 
 
 @dataclasses.dataclass
@@ -29,15 +27,15 @@
     told_at: datetime.timedelta | None = None
     slots: int = 0
     failures: int = 0
-    failed_at: datetime.timedelta = moment.ZERO
-    barred_until: datetime.timedelta = moment.ZERO
+    failed_at: datetime.timedelta = clock.ZERO
+    barred_until: datetime.timedelta = clock.ZERO
     crowds: int = 0
-    crowded_until: datetime.timedelta = moment.ZERO
+    crowded_until: datetime.timedelta = clock.ZERO
     closes: int = 0
     closed: bool = False
-    leaving_until: datetime.timedelta = moment.ZERO
+    leaving_until: datetime.timedelta = clock.ZERO
     wrong: int = 0
-    wrong_until: datetime.timedelta = moment.ZERO
+    wrong_until: datetime.timedelta = clock.ZERO
 
     def load(self, now: datetime.timedelta) -> float:
         """The load in requests: our own, and those of others as told, which count for less with age.
@@ -100,7 +98,7 @@
 
         Example: ``instances.age() > moment.seconds(2.5)``
         """
-        return None if self.fresh_at is None else moment.now() - self.fresh_at
+        return None if self.fresh_at is None else clock.now() - self.fresh_at
 
     def of(self, service: str) -> tuple[instance.Instance, ...]:
         """A service's workers that are neither draining nor gone.
@@ -118,10 +116,11 @@
         if one is None or name in self.drained:
             return True
         known = self.known.get(name)
-        return known is not None and known.wrong_until > moment.now()
+        return known is not None and known.wrong_until > clock.now()
 
-    def candidates(self, service: str, without: frozenset[str] = frozenset(),
-                   repeatable: bool = True) -> tuple[choose.Candidate, ...]:
+    def candidates(
+        self, service: str, without: frozenset[str] = frozenset(), repeatable: bool = True
+    ) -> tuple[choose.Candidate, ...]:
         """What to choose from; ``without`` names those that were tried.
 
         Workers that are judged unsound are left out while any other is there. A request that is not
@@ -129,8 +128,8 @@
 
         Example: ``choose.choose(instances.candidates("chat"), (), "", "north", randomness)``
         """
-        now, found, held = moment.now(), [], []
-        since = now - self.seen_at if self.seen_at is not None else moment.ZERO
+        now, found, held = clock.now(), [], []
+        since = now - self.seen_at if self.seen_at is not None else clock.ZERO
         for one in self.services.get(service, ()):
             if one.name in without:
                 continue
@@ -138,8 +137,15 @@
             if known is None:
                 found.append(choose.Candidate(one.name, one.zone, one.slots, 0.0, one.cold > since))
             elif known.wrong_until <= now:
-                candidate = choose.Candidate(one.name, one.zone, known.slots or one.slots, known.load(now), one.cold > since,
-                                             known.barred_until > now or known.leaving_until > now, known.crowded_until > now)
+                candidate = choose.Candidate(
+                    one.name,
+                    one.zone,
+                    known.slots or one.slots,
+                    known.load(now),
+                    one.cold > since,
+                    known.barred_until > now or known.leaving_until > now,
+                    known.crowded_until > now,
+                )
                 if one.name in self.judgement.records:
                     candidate.doubtful = candidate.doubtful or self.judgement.suspect(one.name, repeatable, now)
                     if not self.judgement.admits(one.name, repeatable, now):
@@ -171,7 +177,7 @@
         Example: ``instances.told("i-1", 3, 0, 8)``
         """
         known = self.known[name]
-        known.told, known.told_running, known.told_at = running + waiting, known.running, moment.now()
+        known.told, known.told_running, known.told_at = running + waiting, known.running, clock.now()
         if slots > 0:
             known.slots = slots
 
@@ -181,7 +187,7 @@
         Example: ``instances.load("i-1") >= 0``
         """
         known = self.known.get(name)
-        return known.load(moment.now()) if known is not None else 0.0
+        return known.load(clock.now()) if known is not None else 0.0
 
     def answered(self, name: str, kind: str = judgement.GOOD) -> None:
         """A worker answered a request, well or with a failure of its own (a kind of ``judgement``).
@@ -192,11 +198,11 @@
         """
         known = self.known[name]
         known.failures = known.crowds = known.wrong = 0
-        known.barred_until = known.crowded_until = moment.ZERO
+        known.barred_until = known.crowded_until = clock.ZERO
         if known.closed:
             known.closed = False
         else:
-            known.closes, known.leaving_until = 0, moment.ZERO
+            known.closes, known.leaving_until = 0, clock.ZERO
         self.heard(name, kind)
 
     def failed(self, name: str, kind: str = judgement.LOST) -> None:
@@ -210,7 +216,7 @@
         self.heard(name, kind)
         if kind in ("", judgement.LATE, judgement.STALE):
             return
-        known, now = self.known[name], moment.now()
+        known, now = self.known[name], clock.now()
         if now - known.failed_at > FORGIVEN:
             known.failures = 0
         if known.barred_until <= now:
@@ -225,14 +231,14 @@
         """
         one = self.listed.get(name)
         if one is not None:
-            self.judgement.heard(one.service, name, kind, moment.now())
+            self.judgement.heard(one.service, name, kind, clock.now())
 
     def full(self, name: str) -> None:
         """A worker turned a request away without running it: it is crowded for a moment.
 
         Example: ``instances.full("i-1")``
         """
-        known, now = self.known[name], moment.now()
+        known, now = self.known[name], clock.now()
         if known.crowded_until <= now:
             known.crowds += 1
         known.crowded_until = now + min(MOST_CROWD, FIRST_CROWD * 2 ** min(known.crowds - 1, 16))
@@ -245,7 +251,7 @@
         known = self.known[name]
         known.closes, known.closed = known.closes + 1, True
         if known.closes >= CLOSES:
-            known.leaving_until = moment.now() + LEAVING
+            known.leaving_until = clock.now() + LEAVING
 
     def misdirected(self, name: str) -> None:
         """Another worker has the address: this one is gone, unless the list goes on naming it for long.
@@ -254,5 +260,4 @@
         """
         known = self.known[name]
         known.wrong += 1
-        known.wrong_until = moment.now() + MISDIRECTED * 2 ** min(known.wrong - 1, 8)
-
+        known.wrong_until = clock.now() + MISDIRECTED * 2 ** min(known.wrong - 1, 8)
--- a/aspencroft/forward/instances_test.py
+++ b/aspencroft/proxy/instances_test.py
@@ -4,11 +4,9 @@
 import collections.abc
 import random
 
-import aspencroft.forward.choose as choose
-import aspencroft.forward.instance as instance
-import aspencroft.forward.instances as instances
-import aspencroft.seam.moment as moment
-import aspencroft.sim.loop as loop
+from aspencroft.proxy import choose, instance, instances
+from aspencroft.runtime import clock
+from aspencroft.simulation import loop
 
 
 def worker(name: str, service: str = "chat", draining: bool = False, cold: float = 0.0) -> instance.Instance:
@@ -16,7 +14,7 @@
 
     Example: ``worker("i-1", draining=True)``
     """
-    return instance.Instance(name, f"{name}:80", service, "a", "v1", 8, draining, moment.seconds(cold))
+    return instance.Instance(name, f"{name}:80", service, "a", "v1", 8, draining, clock.seconds(cold))
 
 
 def play(acts: collections.abc.Callable) -> None:
@@ -39,25 +37,27 @@
 def test_the_list_says_who_serves_what():
     async def acts(known):
         assert known.of("chat") == () and known.barred("a") and known.age() is None
-        known.take([worker("a"), worker("b", draining=True), worker("c", "tool")], moment.now())
+        known.take([worker("a"), worker("b", draining=True), worker("c", "tool")], clock.now())
         assert names(known.of("chat")) == ["a"] and names(known.of("tool")) == ["c"]
         assert [known.barred(name) for name in "abcd"] == [False, True, False, True]
         await asyncio.sleep(1)
-        assert known.age() == moment.seconds(1)
-        known.confirm(moment.now())
-        known.take([worker("x")], moment.seconds(0.5) - moment.seconds(1))
-        assert known.age() == moment.ZERO and names(known.of("chat")) == ["a"], "an older list is left"
-        known.take([], moment.now())
+        assert known.age() == clock.seconds(1)
+        known.confirm(clock.now())
+        known.take([worker("x")], clock.seconds(0.5) - clock.seconds(1))
+        assert known.age() == clock.ZERO and names(known.of("chat")) == ["a"], "an older list is left"
+        known.take([], clock.now())
         assert known.of("chat") == () and known.barred("a")
+
     play(acts)
 
 
 def test_a_worker_seen_draining_stays_so_when_an_older_list_comes_late():
     async def acts(known):
-        known.take([worker("a"), worker("b", draining=True)], moment.now())
+        known.take([worker("a"), worker("b", draining=True)], clock.now())
         await asyncio.sleep(0.1)
-        known.take([worker("a"), worker("b")], moment.now())
+        known.take([worker("a"), worker("b")], clock.now())
         assert names(known.of("chat")) == ["a"] and known.barred("b")
+
     play(acts)
 
 
@@ -79,7 +79,7 @@
                 listed = [worker(name, draining=name in drained) for name in sorted(alive)]
                 chance.shuffle(listed)
                 if chance.random() < 0.6:
-                    known.take(listed, moment.now())
+                    known.take(listed, clock.now())
                     shown = {one.name for one in listed if one.draining}
                     assert all(known.barred(name) for name in shown | gone)
                 for parts in ((), ((f"{step % 7}", 900),)):
@@ -87,7 +87,7 @@
                     chosen = choose.choose(known.candidates("chat"), parts, last, "a", chance)
                     await asyncio.sleep(chance.random() * 0.3)
                     if chosen.name and chance.random() < 0.5:
-                        known.take(listed, moment.now())
+                        known.take(listed, clock.now())
                         if known.barred(chosen.name):
                             assert chosen.name in drained | gone
                             continue
@@ -97,12 +97,13 @@
                         if chosen.name and chance.random() < 0.1:
                             tell(chosen.name)
             assert sent > 20
+
         play(acts)
 
 
 def test_own_requests_count_whole_and_those_of_others_fade():
     async def acts(known):
-        known.take([worker("a")], moment.now())
+        known.take([worker("a")], clock.now())
         for _ in range(3):
             known.begin("a")
         known.told("a", 7, 2, 16)
@@ -118,21 +119,22 @@
         for _ in range(5):
             known.end("a")
         assert known.load("a") == 0.0
+
     play(acts)
 
 
 def test_failures_make_a_worker_doubtful_for_a_while_that_grows_and_one_answer_forgives():
     async def acts(known):
-        known.take([worker("a")], moment.now())
+        known.take([worker("a")], clock.now())
         spans = []
         for _ in range(8):
             known.failed("a")
             known.failed("a")
-            began = moment.now()
+            began = clock.now()
             assert known.candidates("chat")[0].doubtful and not known.barred("a")
             while known.candidates("chat")[0].doubtful:
                 await asyncio.sleep(0.05)
-            spans.append((moment.now() - began).total_seconds())
+            spans.append((clock.now() - began).total_seconds())
         assert spans[0] < 0.35 and spans[1] > 1.4 * spans[0] and 7 < spans[-1] < 9, spans
         known.failed("a")
         known.answered("a")
@@ -140,12 +142,13 @@
         known.failed("a")
         await asyncio.sleep(0.35)
         assert not known.candidates("chat")[0].doubtful
+
     play(acts)
 
 
 def test_a_worker_that_turned_a_request_away_is_crowded_for_a_moment():
     async def acts(known):
-        known.take([worker("a"), worker("b")], moment.now())
+        known.take([worker("a"), worker("b")], clock.now())
         known.full("a")
         assert [one.crowded for one in known.candidates("chat")] == [True, False]
         await asyncio.sleep(0.06)
@@ -159,12 +162,13 @@
         await asyncio.sleep(0.2)
         assert not known.candidates("chat")[0].crowded
         assert names(known.candidates("chat", frozenset("a"))) == ["b"]
+
     play(acts)
 
 
 def test_one_closed_connection_is_nothing_but_several_in_a_row_say_that_a_worker_leaves():
     async def acts(known):
-        known.take([worker("a")], moment.now())
+        known.take([worker("a")], clock.now())
         for _ in range(5):
             known.answered("a")
             known.leaving("a")
@@ -178,12 +182,13 @@
         assert known.candidates("chat")[0].doubtful and not known.barred("a")
         await asyncio.sleep(1.6)
         assert not known.candidates("chat")[0].doubtful
+
     play(acts)
 
 
 def test_an_address_that_another_worker_has_bars_its_life_for_longer_each_time():
     async def acts(known):
-        known.take([worker("a"), worker("b")], moment.now())
+        known.take([worker("a"), worker("b")], clock.now())
         for span in (4, 8):
             known.misdirected("a")
             assert known.barred("a") and names(known.of("chat")) == ["b"]
@@ -191,29 +196,32 @@
             assert known.barred("a")
             await asyncio.sleep(0.2)
             assert not known.barred("a")
+
     play(acts)
 
 
 def test_cold_workers_become_warm_with_time():
     async def acts(known):
-        known.take([worker("a", cold=2.0)], moment.now())
+        known.take([worker("a", cold=2.0)], clock.now())
         assert known.candidates("chat")[0].cold
         await asyncio.sleep(2.1)
         assert not known.candidates("chat")[0].cold
+
     play(acts)
 
 
 def test_knowledge_of_workers_that_are_gone_goes_once_nothing_runs_there():
     async def acts(known):
-        known.take([worker("a"), worker("b", draining=True)], moment.now())
+        known.take([worker("a"), worker("b", draining=True)], clock.now())
         known.begin("a")
         known.told("b", 1, 0, 8)
-        known.take([], moment.now())
+        known.take([], clock.now())
         assert set(known.known) == {"a"}
         known.end("a")
         assert not known.known
         for number in range(200):
             await asyncio.sleep(1)
-            known.take([worker(f"i-{number}", draining=True)], moment.now())
+            known.take([worker(f"i-{number}", draining=True)], clock.now())
         assert len(known.drained) < 70
+
     play(acts)
--- a/aspencroft/forward/judgement.py
+++ b/aspencroft/proxy/judgement.py
@@ -5,33 +5,45 @@
 import datetime
 import math
 
-import aspencroft.code.result as result
-import aspencroft.seam.moment as moment
-import aspencroft.worker.pool as pools
-
-GOOD, FAILED, BROKE, LOST, STALE, UNREACHED, LATE = "good", "failed", "broke", "lost", "stale", "unreached", "late"
+import aspencroft.workers.pool as pools
+from aspencroft.errors import result
+from aspencroft.runtime import clock
+
+GOOD, FAILED, BROKE, LOST, STALE, UNREACHED, LATE = (
+    "good",
+    "failed",
+    "broke",
+    "lost",
+    "stale",
+    "unreached",
+    "late",
+)
 WEIGHTS = {FAILED: 1.0, BROKE: 1.0, LOST: 1.0, STALE: 0.5, UNREACHED: 1.0, LATE: 0.5}
-WINDOW = moment.seconds(8)
+WINDOW = clock.seconds(8)
 LEAST = 2.5
 WORST_SHARE = 0.08
 SUSPECT_SHARE = 0.05
 RETURN_SHARE = 0.2
 PRIOR_BAD, PRIOR = 0.2, 10.0
 MOST_EJECTED = 3
-FIRST_SPAN, MOST_SPAN = moment.seconds(2), moment.seconds(16)
-FORGIVEN = moment.seconds(30)
+FIRST_SPAN, MOST_SPAN = clock.seconds(2), clock.seconds(16)
+FORGIVEN = clock.seconds(30)
 FIRST_SHARE, GROWTH = 0.1, 1.5
 
 
-def kind_of(refusal: result.Refusal) -> str:
+def kind_of(refusal: result.RequestError) -> str:
     """How a request ended at a worker, by the pool's refusal; nothing when that tells nothing of the worker.
 
     Example: ``kind_of(refusal) == judgement.BROKE``
     """
     if isinstance(refusal, pools.Lost) and refusal.reused:
         return STALE
-    return {result.Result.UNREACHABLE: UNREACHED, result.Result.WORKER_LOST: LOST, result.Result.WORKER_BROKE: BROKE,
-            result.Result.DEADLINE: LATE if refusal.ran is not result.Ran.NOT_RUN else ""}.get(refusal.result, "")
+    return {
+        result.ResultCode.UNREACHABLE: UNREACHED,
+        result.ResultCode.WORKER_LOST: LOST,
+        result.ResultCode.WORKER_BROKE: BROKE,
+        result.ResultCode.DEADLINE: LATE if refusal.ran is not result.Ran.NOT_RUN else "",
+    }.get(refusal.result, "")
 
 
 def peer_rate(bad: float, total: float) -> float:
@@ -58,10 +70,10 @@
     service: str
     good: float = 0.0
     bad: collections.Counter = dataclasses.field(default_factory=collections.Counter)
-    at: datetime.timedelta = moment.ZERO
-    ejected_until: datetime.timedelta = moment.ZERO
+    at: datetime.timedelta = clock.ZERO
+    ejected_until: datetime.timedelta = clock.ZERO
     ejected_at: datetime.timedelta | None = None
-    span: datetime.timedelta = moment.ZERO
+    span: datetime.timedelta = clock.ZERO
     share: float = 1.0
     credit: float = 0.0
     limited: bool = False
--- a/aspencroft/forward/judgement_test.py
+++ b/aspencroft/proxy/judgement_test.py
@@ -5,14 +5,11 @@
 import collections.abc
 import random
 
-import aspencroft.code.result as result
-import aspencroft.forward.choose as choose
-import aspencroft.forward.instance as instance
-import aspencroft.forward.instances as instances
-import aspencroft.forward.judgement as judgement
-import aspencroft.seam.moment as moment
-import aspencroft.sim.loop as loop
-import aspencroft.worker.pool as pools
+import aspencroft.workers.pool as pools
+from aspencroft.errors import result
+from aspencroft.proxy import choose, instance, instances, judgement
+from aspencroft.runtime import clock
+from aspencroft.simulation import loop
 
 
 class Service:
@@ -34,11 +31,16 @@
 
         Example: ``await service.run(10)``
         """
-        end = moment.now() + moment.seconds(seconds)
-        while moment.now() < end:
-            now = moment.now()
-            self.known.take([instance.Instance(name, f"{name}:80", "chat", "a", "v1", 16, False, moment.ZERO)
-                             for name in self.names], now)
+        end = clock.now() + clock.seconds(seconds)
+        while clock.now() < end:
+            now = clock.now()
+            self.known.take(
+                [
+                    instance.Instance(name, f"{name}:80", "chat", "a", "v1", 16, False, clock.ZERO)
+                    for name in self.names
+                ],
+                now,
+            )
             chosen = choose.choose(self.known.candidates("chat", repeatable=repeatable), (), "", "a", self.chance).name
             self.known.begin(chosen)
             likely, kind = self.fails(chosen, now.total_seconds())
@@ -53,7 +55,7 @@
                 self.known.failed(chosen, kind)
             self.known.end(chosen)
             records = self.known.judgement.records.values()
-            self.most_out = max(self.most_out, sum(one.ejected_until > moment.now() for one in records))
+            self.most_out = max(self.most_out, sum(one.ejected_until > clock.now() for one in records))
 
     def share(self, name: str, since: float, until: float = 1e9) -> float:
         """A worker's share of the requests sent in a time.
@@ -86,10 +88,16 @@
 def test_a_worker_that_fails_a_part_of_its_requests_is_left_out_whatever_way_it_fails():
     for kind in (judgement.FAILED, judgement.BROKE, judgement.LOST, judgement.UNREACHED):
         for seed in range(10):
+
             async def acts(service):
                 await service.run(40)
+
             service = play(seed, 6, lambda name, now: (0.35 if name == "i-3" else 0.01, kind), acts)
-            assert service.share("i-3", 8) < 0.06 and service.bad(8) < 0.035, (kind, seed, service.share("i-3", 8))
+            assert service.share("i-3", 8) < 0.06 and service.bad(8) < 0.035, (
+                kind,
+                seed,
+                service.share("i-3", 8),
+            )
             assert service.known.judgement.counts["ejected"] >= 2
 
 
@@ -97,18 +105,29 @@
     for likely in (0.0, 0.02, 0.1, 0.5, 1.0):
         ejected = 0
         for seed in range(10):
+
             async def acts(service):
                 await service.run(30)
-            ejected += play(seed, 6, lambda name, now: (likely, judgement.FAILED), acts).known.judgement.counts["ejected"]
+
+            ejected += play(seed, 6, lambda name, now: (likely, judgement.FAILED), acts).known.judgement.counts[
+                "ejected"
+            ]
         assert ejected <= 5, (likely, ejected)
 
 
 def test_never_more_than_a_third_of_a_service_is_out():
     for count, most in ((1, 0), (2, 0), (3, 1), (5, 1), (6, 2), (9, 3)):
         for seed in range(5):
+
             async def acts(service):
                 await service.run(25)
-            service = play(seed, count, lambda name, now: (0.9 if int(name[2:]) % 2 == 0 else 0.0, judgement.FAILED), acts)
+
+            service = play(
+                seed,
+                count,
+                lambda name, now: (0.9 if int(name[2:]) % 2 == 0 else 0.0, judgement.FAILED),
+                acts,
+            )
             assert service.most_out <= most, (count, seed)
             assert most == 0 or service.most_out > 0
 
@@ -116,6 +135,7 @@
 def test_a_bad_worker_that_must_not_go_out_comes_after_the_others():
     async def acts(service):
         await service.run(30)
+
     service = play(3, 2, lambda name, now: (0.5 if name == "i-0" else 0.0, judgement.FAILED), acts)
     assert service.most_out == 0 and service.share("i-0", 10) < 0.1
     assert service.known.judgement.counts["not ejected"]
@@ -124,9 +144,10 @@
 def test_a_worker_that_got_well_comes_back_by_small_shares():
     async def acts(service):
         await service.run(10)
-        assert service.known.judgement.why("i-3", moment.now())
+        assert service.known.judgement.why("i-3", clock.now())
         await service.run(50)
-        assert not service.known.judgement.why("i-3", moment.now())
+        assert not service.known.judgement.why("i-3", clock.now())
+
     service = play(1, 6, lambda name, now: (0.8 if name == "i-3" and now < 10 else 0.0, judgement.BROKE), acts)
     until = max(record.ejected_until for record in service.known.judgement.records.values()).total_seconds()
     assert service.share("i-3", until, until + 1.5) < 0.1, "small shares first"
@@ -136,28 +157,31 @@
 def test_a_worker_that_flaps_goes_out_for_longer_each_time():
     async def acts(service):
         await service.run(60)
+
     service = play(2, 6, lambda name, now: (0.9 if name == "i-3" and now % 6 < 3 else 0.0, judgement.LOST), acts)
-    assert service.known.judgement.records["i-3"].span >= moment.seconds(8)
+    assert service.known.judgement.records["i-3"].span >= clock.seconds(8)
     assert service.share("i-3", 20) < 0.08
 
 
 def test_requests_sent_once_only_go_to_sound_workers_first():
     async def acts(service):
         await service.run(20, repeatable=False)
+
     every = play(1, 6, lambda name, now: (0.12 if name == "i-3" else 0.0, judgement.BROKE), acts)
     assert every.share("i-3", 5) < 0.1
 
     async def back(service):
         await service.run(10)
-        service.known.judgement.records["i-3"].ejected_until = moment.now()
+        service.known.judgement.records["i-3"].ejected_until = clock.now()
         service.known.judgement.records["i-3"].share = 0.3
-        began = moment.now().total_seconds()
+        began = clock.now().total_seconds()
         await service.run(3, repeatable=False)
         assert service.share("i-3", began) == 0.0, "one that comes back is tried with what may be repeated"
-        service.known.judgement.records["i-3"].ejected_until = moment.now()
-        began = moment.now().total_seconds()
+        service.known.judgement.records["i-3"].ejected_until = clock.now()
+        began = clock.now().total_seconds()
         await service.run(6)
         assert service.share("i-3", began) > 0.0
+
     play(2, 6, lambda name, now: (0.9 if name == "i-3" and now < 10 else 0.0, judgement.BROKE), back)
 
 
@@ -165,16 +189,18 @@
     async def acts(service):
         await service.run(20)
         without = frozenset(service.names) - {"i-3"}
-        assert service.known.judgement.why("i-3", moment.now())
+        assert service.known.judgement.why("i-3", clock.now())
         for repeatable in (True, False):
             assert [one.name for one in service.known.candidates("chat", without, repeatable)] == ["i-3"]
+
     play(1, 6, lambda name, now: (0.9 if name == "i-3" else 0.0, judgement.BROKE), acts)
 
 
 def test_a_suspicion_that_was_limited_ends_once_the_worker_is_well():
     async def acts(service):
         await service.run(50)
-        assert not service.known.judgement.suspect("i-0", True, moment.now())
+        assert not service.known.judgement.suspect("i-0", True, clock.now())
+
     play(3, 2, lambda name, now: (0.5 if name == "i-0" and now < 15 else 0.0, judgement.FAILED), acts)
 
 
@@ -186,23 +212,28 @@
 
 def test_refusals_of_the_pool_tell_how_a_request_ended():
     def refusal(kind, ran=result.Ran.UNKNOWN):
-        return judgement.kind_of(result.Refusal(kind, ran))
+        return judgement.kind_of(result.RequestError(kind, ran))
+
     assert judgement.kind_of(pools.Lost(True, "")) == judgement.STALE
     assert judgement.kind_of(pools.Lost(False, "")) == judgement.LOST
-    assert refusal(result.Result.UNREACHABLE, result.Ran.NOT_RUN) == judgement.UNREACHED
-    assert refusal(result.Result.WORKER_BROKE) == judgement.BROKE and refusal(result.Result.DEADLINE) == judgement.LATE
-    assert refusal(result.Result.DEADLINE, result.Ran.NOT_RUN) == "" and refusal(result.Result.OVERLOADED) == ""
-    assert refusal(result.Result.MALFORMED) == ""
+    assert refusal(result.ResultCode.UNREACHABLE, result.Ran.NOT_RUN) == judgement.UNREACHED
+    assert (
+        refusal(result.ResultCode.WORKER_BROKE) == judgement.BROKE
+        and refusal(result.ResultCode.DEADLINE) == judgement.LATE
+    )
+    assert refusal(result.ResultCode.DEADLINE, result.Ran.NOT_RUN) == "" and refusal(result.ResultCode.OVERLOADED) == ""
+    assert refusal(result.ResultCode.MALFORMED) == ""
 
 
 def test_what_is_known_of_workers_that_are_gone_goes():
     async def acts(service):
         await service.run(10)
         assert service.known.judgement.records
-        service.known.take([], moment.now())
+        service.known.take([], clock.now())
         assert not service.known.judgement.records
         service.known.failed("i-0", judgement.LOST)
         assert not service.known.judgement.records
+
     play(1, 6, lambda name, now: (0.3, judgement.BROKE), acts)
 
 
@@ -210,9 +241,10 @@
     async def acts(service):
         while not service.most_out:
             await service.run(0.5)
-        said = service.known.judgement.why("i-3", moment.now())
+        said = service.known.judgement.why("i-3", clock.now())
         assert said.startswith("i-3 gets nothing for") and "broke" in said and "% expected" in said
-        assert collections.Counter(service.known.judgement.why(name, moment.now()) for name in service.names)[""] == 5
+        assert collections.Counter(service.known.judgement.why(name, clock.now()) for name in service.names)[""] == 5
+
     play(1, 6, lambda name, now: (0.9 if name == "i-3" else 0.0, judgement.BROKE), acts)
 
 
@@ -226,8 +258,8 @@
     judged.take({"chat": frozenset(names)})
     for name in names:
         for _ in range(4):
-            judged.heard("chat", name, judgement.BROKE if name == "i-3" else judgement.GOOD, moment.seconds(at))
-    assert not judged.admits("i-3", True, moment.seconds(at))
+            judged.heard("chat", name, judgement.BROKE if name == "i-3" else judgement.GOOD, clock.seconds(at))
+    assert not judged.admits("i-3", True, clock.seconds(at))
     return judged
 
 
@@ -236,7 +268,7 @@
 
     Example: ``admitted(judged, 9.0) == 100``
     """
-    return sum(judged.admits("i-3", True, moment.seconds(at)) for _ in range(100))
+    return sum(judged.admits("i-3", True, clock.seconds(at)) for _ in range(100))
 
 
 def test_shares_grow_with_each_good_answer():
@@ -245,33 +277,33 @@
     shares = []
     for _ in range(8):
         shares.append(admitted(judged, 7.1))
-        judged.heard("chat", "i-3", judgement.GOOD, moment.seconds(7.1))
+        judged.heard("chat", "i-3", judgement.GOOD, clock.seconds(7.1))
     assert shares[0] in (9, 10) and shares[1] in (14, 15, 16) and shares[-1] == 100 and shares == sorted(shares)
 
 
 def test_a_bad_answer_on_the_way_back_puts_a_worker_out_again_for_longer():
     judged = ejected(5.0)
-    judged.heard("chat", "i-3", judgement.STALE, moment.seconds(7.1))
+    judged.heard("chat", "i-3", judgement.STALE, clock.seconds(7.1))
     assert admitted(judged, 7.1) > 0, "a dead connection alone says little"
-    judged.heard("chat", "i-3", judgement.BROKE, moment.seconds(7.1))
+    judged.heard("chat", "i-3", judgement.BROKE, clock.seconds(7.1))
     assert admitted(judged, 11.0) == 0 and admitted(judged, 11.2) > 0
     judged = ejected(5.0)
     for name in ("i-0", "i-1", "i-2"):
         for _ in range(4):
-            judged.heard("chat", name, judgement.BROKE, moment.seconds(7.0))
-    judged.heard("chat", "i-3", judgement.GOOD, moment.seconds(7.1))
-    judged.heard("chat", "i-3", judgement.BROKE, moment.seconds(7.1))
+            judged.heard("chat", name, judgement.BROKE, clock.seconds(7.0))
+    judged.heard("chat", "i-3", judgement.GOOD, clock.seconds(7.1))
+    judged.heard("chat", "i-3", judgement.BROKE, clock.seconds(7.1))
     assert admitted(judged, 7.1) > 0, "no worse than the others now"
 
 
 def test_a_little_is_enough_to_prefer_others_for_what_is_sent_once_only():
     judged = judgement.Judgement()
     judged.take({"chat": frozenset(("i-1", "i-2", "i-3"))})
-    now = moment.seconds(5)
+    now = clock.seconds(5)
     for name in ("i-1", "i-2", "i-3"):
         for _ in range(6):
             judged.heard("chat", name, judgement.GOOD, now)
     judged.heard("chat", "i-2", judgement.BROKE, now)
     assert [judged.suspect(name, False, now) for name in ("i-1", "i-2", "i-3")] == [False, True, False]
     assert not judged.suspect("i-2", True, now)
-    assert not judged.suspect("i-2", False, now + moment.seconds(10)), "it fades"
+    assert not judged.suspect("i-2", False, now + clock.seconds(10)), "it fades"
--- /dev/null
+++ b/aspencroft/replication/backup.py
@@ -0,0 +1,79 @@
+"""A backup's watch over its primary, and taking over from it."""
+
+import dataclasses
+
+import logbook
+
+from aspencroft.consensus import proposer, replica_set
+from aspencroft.errors import result
+from aspencroft.replication import group_state, log_shipping
+from aspencroft.runtime import clock
+
+LOG = logbook.Logger("following")
+PRIMARY_SILENCE = clock.seconds(0.7)
+TURN = clock.seconds(0.25)
+AGAIN = clock.seconds(0.1)
+
+
+class Backup:
+    """What a node does while it is a group's backup.
+
+    Example: ``await following.follow()``
+    """
+
+    def __init__(self, own: group_state.GroupState, copies: log_shipping.LogShipping):
+        self.own = own
+        self.log_shipping = copies
+        self.watched: replica_set.ReplicaId | None = None
+
+    async def follow(self) -> None:
+        """Hold the backup's copy; take over once the primary is silent and its claim ran out, the first backup first.
+
+        Example: ``await following.follow()``
+        """
+        own = self.own
+        if self.watched != own.known.primary:
+            self.watched, own.heard = own.known.primary, clock.now()
+        own.why = "backup"
+        standing = own.known
+        await own.copy.hold(standing)
+        silence = PRIMARY_SILENCE + standing.backups.index(own.me()) * TURN
+        pause = own.heard + silence - clock.now()
+        while own.known == standing:
+            try:
+                async with clock.limit(max(pause, AGAIN)):
+                    await own.changed.wait()
+                return
+            except TimeoutError:
+                pass
+            pause = own.heard + silence - clock.now()
+            if clock.now() - own.heard > silence:
+                try:
+                    await self.take_over(standing)
+                except result.RequestError as refusal:
+                    LOG.info("pair {}: taking over: {}", own.pair, refusal)
+                    pause = min(group_state.RETRY if refusal.retry is None else refusal.retry, group_state.RETRY)
+
+    async def take_over(self, standing: replica_set.ReplicaSet) -> None:
+        """Become the primary through the witnesses; only as a backup of the newest record, and only of the silent primary.
+
+        Example: ``await following.take_over(own.known)``
+        """
+        own = self.own
+        if not await self.log_shipping.made_sure():
+            return
+        own.doubt(standing.primary.address)
+        chosen = await own.ballot(
+            lambda newest: (
+                dataclasses.replace(
+                    newest,
+                    epoch=newest.epoch + 1,
+                    primary=own.me(),
+                    backups=tuple(one for one in newest.backups if one != own.me()),
+                )
+                if own.me() in newest.backups and newest.primary == standing.primary
+                else newest
+            )
+        )
+        if proposer.replica_set_of(chosen.value).primary == own.me():
+            own.counts["takeovers"] += 1
--- a/aspencroft/pair/host_test.py
+++ b/aspencroft/replication/group_replica_test.py
@@ -2,11 +2,10 @@
 
 import asyncio
 
-import aspencroft.sim.groups as groups
-import aspencroft.sim.scene as scene
+from aspencroft.simulation import groups, simulated_cluster
 
-THREE = scene.Size(2, 3, 5, apart=True)
-FIVE = scene.Size(2, 5, 5, apart=True)
+THREE = simulated_cluster.Size(2, 3, 5, apart=True)
+FIVE = simulated_cluster.Size(2, 5, 5, apart=True)
 
 
 def cut_off(stage: groups.Stage, one_way: bool, back: bool) -> list[str]:
@@ -32,6 +31,7 @@
             one.wire.heal()
             await one.until(one.ready, 12, "ready")
             assert {"before", name} <= await stage.written()
+
     for seed in (1, 2, 3):
         groups.play(seed, acts)
 
@@ -49,6 +49,7 @@
         one.wire.heal()
         await one.until(one.ready, 12, "ready")
         assert {"before", "between"} <= await stage.written()
+
     for seed in (4, 5):
         groups.play(seed, acts)
 
@@ -76,6 +77,7 @@
             assert noted.ran == "done", noted
         turns = [body for body in one.world.seen() if body.get("turn") == 2]
         assert sorted(body["history"][0][0] for body in turns) == [f"p{number} first" for number in range(4)]
+
     for seed in (6, 7):
         groups.play(seed, acts)
 
@@ -93,10 +95,17 @@
             one.lost.add(fresh)
             await one.until(one.formed, 4, "served with two members")
             one.start(fresh)
-            await one.until(lambda: stage.whole() and all(
-                fresh in stage.members(pair) and lost not in stage.members(pair) for pair in (1, 2)), 8, "whole with the new one")
+            await one.until(
+                lambda: (
+                    stage.whole()
+                    and all(fresh in stage.members(pair) and lost not in stage.members(pair) for pair in (1, 2))
+                ),
+                8,
+                "whole with the new one",
+            )
         for number in range(3):
             assert (await stage.ask("edge-1", "supervisor", "second", program=f"p{number}", after=1)).ran == "done"
+
     groups.play(8, acts, THREE, {"losses": 2})
 
 
@@ -121,6 +130,7 @@
             await one.until(one.ready, 12, "ready")
             assert f"extra-{number}" in await stage.written()
             assert (await stage.ask("edge-1", "supervisor", "second", program=f"p{number}", after=1)).ran == "done"
+
     for seed in (9, 10):
         groups.play(seed, acts, FIVE, {"losses": 2})
 
@@ -142,6 +152,7 @@
         assert len(stage.members(1)) == 2
         one.start(third)
         await one.until(stage.whole, 6, "whole")
+
     groups.play(11, acts, THREE, {"losses": 2})
 
 
@@ -165,6 +176,7 @@
                 assert not one.nodes[gone].hosts[0].claimed()
             else:
                 one.start(gone)
+
     for seed in (12, 13):
         groups.play(seed, acts)
 
@@ -179,4 +191,5 @@
             assert took < 1.7, took
             one.start(silent)
             await one.until(stage.whole, 3, "whole")
+
     groups.play(14, acts, THREE, {"losses": 2})
