--- a/aspencroft/pair/part.py
+++ b/aspencroft/replication/group_state.py
@@ -7,19 +7,17 @@
 
 import logbook
 
-import aspencroft.code.result as result
-import aspencroft.link.link as link
-import aspencroft.link.record as record
-import aspencroft.pair.copy as copy
-import aspencroft.pair.electorate as electorate
-import aspencroft.pair.holding as holding
-import aspencroft.seam.moment as moment
+from aspencroft.consensus import proposer, replica_set
+from aspencroft.errors import result
+from aspencroft.replication import replica
+from aspencroft.runtime import clock
+from aspencroft.transport import codec, connections
 
 LOG = logbook.Logger("pair")
-REPLY = moment.seconds(0.6)
-RETRY = moment.seconds(0.15)
-COME_BACK = moment.seconds(1)
-DOUBT = moment.seconds(5)
+REPLY = clock.seconds(0.6)
+RETRY = clock.seconds(0.15)
+COME_BACK = clock.seconds(1)
+DOUBT = clock.seconds(5)
 LEAST = 2
 
 
@@ -39,7 +37,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Around:
+class GroupPolicy:
     """What a part is told by its node: who could hold copies, who is to hold none, who is gone, whom to tell of records.
 
     ``copies`` is how many disks must hold what is answered, ``goal`` how many members the group is to have.
@@ -49,32 +47,39 @@
 
     candidates: collections.abc.Callable[[], tuple[Candidate, ...]]
     emptied: collections.abc.Callable[[str], bool]
-    publish: collections.abc.Callable[[holding.Holding], None]
+    publish: collections.abc.Callable[[replica_set.ReplicaSet], None]
     gone: collections.abc.Callable[[str], bool]
     copies: int
     goal: collections.abc.Callable[[], int]
 
 
-class Part:
+class GroupState:
     """What all rooms of a node's part in a group share.
 
     Example: ``part.claimed()``
     """
 
-    def __init__(self, held: copy.Copy, links: link.Link, voters: electorate.Electorate, address: str, area: str,
-                 around: Around):
+    def __init__(
+        self,
+        held: replica.Replica,
+        links: connections.Link,
+        voters: proposer.Proposer,
+        address: str,
+        area: str,
+        around: GroupPolicy,
+    ):
         self.copy = held
         self.pair = held.pair
         self.link = links
-        self.electorate = voters
+        self.proposer = voters
         self.address = address
         self.area = area
         self.around = around
-        self.known: holding.Holding | None = None
-        self.chosen: electorate.Chosen | None = None
-        self.claim_end = moment.ZERO
+        self.known: replica_set.ReplicaSet | None = None
+        self.chosen: proposer.Chosen | None = None
+        self.lease_end = clock.ZERO
         self.leading = False
-        self.heard = moment.ZERO
+        self.heard = clock.ZERO
         self.changed = asyncio.Event()
         self.lock = asyncio.Lock()
         self.balloting = asyncio.Lock()
@@ -83,16 +88,16 @@
         self.counts = {"takeovers": 0, "recruits": 0, "batches": 0, "entries": 0, "taken at start": 0}
         self.why = "starting"
         self.unsure = True
-        self.patience_end = moment.ZERO
+        self.patience_end = clock.ZERO
 
-    def me(self) -> holding.Member:
+    def me(self) -> replica_set.ReplicaId:
         """This node's member name in the group.
 
         Example: ``part.me() == part.known.primary``
         """
-        return holding.Member(self.address, self.copy.identity)
+        return replica_set.ReplicaId(self.address, self.copy.identity)
 
-    def learn(self, fresh: holding.Holding) -> None:
+    def learn(self, fresh: replica_set.ReplicaSet) -> None:
         """Hear of a record of holders from anywhere; only a newer epoch counts.
 
         Example: ``part.learn(record)``
@@ -107,8 +112,9 @@
 
         Example: ``if not part.claimed(): raise ...``
         """
-        return (self.leading and moment.now() < self.claim_end and self.known is not None
-                and self.known.primary == self.me())
+        return (
+            self.leading and clock.now() < self.lease_end and self.known is not None and self.known.primary == self.me()
+        )
 
     def check_tenure(self) -> None:
         """Stop at once when the newest record names another primary.
@@ -118,7 +124,7 @@
         if self.known.primary != self.me():
             raise Deposed(f"epoch {self.known.epoch}")
 
-    def staying(self) -> tuple[holding.Member, ...]:
+    def staying(self) -> tuple[replica_set.ReplicaId, ...]:
         """The members that are neither emptied nor about to stop.
 
         Example: ``part.staying() == part.known.members()``
@@ -130,16 +136,18 @@
 
         Example: ``part.doubt("a:1")``
         """
-        self.doubted[address] = moment.now() + DOUBT
+        self.doubted[address] = clock.now() + DOUBT
 
     def doubts(self, address: str) -> bool:
         """Whether a node failed lately.
 
         Example: ``part.doubts("a:1")``
         """
-        return self.doubted.get(address, moment.ZERO) > moment.now()
+        return self.doubted.get(address, clock.ZERO) > clock.now()
 
-    async def ballot(self, function: collections.abc.Callable[[holding.Holding], holding.Holding]) -> electorate.Chosen:
+    async def ballot(
+        self, function: collections.abc.Callable[[replica_set.ReplicaSet], replica_set.ReplicaSet]
+    ) -> proposer.Chosen:
         """One ballot on the record of holders; what it chose is known from then on.
 
         Witnesses may have told of a record that was accepted by few and never chosen. Where the chosen one bears the same epoch,
@@ -147,18 +155,19 @@
 
         Example: ``await part.ballot(lambda standing: standing)``
         """
+
         def change(value: bytes) -> bytes:
-            standing = electorate.holding_of(value)
+            standing = proposer.replica_set_of(value)
             if standing is None:
-                raise result.Refusal(result.Result.WITNESS_BLANK, detail="no record of holders yet")
+                raise result.RequestError(result.ResultCode.WITNESS_BLANK, detail="no record of holders yet")
             fresh = function(standing)
             if fresh == standing and self.known is not None and self.known.epoch == fresh.epoch and self.known != fresh:
                 fresh = dataclasses.replace(fresh, epoch=fresh.epoch + 1)
-            return record.tagged(fresh)
+            return codec.tagged(fresh)
 
         async with self.balloting:
-            chosen = await self.electorate.change(self.pair, str(self.me()), change)
-            fresh = electorate.holding_of(chosen.value)
+            chosen = await self.proposer.change(self.pair, str(self.me()), change)
+            fresh = proposer.replica_set_of(chosen.value)
             if self.me() in fresh.members():
                 await self.copy.hold(fresh)
             if fresh.primary == self.me():
--- a/aspencroft/pair/exchange.py
+++ b/aspencroft/replication/messages.py
@@ -3,30 +3,30 @@
 import dataclasses
 import datetime
 
-import aspencroft.link.record as record
-import aspencroft.pair.copy as copy
-import aspencroft.pair.holding as holding
+from aspencroft.consensus import replica_set
+from aspencroft.replication import replica
+from aspencroft.transport import codec
 
 
-@record.kind(50)
+@codec.kind(50)
 @dataclasses.dataclass(frozen=True)
 class Append:
     """Entries for a backup, behind the one it has last."""
 
-    holding: holding.Holding
-    previous: copy.Mark
-    entries: tuple[copy.Entry, ...]
+    holding: replica_set.ReplicaSet
+    previous: replica.Mark
+    entries: tuple[replica.Entry, ...]
 
 
-@record.kind(51)
+@codec.kind(51)
 @dataclasses.dataclass(frozen=True)
 class Appended:
     """The copy's newest entry once all is synced."""
 
-    last: copy.Mark
+    last: replica.Mark
 
 
-@record.kind(52)
+@codec.kind(52)
 @dataclasses.dataclass(frozen=True)
 class Compare:
     """Ask a copy for its range digests."""
@@ -35,46 +35,46 @@
     epoch: int
 
 
-@record.kind(53)
+@codec.kind(53)
 @dataclasses.dataclass(frozen=True)
 class Compared:
     """A copy's identity and range digests."""
 
     identity: str
-    marks: tuple[copy.Mark, ...]
+    marks: tuple[replica.Mark, ...]
 
 
-@record.kind(54)
+@codec.kind(54)
 @dataclasses.dataclass(frozen=True)
-class Mend:
+class Repair:
     """Keep what agrees through a sequence, then add this; the record fences off older primaries."""
 
-    holding: holding.Holding
+    holding: replica_set.ReplicaSet
     identity: str
     through: int
-    picture: copy.Picture | None
-    entries: tuple[copy.Entry, ...]
+    snapshot: replica.Picture | None
+    entries: tuple[replica.Entry, ...]
 
 
-@record.kind(55)
+@codec.kind(55)
 @dataclasses.dataclass(frozen=True)
 class Appoint:
     """The witnesses recorded these holders."""
 
-    holding: holding.Holding
+    holding: replica_set.ReplicaSet
 
 
-@record.kind(58)
+@codec.kind(58)
 @dataclasses.dataclass(frozen=True)
 class Fetch:
     """A member that has just started asks another one, known by its identity, for what it holds beyond this."""
 
-    holding: holding.Holding
-    last: copy.Mark
+    holding: replica_set.ReplicaSet
+    last: replica.Mark
     identity: str
 
 
-@record.kind(59)
+@codec.kind(59)
 @dataclasses.dataclass(frozen=True)
 class Fetched:
     """Entries behind the mark, or a picture and the entries behind it; none when there is nothing more.
@@ -82,12 +82,12 @@
     ``lost`` says that this is not the copy that was asked for: that one is gone.
     """
 
-    picture: copy.Picture | None
-    entries: tuple[copy.Entry, ...]
+    snapshot: replica.Picture | None
+    entries: tuple[replica.Entry, ...]
     lost: bool
 
 
-@record.kind(37)
+@codec.kind(37)
 @dataclasses.dataclass(frozen=True)
 class Ask:
     """Ask a group's primary for the record that stands, and whether it knows that a node is being emptied."""
@@ -96,16 +96,16 @@
     address: str
 
 
-@record.kind(38)
+@codec.kind(38)
 @dataclasses.dataclass(frozen=True)
 class Stands:
     """The record under which a primary serves; ``emptied`` tells that it will not take the node in again."""
 
-    holding: holding.Holding
+    holding: replica_set.ReplicaSet
     emptied: bool
 
 
-@record.kind(56)
+@codec.kind(56)
 @dataclasses.dataclass(frozen=True)
 class Submit:
     """A command for a pair, to its primary."""
@@ -115,10 +115,10 @@
     body: bytes
 
 
-@record.kind(57)
+@codec.kind(57)
 @dataclasses.dataclass(frozen=True)
 class Submitted:
     """The reply to a command, once it is synced on all copies."""
 
     body: bytes
-    holding: holding.Holding
+    holding: replica_set.ReplicaSet
--- a/aspencroft/pair/serving.py
+++ b/aspencroft/replication/primary.py
@@ -7,21 +7,15 @@
 
 import logbook
 
-import aspencroft.code.result as result
-import aspencroft.link.record as record
-import aspencroft.pair.copy as copy
-import aspencroft.pair.copying as copying
-import aspencroft.pair.electorate as electorate
-import aspencroft.pair.holding as holding
-import aspencroft.pair.part as part
-import aspencroft.pair.recruiting as recruiting
-import aspencroft.pair.witness as witness
-import aspencroft.seam.moment as moment
-import aspencroft.seam.steady as steady
+from aspencroft.consensus import proposer, replica_set, witness
+from aspencroft.errors import result
+from aspencroft.replication import group_state, log_shipping, replica, replica_changes
+from aspencroft.runtime import clock, supervision
+from aspencroft.transport import codec
 
 LOG = logbook.Logger("serving")
-RENEW = moment.seconds(0.25)
-BEAT = moment.seconds(0.2)
+RENEW = clock.seconds(0.25)
+BEAT = clock.seconds(0.2)
 QUEUE = 1024
 BATCH = 256
 
@@ -43,20 +37,25 @@
     reply: object
 
 
-class Serving:
+class Primary:
     """What a node does while it is a group's primary.
 
     Example: ``await serving.lead()``
     """
 
-    def __init__(self, own: part.Part, copies: copying.Copying, recruits: recruiting.Recruiting):
+    def __init__(
+        self,
+        own: group_state.GroupState,
+        copies: log_shipping.LogShipping,
+        recruits: replica_changes.ReplicaChanges,
+    ):
         self.own = own
-        self.copying = copies
-        self.recruiting = recruits
+        self.log_shipping = copies
+        self.replica_changes = recruits
         self.submissions: asyncio.Queue[Submission] = asyncio.Queue(QUEUE)
-        self.agreed: holding.Holding | None = None
-        self.short: holding.Holding | None = None
-        self.touched = moment.ZERO
+        self.agreed: replica_set.ReplicaSet | None = None
+        self.short: replica_set.ReplicaSet | None = None
+        self.touched = clock.ZERO
 
     async def submit(self, command, within: datetime.timedelta):
         """Have a command decided by the primary; the reply comes once it is synced on all copies.
@@ -65,19 +64,25 @@
         """
         own = self.own
         if not own.claimed():
-            raise result.Refusal(result.Result.NOT_PRIMARY, detail=own.why, retry=part.COME_BACK)
+            raise result.RequestError(result.ResultCode.NOT_PRIMARY, detail=own.why, retry=group_state.COME_BACK)
         if not own.known.backups:
-            raise result.Refusal(result.Result.NO_BACKUP, detail=own.why, retry=part.COME_BACK)
+            raise result.RequestError(result.ResultCode.NO_BACKUP, detail=own.why, retry=group_state.COME_BACK)
         if self.submissions.full():
-            raise result.Refusal(result.Result.OVERLOADED, detail=f"pair {own.pair}", retry=part.COME_BACK)
-        waiting = Submission(command, moment.now() + within, asyncio.get_running_loop().create_future())
+            raise result.RequestError(
+                result.ResultCode.OVERLOADED, detail=f"pair {own.pair}", retry=group_state.COME_BACK
+            )
+        waiting = Submission(command, clock.now() + within, asyncio.get_running_loop().create_future())
         self.submissions.put_nowait(waiting)
         try:
-            async with moment.limit(within):
+            async with clock.limit(within):
                 return await waiting.reply
         except TimeoutError:
-            raise result.Refusal(result.Result.OUTCOME_UNKNOWN, result.Ran.UNKNOWN,
-                                 f"pair {own.pair} did not finish in time", part.COME_BACK) from None
+            raise result.RequestError(
+                result.ResultCode.OUTCOME_UNKNOWN,
+                result.Ran.UNKNOWN,
+                f"pair {own.pair} did not finish in time",
+                group_state.COME_BACK,
+            ) from None
 
     async def lead(self) -> None:
         """Claim, make the backups agree, then serve until deposed.
@@ -87,21 +92,21 @@
         own = self.own
         own.why = "claiming"
         await own.copy.hold(own.known)
-        if own.chosen is None or electorate.holding_of(own.chosen.value) != own.known:
+        if own.chosen is None or proposer.replica_set_of(own.chosen.value) != own.known:
             await own.ballot(lambda standing: standing)
             if own.known.primary != own.me():
                 return
         own.leading = True
-        own.claim_end = moment.ZERO
+        own.lease_end = clock.ZERO
         try:
-            async with steady.Group() as group:
+            async with supervision.Group() as group:
                 group.create_task(self.renew())
                 group.create_task(self.serve())
                 group.create_task(self.tick())
-                group.create_task(self.recruiting.behind())
+                group.create_task(self.replica_changes.behind())
         finally:
             own.leading = False
-            own.claim_end = moment.ZERO
+            own.lease_end = clock.ZERO
             own.chosen = None
             self.abandon()
             own.copy.settle_view()
@@ -111,7 +116,7 @@
 
         Example: ``serving.abandon()``
         """
-        self.refuse_waiting(result.Result.NOT_PRIMARY)
+        self.refuse_waiting(result.ResultCode.NOT_PRIMARY)
 
     async def renew(self) -> None:
         """Renew the claim; a newer record ends the tenure.
@@ -125,23 +130,23 @@
         failed = False
         while True:
             used = own.chosen
-            end, newest, answered = await own.electorate.claim(used, own.pair, str(own.me()),
-                                                               moment.ZERO if failed else witness.CLAIM)
+            end, newest, answered = await own.proposer.claim(
+                used, own.pair, str(own.me()), clock.ZERO if failed else witness.LEASE
+            )
             if end is not None and failed:
                 failed = False
                 continue
             failed = end is None
             if end is not None:
-                own.claim_end = max(own.claim_end, end)
-            elif (own.chosen is used and not own.balloting.locked()
-                  and (newest or not own.claimed() and answered)):
+                own.lease_end = max(own.lease_end, end)
+            elif own.chosen is used and not own.balloting.locked() and (newest or (not own.claimed() and answered)):
                 own.why = "no majority of witnesses grants the claim"
                 try:
                     await own.ballot(lambda standing: standing)
-                except result.Refusal as refusal:
+                except result.RequestError as refusal:
                     LOG.info("pair {}: {}", own.pair, refusal)
             own.check_tenure()
-            await moment.pause(RENEW if end is not None else part.RETRY)
+            await clock.sleep(RENEW if end is not None else group_state.RETRY)
 
     async def tick(self) -> None:
         """Clock events of the view, decided like any command.
@@ -150,21 +155,26 @@
         """
         own = self.own
         while True:
-            await moment.pause(BEAT)
+            await clock.sleep(BEAT)
             if own.claimed() and own.known.backups and not self.submissions.full():
-                for command in own.copy.view.due(moment.now(), own.around.gone):
+                for command in own.copy.view.due(clock.now(), own.around.gone):
                     if not self.submissions.full():
-                        self.submissions.put_nowait(Submission(
-                            command, moment.now() + part.REPLY, asyncio.get_running_loop().create_future()))
-
-    def enough(self, standing: holding.Holding) -> bool:
+                        self.submissions.put_nowait(
+                            Submission(
+                                command,
+                                clock.now() + group_state.REPLY,
+                                asyncio.get_running_loop().create_future(),
+                            )
+                        )
+
+    def enough(self, standing: replica_set.ReplicaSet) -> bool:
         """Whether a record names enough members to answer: as many as must hold what is answered, or two at least when a look
         at all other nodes under this record found none that could hold a copy, as those are lost machines then.
 
         Example: ``serving.enough(own.known)``
         """
         count = len(standing.members())
-        return count >= self.own.around.copies or (count >= part.LEAST and self.short == standing)
+        return count >= self.own.around.copies or (count >= group_state.LEAST and self.short == standing)
 
     async def serve(self) -> None:
         """Make the backups agree, then take batches of commands; recruit first whenever there are too few members.
@@ -178,43 +188,43 @@
             while True:
                 standing = own.known
                 if not own.claimed():
-                    await moment.pause(BEAT / 8)
+                    await clock.sleep(BEAT / 8)
                 elif not standing.backups:
                     own.why = "no backup"
-                    self.refuse_waiting(result.Result.NO_BACKUP)
-                    if await self.recruiting.recruit():
+                    self.refuse_waiting(result.ResultCode.NO_BACKUP)
+                    if await self.replica_changes.add_replica():
                         self.agreed = own.known
                     else:
-                        await moment.pause(part.RETRY)
+                        await clock.sleep(group_state.RETRY)
                 elif self.agreed != standing:
                     await self.agree(standing)
                 elif not self.enough(standing):
                     own.why = "recruiting"
-                    if await self.recruiting.recruit(doubted=False):
+                    if await self.replica_changes.add_replica(doubted=False):
                         self.agreed = own.known
                     elif own.known == standing:
                         self.short = standing
                 else:
                     self.answer(held_back)
                     own.why = "serving"
-                    await self.recruiting.move_away()
-                    if own.known == standing and await self.recruiting.admit():
+                    await self.replica_changes.move_away()
+                    if own.known == standing and await self.replica_changes.admit():
                         self.agreed = own.known
                     elif own.known == standing:
                         await self.one_batch(held_back)
         finally:
             self.answer(held_back)
 
-    async def agree(self, standing: holding.Holding) -> None:
+    async def agree(self, standing: replica_set.ReplicaSet) -> None:
         """Make the copies of all backups the same; those that fail are recorded out.
 
         Example: ``await serving.agree(own.known)``
         """
-        if not await self.copying.made_sure():
-            await moment.pause(part.RETRY)
+        if not await self.log_shipping.made_sure():
+            await clock.sleep(group_state.RETRY)
             return
         self.own.why = "mending the backups"
-        failed = await self.copying.agree(standing)
+        failed = await self.log_shipping.agree(standing)
         if failed:
             await self.drop(failed)
         elif self.own.known == standing:
@@ -229,16 +239,23 @@
         for one in decided:
             if one.submission.reply.done():
                 continue
-            if isinstance(one.reply, result.Refusal) and standing:
+            if isinstance(one.reply, result.RequestError) and standing:
                 fail(one.submission.reply, one.reply)
             elif standing:
                 one.submission.reply.set_result(one.reply)
             else:
-                fail(one.submission.reply, result.Refusal(
-                    result.Result.OUTCOME_UNKNOWN, result.Ran.UNKNOWN, "the claim ran out", part.COME_BACK))
+                fail(
+                    one.submission.reply,
+                    result.RequestError(
+                        result.ResultCode.OUTCOME_UNKNOWN,
+                        result.Ran.UNKNOWN,
+                        "the claim ran out",
+                        group_state.COME_BACK,
+                    ),
+                )
         decided.clear()
 
-    def refuse_waiting(self, why: result.Result) -> None:
+    def refuse_waiting(self, why: result.ResultCode) -> None:
         """Commands that were not begun are refused at once, as while there is no backup.
 
         Example: ``serving.refuse_waiting(result.Result.NO_BACKUP)``
@@ -246,7 +263,7 @@
         while not self.submissions.empty():
             waiting = self.submissions.get_nowait()
             if not waiting.reply.done():
-                fail(waiting.reply, result.Refusal(why, retry=part.COME_BACK))
+                fail(waiting.reply, result.RequestError(why, retry=group_state.COME_BACK))
 
     async def take_batch(self) -> list[Submission]:
         """The commands that wait, or none once it is time to show the backups a sign of life.
@@ -254,7 +271,7 @@
         Example: ``batch = await serving.take_batch()``
         """
         try:
-            async with moment.limit(BEAT):
+            async with clock.limit(BEAT):
                 batch = [await self.submissions.get()]
         except TimeoutError:
             return []
@@ -277,56 +294,67 @@
         if standing != self.agreed:
             for waiting in batch:
                 if not waiting.reply.done():
-                    fail(waiting.reply, result.Refusal(result.Result.NO_BACKUP, retry=part.COME_BACK))
+                    fail(
+                        waiting.reply,
+                        result.RequestError(result.ResultCode.NO_BACKUP, retry=group_state.COME_BACK),
+                    )
             return
         last = own.copy.last()
         entries = self.decide(batch, standing, last, held_back)
         if not entries:
             self.answer(held_back)
-        if not entries and moment.now() - self.touched < BEAT:
+        if not entries and clock.now() - self.touched < BEAT:
             return
-        failed = await self.copying.append(standing, last, entries)
-        self.touched = moment.now()
+        failed = await self.log_shipping.append(standing, last, entries)
+        self.touched = clock.now()
         if not failed and own.known == standing:
             self.answer(held_back)
             own.counts["batches"] += 1
             own.counts["entries"] += len(entries)
             if entries:
                 own.committed.set()
-                own.copy.begin_picture()
+                own.copy.begin_snapshot()
         else:
             self.agreed = None
             if failed:
                 await self.drop(failed)
 
-    def decide(self, batch: list[Submission], standing: holding.Holding, last: copy.Mark,
-               held_back: list[Decided]) -> tuple[copy.Entry, ...]:
+    def decide(
+        self,
+        batch: list[Submission],
+        standing: replica_set.ReplicaSet,
+        last: replica.Mark,
+        held_back: list[Decided],
+    ) -> tuple[replica.Entry, ...]:
         """Have the view decide commands one after the other; the entries that come of it, folded already.
 
         Example: ``entries = serving.decide(batch, own.known, own.copy.last(), held_back)``
         """
         own = self.own
-        entries: list[copy.Entry] = []
+        entries: list[replica.Entry] = []
         for waiting in batch:
             if waiting.reply.done():
                 continue
-            if not own.claimed() or waiting.end < moment.now():
-                fail(waiting.reply, result.Refusal(result.Result.NOT_PRIMARY, retry=part.COME_BACK))
+            if not own.claimed() or waiting.end < clock.now():
+                fail(
+                    waiting.reply,
+                    result.RequestError(result.ResultCode.NOT_PRIMARY, retry=group_state.COME_BACK),
+                )
                 continue
             try:
-                events, reply = own.copy.view.decide(waiting.command, moment.now(), standing.epoch)
-            except result.Refusal as refusal:
+                events, reply = own.copy.view.decide(waiting.command, clock.now(), standing.epoch)
+            except result.RequestError as refusal:
                 events, reply = (), refusal
             except Exception as error:
                 LOG.exception("pair {} could not decide {}", own.pair, type(waiting.command).__name__)
-                events, reply = (), result.Refusal(result.Result.INTERNAL, detail=repr(error))
+                events, reply = (), result.RequestError(result.ResultCode.INTERNAL, detail=repr(error))
             for event in events:
-                entries.append(copy.Entry(standing.epoch, last.sequence + len(entries) + 1, record.tagged(event)))
+                entries.append(replica.Entry(standing.epoch, last.sequence + len(entries) + 1, codec.tagged(event)))
                 own.copy.fold(entries[-1], event)
             held_back.append(Decided(waiting, reply))
         return tuple(entries)
 
-    async def drop(self, failed: collections.abc.Iterable[holding.Member]) -> None:
+    async def drop(self, failed: collections.abc.Iterable[replica_set.ReplicaId]) -> None:
         """Have the witnesses record backups out, before anything is answered without them.
 
         Example: ``await serving.drop(failed)``
@@ -335,16 +363,24 @@
         for one in gone:
             own.doubt(one.address)
         try:
-            await own.ballot(lambda standing: dataclasses.replace(
-                standing, epoch=standing.epoch + 1, backups=tuple(one for one in standing.backups if one not in gone))
-                if standing.primary == own.me() and gone & set(standing.backups) else standing)
-        except result.Refusal as refusal:
+            await own.ballot(
+                lambda standing: (
+                    dataclasses.replace(
+                        standing,
+                        epoch=standing.epoch + 1,
+                        backups=tuple(one for one in standing.backups if one not in gone),
+                    )
+                    if standing.primary == own.me() and gone & set(standing.backups)
+                    else standing
+                )
+            )
+        except result.RequestError as refusal:
             LOG.info("pair {}: {}", own.pair, refusal)
-            await moment.pause(part.RETRY)
+            await clock.sleep(group_state.RETRY)
         own.check_tenure()
 
 
-def fail(reply: asyncio.Future, refusal: result.Refusal) -> None:
+def fail(reply: asyncio.Future, refusal: result.RequestError) -> None:
     """Refuse a submission; nobody need await the reply, as with clock events.
 
     Example: ``fail(waiting.reply, result.Refusal(result.Result.NO_BACKUP))``
--- a/aspencroft/pair/serving_test.py
+++ b/aspencroft/replication/primary_test.py
@@ -2,10 +2,10 @@
 
 import asyncio
 
-import aspencroft.code.result as result
-import aspencroft.pair.holding as holding
-import aspencroft.seam.moment as moment
-import aspencroft.sim.members as members
+from aspencroft.consensus import replica_set
+from aspencroft.errors import result
+from aspencroft.runtime import clock
+from aspencroft.simulation import members
 
 
 def test_nothing_is_answered_until_all_backups_hold_it_or_are_recorded_out(tmp_path):
@@ -16,16 +16,17 @@
         assert those.same("n0:1", "n1:1", "n2:1")
         those.silent.add("n2:1")
         those.gone.add("n2:1")
-        began = moment.now()
+        began = clock.now()
         writing = asyncio.ensure_future(those.write("b"))
         while not writing.done():
             assert those.register.standing().epoch == 1 or "n2:1" not in str(those.register.standing().backups)
-            await moment.pause(moment.seconds(0.01))
+            await clock.sleep(clock.seconds(0.01))
             if those.register.standing().epoch == 1:
                 assert not writing.done()
         assert writing.result().changed == 1
-        assert (moment.now() - began).total_seconds() < 2.0
+        assert (clock.now() - began).total_seconds() < 2.0
         assert len(those.register.standing().backups) == 1 and those.same("n0:1", "n1:1")
+
     members.play(tmp_path, 3, acts, members=3, copies=3, goal=3)
 
 
@@ -33,14 +34,15 @@
     async def acts(those: members.Members) -> None:
         own = those.hosts["n0:1"].serving
         one, two, three = (those.hosts[name].me() for name in those.names)
-        short = holding.Holding(0, 5, one, (two,))
-        assert own.enough(holding.Holding(0, 5, one, (two, three)))
+        short = replica_set.ReplicaSet(0, 5, one, (two,))
+        assert own.enough(replica_set.ReplicaSet(0, 5, one, (two, three)))
         assert not own.enough(short)
         own.short = short
         assert own.enough(short)
-        assert not own.enough(holding.Holding(0, 6, one, (two,)))
-        own.short = alone = holding.Holding(0, 7, one, ())
+        assert not own.enough(replica_set.ReplicaSet(0, 6, one, (two,)))
+        own.short = alone = replica_set.ReplicaSet(0, 7, one, ())
         assert not own.enough(alone)
+
     members.play(tmp_path, 3, acts, members=3, copies=3, goal=3)
 
 
@@ -53,6 +55,7 @@
         standing = those.register.standing()
         assert {one.address for one in standing.backups} == {"n2:1", "n3:1"}
         assert those.same("n0:1", "n2:1", "n3:1")
+
     members.play(tmp_path, 4, acts, members=3, copies=3, goal=3)
 
 
@@ -65,6 +68,7 @@
         await those.until(lambda: len(those.register.standing().backups) == 2, 3)
         await those.write("last")
         assert those.same(*those.names)
+
     members.play(tmp_path, 3, acts, members=2, copies=2, goal=3)
 
 
@@ -77,9 +81,10 @@
         try:
             await those.write("a", within=4.0)
             raise AssertionError("answered")
-        except result.Refusal as refusal:
+        except result.RequestError as refusal:
             assert refusal.ran is result.Ran.UNKNOWN
         assert len(those.register.standing().members()) == 3 and not those.same(*those.names)
+
     members.play(tmp_path, 3, acts, members=3)
 
 
@@ -89,11 +94,12 @@
         await those.until(lambda: those.hosts["n0:1"].why == "serving")
         those.register.deaf = True
         before = len(those.register.lengths)
-        await moment.pause(moment.seconds(5))
-        assert [length > moment.ZERO for length in those.register.lengths[before:]].count(True) <= 1
+        await clock.sleep(clock.seconds(5))
+        assert [length > clock.ZERO for length in those.register.lengths[before:]].count(True) <= 1
         assert len(those.register.lengths) > before + 3
         those.register.deaf = False
         assert await those.until(lambda: those.hosts["n0:1"].claimed() and those.hosts["n0:1"].why == "serving") < 1.5
+
     members.play(tmp_path, 2, acts)
 
 
@@ -105,6 +111,7 @@
         try:
             await those.write("a")
             raise AssertionError("answered")
-        except result.Refusal as refusal:
-            assert refusal.result is result.Result.NO_BACKUP and refusal.ran is result.Ran.NOT_RUN
+        except result.RequestError as refusal:
+            assert refusal.result is result.ResultCode.NO_BACKUP and refusal.ran is result.Ran.NOT_RUN
+
     members.play(tmp_path, 2, acts)
--- a/aspencroft/pair/copy.py
+++ b/aspencroft/replication/replica.py
@@ -11,12 +11,11 @@
 
 import logbook
 
-import aspencroft.code.result as result
-import aspencroft.disk.store as store
-import aspencroft.link.record as record
-import aspencroft.pair.holding as holding
-import aspencroft.seam.moment as moment
-import aspencroft.seam.surroundings as surroundings
+from aspencroft.consensus import replica_set
+from aspencroft.errors import result
+from aspencroft.runtime import clock, environment
+from aspencroft.storage import store
+from aspencroft.transport import codec
 
 LOG = logbook.Logger("copy")
 NO_DIGEST = b"\0" * 8
@@ -27,7 +26,7 @@
 PART, BREATH = 1 << 20, 64
 
 
-@record.kind(40)
+@codec.kind(40)
 @dataclasses.dataclass(frozen=True)
 class Identity:
     """The name that a store was born with; a lost or damaged store gets another."""
@@ -35,7 +34,7 @@
     identity: str
 
 
-@record.kind(41)
+@codec.kind(41)
 @dataclasses.dataclass(frozen=True)
 class Entry:
     """One event of the journal: epoch and sequence tag it, the body is a tagged record."""
@@ -45,7 +44,7 @@
     body: bytes
 
 
-@record.kind(42)
+@codec.kind(42)
 @dataclasses.dataclass(frozen=True)
 class Picture:
     """A fold's result; it replaces the events up to its sequence."""
@@ -56,7 +55,7 @@
     body: bytes
 
 
-@record.kind(158)
+@codec.kind(158)
 @dataclasses.dataclass(frozen=True)
 class PicturePart:
     """A piece of a picture as a disk holds it, so that none is ever written or read as a whole."""
@@ -65,7 +64,7 @@
     body: bytes
 
 
-@record.kind(159)
+@codec.kind(159)
 @dataclasses.dataclass(frozen=True)
 class Pictured:
     """The end of a picture's parts: what they show."""
@@ -124,7 +123,7 @@
 NOTHING = Drawn(0, 0, NO_DIGEST, ())
 
 
-@record.kind(43)
+@codec.kind(43)
 @dataclasses.dataclass(frozen=True)
 class Mark:
     """The digest of all events up to a sequence: the end of one range."""
@@ -139,8 +138,8 @@
     def decide(self, command, now, epoch: int) -> tuple[tuple, object]: ...
     def fold(self, event) -> None: ...
     def due(self, now, gone) -> tuple: ...
-    def picture(self) -> bytes: ...
-    def picture_parts(self) -> collections.abc.Iterator[bytes]: ...
+    def snapshot(self) -> bytes: ...
+    def snapshot_parts(self) -> collections.abc.Iterator[bytes]: ...
     def size(self) -> int: ...
     def restore(self, body: bytes) -> None: ...
     def rest_clocks(self) -> None: ...
@@ -154,26 +153,31 @@
     tag = struct.pack(">QQ", entry.epoch, entry.sequence)
     found = hashlib.sha256(digest + tag)
     found.update(entry.body)
-    return found.digest()[:len(NO_DIGEST)]
+    return found.digest()[: len(NO_DIGEST)]
 
 
-class Copy:
+class Replica:
     """A pair's copy on this node's disk.
 
     Example: ``copy = Copy(around, folder, make_view)``, ``await copy.open()``
     """
 
-    def __init__(self, around: surroundings.Surroundings, folder: pathlib.Path, pair: int,
-                 make_view: collections.abc.Callable[[], View]):
-        self.surroundings = around
+    def __init__(
+        self,
+        around: environment.Environment,
+        folder: pathlib.Path,
+        pair: int,
+        make_view: collections.abc.Callable[[], View],
+    ):
+        self.environment = around
         self.folder = folder
         self.pair = pair
         self.make_view = make_view
         self.kept: store.Store | None = None
         self.condition = store.Condition.EMPTY
         self.identity = ""
-        self.holding: holding.Holding | None = None
-        self.picture = NOTHING
+        self.holding: replica_set.ReplicaSet | None = None
+        self.snapshot = NOTHING
         self.picture_size = 0
         self.entries: list[Entry] = []
         self.digests: list[bytes] = []
@@ -193,8 +197,9 @@
 
         Example: ``await copy.open()``
         """
-        self.kept, items, self.condition = await self.surroundings.disk.perform(
-            store.load, self.folder, self.surroundings.disk)
+        self.kept, items, self.condition = await self.environment.disk.perform(
+            store.load, self.folder, self.environment.disk
+        )
         if self.condition is store.Condition.DAMAGED:
             LOG.warning("pair {}: the copy in {} is damaged; it starts empty and is mended", self.pair, self.folder)
         self.identity, self.holding = "", None
@@ -202,10 +207,10 @@
         self.replace_all(NOTHING)
         parts: list[bytes] = []
         for item in items:
-            value = record.untagged(item.payload)
+            value = codec.untagged(item.payload)
             if isinstance(value, Identity):
                 self.identity = value.identity
-            elif isinstance(value, holding.Holding):
+            elif isinstance(value, replica_set.ReplicaSet):
                 self.holding = value
             elif isinstance(value, Picture):
                 self.replace_all(value)
@@ -218,18 +223,20 @@
                 self.remember(value)
         items = ()
         if not self.identity:
-            self.identity = format(self.surroundings.randomness.getrandbits(64), "016x")
+            self.identity = format(self.environment.randomness.getrandbits(64), "016x")
             await self.write(Identity(self.identity))
         self.refold()
 
-    def replace_all(self, picture: Picture | Drawn) -> None:
+    def replace_all(self, snapshot: Picture | Drawn) -> None:
         """Hold a picture and nothing else.
 
         Example: ``copy.replace_all(picture)``
         """
-        if isinstance(picture, Picture):
-            picture = Drawn(picture.epoch, picture.sequence, picture.digest, (picture.body,) if picture.body else ())
-        self.picture, self.picture_size = picture, picture.size()
+        if isinstance(snapshot, Picture):
+            snapshot = Drawn(
+                snapshot.epoch, snapshot.sequence, snapshot.digest, (snapshot.body,) if snapshot.body else ()
+            )
+        self.snapshot, self.picture_size = snapshot, snapshot.size()
         self.entries, self.digests, self.held = [], [], 0
 
     def cut(self, places: slice) -> None:
@@ -246,12 +253,12 @@
         Example: ``copy.refold()``
         """
         self.view = self.make_view()
-        if self.picture.pieces:
-            self.view.restore(self.picture.body)
-            self.picture = dataclasses.replace(self.picture, pieces=tuple(self.view.picture_parts()))
-            self.picture_size = self.picture.size()
+        if self.snapshot.pieces:
+            self.view.restore(self.snapshot.body)
+            self.snapshot = dataclasses.replace(self.snapshot, pieces=tuple(self.view.snapshot_parts()))
+            self.picture_size = self.snapshot.size()
         for entry in self.entries:
-            self.view.fold(record.untagged(entry.body))
+            self.view.fold(codec.untagged(entry.body))
         self.view_at = self.last().sequence
 
     def fold(self, entry: Entry, event) -> None:
@@ -288,16 +295,16 @@
         """
         if self.entries:
             return Mark(self.entries[-1].sequence, self.digests[-1])
-        return Mark(self.picture.sequence, self.picture.digest)
+        return Mark(self.snapshot.sequence, self.snapshot.digest)
 
     def digest_at(self, sequence: int) -> bytes | None:
         """The digest at a sequence, when the copy still knows it.
 
         Example: ``copy.digest_at(copy.last().sequence) == copy.last().digest``
         """
-        place = sequence - self.picture.sequence
+        place = sequence - self.snapshot.sequence
         if place == 0:
-            return self.picture.digest
+            return self.snapshot.digest
         return self.digests[place - 1] if 0 < place <= len(self.digests) else None
 
     def beyond(self, previous: Mark, entries: tuple[Entry, ...]) -> tuple[Entry, ...]:
@@ -306,10 +313,9 @@
         Example: ``copy.beyond(copy.last(), entries) == entries``
         """
         ahead = self.last().sequence - previous.sequence
-        present = tuple(self.entries[len(self.entries) - ahead:]) if ahead > 0 else ()
-        if (ahead < 0 or self.digest_at(previous.sequence) != previous.digest
-                or present != entries[:ahead]):
-            raise result.Refusal(result.Result.NOT_PRIMARY, detail="the copies differ")
+        present = tuple(self.entries[len(self.entries) - ahead :]) if ahead > 0 else ()
+        if ahead < 0 or self.digest_at(previous.sequence) != previous.digest or present != entries[:ahead]:
+            raise result.RequestError(result.ResultCode.NOT_PRIMARY, detail="the copies differ")
         return entries[ahead:]
 
     def marks(self) -> tuple[Mark, ...]:
@@ -317,7 +323,7 @@
 
         Example: ``copy.marks()[-1] == copy.last()``
         """
-        ends = [Mark(self.picture.sequence, self.picture.digest)]
+        ends = [Mark(self.snapshot.sequence, self.snapshot.digest)]
         for place in range(RANGE - 1, len(self.entries), RANGE):
             ends.append(Mark(self.entries[place].sequence, self.digests[place]))
         return tuple(dict.fromkeys([*ends, self.last()]))
@@ -327,9 +333,9 @@
 
         Example: ``copy.ahead_of(copy.last(), 1 << 20) == (None, ())``
         """
-        picture, place = None, mark.sequence - self.picture.sequence
+        snapshot, place = None, mark.sequence - self.snapshot.sequence
         if place < 0:
-            picture, place = self.picture, 0
+            snapshot, place = self.snapshot, 0
         elif self.digest_at(mark.sequence) != mark.digest:
             return None, ()
         chosen, size = [], 0
@@ -338,7 +344,7 @@
                 break
             chosen.append(entry)
             size += len(entry.body)
-        return picture, tuple(chosen)
+        return snapshot, tuple(chosen)
 
     async def write(self, *values) -> None:
         """Make values last on this disk.
@@ -351,7 +357,7 @@
                 self.meanwhile.extend(items)
             self.under_pen = items
             try:
-                await self.surroundings.disk.perform(self.kept.append, items)
+                await self.environment.disk.perform(self.kept.append, items)
             finally:
                 self.under_pen = ()
 
@@ -363,8 +369,8 @@
         async with self.writing:
             self.meanwhile = None
             fresh = self.successor()
-            await self.fill(fresh, self.picture, self.entries)
-            await self.surroundings.disk.perform(fresh.point, self.kept.home())
+            await self.fill(fresh, self.snapshot, self.entries)
+            await self.environment.disk.perform(fresh.point, self.kept.home())
             self.kept = fresh
 
     def successor(self) -> store.Store:
@@ -375,23 +381,27 @@
         self.newest = max(self.newest, self.kept.generation) + 1
         return self.kept.successor(self.newest)
 
-    async def fill(self, fresh: store.Store, picture: Drawn, entries: list[Entry]) -> None:
+    async def fill(self, fresh: store.Store, snapshot: Drawn, entries: list[Entry]) -> None:
         """Write a picture and the entries behind it into a new generation, a bounded part at a time.
 
         Example: ``await copy.fill(copy.successor(), copy.picture, copy.entries)``
         """
-        await self.surroundings.disk.perform(fresh.blank)
+        await self.environment.disk.perform(fresh.blank)
         waiting, size = [], 0
-        for value in itertools.chain([Identity(self.identity)], [self.holding] if self.holding else [], picture.values(),
-                                     tuple(entries)):
+        for value in itertools.chain(
+            [Identity(self.identity)],
+            [self.holding] if self.holding else [],
+            snapshot.values(),
+            tuple(entries),
+        ):
             waiting.append(stored(value))
             size += len(waiting[-1].payload)
             if size >= PART:
-                await self.surroundings.disk.perform(fresh.add, waiting)
+                await self.environment.disk.perform(fresh.add, waiting)
                 waiting, size = [], 0
-        await self.surroundings.disk.perform(fresh.append, waiting)
+        await self.environment.disk.perform(fresh.append, waiting)
 
-    async def hold(self, fresh: holding.Holding) -> None:
+    async def hold(self, fresh: replica_set.ReplicaSet) -> None:
         """Make a newer record of holders last before acting under it; written twice, as a disk may lose its
         last synced value and no other copy need hold the same record.
 
@@ -409,7 +419,7 @@
         await self.write(*entries)
         for entry in entries:
             self.remember(entry)
-            self.fold(entry, record.untagged(entry.body))
+            self.fold(entry, codec.untagged(entry.body))
 
     def grown(self) -> bool:
         """Whether the entries are many, or many bytes: as much as half of what the picture holds, so that the cost of a picture
@@ -417,10 +427,11 @@
 
         Example: ``if copy.grown(): ...``
         """
-        return (len(self.entries) >= max(COMPACT_ENTRIES, self.view.size() // 2)
-                or self.held >= max(COMPACT_BYTES, self.picture_size // 2))
+        return len(self.entries) >= max(COMPACT_ENTRIES, self.view.size() // 2) or self.held >= max(
+            COMPACT_BYTES, self.picture_size // 2
+        )
 
-    def begin_picture(self) -> bool:
+    def begin_snapshot(self) -> bool:
         """Take hold of what the view shows now, if the entries are many and the view shows just them; it is drawn behind the
         entries that come next, which are written meanwhile.
 
@@ -430,7 +441,7 @@
         if self.drawing or not self.grown() or not self.entries or self.view_at != end.sequence:
             return False
         self.drawing, self.meanwhile = True, list(self.under_pen)
-        self.begun = end, self.entries[-1].epoch, self.view.picture_parts()
+        self.begun = end, self.entries[-1].epoch, self.view.snapshot_parts()
         self.wanted.set()
         return True
 
@@ -448,7 +459,7 @@
 
         Example: ``await copy.compact()``
         """
-        if self.begin_picture():
+        if self.begin_snapshot():
             await self.finish_picture()
 
     async def finish_picture(self) -> None:
@@ -469,37 +480,39 @@
             if self.meanwhile is meanwhile:
                 self.meanwhile = None
 
-    async def use(self, picture: Drawn, meanwhile: list[store.Item]) -> None:
+    async def use(self, snapshot: Drawn, meanwhile: list[store.Item]) -> None:
         """Write a generation that starts with a picture and goes on with what was written meanwhile, then use it; unless the copy
         was mended, which makes a generation of its own.
 
         Example: ``await copy.use(picture, copy.meanwhile)``
         """
         fresh = self.successor()
-        await self.fill(fresh, picture, [])
+        await self.fill(fresh, snapshot, [])
         async with self.writing:
             if self.meanwhile is not meanwhile:
-                await self.surroundings.disk.perform(fresh.discard)
+                await self.environment.disk.perform(fresh.discard)
                 return
             if meanwhile:
-                await self.surroundings.disk.perform(fresh.append, meanwhile)
-            await self.surroundings.disk.perform(fresh.point, self.kept.home())
+                await self.environment.disk.perform(fresh.append, meanwhile)
+            await self.environment.disk.perform(fresh.point, self.kept.home())
             self.kept = fresh
             if self.meanwhile is meanwhile:
-                self.cut(slice(0, picture.sequence - self.picture.sequence))
-                self.picture, self.picture_size = picture, picture.size()
+                self.cut(slice(0, snapshot.sequence - self.snapshot.sequence))
+                self.snapshot, self.picture_size = snapshot, snapshot.size()
 
-    async def mend(self, through: int, picture: Picture | None, entries: tuple[Entry, ...]) -> Mark:
+    async def repair(self, through: int, snapshot: Picture | None, entries: tuple[Entry, ...]) -> Mark:
         """Become like the primary: keep what agrees, drop what does not, add what is missing.
 
         Example: ``mark = await copy.mend(120, None, entries)``
         """
-        if picture is not None:
-            self.replace_all(picture)
-        cut = through - self.picture.sequence
+        if snapshot is not None:
+            self.replace_all(snapshot)
+        cut = through - self.snapshot.sequence
         if not 0 <= cut <= len(self.entries):
-            raise result.Refusal(result.Result.NOT_PRIMARY, detail="the copy has moved on since it was compared")
-        dropped = picture is not None or len(self.entries) > cut
+            raise result.RequestError(
+                result.ResultCode.NOT_PRIMARY, detail="the copy has moved on since it was compared"
+            )
+        dropped = snapshot is not None or len(self.entries) > cut
         if dropped:
             self.meanwhile = None
             self.cut(slice(cut, None))
@@ -513,7 +526,7 @@
             self.refold()
         else:
             for entry in entries:
-                self.fold(entry, record.untagged(entry.body))
+                self.fold(entry, codec.untagged(entry.body))
         return self.last()
 
 
@@ -522,7 +535,7 @@
 
     Example: ``stored(Identity("name"))``
     """
-    return store.Item(getattr(value, "epoch", 0), record.tagged(value))
+    return store.Item(getattr(value, "epoch", 0), codec.tagged(value))
 
 
 async def drawn(parts: collections.abc.Iterator[bytes]) -> tuple[bytes, ...]:
@@ -535,6 +548,6 @@
         pieces.append(part)
         since += 1 + len(part) // 4096
         if since >= BREATH:
-            await moment.pause(moment.ZERO)
+            await clock.sleep(clock.ZERO)
             since = 0
     return tuple(pieces)
--- a/aspencroft/pair/recruiting_test.py
+++ b/aspencroft/replication/replica_changes_test.py
@@ -1,18 +1,19 @@
 """Tests of finding members, of ballots without word of their outcome, and of leaving machines."""
 
-import aspencroft.pair.part as part
-import aspencroft.sim.members as members
+from aspencroft.replication import group_state
+from aspencroft.simulation import members
 
 
 def test_other_areas_come_first_and_nodes_that_failed_last(tmp_path):
     async def acts(those: members.Members) -> None:
         own = those.hosts["n0:1"]
-        assert [one.address for one in own.recruiting.order()][0] == "n2:1"
-        assert {one.address for one in own.recruiting.order()} == {"n2:1", "n3:1", "n4:1"}
+        assert [one.address for one in own.replica_changes.order()][0] == "n2:1"
+        assert {one.address for one in own.replica_changes.order()} == {"n2:1", "n3:1", "n4:1"}
         own.doubt("n2:1")
-        assert [one.address for one in own.recruiting.order()][-1] == "n2:1"
+        assert [one.address for one in own.replica_changes.order()][-1] == "n2:1"
         those.emptied.add("n3:1")
-        assert [one.address for one in own.recruiting.order()] == ["n4:1", "n2:1"]
+        assert [one.address for one in own.replica_changes.order()] == ["n4:1", "n2:1"]
+
     members.play(tmp_path, 5, acts)
 
 
@@ -21,10 +22,11 @@
         own = those.hosts["n0:1"]
         those.register.unknown = True
         try:
-            await own.recruiting.enlist(those.hosts["n2:1"].me())
+            await own.replica_changes.enlist(those.hosts["n2:1"].me())
             raise AssertionError("went on")
-        except part.Deposed:
+        except group_state.Deposed:
             pass
+
     members.play(tmp_path, 3, acts)
 
 
@@ -34,19 +36,20 @@
         await those.until(lambda: those.hosts["n0:1"].why == "serving")
         for number in range(5):
             await those.write(f"a{number}")
-        enlist, own = those.hosts["n0:1"].recruiting.enlist, those.hosts["n0:1"]
+        enlist, own = those.hosts["n0:1"].replica_changes.enlist, those.hosts["n0:1"]
 
-        async def without_word(fellow):
-            own.recruiting.enlist = enlist
+        async def without_word(peer):
+            own.replica_changes.enlist = enlist
             those.register.unknown = True
-            return await enlist(fellow)
+            return await enlist(peer)
 
-        own.recruiting.enlist = without_word
+        own.replica_changes.enlist = without_word
         those.goal = 3
         await those.until(lambda: len(those.register.standing().backups) == 2)
         await those.until(lambda: own.why == "serving" and own.claimed() and len(own.known.backups) == 2)
         await those.write("last")
         assert those.same(*those.names)
+
     members.play(tmp_path, 3, acts)
 
 
@@ -56,13 +59,16 @@
         those.run(*those.names)
         await those.until(lambda: own.why == "serving")
         await those.write("a")
-        fellow = await own.recruiting.prepare(part.Candidate("n2:1", "south"))
+        peer = await own.replica_changes.prepare(group_state.Candidate("n2:1", "south"))
         await those.write("b")
         seen = []
-        those.register.watch = lambda standing: seen.append(those.same("n0:1", "n2:1")) if fellow in standing.backups else None
-        own.recruiting.ready = fellow
+        those.register.watch = lambda standing: (
+            seen.append(those.same("n0:1", "n2:1")) if peer in standing.backups else None
+        )
+        own.replica_changes.ready = peer
         await those.until(lambda: bool(seen))
         assert seen[0]
+
     members.play(tmp_path, 3, acts)
 
 
@@ -72,12 +78,13 @@
         await those.until(lambda: those.hosts["n0:1"].why == "serving")
         those.silent.add("n2:1")
         those.emptied.add("n1:1")
-        await members.moment.pause(members.moment.seconds(4))
+        await members.clock.sleep(members.clock.seconds(4))
         assert [one.address for one in those.register.standing().backups] == ["n1:1"]
         those.silent.clear()
         await those.until(lambda: [one.address for one in those.register.standing().backups] == ["n2:1"])
         await those.write("a")
         assert those.same("n0:1", "n2:1")
+
     members.play(tmp_path, 3, acts)
 
 
@@ -91,4 +98,5 @@
         leader = those.register.standing().primary.address
         await those.until(lambda: those.hosts[leader].why == "serving")
         assert "a" in those.hosts[leader].copy.view.document["services"]
+
     members.play(tmp_path, 4, acts)
--- a/aspencroft/keep/candidate.py
+++ b/aspencroft/residency/candidate.py
@@ -3,12 +3,12 @@
 import dataclasses
 import datetime
 
-import aspencroft.seam.moment as moment
+from aspencroft.runtime import clock
 
 MODEL, ADAPTER, KV = "model", "adapter", "kv"
 BANDWIDTH = 24.3e9
-WEIGHT_STARTUP = moment.ZERO
-KV_STARTUP = moment.seconds(0.000707)
+WEIGHT_STARTUP = clock.ZERO
+KV_STARTUP = clock.seconds(0.000707)
 KV_BYTES = 131_072
 LINEAR, SQUARE = 6.2e-5, 1.24e-9
 
@@ -49,7 +49,7 @@
 
     Example: ``reload_cost(15_200_000_000, WEIGHT_STARTUP)`` is about 0.63 s.
     """
-    return startup + moment.seconds(size / BANDWIDTH)
+    return startup + clock.seconds(size / BANDWIDTH)
 
 
 def recompute_cost(tokens: int) -> datetime.timedelta:
@@ -57,7 +57,7 @@
 
     Example: ``recompute_cost(27_500)`` is about 2.64 s.
     """
-    return moment.seconds(LINEAR * tokens + SQUARE * tokens * tokens)
+    return clock.seconds(LINEAR * tokens + SQUARE * tokens * tokens)
 
 
 def recovery_cost(tokens: int, on_host: bool) -> datetime.timedelta:
--- a/aspencroft/keep/keepplan.py
+++ b/aspencroft/residency/keep_plan.py
@@ -2,9 +2,8 @@
 
 import dataclasses
 
-import aspencroft.keep.candidate as candidate
-import aspencroft.keep.selection as selection
-import aspencroft.worker.adapter as adapter
+from aspencroft.residency import candidate, selection
+from aspencroft.workers import adapter
 
 DEVICE, HOST, LOADING, OFFLOADING = "device", "host", "loading", "offloading"
 
@@ -61,8 +60,11 @@
     release, offload, load, restore = [], [], [], []
     missing = sum(size for name, size in wanted.items() if name not in held or held[name].place == HOST)
     short = used + missing - memory - sum(one.size for one in held.values() if one.place == OFFLOADING)
-    victims = [one for name, one in sorted(held.items()) if name not in wanted and name not in protected
-               and not one.busy and one.place == DEVICE]
+    victims = [
+        one
+        for name, one in sorted(held.items())
+        if name not in wanted and name not in protected and not one.busy and one.place == DEVICE
+    ]
     for one in sorted(victims, key=lambda victim: victim.name.startswith(candidate.KV)):
         if short <= 0:
             break
--- a/aspencroft/keep/word.py
+++ b/aspencroft/residency/messages.py
@@ -3,10 +3,10 @@
 import dataclasses
 import datetime
 
-import aspencroft.link.record as record
+from aspencroft.transport import codec
 
 
-@record.kind(160)
+@codec.kind(160)
 @dataclasses.dataclass(frozen=True)
 class Called:
     """A call was served by a worker in so much time; its KV there grew to so many tokens."""
@@ -18,7 +18,7 @@
     took: datetime.timedelta
 
 
-@record.kind(161)
+@codec.kind(161)
 @dataclasses.dataclass(frozen=True)
 class Intended:
     """A planner's header named the models that a program calls next."""
@@ -27,7 +27,7 @@
     models: tuple[str, ...]
 
 
-@record.kind(162)
+@codec.kind(162)
 @dataclasses.dataclass(frozen=True)
 class Wanted:
     """A resting worker was needed."""
--- a/aspencroft/keep/residency.py
+++ b/aspencroft/residency/residency.py
@@ -8,32 +8,24 @@
 
 import logbook
 
-import aspencroft.code.result as result
-import aspencroft.duty.duty as duty
-import aspencroft.keep.candidate as candidate
-import aspencroft.keep.keepplan as keepplan
-import aspencroft.keep.selection as selection
-import aspencroft.keep.signals as signals
-import aspencroft.keep.tap as tap
-import aspencroft.keep.word as word
-import aspencroft.node.node as node
-import aspencroft.plan.control as control
-import aspencroft.plan.plan as plan
-import aspencroft.relay.news as news
-import aspencroft.ring.fellow as fellow
-import aspencroft.seam.moment as moment
-import aspencroft.seam.steady as steady
-import aspencroft.worker.adapter as adapter
-import aspencroft.worker.worker as worker
+from aspencroft.configuration import control_state, resources
+from aspencroft.distribution import updates
+from aspencroft.errors import result
+from aspencroft.leadership import duty
+from aspencroft.membership import cluster_member
+from aspencroft.node import node
+from aspencroft.residency import candidate, keep_plan, messages, selection, signals, tap
+from aspencroft.runtime import clock, supervision
+from aspencroft.workers import adapter, worker
 
 LOG = logbook.Logger("residency")
 TOPIC = "keeps"
-WINDOW = moment.seconds(10)
-RESOLVE = moment.seconds(0.5)
-PROBE = moment.seconds(0.25)
-LIST = moment.seconds(0.5)
-LIVE = moment.seconds(3)
-ORDERED = moment.seconds(1.5)
+WINDOW = clock.seconds(10)
+RESOLVE = clock.seconds(0.5)
+PROBE = clock.seconds(0.25)
+LIST = clock.seconds(0.5)
+LIVE = clock.seconds(3)
+ORDERED = clock.seconds(1.5)
 REPLICA = 4.0
 FARTHEST = 100
 MOST_KV = 200
@@ -63,7 +55,7 @@
         self.kept, self.memory, self.known = fresh, report.memory, True
         self.reports, self.busy = self.reports + 1, sum(one.busy for one in report.kept)
 
-    def ordered_now(self, step: keepplan.Step, sizes: dict[str, int], now: datetime.timedelta) -> None:
+    def ordered_now(self, step: keep_plan.Step, sizes: dict[str, int], now: datetime.timedelta) -> None:
         """Believe that an order taken by the worker is under way.
 
         Example: ``belief.ordered_now(step, sizes, now)``
@@ -71,10 +63,10 @@
         for name in step.release:
             self.kept.pop(name, None)
         for name in step.offload:
-            self.kept[name] = dataclasses.replace(self.kept[name], place=keepplan.OFFLOADING)
+            self.kept[name] = dataclasses.replace(self.kept[name], place=keep_plan.OFFLOADING)
         for name in (*step.load, *step.restore):
             tokens = self.kept[name].tokens if name in self.kept else 0
-            self.kept[name] = adapter.Kept(name, sizes[name], tokens, keepplan.LOADING, 0)
+            self.kept[name] = adapter.Kept(name, sizes[name], tokens, keep_plan.LOADING, 0)
         for name in (*step.release, *step.offload, *step.load, *step.restore):
             self.ordered[name] = now + ORDERED
 
@@ -88,15 +80,15 @@
     def __init__(self, own: node.Node, back: adapter.Adapter):
         self.node = own
         self.adapter = back
-        self.duty = duty.Duty("residency", own.address, own.incarnation, lambda: own.ring.fellows, own.submit)
+        self.duty = duty.Duty("residency", own.address, own.incarnation, lambda: own.ring.peers, own.submit)
         own.duties["residency"] = self.duty
         self.signals = signals.Signals()
         self.beliefs: dict[str, Belief] = {}
         self.workers: tuple[worker.Worker, ...] = ()
-        self.keeps: dict[str, keepplan.KeepPlan] = {}
+        self.keeps: dict[str, keep_plan.KeepPlan] = {}
         self.hurry = asyncio.Event()
         self.number = 0
-        self.published: tuple[str, datetime.timedelta] = ("", moment.ZERO)
+        self.published: tuple[str, datetime.timedelta] = ("", clock.ZERO)
         self.counts = {"probes": 0, "orders": 0, "orders refused": 0, "intents": 0, "solved": 0}
 
     async def run(self) -> None:
@@ -104,12 +96,12 @@
 
         Example: ``group.create_task(residency.run())``
         """
-        async with steady.Group() as group:
-            group.create_task(steady.stand("residency duty", self.duty.run, self.node.standing))
-            group.create_task(steady.stand("residency hear", self.hear, self.node.standing))
-            group.create_task(steady.stand("residency read_list", self.read_list, self.node.standing))
-            group.create_task(steady.stand("residency probe", self.probe, self.node.standing))
-            group.create_task(steady.stand("residency solve", self.solve, self.node.standing))
+        async with supervision.Group() as group:
+            group.create_task(supervision.stand("residency duty", self.duty.run, self.node.standing))
+            group.create_task(supervision.stand("residency hear", self.hear, self.node.standing))
+            group.create_task(supervision.stand("residency read_list", self.read_list, self.node.standing))
+            group.create_task(supervision.stand("residency probe", self.probe, self.node.standing))
+            group.create_task(supervision.stand("residency solve", self.solve, self.node.standing))
 
     async def hear(self) -> None:
         """Take word from edges: calls served and intents locked.
@@ -118,16 +110,16 @@
         """
         while True:
             message = await self.duty.words.get()
-            now = moment.now()
-            if isinstance(message, word.Intended):
+            now = clock.now()
+            if isinstance(message, messages.Intended):
                 self.counts["intents"] += 1
                 self.signals.intend(message.program, tap.Intent(message.models), now)
                 self.hurry.set()
-            elif isinstance(message, word.Called):
+            elif isinstance(message, messages.Called):
                 self.signals.called(message.program, message.service, now)
                 self.note_served(message)
 
-    def note_served(self, message: word.Called) -> None:
+    def note_served(self, message: messages.Called) -> None:
         """A served call shows that the worker holds the model, and the program's KV.
 
         Example: ``residency.note_served(message)``
@@ -136,9 +128,9 @@
         belief = self.beliefs.get(message.worker)
         if service is None or belief is None or service.kind != worker.MODEL:
             return
-        name = keepplan.key(candidate.ADAPTER if service.base else candidate.MODEL, service.name)
-        if name not in belief.kept or belief.kept[name].place != keepplan.DEVICE:
-            belief.kept[name] = adapter.Kept(name, service.size, 0, keepplan.DEVICE, 0)
+        name = keep_plan.key(candidate.ADAPTER if service.base else candidate.MODEL, service.name)
+        if name not in belief.kept or belief.kept[name].place != keep_plan.DEVICE:
+            belief.kept[name] = adapter.Kept(name, service.size, 0, keep_plan.DEVICE, 0)
 
     async def read_list(self) -> None:
         """Read the platform's list while the duty is held.
@@ -149,9 +141,9 @@
             if self.duty.held() and self.node.settings.workers:
                 try:
                     self.workers = await self.adapter.workers(self.node.settings.workers)
-                except result.Refusal as refusal:
+                except result.RequestError as refusal:
                     LOG.info("{}", refusal)
-            await moment.pause(LIST)
+            await clock.sleep(LIST)
 
     def models(self, state: str) -> list[worker.Worker]:
         """The model workers that are not leaving, without those of the quiet list: all, or those asleep.
@@ -161,8 +153,11 @@
         leaving = self.node.relay.plan.leaving
         held = self.node.relay.topics.get("quiet")
         without = json.loads(held.body).get(state, ()) if held is not None else ()
-        return [one for one in self.workers if one.kind == worker.MODEL and not one.leaving
-                and one.name not in leaving and one.name not in without]
+        return [
+            one
+            for one in self.workers
+            if one.kind == worker.MODEL and not one.leaving and one.name not in leaving and one.name not in without
+        ]
 
     async def probe(self) -> None:
         """Read one worker's report at a time, on a budget: a report is priced as a probe.
@@ -173,7 +168,7 @@
         """
         place = 0
         while True:
-            await moment.pause(PROBE)
+            await clock.sleep(PROBE)
             found = self.models("asleep")
             if not self.duty.held() or not found:
                 continue
@@ -182,8 +177,8 @@
             self.counts["probes"] += 1
             try:
                 report = await self.adapter.report(target)
-                self.beliefs.setdefault(target.name, Belief()).take(report, moment.now())
-            except result.Refusal as refusal:
+                self.beliefs.setdefault(target.name, Belief()).take(report, clock.now())
+            except result.RequestError as refusal:
                 LOG.info("report of {}: {}", target.name, refusal)
 
     async def solve(self) -> None:
@@ -193,25 +188,25 @@
         """
         while True:
             try:
-                async with moment.limit(RESOLVE):
+                async with clock.limit(RESOLVE):
                     await self.hurry.wait()
             except TimeoutError:
                 pass
             asked = self.hurry.is_set()
             self.hurry.clear()
             if not self.duty.held():
-                self.beliefs, self.keeps, self.published = {}, {}, ("", moment.ZERO)
+                self.beliefs, self.keeps, self.published = {}, {}, ("", clock.ZERO)
                 continue
             if self.node.control("hold_moves", False) and not asked and self.keeps:
                 await self.publish()
                 continue
-            steps = self.decide(moment.now())
-            async with steady.Group() as group:
+            steps = self.decide(clock.now())
+            async with supervision.Group() as group:
                 for target, step in steps:
                     group.create_task(self.order(target, step))
             await self.publish()
 
-    def decide(self, now: datetime.timedelta) -> list[tuple[worker.Worker, keepplan.Step]]:
+    def decide(self, now: datetime.timedelta) -> list[tuple[worker.Worker, keep_plan.Step]]:
         """The target set and next orders of each worker whose report was read.
 
         Example: ``for target, step in residency.decide(now): ...``
@@ -230,8 +225,12 @@
                 continue
             keep, sizes = self.target(target, belief, current, chances, copies, now)
             self.keeps[target.name] = keep
-            step = keepplan.step(belief.kept, {name: sizes[name] for name in keep.target},
-                                 frozenset(keep.protected), belief.memory)
+            step = keep_plan.step(
+                belief.kept,
+                {name: sizes[name] for name in keep.target},
+                frozenset(keep.protected),
+                belief.memory,
+            )
             if not step.empty() and not keep.shortfall:
                 steps.append((target, step))
                 belief.ordered_now(step, sizes, now)
@@ -242,51 +241,74 @@
 
         Example: ``residency.places("coder", targets)["m1"] == 0``
         """
+
         def rank(one: worker.Worker) -> tuple:
             belief = self.beliefs.get(one.name)
             holds = belief is not None and any(
-                keepplan.key(kind, name) in belief.kept for kind in (candidate.MODEL, candidate.ADAPTER))
-            return not holds, fellow.position(f"{name} {one.name}")
+                keep_plan.key(kind, name) in belief.kept for kind in (candidate.MODEL, candidate.ADAPTER)
+            )
+            return not holds, cluster_member.position(f"{name} {one.name}")
 
         able = sorted((one for one in targets if name in one.services), key=rank)
         return {one.name: place for place, one in enumerate(able)}
 
-    def target(self, target: worker.Worker, belief: Belief, current: plan.Plan, chances: dict[str, float],
-               copies: dict[str, dict[str, int]], now: datetime.timedelta) -> tuple[keepplan.KeepPlan, dict[str, int]]:
+    def target(
+        self,
+        target: worker.Worker,
+        belief: Belief,
+        current: resources.Plan,
+        chances: dict[str, float],
+        copies: dict[str, dict[str, int]],
+        now: datetime.timedelta,
+    ) -> tuple[keep_plan.KeepPlan, dict[str, int]]:
         """One worker's joint selection of models, adapters and parked KV beside what is protected.
 
         A model that other workers are to hold already counts for less here, as calls prefer holders.
 
         Example: ``keep, sizes = residency.target(target, belief, current, chances, copies, now)``
         """
-        protected = {name: one.size for name, one in belief.kept.items() if one.place != keepplan.HOST
-                     and (one.busy or one.place in (keepplan.LOADING, keepplan.OFFLOADING)
-                          or self.live(name, now))}
+        protected = {
+            name: one.size
+            for name, one in belief.kept.items()
+            if one.place != keep_plan.HOST
+            and (one.busy or one.place in (keep_plan.LOADING, keep_plan.OFFLOADING) or self.live(name, now))
+        }
         candidates, sizes = [], dict(protected)
         for name, chance in chances.items():
             service = current.services[name]
             kind = candidate.ADAPTER if service.base else candidate.MODEL
-            if name not in target.services or keepplan.key(kind, name) in protected:
+            if name not in target.services or keep_plan.key(kind, name) in protected:
                 continue
             place = copies[name][target.name]
             share = 1.0 - math.exp(math.log1p(-min(chance, 0.9999)) / REPLICA ** min(place, FARTHEST))
             cost = candidate.reload_cost(service.size, candidate.WEIGHT_STARTUP) + service.startup
             candidates.append(candidate.Candidate(kind, name, service.size, share, cost, service.base))
-        parked = [one for name, one in belief.kept.items()
-                  if name.startswith(candidate.KV) and name not in protected]
+        parked = [one for name, one in belief.kept.items() if name.startswith(candidate.KV) and name not in protected]
         for one in sorted(parked, key=lambda part: -part.tokens)[:MOST_KV]:
             program = one.name.partition(":")[2]
-            candidates.append(candidate.Candidate(
-                candidate.KV, program, one.size, self.signals.returns(program, WINDOW, now),
-                candidate.recovery_cost(one.tokens, one.place == keepplan.HOST), ""))
+            candidates.append(
+                candidate.Candidate(
+                    candidate.KV,
+                    program,
+                    one.size,
+                    self.signals.returns(program, WINDOW, now),
+                    candidate.recovery_cost(one.tokens, one.place == keep_plan.HOST),
+                    "",
+                )
+            )
         kv_bytes = sum(size for name, size in protected.items() if name.startswith(candidate.KV))
         weight_bytes = sum(protected.values()) - kv_bytes
-        chosen = selection.select(tuple(candidates), belief.memory, weight_bytes, kv_bytes,
-                                  frozenset(name.partition(":")[2] for name in protected))
-        wanted = keepplan.wanted_of(chosen, protected)
+        chosen = selection.select(
+            tuple(candidates),
+            belief.memory,
+            weight_bytes,
+            kv_bytes,
+            frozenset(name.partition(":")[2] for name in protected),
+        )
+        wanted = keep_plan.wanted_of(chosen, protected)
         sizes.update(wanted)
-        ready = tuple(sorted(name for name, one in belief.kept.items() if one.place == keepplan.DEVICE))
-        keep = keepplan.KeepPlan(target.name, tuple(wanted), ready, tuple(sorted(protected)), chosen.shortfall)
+        ready = tuple(sorted(name for name, one in belief.kept.items() if one.place == keep_plan.DEVICE))
+        keep = keep_plan.KeepPlan(target.name, tuple(wanted), ready, tuple(sorted(protected)), chosen.shortfall)
         return keep, sizes
 
     def live(self, name: str, now: datetime.timedelta) -> bool:
@@ -298,7 +320,7 @@
         session = self.signals.sessions.get(program) if kind == candidate.KV else None
         return session is not None and now - session.seen < LIVE
 
-    async def order(self, target: worker.Worker, step: keepplan.Step) -> None:
+    async def order(self, target: worker.Worker, step: keep_plan.Step) -> None:
         """Send one order under the duty's epoch; a worker that refuses the epoch ends the duty here.
 
         Example: ``await residency.order(target, step)``
@@ -310,10 +332,10 @@
         self.counts["orders"] += 1
         try:
             await self.adapter.order(target, order)
-        except result.Refusal as refusal:
+        except result.RequestError as refusal:
             self.counts["orders refused"] += 1
-            if refusal.result is result.Result.LOWER_EPOCH:
-                self.duty.end = moment.ZERO
+            if refusal.result is result.ResultCode.LOWER_EPOCH:
+                self.duty.end = clock.ZERO
             belief = self.beliefs[target.name]
             for name in (*step.release, *step.offload, *step.load, *step.restore):
                 belief.ordered.pop(name, None)
@@ -324,15 +346,25 @@
 
         Example: ``await residency.publish()``
         """
-        workers = {name: {"target": list(one.target), "ready": list(one.ready),
-                          "protected": list(one.protected), "shortfall": one.shortfall}
-                   for name, one in sorted(self.keeps.items())}
+        workers = {
+            name: {
+                "target": list(one.target),
+                "ready": list(one.ready),
+                "protected": list(one.protected),
+                "shortfall": one.shortfall,
+            }
+            for name, one in sorted(self.keeps.items())
+        }
         at_work = {one.name for one in self.models("workers")}
-        emptying = {one.name: {"reports": self.beliefs[one.name].reports, "busy": self.beliefs[one.name].busy}
-                    for one in self.models("asleep") if one.name not in at_work and one.name in self.beliefs}
-        body = json.dumps({"holder": self.node.address, "epoch": self.duty.epoch, "workers": workers,
-                           "emptying": emptying})
-        now = moment.now()
+        emptying = {
+            one.name: {"reports": self.beliefs[one.name].reports, "busy": self.beliefs[one.name].busy}
+            for one in self.models("asleep")
+            if one.name not in at_work and one.name in self.beliefs
+        }
+        body = json.dumps(
+            {"holder": self.node.address, "epoch": self.duty.epoch, "workers": workers, "emptying": emptying}
+        )
+        now = clock.now()
         if body == self.published[0] and now - self.published[1] < 4 * RESOLVE:
             return
         self.published = (body, now)
@@ -349,8 +381,8 @@
         return
     known = own.relay.topics.get(topic)
     number = max(held.epoch * EPOCH_UNIT, known.revision.number if known else 0) + 1
-    one = news.News(topic, control.Revision(held.epoch, number), None, body)
+    one = updates.News(topic, control_state.Revision(held.epoch, number), None, body)
     try:
-        await own.link.ask(holders.primary.address, news.Publish(one), moment.seconds(1))
-    except result.Refusal as refusal:
+        await own.link.ask(holders.primary.address, updates.Publish(one), clock.seconds(1))
+    except result.RequestError as refusal:
         LOG.info("publishing {}: {}", topic, refusal)
--- a/aspencroft/keep/selection.py
+++ b/aspencroft/residency/selection.py
@@ -6,8 +6,8 @@
 import math
 import random
 
-import aspencroft.keep.candidate as candidate
-import aspencroft.seam.moment as moment
+from aspencroft.residency import candidate
+from aspencroft.runtime import clock
 
 COMPRESSION = ROUNDING = THRESHOLD = 0.05
 MOST_OPTIONS = 32
@@ -38,8 +38,9 @@
     shortfall: int
 
 
-def groups_of(weights: tuple[candidate.Candidate, ...], protected: frozenset[str],
-              budget: int) -> tuple[tuple[Option, ...], ...]:
+def groups_of(
+    weights: tuple[candidate.Candidate, ...], protected: frozenset[str], budget: int
+) -> tuple[tuple[Option, ...], ...]:
     """Legal options per model: an adapter only with its base, unless the base is protected.
 
     Example: ``groups_of((model, adapter), frozenset(), budget)``
@@ -58,8 +59,11 @@
                 choices.append(own + picked)
                 if len(choices) > MOST_OPTIONS:
                     break
-        options = [Option(sum(one.size for one in members), sum(one.value for one in members), members)
-                   for members in choices if members]
+        options = [
+            Option(sum(one.size for one in members), sum(one.value for one in members), members)
+            for members in choices
+            if members
+        ]
         options = [one for one in options if one.size <= budget and one.value > 0]
         if options:
             found.append(tuple(options))
@@ -91,8 +95,7 @@
     buckets: dict[int, list[candidate.Candidate]] = {}
     for one in high:
         buckets.setdefault(int(math.log(one.value / threshold, growth)), []).append(one)
-    return [one for bucket in buckets.values()
-            for one in sorted(bucket, key=lambda single: single.size)[:most]]
+    return [one for bucket in buckets.values() for one in sorted(bucket, key=lambda single: single.size)[:most]]
 
 
 def frontier(groups: tuple[tuple[Option, ...], ...], unit: float, budget: int) -> list[Option]:
@@ -128,8 +131,13 @@
     return tuple(row)
 
 
-def select(candidates: tuple[candidate.Candidate, ...], budget: int, weight_bytes: int = 0, kv_bytes: int = 0,
-           protected: frozenset[str] = frozenset()) -> Selection:
+def select(
+    candidates: tuple[candidate.Candidate, ...],
+    budget: int,
+    weight_bytes: int = 0,
+    kv_bytes: int = 0,
+    protected: frozenset[str] = frozenset(),
+) -> Selection:
     """A set within (1 - 0.15) of the best that fits beside what is protected.
 
     Example: ``select(candidates, budget=72_000_000_000, weight_bytes=15_200_000_000)``
@@ -142,8 +150,15 @@
     kv = [one for one in useful if one.kind == candidate.KV]
     groups = groups_of(weights, protected, free)
     independent = all(len(options) == 1 for options in groups)
-    singles = kv + ([candidate.Candidate(candidate.MODEL, "", one.size, one.value, moment.seconds(1), "")
-                     for options in groups for one in options] if independent else [])
+    singles = kv + (
+        [
+            candidate.Candidate(candidate.MODEL, "", one.size, one.value, clock.seconds(1), "")
+            for options in groups
+            for one in options
+        ]
+        if independent
+        else []
+    )
     level = scale(singles, free)
     threshold = THRESHOLD * level
     high = compressed([one for one in kv if one.value > threshold], threshold) if threshold else []
@@ -160,8 +175,12 @@
         count = bisect.bisect_right(sizes, free - state.size) - 1
         if state.value + values[count] > best.value + values[best_count]:
             best, best_count = state, count
-    return Selection(best.members + tuple(low[:best_count]), best.size + sizes[best_count],
-                     best.value + values[best_count], 0)
+    return Selection(
+        best.members + tuple(low[:best_count]),
+        best.size + sizes[best_count],
+        best.value + values[best_count],
+        0,
+    )
 
 
 def optimum(candidates: list[candidate.Candidate], budget: int) -> float:
@@ -191,6 +210,14 @@
         base = ""
         if adapters and models and chance.random() < 0.3:
             kind, base = candidate.ADAPTER, chance.choice(models)
-        found.append(candidate.Candidate(kind, f"c{number}", chance.randrange(1, 40), chance.random() ** 3,
-                                         moment.seconds(chance.choice([0.05, 0.6, 2.6, 8.9])), base))
+        found.append(
+            candidate.Candidate(
+                kind,
+                f"c{number}",
+                chance.randrange(1, 40),
+                chance.random() ** 3,
+                clock.seconds(chance.choice([0.05, 0.6, 2.6, 8.9])),
+                base,
+            )
+        )
     return found
--- a/aspencroft/keep/selection_test.py
+++ b/aspencroft/residency/selection_test.py
@@ -1,11 +1,11 @@
-"""Tests of ``aspencroft.keep.selection``."""
+"""Tests of ``aspencroft.residency.selection``."""
 
 import math
 import random
 
-import aspencroft.keep.candidate as candidate
-import aspencroft.keep.selection as selection_module
-import aspencroft.seam.moment as moment
+import aspencroft.residency.selection as selection_module
+from aspencroft.residency import candidate
+from aspencroft.runtime import clock
 
 
 def test_selection_is_within_epsilon_of_brute_force():
@@ -21,12 +21,15 @@
         assert math.isclose(selection.value, sum(one.value for one in selection.chosen), abs_tol=1e-9)
         if best:
             worst = min(worst, selection.value / best)
-            assert selection.value >= (1 - selection_module.COMPRESSION - selection_module.ROUNDING - selection_module.THRESHOLD) * best, (seed, selection, best)
+            assert (
+                selection.value
+                >= (1 - selection_module.COMPRESSION - selection_module.ROUNDING - selection_module.THRESHOLD) * best
+            ), (seed, selection, best)
     assert worst < 1.0
 
 
 def test_protected_bytes_are_never_sold():
-    one = candidate.Candidate(candidate.KV, "p", 10, 0.5, moment.seconds(1), "")
+    one = candidate.Candidate(candidate.KV, "p", 10, 0.5, clock.seconds(1), "")
     assert selection_module.select((one,), 30, 15, 6).chosen == ()
     assert selection_module.select((one,), 30, 15, 5).chosen == (one,)
     assert selection_module.select((one,), 30, 25, 10).shortfall == 5
--- a/aspencroft/keep/signals.py
+++ b/aspencroft/residency/signals.py
@@ -4,15 +4,15 @@
 import dataclasses
 import datetime
 
-import aspencroft.keep.tap as tap
-import aspencroft.seam.moment as moment
+from aspencroft.residency import tap
+from aspencroft.runtime import clock
 
 LOCKED = 0.98
 FAN_OUT = 0.9
 SMOOTHING = 1.0
-INTENT_LIFE = moment.seconds(15)
-SESSION_LIFE = moment.seconds(120)
-FADE = moment.seconds(60)
+INTENT_LIFE = clock.seconds(15)
+SESSION_LIFE = clock.seconds(120)
+FADE = clock.seconds(60)
 MOST_SESSIONS = 20_000
 
 
@@ -73,8 +73,7 @@
         count, since = self.popularity.get(service, (0.0, now))
         return count * 0.5 ** ((now - since) / FADE)
 
-    def next_of(self, session: Session, service: str, services: tuple[str, ...],
-                now: datetime.timedelta) -> float:
+    def next_of(self, session: Session, service: str, services: tuple[str, ...], now: datetime.timedelta) -> float:
         """How likely a session's next call goes to a service.
 
         Example: ``signals.next_of(session, "coder", services, now) == LOCKED``
@@ -88,8 +87,9 @@
         share = ((counted[service] if counted else 0) + SMOOTHING) / (total + SMOOTHING * len(services))
         return share * 0.5 ** ((now - session.seen) / FADE)
 
-    def reuse(self, service: str, services: tuple[str, ...], window: datetime.timedelta,
-              now: datetime.timedelta) -> float:
+    def reuse(
+        self, service: str, services: tuple[str, ...], window: datetime.timedelta, now: datetime.timedelta
+    ) -> float:
         """The chance that any session calls a service within the window; popularity is the floor.
 
         Example: ``signals.reuse("coder", services, window, now)``
@@ -112,5 +112,5 @@
             return 0.01
         if session.intent is not None and now < session.intent_end:
             return LOCKED
-        idle = max(now - session.seen, moment.seconds(0.1))
+        idle = max(now - session.seen, clock.seconds(0.1))
         return min(0.95, window / (window + idle))
--- a/aspencroft/keep/signals_test.py
+++ b/aspencroft/residency/signals_test.py
@@ -1,12 +1,12 @@
-"""Tests of ``aspencroft.keep.signals``."""
+"""Tests of ``aspencroft.residency.signals``."""
 
-import aspencroft.keep.signals as signals_module
-import aspencroft.keep.tap as tap
-import aspencroft.seam.moment as moment
+import aspencroft.residency.signals as signals_module
+from aspencroft.residency import tap
+from aspencroft.runtime import clock
 
 
 def test_intent_outranks_transitions_outrank_popularity():
-    signals, services, now = signals_module.Signals(), ("planner", "coder", "math"), moment.seconds(1)
+    signals, services, now = signals_module.Signals(), ("planner", "coder", "math"), clock.seconds(1)
     for turn in range(20):
         signals.called("p", "planner", now)
         signals.called("p", "coder", now)
@@ -17,4 +17,4 @@
     assert signals.next_of(signals.sessions["p"], "math", services, now) == signals_module.LOCKED
     late = now + signals_module.INTENT_LIFE
     assert signals.next_of(signals.sessions["p"], "math", services, late) < 0.5
-    assert signals.reuse("coder", services, moment.seconds(5), now + signals_module.SESSION_LIFE) < 0.1
+    assert signals.reuse("coder", services, clock.seconds(5), now + signals_module.SESSION_LIFE) < 0.1
--- a/aspencroft/seam/boottime_test.py
+++ b/aspencroft/runtime/boottime_test.py
@@ -1,6 +1,6 @@
-"""Tests of ``aspencroft.seam.boottime``."""
+"""Tests of ``aspencroft.runtime.boottime``."""
 
-import aspencroft.seam.boottime as boottime
+from aspencroft.runtime import boottime
 
 
 def test_clock_never_steps_back():
--- a/aspencroft/seam/moment.py
+++ b/aspencroft/runtime/clock.py
@@ -14,7 +14,7 @@
     return datetime.timedelta(seconds=asyncio.get_running_loop().time())
 
 
-async def pause(span: datetime.timedelta) -> None:
+async def sleep(span: datetime.timedelta) -> None:
     """Wait for a span on the loop's clock.
 
     Example: ``await moment.pause(datetime.timedelta(milliseconds=300))``
--- a/aspencroft/seam/surroundings.py
+++ b/aspencroft/runtime/environment.py
@@ -43,7 +43,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Surroundings:
+class Environment:
     """Network, disk, HTTP transport, source of randomness and wall clock of one node.
 
     Example: ``surroundings.machine()`` for the real ones.
@@ -181,12 +181,16 @@
             os.close(descriptor)
 
 
-def machine() -> Surroundings:
+def machine() -> Environment:
     """The real surroundings of a daemon.
 
     Example: ``node.Node(settings, surroundings.machine())``
     """
     limits = httpx.Limits(max_connections=512, max_keepalive_connections=64, keepalive_expiry=20)
-    return Surroundings(SocketNetwork(), FileDisk(),
-                        lambda: httpx.AsyncHTTPTransport(limits=limits, retries=0),
-                        random.SystemRandom(), lambda: datetime.datetime.now(datetime.timezone.utc))
+    return Environment(
+        SocketNetwork(),
+        FileDisk(),
+        lambda: httpx.AsyncHTTPTransport(limits=limits, retries=0),
+        random.SystemRandom(),
+        lambda: datetime.datetime.now(datetime.UTC),
+    )
--- a/aspencroft/seam/steady.py
+++ b/aspencroft/runtime/supervision.py
@@ -6,10 +6,10 @@
 
 import logbook
 
-import aspencroft.seam.moment as moment
+from aspencroft.runtime import clock
 
 LOG = logbook.Logger("steady")
-AGAIN = moment.seconds(0.5)
+AGAIN = clock.seconds(0.5)
 
 
 class Group(asyncio.TaskGroup):
@@ -30,8 +30,9 @@
                 self._parent_task.uncancel()
 
 
-async def stand(name: str, work: collections.abc.Callable[[], collections.abc.Awaitable],
-                counts: collections.Counter) -> None:
+async def stand(
+    name: str, work: collections.abc.Callable[[], collections.abc.Awaitable], counts: collections.Counter
+) -> None:
     """Do work that never ends by itself; an unforeseen error is logged and counted, then it goes on.
 
     Example: ``group.create_task(steady.stand("relay", relay.run, counts))``
@@ -44,7 +45,7 @@
             heed()
             counts[name] += 1
             LOG.exception("{} met an unforeseen error and goes on", name)
-        await moment.pause(AGAIN)
+        await clock.sleep(AGAIN)
 
 
 def heed() -> None:
--- a/aspencroft/seam/steady_test.py
+++ b/aspencroft/runtime/supervision_test.py
@@ -1,10 +1,10 @@
-"""Tests of ``aspencroft.seam.steady``."""
+"""Tests of ``aspencroft.runtime.supervision``."""
 
 import asyncio
 import collections
 import collections.abc
 
-import aspencroft.seam.steady as steady
+from aspencroft.runtime import supervision
 
 
 def test_an_unforeseen_error_is_counted_and_the_work_goes_on():
@@ -23,7 +23,7 @@
             raise ExceptionGroup("both", [KeyError("a"), TypeError("b")])
 
     with asyncio.Runner(loop_factory=Instant) as runner:
-        runner.run(steady.stand("work", work, counts))
+        runner.run(supervision.stand("work", work, counts))
     assert len(goes) == 3 and counts["work"] == 2
 
 
@@ -35,7 +35,7 @@
         counts = []
         for _ in range(3):
             try:
-                async with steady.Group() as group:
+                async with supervision.Group() as group:
                     group.create_task(fails())
             except* ValueError:
                 counts.append(asyncio.current_task().cancelling())
@@ -54,11 +54,11 @@
             raise ValueError("at the same moment")
 
     async def work():
-        async with steady.Group() as group:
+        async with supervision.Group() as group:
             group.create_task(fails())
 
     async def scene():
-        task = asyncio.ensure_future(steady.stand("work", work, collections.Counter()))
+        task = asyncio.ensure_future(supervision.stand("work", work, collections.Counter()))
         held.append(task)
         await asyncio.wait([task], timeout=0)
         task.cancel()
--- a/aspencroft/talk/entry.py
+++ b/aspencroft/sessions/entry.py
@@ -3,7 +3,7 @@
 import dataclasses
 import datetime
 
-import aspencroft.link.record as record
+from aspencroft.transport import codec
 
 NOT_KEPT = "not kept"
 
@@ -27,7 +27,7 @@
     value: bytes
 
 
-@record.kind(141)
+@codec.kind(141)
 @dataclasses.dataclass(frozen=True)
 class BeginTurn:
     """Command: start the turn of an attempt behind the one named, under the program's budget (tokens).
@@ -50,7 +50,7 @@
     base: tuple[Turn, ...]
 
 
-@record.kind(142)
+@codec.kind(142)
 @dataclasses.dataclass(frozen=True)
 class TurnBegun:
     """Reply: the turns before it, oldest first, all of them if ``complete``, else those behind the one the edge holds.
@@ -63,7 +63,7 @@
     complete: bool
 
 
-@record.kind(143)
+@codec.kind(143)
 @dataclasses.dataclass(frozen=True)
 class EndTurn:
     """Command: how a turn ended; ``used`` are the tokens it put out."""
@@ -78,7 +78,7 @@
     worker: str
 
 
-@record.kind(144)
+@codec.kind(144)
 @dataclasses.dataclass(frozen=True)
 class FindTurn:
     """Command that only reads: the chain that ends with a turn."""
@@ -86,7 +86,7 @@
     attempt: str
 
 
-@record.kind(145)
+@codec.kind(145)
 @dataclasses.dataclass(frozen=True)
 class TurnFound:
     """Reply: whether the turn is kept here, and its chain, oldest first."""
@@ -95,7 +95,7 @@
     chain: tuple[Turn, ...]
 
 
-@record.kind(146)
+@codec.kind(146)
 @dataclasses.dataclass(frozen=True)
 class ClaimKey:
     """Command: be the one attempt that runs under a key, for a time of at most ``within``.
@@ -112,7 +112,7 @@
     edge: str
 
 
-@record.kind(147)
+@codec.kind(147)
 @dataclasses.dataclass(frozen=True)
 class KeyHeld:
     """Reply: ``mine`` if the asking attempt is the one to run; else the outcome, empty while it is at work, and the answer.
@@ -127,7 +127,7 @@
     body: bytes
 
 
-@record.kind(148)
+@codec.kind(148)
 @dataclasses.dataclass(frozen=True)
 class CloseKey:
     """Command: how the attempt under a key ended; not run frees the key."""
@@ -140,7 +140,7 @@
     body: bytes
 
 
-@record.kind(149)
+@codec.kind(149)
 @dataclasses.dataclass(frozen=True)
 class TurnBegan:
     """Event: a turn is under way; with a budget (the one that stands) its most is reserved; ``base`` is kept from now on.
@@ -169,7 +169,7 @@
         return self.most if self.budget else 0
 
 
-@record.kind(154)
+@codec.kind(154)
 @dataclasses.dataclass(frozen=True)
 class TurnEnded:
     """Event: a turn ended, or an attempt that never began must not begin any more."""
@@ -182,7 +182,7 @@
     worker: str
 
 
-@record.kind(155)
+@codec.kind(155)
 @dataclasses.dataclass(frozen=True)
 class KeyClaimed:
     """Event: an attempt holds a key."""
@@ -194,7 +194,7 @@
     edge: str
 
 
-@record.kind(156)
+@codec.kind(156)
 @dataclasses.dataclass(frozen=True)
 class KeyClosed:
     """Event: how the attempt under a key ended; not run also keeps an attempt from claiming it any more."""
@@ -207,7 +207,7 @@
     body: bytes
 
 
-@record.kind(157)
+@codec.kind(157)
 @dataclasses.dataclass(frozen=True)
 class Forget:
     """Clock event, command and event alike: keep times ran out; ended turns and freed keys are named by their attempt."""
--- a/aspencroft/talk/talk.py
+++ b/aspencroft/sessions/lane_sessions.py
@@ -6,14 +6,13 @@
 import datetime
 import itertools
 
-import aspencroft.code.result as result
-import aspencroft.link.record as record
-import aspencroft.seam.moment as moment
-import aspencroft.talk.ledger as ledger
-import aspencroft.talk.speech as speech
-
-MINUTE = moment.seconds(60)
-BEYOND = moment.seconds(10)
+from aspencroft.errors import result
+from aspencroft.runtime import clock
+from aspencroft.sessions import ledger, messages
+from aspencroft.transport import codec
+
+MINUTE = clock.seconds(60)
+BEYOND = clock.seconds(10)
 LARGEST_ANSWER = 256 << 10
 LARGEST_PAST = 4 << 20
 LOOKS, MOST_DUE, SLICE = 4000, 256, 200
@@ -30,8 +29,8 @@
     """
 
     def __init__(self):
-        self.programs: dict[str, speech.Program] = {}
-        self.operations: dict[str, speech.Operation] = {}
+        self.programs: dict[str, messages.Program] = {}
+        self.operations: dict[str, messages.Operation] = {}
         self.touched: dict[str, datetime.timedelta] = {}
         self.opened: dict[str, datetime.timedelta] = {}
         self.noted: dict[str, datetime.timedelta] = {}
@@ -46,42 +45,42 @@
         """
         if type(command) in ledger.COMMANDS:
             return self.ledger.decide(command, now)
-        if isinstance(command, speech.OpenTurn):
+        if isinstance(command, messages.OpenTurn):
             return self.open_turn(command, now)
-        if isinstance(command, speech.CloseTurn):
+        if isinstance(command, messages.CloseTurn):
             return self.close_turn(command, now)
-        if isinstance(command, speech.ClaimOperation):
+        if isinstance(command, messages.ClaimOperation):
             return self.claim_operation(command, now)
-        if isinstance(command, speech.CloseOperation):
+        if isinstance(command, messages.CloseOperation):
             return self.close_operation(command, now)
-        if isinstance(command, speech.ForgetProgram):
+        if isinstance(command, messages.ForgetProgram):
             known = self.programs.get(command.program)
             due = known is not None and not known.under_way and self.kept_out(known, now)
-            return ((speech.ProgramForgotten(command.program),) if due else ()), speech.Closed("")
-        if isinstance(command, speech.ForgetOperation):
+            return ((messages.ProgramForgotten(command.program),) if due else ()), messages.Closed("")
+        if isinstance(command, messages.ForgetOperation):
             known = self.operations.get(command.key)
             due = known is not None and self.remembered_out(known, now)
-            return ((speech.OperationForgotten(command.key),) if due else ()), speech.Closed("")
-        raise result.Refusal(result.Result.MALFORMED, detail=type(command).__name__)
+            return ((messages.OperationForgotten(command.key),) if due else ()), messages.Closed("")
+        raise result.RequestError(result.ResultCode.MALFORMED, detail=type(command).__name__)
 
-    def kept_out(self, program: speech.Program, now: datetime.timedelta) -> bool:
+    def kept_out(self, program: messages.Program, now: datetime.timedelta) -> bool:
         """Whether the keep time since the last turn ran out.
 
         Example: ``talk.kept_out(program, now)``
         """
         return now - self.touched.setdefault(program.name, now) > program.keep
 
-    def remembered_out(self, operation: speech.Operation, now: datetime.timedelta) -> bool:
+    def remembered_out(self, operation: messages.Operation, now: datetime.timedelta) -> bool:
         """Whether a key was held a full minute beyond the last moment in which its work could run.
 
         Example: ``talk.remembered_out(operation, now)``
         """
         span = max(MINUTE, operation.keep) + BEYOND
-        if operation.outcome != speech.DONE:
+        if operation.outcome != messages.DONE:
             span += operation.within + MINUTE / 2
         return now - self.noted.setdefault(operation.key, now) > span
 
-    def open_turn(self, command: speech.OpenTurn, now: datetime.timedelta) -> tuple[tuple, object]:
+    def open_turn(self, command: messages.OpenTurn, now: datetime.timedelta) -> tuple[tuple, object]:
         """A turn starts behind the last one of its chain while used plus reserved is under the budget.
 
         Example: ``talk.open_turn(command, now)``
@@ -89,48 +88,59 @@
         known = self.programs.get(command.program)
         if known is None:
             if command.after != 0:
-                raise result.Refusal(result.Result.UNKNOWN_PROGRAM, detail=command.program)
+                raise result.RequestError(result.ResultCode.UNKNOWN_PROGRAM, detail=command.program)
             if len(self.programs) >= MOST_PROGRAMS:
-                raise result.Refusal(result.Result.OVERLOADED, detail="too many programs", retry=MINUTE)
-            known = speech.Program(command.program, command.lane, command.budget, 0, command.keep, (), ())
+                raise result.RequestError(result.ResultCode.OVERLOADED, detail="too many programs", retry=MINUTE)
+            known = messages.Program(command.program, command.lane, command.budget, 0, command.keep, (), ())
         past = known.chain(command.helper).past
         last = past[-1].number if past else 0
         if any(one.go == command.go for one in known.under_way):
-            return (), speech.TurnGranted(last + 1, past, command.reserve)
+            return (), messages.TurnGranted(last + 1, past, command.reserve)
         if any(one.helper == command.helper for one in known.under_way):
-            raise result.Refusal(result.Result.TURN_UNDER_WAY, detail=f"after turn {last}",
-                                 retry=moment.seconds(1))
+            raise result.RequestError(
+                result.ResultCode.TURN_UNDER_WAY, detail=f"after turn {last}", retry=clock.seconds(1)
+            )
         if command.after != last:
-            raise result.Refusal(result.Result.STALE_TURN, detail=f"the last turn is {last}")
+            raise result.RequestError(result.ResultCode.STALE_TURN, detail=f"the last turn is {last}")
         if known.used + known.reserved() >= known.budget:
-            raise result.Refusal(result.Result.OUT_OF_BUDGET,
-                                 detail=f"{known.used} used, {known.reserved()} reserved of {known.budget}")
+            raise result.RequestError(
+                result.ResultCode.OUT_OF_BUDGET,
+                detail=f"{known.used} used, {known.reserved()} reserved of {known.budget}",
+            )
         if sum(len(one.input) + len(one.output) for one in past) > LARGEST_PAST:
-            raise result.Refusal(result.Result.TOO_LARGE, detail="the history is at its limit")
-        event = speech.TurnOpened(**{field.name: getattr(command, field.name)
-                                     for field in dataclasses.fields(command)})
+            raise result.RequestError(result.ResultCode.TOO_LARGE, detail="the history is at its limit")
+        event = messages.TurnOpened(
+            **{field.name: getattr(command, field.name) for field in dataclasses.fields(command)}
+        )
         self.touched[command.program] = now
         self.opened[command.go] = now
-        return (event,), speech.TurnGranted(last + 1, past, command.reserve)
+        return (event,), messages.TurnGranted(last + 1, past, command.reserve)
 
-    def close_turn(self, command: speech.CloseTurn, now: datetime.timedelta) -> tuple[tuple, object]:
+    def close_turn(self, command: messages.CloseTurn, now: datetime.timedelta) -> tuple[tuple, object]:
         """A turn under way ends once; saying it again does no harm.
 
         Example: ``talk.close_turn(command, now)``
         """
         known = self.programs.get(command.program)
         if known is None:
-            raise result.Refusal(result.Result.UNKNOWN_PROGRAM, result.Ran.UNKNOWN, command.program)
+            raise result.RequestError(result.ResultCode.UNKNOWN_PROGRAM, result.Ran.UNKNOWN, command.program)
         if not any(one.go == command.go for one in known.under_way):
             if any(one.go == command.go for one in known.chain(command.helper).past[-1:]):
-                return (), speech.Closed(speech.DONE)
-            raise result.Refusal(result.Result.STALE_TURN, result.Ran.UNKNOWN, "the turn was closed before")
-        event = speech.TurnClosed(command.program, command.helper, command.go, command.outcome,
-                                  command.input, command.output, command.used)
+                return (), messages.Closed(messages.DONE)
+            raise result.RequestError(result.ResultCode.STALE_TURN, result.Ran.UNKNOWN, "the turn was closed before")
+        event = messages.TurnClosed(
+            command.program,
+            command.helper,
+            command.go,
+            command.outcome,
+            command.input,
+            command.output,
+            command.used,
+        )
         self.touched[command.program] = now
-        return (event,), speech.Closed(command.outcome)
+        return (event,), messages.Closed(command.outcome)
 
-    def claim_operation(self, command: speech.ClaimOperation, now: datetime.timedelta) -> tuple[tuple, object]:
+    def claim_operation(self, command: messages.ClaimOperation, now: datetime.timedelta) -> tuple[tuple, object]:
         """The first request takes the key; others get its state and never run.
 
         Example: ``talk.claim_operation(command, now)``
@@ -138,30 +148,33 @@
         known = self.operations.get(command.key)
         if known is not None:
             if known.lane != command.lane:
-                raise result.Refusal(result.Result.OPERATION_DIFFERS, detail=f"used for lane {known.lane}")
+                raise result.RequestError(result.ResultCode.OPERATION_DIFFERS, detail=f"used for lane {known.lane}")
             if known.digest != command.digest:
-                raise result.Refusal(result.Result.OPERATION_MISMATCH)
+                raise result.RequestError(result.ResultCode.OPERATION_MISMATCH)
             return (), dataclasses.replace(known, mine=known.go == command.go and not known.outcome)
         if len(self.operations) >= MOST_OPERATIONS:
-            raise result.Refusal(result.Result.OVERLOADED, detail="too many operations", retry=MINUTE)
-        event = speech.OperationClaimed(command.key, command.lane, command.go, command.digest, command.within,
-                                        command.keep)
+            raise result.RequestError(result.ResultCode.OVERLOADED, detail="too many operations", retry=MINUTE)
+        event = messages.OperationClaimed(
+            command.key, command.lane, command.go, command.digest, command.within, command.keep
+        )
         self.noted[command.key] = now
-        return (event,), speech.Operation(command.key, command.lane, command.go, command.digest, True, "", b"",
-                                          command.within, command.keep)
+        return (event,), messages.Operation(
+            command.key, command.lane, command.go, command.digest, True, "", b"", command.within, command.keep
+        )
 
-    def close_operation(self, command: speech.CloseOperation, now: datetime.timedelta) -> tuple[tuple, object]:
+    def close_operation(self, command: messages.CloseOperation, now: datetime.timedelta) -> tuple[tuple, object]:
         """The go that holds the key tells how it ended.
 
         Example: ``talk.close_operation(command, now)``
         """
         known = self.operations.get(command.key)
         if known is None or known.go != command.go or known.outcome:
-            return (), speech.Closed("" if known is None else known.outcome)
+            return (), messages.Closed("" if known is None else known.outcome)
         answer = command.answer if len(command.answer) <= LARGEST_ANSWER else b""
         self.noted[command.key] = now
-        return (speech.OperationClosed(command.key, command.go, command.outcome, answer),), speech.Closed(
-            command.outcome)
+        return (messages.OperationClosed(command.key, command.go, command.outcome, answer),), messages.Closed(
+            command.outcome
+        )
 
     def fold(self, event) -> None:
         """Take an event in.
@@ -170,31 +183,35 @@
         """
         if type(event) in ledger.EVENTS:
             self.ledger.fold(event)
-        elif isinstance(event, speech.TurnOpened):
-            known = self.programs.get(event.program) or speech.Program(
-                event.program, event.lane, event.budget, 0, event.keep, (), ())
-            go = speech.OpenGo(event.helper, event.after, event.go, event.reserve, event.within, event.edge)
+        elif isinstance(event, messages.TurnOpened):
+            known = self.programs.get(event.program) or messages.Program(
+                event.program, event.lane, event.budget, 0, event.keep, (), ()
+            )
+            go = messages.OpenGo(event.helper, event.after, event.go, event.reserve, event.within, event.edge)
             self.going[event.go] = event.program
             self.programs[event.program] = dataclasses.replace(
-                known, keep=max(known.keep, event.keep), under_way=known.under_way + (go,))
-        elif isinstance(event, speech.TurnClosed):
+                known, keep=max(known.keep, event.keep), under_way=known.under_way + (go,)
+            )
+        elif isinstance(event, messages.TurnClosed):
             self.programs[event.program] = closed(self.programs[event.program], event)
             self.opened.pop(event.go, None)
             self.going.pop(event.go, None)
-        elif isinstance(event, speech.ProgramForgotten):
+        elif isinstance(event, messages.ProgramForgotten):
             self.programs.pop(event.program, None)
             self.touched.pop(event.program, None)
-        elif isinstance(event, speech.OperationClaimed):
-            self.operations[event.key] = speech.Operation(
-                event.key, event.lane, event.go, event.digest, False, "", b"", event.within, event.keep)
-        elif isinstance(event, speech.OperationClosed):
-            if event.outcome == speech.NOT_RUN:
+        elif isinstance(event, messages.OperationClaimed):
+            self.operations[event.key] = messages.Operation(
+                event.key, event.lane, event.go, event.digest, False, "", b"", event.within, event.keep
+            )
+        elif isinstance(event, messages.OperationClosed):
+            if event.outcome == messages.NOT_RUN:
                 self.operations.pop(event.key, None)
                 self.noted.pop(event.key, None)
             elif event.key in self.operations:
                 self.operations[event.key] = dataclasses.replace(
-                    self.operations[event.key], outcome=event.outcome, answer=event.answer)
-        elif isinstance(event, speech.OperationForgotten):
+                    self.operations[event.key], outcome=event.outcome, answer=event.answer
+                )
+        elif isinstance(event, messages.OperationForgotten):
             self.operations.pop(event.key, None)
             self.noted.pop(event.key, None)
 
@@ -210,18 +227,20 @@
         for go, name in self.going.items():
             one = next(each for each in self.programs[name].under_way if each.go == go)
             if gone(one.edge) or now - self.opened.setdefault(go, now) > one.within + BEYOND:
-                found.append(speech.CloseTurn(name, one.helper, go, speech.UNKNOWN, "", "", 0))
+                found.append(messages.CloseTurn(name, one.helper, go, messages.UNKNOWN, "", "", 0))
         for _ in range(LOOKS):
             kind, name = next(self.looked, ("", ""))
             if not kind:
-                self.looked = itertools.chain(zip(itertools.repeat("program"), list(self.programs)),
-                                              zip(itertools.repeat("key"), list(self.operations)))
+                self.looked = itertools.chain(
+                    zip(itertools.repeat("program"), list(self.programs)),
+                    zip(itertools.repeat("key"), list(self.operations)),
+                )
                 break
             program, operation = self.programs.get(name), self.operations.get(name)
             if kind == "program" and program is not None and not program.under_way and self.kept_out(program, now):
-                found.append(speech.ForgetProgram(name))
+                found.append(messages.ForgetProgram(name))
             elif kind == "key" and operation is not None and self.remembered_out(operation, now):
-                found.append(speech.ForgetOperation(name))
+                found.append(messages.ForgetOperation(name))
             if len(found) >= MOST_DUE:
                 break
         return (*found, *self.ledger.due(now, gone))
@@ -234,27 +253,28 @@
         self.touched, self.opened, self.noted, self.looked = {}, {}, {}, iter(())
         self.ledger.rest_clocks()
 
-    def picture(self) -> bytes:
+    def snapshot(self) -> bytes:
         """All of it as bytes.
 
         Example: ``Talk().restore(talk.picture())``
         """
-        return b"".join(self.picture_parts())
+        return b"".join(self.snapshot_parts())
 
-    def picture_parts(self) -> collections.abc.Iterator[bytes]:
+    def snapshot_parts(self) -> collections.abc.Iterator[bytes]:
         """The picture of this moment in bounded parts; what changes meanwhile is not in it.
 
         Example: ``b"".join(talk.picture_parts()) == talk.picture()``
         """
         held = (list(self.programs.values()), list(self.operations.values()))
-        ledger_parts = self.ledger.picture_parts()
+        ledger_parts = self.ledger.snapshot_parts()
 
         def parts() -> collections.abc.Iterator[bytes]:
             for row in held:
-                yield record.LENGTH.pack(len(row))
+                yield codec.LENGTH.pack(len(row))
                 for place in range(0, len(row), SLICE):
-                    yield b"".join(record.pack(one) for one in row[place:place + SLICE])
+                    yield b"".join(codec.pack(one) for one in row[place : place + SLICE])
             yield from ledger_parts
+
         return parts()
 
     def size(self) -> int:
@@ -269,27 +289,31 @@
 
         Example: ``talk.restore(body)``
         """
-        shown, place = record.unpack_from(speech.TalkPicture, body, 0)
+        shown, place = codec.unpack_from(messages.TalkPicture, body, 0)
         if place < len(body) and self.ledger.restore(body, place) != len(body):
-            raise record.Broken("bytes are left over")
+            raise codec.Broken("bytes are left over")
         self.programs = {one.name: one for one in shown.programs}
         self.operations = {one.key: one for one in shown.operations}
         self.going = {go.go: one.name for one in shown.programs for go in one.under_way}
 
 
-def closed(program: speech.Program, event: speech.TurnClosed) -> speech.Program:
+def closed(program: messages.Program, event: messages.TurnClosed) -> messages.Program:
     """A program once a turn of it ended.
 
     Example: ``closed(program, event).used``
     """
     ended = next(one for one in program.under_way if one.go == event.go)
     under_way = tuple(one for one in program.under_way if one.go != event.go)
-    if event.outcome == speech.NOT_RUN:
+    if event.outcome == messages.NOT_RUN:
         return dataclasses.replace(program, under_way=under_way)
-    if event.outcome == speech.UNKNOWN:
+    if event.outcome == messages.UNKNOWN:
         return dataclasses.replace(program, under_way=under_way, used=program.used + ended.reserve)
     chain = program.chain(event.helper)
-    turn = speech.Past(ended.after + 1, event.go, event.input, event.output, event.used)
+    turn = messages.Past(ended.after + 1, event.go, event.input, event.output, event.used)
     chains = tuple(one for one in program.chains if one.helper != event.helper)
-    return dataclasses.replace(program, under_way=under_way, used=program.used + event.used,
-                               chains=chains + (speech.Chain(event.helper, chain.past + (turn,)),))
+    return dataclasses.replace(
+        program,
+        under_way=under_way,
+        used=program.used + event.used,
+        chains=chains + (messages.Chain(event.helper, chain.past + (turn,)),),
+    )
--- a/aspencroft/talk/talk_test.py
+++ b/aspencroft/sessions/lane_sessions_test.py
@@ -1,44 +1,45 @@
-"""Tests of ``aspencroft.talk.talk``."""
+"""Tests of ``aspencroft.sessions.lane_sessions``."""
 
 import collections
 import collections.abc
 import dataclasses
 import random
 
-import aspencroft.code.result as result
-import aspencroft.seam.moment as moment
-import aspencroft.talk.speech as speech
-import aspencroft.talk.talk as talk_module
+import aspencroft.sessions.lane_sessions as talk_module
+from aspencroft.errors import result
+from aspencroft.runtime import clock
+from aspencroft.sessions import messages
 
 
 def test_budget_and_history_agree_with_a_plain_model():
     for seed in range(200):
-        chance, talk, now = random.Random(seed), talk_module.Talk(), moment.ZERO
+        chance, talk, now = random.Random(seed), talk_module.Talk(), clock.ZERO
         plain = collections.defaultdict(list)
         put_out, under_way = 0, {}
         for step in range(60):
-            now += moment.seconds(0.1)
+            now += clock.seconds(0.1)
             helper = chance.choice(["", "one", "two"])
             if helper in under_way and chance.random() < 0.7:
                 go, turn_input = under_way.pop(helper)
-                outcome = chance.choice([speech.DONE, speech.DONE, speech.NOT_RUN, speech.UNKNOWN])
+                outcome = chance.choice([messages.DONE, messages.DONE, messages.NOT_RUN, messages.UNKNOWN])
                 used = chance.randrange(11)
-                command = speech.CloseTurn("p", helper, go, outcome, turn_input, f"out {go}", used)
-                if outcome == speech.DONE:
+                command = messages.CloseTurn("p", helper, go, outcome, turn_input, f"out {go}", used)
+                if outcome == messages.DONE:
                     plain[helper].append((turn_input, f"out {go}"))
-                put_out += {speech.DONE: used, speech.NOT_RUN: 0, speech.UNKNOWN: 10}[outcome]
+                put_out += {messages.DONE: used, messages.NOT_RUN: 0, messages.UNKNOWN: 10}[outcome]
             else:
                 go = f"go {step}"
                 after = len(plain[helper]) + chance.choice([0, 0, 0, 1])
-                command = speech.OpenTurn("p", helper, after, "chat", go, 10, 60, moment.seconds(9), moment.seconds(5), "edge")
+                command = messages.OpenTurn(
+                    "p", helper, after, "chat", go, 10, 60, clock.seconds(9), clock.seconds(5), "edge"
+                )
             try:
                 events, reply = talk.decide(command, now, 1)
-            except result.Refusal as refusal:
-                expected = (helper in under_way or after != len(plain[helper])
-                            or put_out + 10 * len(under_way) >= 60)
+            except result.RequestError as refusal:
+                expected = helper in under_way or after != len(plain[helper]) or put_out + 10 * len(under_way) >= 60
                 assert expected, refusal
                 continue
-            if isinstance(command, speech.OpenTurn):
+            if isinstance(command, messages.OpenTurn):
                 assert after == len(plain[helper]) and put_out + 10 * len(under_way) < 60
                 assert [(one.input, one.output) for one in reply.past] == plain[helper]
                 under_way[helper] = (go, f"in {go}")
@@ -46,15 +47,15 @@
                 talk.fold(event)
             if chance.random() < 0.2:
                 again = talk_module.Talk()
-                again.restore(talk.picture())
-                assert again.picture() == talk.picture()
+                again.restore(talk.snapshot())
+                assert again.snapshot() == talk.snapshot()
         assert put_out <= 60 + 10
         assert not talk.programs or talk.programs["p"].used == put_out
 
 
 def test_a_key_runs_once_and_is_free_only_after_a_minute_beyond():
-    talk, now = talk_module.Talk(), moment.ZERO
-    claim = speech.ClaimOperation("key", "void", "go 1", b"d", moment.seconds(5), moment.ZERO)
+    talk, now = talk_module.Talk(), clock.ZERO
+    claim = messages.ClaimOperation("key", "void", "go 1", b"d", clock.seconds(5), clock.ZERO)
     events, reply = talk.decide(claim, now, 1)
     talk.fold(events[0])
     assert reply.mine
@@ -63,21 +64,21 @@
     try:
         talk.decide(dataclasses.replace(claim, go="go 3", digest=b"e"), now, 1)
         raise AssertionError("another request took the key's answer")
-    except result.Refusal as refusal:
-        assert refusal.result is result.Result.OPERATION_MISMATCH
+    except result.RequestError as refusal:
+        assert refusal.result is result.ResultCode.OPERATION_MISMATCH
     later = talk_module.Talk()
-    later.restore(talk.picture())
+    later.restore(talk.snapshot())
     for span in (0, 1, 2, 60, 61):
-        assert later.due(now + moment.seconds(1000 + span), bool) == ()
-    late = now + moment.seconds(1001) + 2 * talk_module.MINUTE
+        assert later.due(now + clock.seconds(1000 + span), bool) == ()
+    late = now + clock.seconds(1001) + 2 * talk_module.MINUTE
     assert (later.due(late, bool), later.due(late, bool))[1] != ()
 
 
 def test_the_looks_at_a_large_pair_are_bounded_and_reach_everything():
-    talk, now = talk_module.Talk(), moment.seconds(5)
+    talk, now = talk_module.Talk(), clock.seconds(5)
     for number in range(3 * talk_module.LOOKS):
-        talk.fold(speech.OperationClaimed(f"k{number}", "void", "go", b"", moment.seconds(1), moment.ZERO))
-    talk.fold(speech.TurnOpened("p", "", 0, "chat", "go", 1, 9, moment.ZERO, moment.seconds(1), "edge"))
+        talk.fold(messages.OperationClaimed(f"k{number}", "void", "go", b"", clock.seconds(1), clock.ZERO))
+    talk.fold(messages.TurnOpened("p", "", 0, "chat", "go", 1, 9, clock.ZERO, clock.seconds(1), "edge"))
     assert talk.due(now, lambda edge: edge == "edge")[0].go == "go"
     for _ in range(9):
         assert len(talk.due(now, lambda edge: False)) == 0
@@ -87,7 +88,7 @@
         due = talk.due(late, lambda edge: False)
         assert len(due) <= talk_module.MOST_DUE + 1
         for command in due:
-            if isinstance(command, speech.ForgetOperation):
+            if isinstance(command, messages.ForgetOperation):
                 seen.add(command.key)
-                talk.fold(speech.OperationForgotten(command.key))
+                talk.fold(messages.OperationForgotten(command.key))
     assert len(seen) == 3 * talk_module.LOOKS
--- a/aspencroft/talk/ledger.py
+++ b/aspencroft/sessions/ledger.py
@@ -6,17 +6,16 @@
 import datetime
 import itertools
 
-import aspencroft.code.result as result
-import aspencroft.link.record as record
-import aspencroft.seam.moment as moment
-import aspencroft.talk.entry as entry
-import aspencroft.talk.speech as speech
-
-MINUTE = moment.seconds(60)
-BEYOND = moment.seconds(10)
-ROUND = moment.seconds(2)
-SOON = moment.seconds(0.3)
-LATER = moment.seconds(5)
+from aspencroft.errors import result
+from aspencroft.runtime import clock
+from aspencroft.sessions import entry, messages
+from aspencroft.transport import codec
+
+MINUTE = clock.seconds(60)
+BEYOND = clock.seconds(10)
+ROUND = clock.seconds(2)
+SOON = clock.seconds(0.3)
+LATER = clock.seconds(5)
 LARGEST_ANSWER = 256 << 10
 LARGEST_CHAIN = 16 << 20
 MOST_BYTES = 24 << 20
@@ -25,8 +24,12 @@
 MOST_KEYS = 200_000
 LOOKS, MOST_DUE = 4000, 256
 SHARED, GATHERED = 512, 64 << 10
-OUTCOMES = (speech.DONE, speech.NOT_RUN, speech.UNKNOWN)
-RAN = {speech.DONE: result.Ran.RAN, speech.NOT_RUN: result.Ran.NOT_RUN, speech.UNKNOWN: result.Ran.UNKNOWN}
+OUTCOMES = (messages.DONE, messages.NOT_RUN, messages.UNKNOWN)
+RAN = {
+    messages.DONE: result.Ran.RAN,
+    messages.NOT_RUN: result.Ran.NOT_RUN,
+    messages.UNKNOWN: result.Ran.UNKNOWN,
+}
 
 
 class Ledger:
@@ -62,7 +65,7 @@
         self.noted: dict[str, datetime.timedelta] = {}
         self.freed_at: dict[str, datetime.timedelta] = {}
         self.looked: collections.deque[tuple[int, collections.abc.Iterator[str]]] = collections.deque()
-        self.next_round = moment.ZERO
+        self.next_round = clock.ZERO
 
     # -- commands ------------------------------------------------------------------------------
 
@@ -81,33 +84,57 @@
         known = self.under_way.get(command.attempt)
         if known is not None:
             if (known.program, known.session, known.previous, known.edge) != (
-                    command.program, command.session, command.previous, command.edge):
-                raise result.Refusal(result.Result.TURN_UNDER_WAY, detail="the attempt is under way as another turn")
+                command.program,
+                command.session,
+                command.previous,
+                command.edge,
+            ):
+                raise result.RequestError(
+                    result.ResultCode.TURN_UNDER_WAY, detail="the attempt is under way as another turn"
+                )
             return (), self.begun_turn(known.previous, command.have, known.worker, ())
         if command.attempt in self.turns:
-            raise result.Refusal(result.Result.STALE_TURN, result.Ran.RAN, "the attempt ended before")
+            raise result.RequestError(result.ResultCode.STALE_TURN, result.Ran.RAN, "the attempt ended before")
         if command.attempt in self.ended:
             outcome = self.ended[command.attempt].outcome
-            raise result.Refusal(result.Result.STALE_TURN, RAN[outcome], f"the attempt ended before: {outcome}")
+            raise result.RequestError(
+                result.ResultCode.STALE_TURN, RAN[outcome], f"the attempt ended before: {outcome}"
+            )
         if not command.attempt or command.most < 0 or command.budget < 0:
-            raise result.Refusal(result.Result.MALFORMED, detail="no attempt, or tokens below zero")
+            raise result.RequestError(result.ResultCode.MALFORMED, detail="no attempt, or tokens below zero")
         budget = self.allowed(command, now)
         base, size, worker = self.predecessor(command)
-        if (command.program and command.program not in self.accounts and len(self.accounts) >= MOST_PROGRAMS
-                or len(self.turns) + len(self.under_way) + len(self.ended) + len(base) >= MOST_TURNS):
-            raise result.Refusal(result.Result.OVERLOADED, detail="too many programs or turns", retry=LATER)
+        if (
+            (command.program
+            and command.program not in self.accounts
+            and len(self.accounts) >= MOST_PROGRAMS)
+            or len(self.turns) + len(self.under_way) + len(self.ended) + len(base) >= MOST_TURNS
+        ):
+            raise result.RequestError(result.ResultCode.OVERLOADED, detail="too many programs or turns", retry=LATER)
         if command.retained and self.bytes + sum(len(one.input) + len(one.output) for one in base) >= MOST_BYTES:
-            raise result.Refusal(result.Result.OVERLOADED, detail="no room for more history", retry=LATER)
+            raise result.RequestError(result.ResultCode.OVERLOADED, detail="no room for more history", retry=LATER)
         if size > LARGEST_CHAIN:
-            raise result.Refusal(result.Result.TOO_LARGE, detail="the history is at its limit")
+            raise result.RequestError(result.ResultCode.TOO_LARGE, detail="the history is at its limit")
         account = self.accounts.get(command.program)
         if not worker and account is not None:
             worker = account.worker
         self.begun[command.attempt] = now
         if command.program:
             self.active[command.program] = now
-        event = entry.TurnBegan(command.program, command.session, command.attempt, command.previous, command.most, budget,
-                                command.retained, command.keep, command.within, command.edge, worker, base)
+        event = entry.TurnBegan(
+            command.program,
+            command.session,
+            command.attempt,
+            command.previous,
+            command.most,
+            budget,
+            command.retained,
+            command.keep,
+            command.within,
+            command.edge,
+            worker,
+            base,
+        )
         return (event,), self.begun_turn(command.previous, command.have, worker, base)
 
     def allowed(self, command: entry.BeginTurn, now: datetime.timedelta) -> int:
@@ -120,12 +147,17 @@
         account = self.accounts.get(command.program)
         if account is None:
             return command.budget if command.program else 0
-        budget = min(account.budget, command.budget) if account.budget and command.budget else (
-            account.budget or command.budget)
+        budget = (
+            min(account.budget, command.budget)
+            if account.budget and command.budget
+            else (account.budget or command.budget)
+        )
         if budget and account.used + account.reserved >= budget:
             self.active[command.program] = now
-            raise result.Refusal(result.Result.OUT_OF_BUDGET,
-                                 detail=f"{account.used} used, {account.reserved} reserved of {budget}")
+            raise result.RequestError(
+                result.ResultCode.OUT_OF_BUDGET,
+                detail=f"{account.used} used, {account.reserved} reserved of {budget}",
+            )
         return budget
 
     def predecessor(self, command: entry.BeginTurn) -> tuple[tuple[entry.Turn, ...], int, str]:
@@ -140,17 +172,20 @@
             return (), known.size, known.turn.worker
         self.sure(command.previous)
         if not command.base:
-            raise result.Refusal(result.Result.UNKNOWN_TURN, detail=command.previous)
+            raise result.RequestError(result.ResultCode.UNKNOWN_TURN, detail=command.previous)
         before, names = "", {command.attempt, ""}
         for one in command.base:
             if one.previous != before or one.attempt in names or one.attempt in self.under_way:
-                raise result.Refusal(result.Result.MALFORMED, detail="the base is no chain")
+                raise result.RequestError(result.ResultCode.MALFORMED, detail="the base is no chain")
             names.add(one.attempt)
             before = one.attempt
         if before != command.previous:
-            raise result.Refusal(result.Result.MALFORMED, detail="the base does not end with the turn before")
-        return (tuple(one for one in command.base if one.attempt not in self.turns),
-                sum(len(one.input) + len(one.output) for one in command.base), command.base[-1].worker)
+            raise result.RequestError(result.ResultCode.MALFORMED, detail="the base does not end with the turn before")
+        return (
+            tuple(one for one in command.base if one.attempt not in self.turns),
+            sum(len(one.input) + len(one.output) for one in command.base),
+            command.base[-1].worker,
+        )
 
     def sure(self, attempt: str) -> None:
         """Refuse to say that there is no such turn while its end is not known.
@@ -158,8 +193,8 @@
         Example: ``ledger.sure("turn")``
         """
         ended = self.ended.get(attempt)
-        if attempt in self.under_way or ended is not None and ended.retained and ended.outcome == speech.UNKNOWN:
-            raise result.Refusal(result.Result.TURN_NOT_ENDED, detail=attempt, retry=SOON)
+        if attempt in self.under_way or (ended is not None and ended.retained and ended.outcome == messages.UNKNOWN):
+            raise result.RequestError(result.ResultCode.TURN_NOT_ENDED, detail=attempt, retry=SOON)
 
     def begun_turn(self, previous: str, have: str, worker: str, base: tuple[entry.Turn, ...]) -> entry.TurnBegun:
         """The reply to a turn's start: the chain up to ``previous``, or what of it lies behind ``have``.
@@ -191,40 +226,52 @@
         Example: ``ledger.end_turn(command, now)``
         """
         if command.outcome not in OUTCOMES or not command.attempt:
-            raise result.Refusal(result.Result.MALFORMED, detail="no attempt or outcome")
-        done = command.outcome == speech.DONE
+            raise result.RequestError(result.ResultCode.MALFORMED, detail="no attempt or outcome")
+        done = command.outcome == messages.DONE
         known = self.under_way.get(command.attempt)
         if known is None:
             if command.attempt in self.turns:
-                return (), speech.Closed(speech.DONE)
+                return (), messages.Closed(messages.DONE)
             known = self.ended.get(command.attempt)
             if known is None:
                 return self.never_begun(command, now)
-            if known.outcome != speech.UNKNOWN or command.outcome == speech.UNKNOWN:
-                if known.outcome == speech.NOT_RUN and done:
-                    raise result.Refusal(result.Result.STALE_TURN, result.Ran.UNKNOWN, "the attempt was told not to have run")
-                return (), speech.Closed(known.outcome)
+            if known.outcome != messages.UNKNOWN or command.outcome == messages.UNKNOWN:
+                if known.outcome == messages.NOT_RUN and done:
+                    raise result.RequestError(
+                        result.ResultCode.STALE_TURN,
+                        result.Ran.UNKNOWN,
+                        "the attempt was told not to have run",
+                    )
+                return (), messages.Closed(known.outcome)
             if done and known.retained and known.previous and known.previous not in self.turns:
-                raise result.Refusal(result.Result.STALE_TURN, result.Ran.UNKNOWN, "the turn before is kept no more")
+                raise result.RequestError(
+                    result.ResultCode.STALE_TURN, result.Ran.UNKNOWN, "the turn before is kept no more"
+                )
         kept = done and known.retained
         (self.answered if kept else self.stopped)[command.attempt] = now
         if known.program:
             self.active[known.program] = now
-        event = entry.TurnEnded(command.attempt, command.outcome, command.input if kept else b"",
-                                command.output if kept else b"", max(0, command.used), command.worker)
-        return (event,), speech.Closed(command.outcome)
+        event = entry.TurnEnded(
+            command.attempt,
+            command.outcome,
+            command.input if kept else b"",
+            command.output if kept else b"",
+            max(0, command.used),
+            command.worker,
+        )
+        return (event,), messages.Closed(command.outcome)
 
     def never_begun(self, command: entry.EndTurn, now: datetime.timedelta) -> tuple[tuple, object]:
         """The end of an attempt that this group does not know: if it did not run, its start may still be on the way.
 
         Example: ``ledger.never_begun(command, now)``
         """
-        if command.outcome != speech.NOT_RUN:
-            raise result.Refusal(result.Result.UNKNOWN_TURN, result.Ran.UNKNOWN, command.attempt)
+        if command.outcome != messages.NOT_RUN:
+            raise result.RequestError(result.ResultCode.UNKNOWN_TURN, result.Ran.UNKNOWN, command.attempt)
         if len(self.turns) + len(self.under_way) + len(self.ended) >= MOST_TURNS:
-            raise result.Refusal(result.Result.OVERLOADED, detail="too many turns", retry=LATER)
+            raise result.RequestError(result.ResultCode.OVERLOADED, detail="too many turns", retry=LATER)
         self.stopped[command.attempt] = now
-        return (entry.TurnEnded(command.attempt, speech.NOT_RUN, b"", b"", 0, ""),), speech.Closed(speech.NOT_RUN)
+        return (entry.TurnEnded(command.attempt, messages.NOT_RUN, b"", b"", 0, ""),), messages.Closed(messages.NOT_RUN)
 
     def claim_key(self, command: entry.ClaimKey, now: datetime.timedelta) -> tuple[tuple, object]:
         """The first attempt takes the key; others get its state and never run.
@@ -236,9 +283,9 @@
             mine = not known.outcome and (known.attempt, known.edge) == (command.attempt, command.edge)
             return (), entry.KeyHeld(mine, known.outcome, known.status, known.headers, known.body)
         if command.attempt in self.freed:
-            raise result.Refusal(result.Result.STALE_TURN, detail="the attempt gave the key back before")
+            raise result.RequestError(result.ResultCode.STALE_TURN, detail="the attempt gave the key back before")
         if len(self.keys) + len(self.freed) >= MOST_KEYS or self.bytes >= MOST_BYTES:
-            raise result.Refusal(result.Result.OVERLOADED, detail="too many operations", retry=LATER)
+            raise result.RequestError(result.ResultCode.OVERLOADED, detail="too many operations", retry=LATER)
         self.noted[command.key] = now
         event = entry.KeyClaimed(command.key, command.attempt, command.within, command.window, command.edge)
         return (event,), entry.KeyHeld(True, "", 0, (), b"")
@@ -249,24 +296,24 @@
         Example: ``ledger.close_key(command, now)``
         """
         if command.outcome not in OUTCOMES:
-            raise result.Refusal(result.Result.MALFORMED, detail="no outcome")
+            raise result.RequestError(result.ResultCode.MALFORMED, detail="no outcome")
         known = self.keys.get(command.key)
         if known is None or known.attempt != command.attempt:
-            if command.outcome != speech.NOT_RUN:
-                return (), speech.Closed("")
+            if command.outcome != messages.NOT_RUN:
+                return (), messages.Closed("")
             if command.attempt in self.freed:
-                return (), speech.Closed(speech.NOT_RUN)
+                return (), messages.Closed(messages.NOT_RUN)
             if len(self.keys) + len(self.freed) >= MOST_KEYS:
-                raise result.Refusal(result.Result.OVERLOADED, detail="too many operations", retry=LATER)
-        elif known.outcome and not (known.outcome == speech.UNKNOWN and command.outcome == speech.DONE):
-            return (), speech.Closed(speech.DONE if known.outcome == entry.NOT_KEPT else known.outcome)
-        if command.outcome == speech.NOT_RUN:
+                raise result.RequestError(result.ResultCode.OVERLOADED, detail="too many operations", retry=LATER)
+        elif known.outcome and not (known.outcome == messages.UNKNOWN and command.outcome == messages.DONE):
+            return (), messages.Closed(messages.DONE if known.outcome == entry.NOT_KEPT else known.outcome)
+        if command.outcome == messages.NOT_RUN:
             self.freed_at[command.attempt] = now
-            event = entry.KeyClosed(command.key, command.attempt, speech.NOT_RUN, 0, (), b"")
+            event = entry.KeyClosed(command.key, command.attempt, messages.NOT_RUN, 0, (), b"")
         else:
             self.noted[command.key] = max(self.noted.get(command.key, now), now - known.within)
             event = closing(command)
-        return (event,), speech.Closed(command.outcome)
+        return (event,), messages.Closed(command.outcome)
 
     # -- events --------------------------------------------------------------------------------
 
@@ -289,8 +336,15 @@
         if event.program:
             known = self.accounts.get(event.program) or entry.Account(event.program, 0, 0, 0, event.keep, 0, 0, "")
             self.accounts[event.program] = entry.Account(
-                event.program, event.budget, known.used, known.reserved + event.reserved(), max(known.keep, event.keep),
-                known.under_way + 1, known.kept, known.worker)
+                event.program,
+                event.budget,
+                known.used,
+                known.reserved + event.reserved(),
+                max(known.keep, event.keep),
+                known.under_way + 1,
+                known.kept,
+                known.worker,
+            )
 
     def turn_ended(self, event: entry.TurnEnded) -> None:
         """A turn is over: charged, and kept or only remembered as ended.
@@ -298,24 +352,41 @@
         Example: ``ledger.turn_ended(event)``
         """
         running, late = self.under_way.pop(event.attempt, None), self.ended.pop(event.attempt, None)
-        known = running or late or entry.Ended(event.attempt, "", "", "", 0, 0, False, moment.ZERO)
+        known = running or late or entry.Ended(event.attempt, "", "", "", 0, 0, False, clock.ZERO)
         self.begun.pop(event.attempt, None)
         charged, reserved = 0, running.reserved() if running else 0
-        if known.budget and event.outcome != speech.NOT_RUN:
-            charged = event.used if event.outcome == speech.DONE else max(reserved, event.used)
+        if known.budget and event.outcome != messages.NOT_RUN:
+            charged = event.used if event.outcome == messages.DONE else max(reserved, event.used)
         account = self.accounts.get(known.program)
-        kept = event.outcome == speech.DONE and known.retained
+        kept = event.outcome == messages.DONE and known.retained
         if account is not None:
             self.accounts[known.program] = entry.Account(
-                account.program, account.budget, account.used + charged - (late.charged if late else 0),
-                account.reserved - reserved, account.keep, account.under_way - (running is not None), account.kept + kept,
-                event.worker or account.worker)
+                account.program,
+                account.budget,
+                account.used + charged - (late.charged if late else 0),
+                account.reserved - reserved,
+                account.keep,
+                account.under_way - (running is not None),
+                account.kept + kept,
+                event.worker or account.worker,
+            )
         if kept:
-            self.keep(entry.Turn(event.attempt, known.previous, event.input, event.output, event.worker),
-                      known.program if account is not None else "", known.keep)
+            self.keep(
+                entry.Turn(event.attempt, known.previous, event.input, event.output, event.worker),
+                known.program if account is not None else "",
+                known.keep,
+            )
         else:
-            self.ended[event.attempt] = entry.Ended(event.attempt, event.outcome, known.program, known.previous, charged,
-                                                    known.budget, known.retained, known.keep)
+            self.ended[event.attempt] = entry.Ended(
+                event.attempt,
+                event.outcome,
+                known.program,
+                known.previous,
+                charged,
+                known.budget,
+                known.retained,
+                known.keep,
+            )
         if running:
             self.unpin(running.previous)
 
@@ -347,10 +418,20 @@
         self.unpin(one.turn.previous)
         known = self.accounts.get(one.program)
         if known is not None:
-            self.accounts[one.program] = entry.Account(known.program, known.budget, known.used, known.reserved, known.keep,
-                                                       known.under_way, known.kept - 1, known.worker)
+            self.accounts[one.program] = entry.Account(
+                known.program,
+                known.budget,
+                known.used,
+                known.reserved,
+                known.keep,
+                known.under_way,
+                known.kept - 1,
+                known.worker,
+            )
         if one.keep < MINUTE:
-            self.ended[attempt] = entry.Ended(attempt, speech.DONE, one.program, one.turn.previous, 0, 0, False, one.keep)
+            self.ended[attempt] = entry.Ended(
+                attempt, messages.DONE, one.program, one.turn.previous, 0, 0, False, one.keep
+            )
 
     def pin(self, attempt: str) -> None:
         """A turn that goes on from this one is kept or under way.
@@ -375,7 +456,9 @@
 
         Example: ``ledger.key_claimed(event)``
         """
-        self.keys[event.key] = entry.Key(event.key, event.attempt, event.within, event.window, event.edge, "", 0, (), b"")
+        self.keys[event.key] = entry.Key(
+            event.key, event.attempt, event.within, event.window, event.edge, "", 0, (), b""
+        )
         self.at_work[event.key] = None
 
     def key_closed(self, event: entry.KeyClosed) -> None:
@@ -384,16 +467,25 @@
         Example: ``ledger.key_closed(event)``
         """
         known = self.keys.get(event.key)
-        if event.outcome == speech.NOT_RUN:
+        if event.outcome == messages.NOT_RUN:
             self.freed[event.attempt] = None
         if known is None or known.attempt != event.attempt:
             return
         self.at_work.pop(event.key, None)
-        if event.outcome == speech.NOT_RUN:
+        if event.outcome == messages.NOT_RUN:
             self.drop_key(event.key)
             return
-        self.keys[event.key] = entry.Key(event.key, event.attempt, known.within, known.window, known.edge, event.outcome,
-                                         event.status, event.headers, event.body)
+        self.keys[event.key] = entry.Key(
+            event.key,
+            event.attempt,
+            known.within,
+            known.window,
+            known.edge,
+            event.outcome,
+            event.status,
+            event.headers,
+            event.body,
+        )
         self.bytes += weight(event.headers, event.body)
 
     def drop_key(self, key: str) -> None:
@@ -449,9 +541,12 @@
         gone: collections.Counter[str] = collections.Counter()
         for name in names:
             one = self.turns.get(name)
-            while (one is not None and name not in found
-                   and now - self.answered.setdefault(name, now) > one.keep + BEYOND
-                   and self.followers.get(name, 0) == gone[name]):
+            while (
+                one is not None
+                and name not in found
+                and now - self.answered.setdefault(name, now) > one.keep + BEYOND
+                and self.followers.get(name, 0) == gone[name]
+            ):
                 found[name] = None
                 name = one.turn.previous
                 gone[name] += 1
@@ -463,8 +558,9 @@
 
         Example: ``ledger.ended_out(ledger.ended, now)``
         """
-        return tuple(name for name in names if name in self.ended
-                     and now - self.stopped.setdefault(name, now) > MINUTE + BEYOND)
+        return tuple(
+            name for name in names if name in self.ended and now - self.stopped.setdefault(name, now) > MINUTE + BEYOND
+        )
 
     def keys_out(self, names: collections.abc.Iterable[str], now: datetime.timedelta) -> tuple[str, ...]:
         """Those keys that were held for their window beyond the last moment in which their work could run.
@@ -484,19 +580,24 @@
 
         Example: ``ledger.freed_out(ledger.freed, now)``
         """
-        return tuple(name for name in names if name in self.freed
-                     and now - self.freed_at.setdefault(name, now) > MINUTE + BEYOND)
+        return tuple(
+            name for name in names if name in self.freed and now - self.freed_at.setdefault(name, now) > MINUTE + BEYOND
+        )
 
     def forget(self, command: entry.Forget, now: datetime.timedelta) -> tuple[tuple, object]:
         """Keep times ran out; looked at once more, as things may have changed since.
 
         Example: ``ledger.forget(command, now)``
         """
-        event = entry.Forget(self.programs_out(command.programs, now), self.turns_out(command.turns, now),
-                             self.ended_out(command.ended, now), self.keys_out(command.keys, now),
-                             self.freed_out(command.freed, now))
+        event = entry.Forget(
+            self.programs_out(command.programs, now),
+            self.turns_out(command.turns, now),
+            self.ended_out(command.ended, now),
+            self.keys_out(command.keys, now),
+            self.freed_out(command.freed, now),
+        )
         some = event.programs or event.turns or event.ended or event.keys or event.freed
-        return ((event,) if some else ()), speech.Closed("")
+        return ((event,) if some else ()), messages.Closed("")
 
     def due(self, now: datetime.timedelta, gone: collections.abc.Callable[[str], bool]) -> tuple:
         """Clock events: what is under way though its edge is gone or its time over, and what was kept long enough.
@@ -512,13 +613,13 @@
             if one.edge not in lives:
                 lives[one.edge] = gone(one.edge)
             if now - self.begun.setdefault(attempt, now) > one.within + BEYOND or lives[one.edge]:
-                found.append(entry.EndTurn(one.program, one.session, attempt, speech.UNKNOWN, b"", b"", 0, ""))
+                found.append(entry.EndTurn(one.program, one.session, attempt, messages.UNKNOWN, b"", b"", 0, ""))
         for key in self.at_work:
             held = self.keys[key]
             if held.edge not in lives:
                 lives[held.edge] = gone(held.edge)
             if now - self.noted.setdefault(key, now) > held.within + BEYOND or lives[held.edge]:
-                found.append(entry.CloseKey(key, held.attempt, speech.UNKNOWN, 0, (), b""))
+                found.append(entry.CloseKey(key, held.attempt, messages.UNKNOWN, 0, (), b""))
         del found[MOST_DUE:]
         if not self.looked and now >= self.next_round:
             self.next_round = now + ROUND
@@ -546,7 +647,7 @@
 
     # -- pictures ------------------------------------------------------------------------------
 
-    def picture_parts(self) -> collections.abc.Iterator[bytes]:
+    def snapshot_parts(self) -> collections.abc.Iterator[bytes]:
         """The picture of this moment in bounded parts; history is shared, not copied; what changes meanwhile is not in it.
 
         Example: ``Ledger().restore(b"".join(ledger.picture_parts()), 0)``
@@ -558,14 +659,14 @@
             waiting: list[bytes] = []
             size = 0
             for row in (*held, freed):
-                waiting.append(record.LENGTH.pack(len(row)))
+                waiting.append(codec.LENGTH.pack(len(row)))
                 for one in row:
                     if row is freed:
                         written = bytearray()
-                        record.write(str, one, written)
+                        codec.write(str, one, written)
                         pieces = [bytes(written)]
                     else:
-                        pieces = record.pieces(one)
+                        pieces = codec.pieces(one)
                     for piece in pieces:
                         if len(piece) >= SHARED:
                             if waiting:
@@ -579,6 +680,7 @@
                         yield b"".join(waiting)
                         waiting, size = [], 0
             yield b"".join(waiting)
+
         return parts()
 
     def size(self) -> int:
@@ -586,15 +688,21 @@
 
         Example: ``ledger.size()``
         """
-        return (len(self.accounts) + len(self.turns) + len(self.under_way) + len(self.ended) + len(self.keys)
-                + len(self.freed))
+        return (
+            len(self.accounts)
+            + len(self.turns)
+            + len(self.under_way)
+            + len(self.ended)
+            + len(self.keys)
+            + len(self.freed)
+        )
 
     def restore(self, body: bytes, place: int) -> int:
         """Become what a picture shows that stands at a place of the bytes; the place behind it.
 
         Example: ``ledger.restore(body, 0) == len(body)``
         """
-        shown, end = record.unpack_from(entry.LedgerPicture, body, place)
+        shown, end = codec.unpack_from(entry.LedgerPicture, body, place)
         self.__init__()
         self.accounts = {one.program: one for one in shown.accounts}
         self.turns = {one.turn.attempt: one for one in shown.turns}
@@ -627,14 +735,25 @@
 
     Example: ``closing(command).outcome``
     """
-    if command.outcome != speech.DONE:
+    if command.outcome != messages.DONE:
         return entry.KeyClosed(command.key, command.attempt, command.outcome, 0, (), b"")
     if weight(command.headers, command.body) > LARGEST_ANSWER:
         return entry.KeyClosed(command.key, command.attempt, entry.NOT_KEPT, command.status, (), b"")
-    return entry.KeyClosed(command.key, command.attempt, speech.DONE, command.status, command.headers, command.body)
-
-
-COMMANDS = {entry.BeginTurn: Ledger.begin_turn, entry.EndTurn: Ledger.end_turn, entry.FindTurn: Ledger.find_turn,
-            entry.ClaimKey: Ledger.claim_key, entry.CloseKey: Ledger.close_key, entry.Forget: Ledger.forget}
-EVENTS = {entry.TurnBegan: Ledger.turn_began, entry.TurnEnded: Ledger.turn_ended, entry.KeyClaimed: Ledger.key_claimed,
-          entry.KeyClosed: Ledger.key_closed, entry.Forget: Ledger.forgotten}
+    return entry.KeyClosed(command.key, command.attempt, messages.DONE, command.status, command.headers, command.body)
+
+
+COMMANDS = {
+    entry.BeginTurn: Ledger.begin_turn,
+    entry.EndTurn: Ledger.end_turn,
+    entry.FindTurn: Ledger.find_turn,
+    entry.ClaimKey: Ledger.claim_key,
+    entry.CloseKey: Ledger.close_key,
+    entry.Forget: Ledger.forget,
+}
+EVENTS = {
+    entry.TurnBegan: Ledger.turn_began,
+    entry.TurnEnded: Ledger.turn_ended,
+    entry.KeyClaimed: Ledger.key_claimed,
+    entry.KeyClosed: Ledger.key_closed,
+    entry.Forget: Ledger.forgotten,
+}
