--- a/aspencroft/talk/ledger_test.py
+++ b/aspencroft/sessions/ledger_test.py
@@ -8,18 +8,15 @@
 
 import pytest
 
-import aspencroft.code.result as result
-import aspencroft.link.record as record
-import aspencroft.seam.moment as moment
-import aspencroft.talk.entry as entry
-import aspencroft.talk.ledger as ledger
-import aspencroft.talk.speech as speech
-import aspencroft.talk.talk as talk
-
-MINUTE, BEYOND = moment.seconds(60), moment.seconds(10)
-START = moment.seconds(1000)
-WITHIN = moment.seconds(3)
-KEEP = moment.seconds(60)
+from aspencroft.errors import result
+from aspencroft.runtime import clock
+from aspencroft.sessions import entry, lane_sessions, ledger, messages
+from aspencroft.transport import codec
+
+MINUTE, BEYOND = clock.seconds(60), clock.seconds(10)
+START = clock.seconds(1000)
+WITHIN = clock.seconds(3)
+KEEP = clock.seconds(60)
 INPUT = bytes(17_000)
 
 
@@ -28,10 +25,12 @@
 
     Example: ``begin("b", "a", budget=100)``
     """
-    return dataclasses.replace(entry.BeginTurn("p", "s", attempt, previous, 10, 0, True, KEEP, WITHIN, "e", "", ()), **changes)
+    return dataclasses.replace(
+        entry.BeginTurn("p", "s", attempt, previous, 10, 0, True, KEEP, WITHIN, "e", "", ()), **changes
+    )
 
 
-def end(attempt: str, outcome: str = speech.DONE, **changes) -> entry.EndTurn:
+def end(attempt: str, outcome: str = messages.DONE, **changes) -> entry.EndTurn:
     """The end of a turn of program p.
 
     Example: ``end("a", speech.UNKNOWN)``
@@ -48,7 +47,7 @@
     return dataclasses.replace(entry.ClaimKey("k", attempt, b"d", WITHIN, MINUTE, "e"), **changes)
 
 
-def close(attempt: str, outcome: str = speech.DONE, **changes) -> entry.CloseKey:
+def close(attempt: str, outcome: str = messages.DONE, **changes) -> entry.CloseKey:
     """The end of the attempt under key k.
 
     Example: ``close("a", speech.NOT_RUN)``
@@ -64,16 +63,16 @@
     """
     events, reply = book.decide(command, now)
     for event in events:
-        book.fold(record.untagged(record.tagged(event)))
-    return record.untagged(record.tagged(reply))
+        book.fold(codec.untagged(codec.tagged(event)))
+    return codec.untagged(codec.tagged(reply))
 
 
-def refused(book: ledger.Ledger, command, now: datetime.timedelta) -> result.Refusal:
+def refused(book: ledger.Ledger, command, now: datetime.timedelta) -> result.RequestError:
     """The refusal of a command.
 
     Example: ``refused(book, begin("a"), START).result``
     """
-    with pytest.raises(result.Refusal) as caught:
+    with pytest.raises(result.RequestError) as caught:
         book.decide(command, now)
     return caught.value
 
@@ -85,7 +84,7 @@
     """
     found = []
     for _ in range(2 * (book.size() + 10)):
-        book.next_round = moment.ZERO
+        book.next_round = clock.ZERO
         commands = book.due(now, gone)
         for command in commands:
             take(book, command, now)
@@ -101,10 +100,14 @@
     Example: ``book = taken_over(book)``
     """
     other = ledger.Ledger()
-    body = b"".join(book.picture_parts())
+    body = b"".join(book.snapshot_parts())
     assert other.restore(body, 0) == len(body)
-    assert b"".join(other.picture_parts()) == body
-    assert (other.bytes, other.followers, set(other.at_work)) == (book.bytes, book.followers, set(book.at_work))
+    assert b"".join(other.snapshot_parts()) == body
+    assert (other.bytes, other.followers, set(other.at_work)) == (
+        book.bytes,
+        book.followers,
+        set(book.at_work),
+    )
     return other
 
 
@@ -150,7 +153,9 @@
 
         Example: ``plain.turns(plain.chain("a"))``
         """
-        return tuple(entry.Turn(one["attempt"], one["previous"], one["input"], one["output"], one["worker"]) for one in rows)
+        return tuple(
+            entry.Turn(one["attempt"], one["previous"], one["input"], one["output"], one["worker"]) for one in rows
+        )
 
     def begin(self, command: entry.BeginTurn, now) -> object:
         """The outcome of a turn's start.
@@ -160,42 +165,72 @@
         row = self.one(self.rows, attempt=command.attempt)
         if row is not None and row["state"] == "running":
             if any(row[name] != getattr(command, name) for name in ("program", "session", "previous", "edge")):
-                return result.Result.TURN_UNDER_WAY
+                return result.ResultCode.TURN_UNDER_WAY
             return self.begun(command, row["hint"])
         if row is not None:
-            return result.Result.STALE_TURN
+            return result.ResultCode.STALE_TURN
         program = self.one(self.programs, name=command.program)
         said = [budget for budget in (program["budget"] if program else 0, command.budget) if budget]
         budget = min(said, default=0)
         if program is not None and budget:
-            reserved = sum(one["most"] for one in self.rows
-                           if one["state"] == "running" and one["program"] == command.program and one["counted"])
+            reserved = sum(
+                one["most"]
+                for one in self.rows
+                if one["state"] == "running" and one["program"] == command.program and one["counted"]
+            )
             if program["used"] + reserved >= budget:
                 program["since"] = now
-                return result.Result.OUT_OF_BUDGET
+                return result.ResultCode.OUT_OF_BUDGET
         before = self.one(self.rows, attempt=command.previous) if command.previous else None
         if command.previous and (before is None or before["state"] != "kept"):
-            if before is not None and (before["state"] == "running"
-                                       or before["retained"] and before["outcome"] == speech.UNKNOWN):
-                return result.Result.TURN_NOT_ENDED
+            if before is not None and (
+                before["state"] == "running" or (before["retained"] and before["outcome"] == messages.UNKNOWN)
+            ):
+                return result.ResultCode.TURN_NOT_ENDED
             if not command.base:
-                return result.Result.UNKNOWN_TURN
+                return result.ResultCode.UNKNOWN_TURN
             for turn in command.base:
                 known = self.one(self.rows, attempt=turn.attempt)
                 if known is None or known["state"] != "kept":
                     self.rows = [row for row in self.rows if row is not known]
-                    self.rows.append(dict(dataclasses.asdict(turn), program="", state="kept", keep=command.keep, since=now,
-                                          outcome=speech.DONE, retained=True, counted=False, charged=0))
+                    self.rows.append(
+                        dict(
+                            dataclasses.asdict(turn),
+                            program="",
+                            state="kept",
+                            keep=command.keep,
+                            since=now,
+                            outcome=messages.DONE,
+                            retained=True,
+                            counted=False,
+                            charged=0,
+                        )
+                    )
             before = self.one(self.rows, attempt=command.previous)
         if program is None:
             program = dict(name=command.program, budget=0, used=0, keep=command.keep, worker="", since=now)
             self.programs.append(program)
         hint = before["worker"] if before and before["worker"] else program["worker"]
         program.update(budget=budget, keep=max(program["keep"], command.keep), since=now)
-        self.rows.append(dict(
-            attempt=command.attempt, program=command.program, session=command.session, previous=command.previous,
-            most=command.most, counted=budget > 0, retained=command.retained, keep=command.keep, within=command.within,
-            edge=command.edge, state="running", outcome="", hint=hint, charged=0, since=now))
+        self.rows.append(
+            dict(
+                attempt=command.attempt,
+                program=command.program,
+                session=command.session,
+                previous=command.previous,
+                most=command.most,
+                counted=budget > 0,
+                retained=command.retained,
+                keep=command.keep,
+                within=command.within,
+                edge=command.edge,
+                state="running",
+                outcome="",
+                hint=hint,
+                charged=0,
+                since=now,
+            )
+        )
         return self.begun(command, hint)
 
     def begun(self, command: entry.BeginTurn, hint: str) -> entry.TurnBegun:
@@ -206,7 +241,7 @@
         chain = self.chain(command.previous)
         names = [row["attempt"] for row in chain]
         if command.have in names:
-            return entry.TurnBegun(self.turns(chain[names.index(command.have) + 1:]), hint, False)
+            return entry.TurnBegun(self.turns(chain[names.index(command.have) + 1 :]), hint, False)
         return entry.TurnBegun(self.turns(chain), hint, True)
 
     def end(self, command: entry.EndTurn, now) -> object:
@@ -216,31 +251,47 @@
         """
         row = self.one(self.rows, attempt=command.attempt)
         if row is None:
-            if command.outcome != speech.NOT_RUN:
-                return result.Result.UNKNOWN_TURN
-            self.rows.append(dict(attempt=command.attempt, program="", previous="", state="ended", outcome=speech.NOT_RUN,
-                                  retained=False, counted=False, charged=0, since=now, keep=moment.ZERO))
-            return speech.Closed(speech.NOT_RUN)
+            if command.outcome != messages.NOT_RUN:
+                return result.ResultCode.UNKNOWN_TURN
+            self.rows.append(
+                dict(
+                    attempt=command.attempt,
+                    program="",
+                    previous="",
+                    state="ended",
+                    outcome=messages.NOT_RUN,
+                    retained=False,
+                    counted=False,
+                    charged=0,
+                    since=now,
+                    keep=clock.ZERO,
+                )
+            )
+            return messages.Closed(messages.NOT_RUN)
         if row["state"] != "running":
-            if row["outcome"] != speech.UNKNOWN or command.outcome == speech.UNKNOWN:
-                if (row["outcome"], command.outcome) == (speech.NOT_RUN, speech.DONE):
-                    return result.Result.STALE_TURN
-                return speech.Closed(row["outcome"])
-            if (command.outcome == speech.DONE and row["retained"] and row["previous"]
-                    and self.one(self.rows, attempt=row["previous"], state="kept") is None):
-                return result.Result.STALE_TURN
+            if row["outcome"] != messages.UNKNOWN or command.outcome == messages.UNKNOWN:
+                if (row["outcome"], command.outcome) == (messages.NOT_RUN, messages.DONE):
+                    return result.ResultCode.STALE_TURN
+                return messages.Closed(row["outcome"])
+            if (
+                command.outcome == messages.DONE
+                and row["retained"]
+                and row["previous"]
+                and self.one(self.rows, attempt=row["previous"], state="kept") is None
+            ):
+                return result.ResultCode.STALE_TURN
         program = self.one(self.programs, name=row["program"])
-        charge = {speech.DONE: command.used, speech.NOT_RUN: 0, speech.UNKNOWN: row["most"]}[command.outcome]
+        charge = {messages.DONE: command.used, messages.NOT_RUN: 0, messages.UNKNOWN: row["most"]}[command.outcome]
         charge = charge if row["counted"] else 0
         if program is not None:
             program["used"] += charge - row["charged"]
             program["worker"] = command.worker or program["worker"]
             program["since"] = now
-        kept = command.outcome == speech.DONE and row["retained"]
+        kept = command.outcome == messages.DONE and row["retained"]
         row.update(state="kept" if kept else "ended", outcome=command.outcome, charged=charge, since=now)
         if kept:
             row.update(input=command.input, output=command.output, worker=command.worker)
-        return speech.Closed(command.outcome)
+        return messages.Closed(command.outcome)
 
     def find(self, command: entry.FindTurn, now) -> object:
         """The outcome of looking a turn up.
@@ -248,10 +299,10 @@
         Example: ``plain.find(command, now)``
         """
         row = self.one(self.rows, attempt=command.attempt)
-        if row is None or row["state"] == "ended" and not (row["retained"] and row["outcome"] == speech.UNKNOWN):
+        if row is None or (row["state"] == "ended" and not (row["retained"] and row["outcome"] == messages.UNKNOWN)):
             return entry.TurnFound(False, ())
         if row["state"] != "kept":
-            return result.Result.TURN_NOT_ENDED
+            return result.ResultCode.TURN_NOT_ENDED
         return entry.TurnFound(True, self.turns(self.chain(command.attempt)))
 
     def claim(self, command: entry.ClaimKey, now) -> object:
@@ -261,12 +312,30 @@
         """
         row = self.one(self.keys, key=command.key)
         if row is not None:
-            return entry.KeyHeld(not row["outcome"] and row["attempt"] == command.attempt, row["outcome"], row["status"],
-                                 row["headers"], row["body"])
+            return entry.KeyHeld(
+                not row["outcome"] and row["attempt"] == command.attempt,
+                row["outcome"],
+                row["status"],
+                row["headers"],
+                row["body"],
+            )
         if self.one(self.freed, attempt=command.attempt):
-            return result.Result.STALE_TURN
-        self.keys.append(dict(key=command.key, attempt=command.attempt, within=command.within, window=command.window,
-                              edge=command.edge, outcome="", status=0, headers=(), body=b"", since=now, closed=now))
+            return result.ResultCode.STALE_TURN
+        self.keys.append(
+            dict(
+                key=command.key,
+                attempt=command.attempt,
+                within=command.within,
+                window=command.window,
+                edge=command.edge,
+                outcome="",
+                status=0,
+                headers=(),
+                body=b"",
+                since=now,
+                closed=now,
+            )
+        )
         return entry.KeyHeld(True, "", 0, (), b"")
 
     def close(self, command: entry.CloseKey, now) -> object:
@@ -275,28 +344,33 @@
         Example: ``plain.close(command, now)``
         """
         row = self.one(self.keys, key=command.key, attempt=command.attempt)
-        if command.outcome == speech.NOT_RUN and (row is None or not row["outcome"]):
+        if command.outcome == messages.NOT_RUN and (row is None or not row["outcome"]):
             if row is not None:
                 self.keys.remove(row)
             if self.one(self.freed, attempt=command.attempt) is None:
                 self.freed.append(dict(attempt=command.attempt, since=now))
-            return speech.Closed(speech.NOT_RUN)
+            return messages.Closed(messages.NOT_RUN)
         if row is None:
-            return speech.Closed("")
-        if row["outcome"] and (row["outcome"], command.outcome) != (speech.UNKNOWN, speech.DONE):
-            return speech.Closed(row["outcome"])
+            return messages.Closed("")
+        if row["outcome"] and (row["outcome"], command.outcome) != (messages.UNKNOWN, messages.DONE):
+            return messages.Closed(row["outcome"])
         row.update(outcome=command.outcome, closed=now)
-        if command.outcome == speech.DONE:
+        if command.outcome == messages.DONE:
             row.update(status=command.status, headers=command.headers, body=command.body)
-        return speech.Closed(command.outcome)
+        return messages.Closed(command.outcome)
 
     def expect(self, command, now) -> object:
         """The reply to a command, or the result of its refusal.
 
         Example: ``plain.expect(command, now)``
         """
-        ways = {entry.BeginTurn: self.begin, entry.EndTurn: self.end, entry.FindTurn: self.find,
-                entry.ClaimKey: self.claim, entry.CloseKey: self.close}
+        ways = {
+            entry.BeginTurn: self.begin,
+            entry.EndTurn: self.end,
+            entry.FindTurn: self.find,
+            entry.ClaimKey: self.claim,
+            entry.CloseKey: self.close,
+        }
         return ways[type(command)](command, now)
 
     def forget(self, event: entry.Forget, now) -> None:
@@ -338,8 +412,7 @@
         """
         running = [("attempt", row) for row in self.rows if row["state"] == "running"]
         running += [("key", row) for row in self.keys if not row["outcome"]]
-        return {row[name] for name, row in running
-                if gone(row["edge"]) or now - row["since"] > row["within"] + BEYOND}
+        return {row[name] for name, row in running if gone(row["edge"]) or now - row["since"] > row["within"] + BEYOND}
 
     def start_clocks(self, now) -> None:
         """A new primary: all times count from here on.
@@ -363,25 +436,48 @@
     claimed = [one for one in issued[-60:] if isinstance(one, entry.ClaimKey)]
     turn = chance.random()
     names = [one.attempt for one in begun] + list(foreign)
-    outcome = chance.choice([speech.DONE, speech.DONE, speech.DONE, speech.NOT_RUN, speech.UNKNOWN])
+    outcome = chance.choice([messages.DONE, messages.DONE, messages.DONE, messages.NOT_RUN, messages.UNKNOWN])
     if turn < 0.35 or not begun:
         previous = chance.choice(["", *names[-12:], "nobody"] if names else [""])
         base = foreign[previous] if previous in foreign and chance.random() < 0.7 else ()
         return entry.BeginTurn(
-            chance.choice(["p", "q", "r"]), chance.choice(["", "h"]), f"t{number}", previous, 10,
-            chance.choice([0, 80, 80, 60, 300]), chance.random() < 0.85, moment.seconds(chance.choice([20, 60, 90])),
-            moment.seconds(chance.choice([1, 30])), chance.choice(["e1", "e2", "e3"]), chance.choice(["", *names[-5:]]), base)
+            chance.choice(["p", "q", "r"]),
+            chance.choice(["", "h"]),
+            f"t{number}",
+            previous,
+            10,
+            chance.choice([0, 80, 80, 60, 300]),
+            chance.random() < 0.85,
+            clock.seconds(chance.choice([20, 60, 90])),
+            clock.seconds(chance.choice([1, 30])),
+            chance.choice(["e1", "e2", "e3"]),
+            chance.choice(["", *names[-5:]]),
+            base,
+        )
     if turn < 0.7:
         one = chance.choice(begun[-12:])
         attempt = one.attempt if chance.random() < 0.95 else f"n{number}"
-        return entry.EndTurn(one.program, one.session, attempt, outcome, f"in {attempt}".encode() * chance.choice([1, 100]),
-                             f"out {attempt}".encode(), chance.randrange(11), chance.choice(["", "w1", "w2"]))
+        return entry.EndTurn(
+            one.program,
+            one.session,
+            attempt,
+            outcome,
+            f"in {attempt}".encode() * chance.choice([1, 100]),
+            f"out {attempt}".encode(),
+            chance.randrange(11),
+            chance.choice(["", "w1", "w2"]),
+        )
     if turn < 0.78:
         return entry.FindTurn(chance.choice([*names[-20:], "nobody"]))
     if turn < 0.9 or not claimed:
-        return entry.ClaimKey(f"k{chance.randrange(number // 20 + 2)}", f"c{number}", chance.randbytes(1),
-                              moment.seconds(chance.choice([1, 20])), moment.seconds(chance.choice([30, 60])),
-                              chance.choice(["e1", "e2", "e3"]))
+        return entry.ClaimKey(
+            f"k{chance.randrange(number // 20 + 2)}",
+            f"c{number}",
+            chance.randbytes(1),
+            clock.seconds(chance.choice([1, 20])),
+            clock.seconds(chance.choice([30, 60])),
+            chance.choice(["e1", "e2", "e3"]),
+        )
     one = chance.choice(claimed[-8:])
     return entry.CloseKey(one.key, one.attempt, outcome, 200, (entry.Pair(b"a", b"b"),), chance.randbytes(3))
 
@@ -391,30 +487,38 @@
     """Duplicates, reordering, takeovers, branches, imports, an advancing clock: replies and what is forgotten agree."""
     seen = {"grants": 0, "refusals": 0, "imports": 0, "forgotten": 0, "takeovers": 0, "overdue": 0}
     for seed in range(first, first + 20):
-        chance, book, follower, plain, now = random.Random(seed), ledger.Ledger(), ledger.Ledger(), Plain(), START
+        chance, book, follower, plain, now = (
+            random.Random(seed),
+            ledger.Ledger(),
+            ledger.Ledger(),
+            Plain(),
+            START,
+        )
         issued: list = []
         foreign: dict[str, tuple] = {}
         for name in ("f", "g"):
-            line = tuple(entry.Turn(f"{name}{place}", f"{name}{place - 1}" if place else "", b"in" * place, b"out", "w9")
-                         for place in range(4))
-            foreign.update({turn.attempt: line[:place + 1] for place, turn in enumerate(line)})
+            line = tuple(
+                entry.Turn(f"{name}{place}", f"{name}{place - 1}" if place else "", b"in" * place, b"out", "w9")
+                for place in range(4)
+            )
+            foreign.update({turn.attempt: line[: place + 1] for place, turn in enumerate(line)})
         gone_edges: set[str] = set()
 
         def apply(command):
             try:
                 events, reply = book.decide(command, now)
-            except result.Refusal as refusal:
+            except result.RequestError as refusal:
                 return refusal.result
             for event in events:
                 if isinstance(event, entry.Forget):
                     plain.forget(event, now)
                     seen["forgotten"] += 1
                 book.fold(event)
-                follower.fold(record.untagged(record.tagged(event)))
+                follower.fold(codec.untagged(codec.tagged(event)))
             return reply
 
         for step in range(400):
-            now += moment.seconds(chance.choice([0, 0.1, 0.5, 0.5, 2, 2, 30 if chance.random() < 0.1 else 1]))
+            now += clock.seconds(chance.choice([0, 0.1, 0.5, 0.5, 2, 2, 30 if chance.random() < 0.1 else 1]))
             if chance.random() < 0.15:
                 gone_edges = {edge for edge in ("e1", "e2", "e3") if chance.random() < 0.1}
                 commands = book.due(now, gone_edges.__contains__)
@@ -426,7 +530,7 @@
                         assert answer == plain.expect(command, now)
                         seen["overdue"] += 1
             elif chance.random() < 0.03:
-                assert b"".join(book.picture_parts()) == b"".join(follower.picture_parts())
+                assert b"".join(book.snapshot_parts()) == b"".join(follower.snapshot_parts())
                 if chance.random() < 0.5:
                     book = taken_over(book)
                 else:
@@ -439,14 +543,14 @@
                 issued.append(command)
                 answer, expected = apply(command), plain.expect(command, now)
                 assert answer == expected, (seed, step, command)
-                seen["grants" if not isinstance(answer, result.Result) else "refusals"] += 1
+                seen["grants" if not isinstance(answer, result.ResultCode) else "refusals"] += 1
                 seen["imports"] += bool(isinstance(answer, entry.TurnBegun) and getattr(command, "base", ()))
             assert len(book.turns) == sum(row["state"] == "kept" for row in plain.rows)
             for program in plain.programs:
                 known = book.accounts[program["name"]]
                 assert (known.used, known.budget) == (program["used"], program["budget"])
         for _ in range(40):
-            now += moment.seconds(50)
+            now += clock.seconds(50)
             for command in book.due(now, lambda edge: True):
                 answer = apply(command)
                 assert isinstance(command, entry.Forget) or answer == plain.expect(command, now)
@@ -464,11 +568,11 @@
         chance, book, now = random.Random(seed), ledger.Ledger(), START
         given, running, most, budget = 0, {}, 10, 200
         for number in range(300):
-            now += moment.seconds(0.05)
+            now += clock.seconds(0.05)
             if running and chance.random() < 0.5:
                 attempt = chance.choice(list(running))
                 edge = running.pop(attempt)
-                outcome = chance.choice([speech.DONE, speech.NOT_RUN, speech.UNKNOWN, "edge lost"])
+                outcome = chance.choice([messages.DONE, messages.NOT_RUN, messages.UNKNOWN, "edge lost"])
                 used = chance.randrange(most + 1)
                 if outcome == "edge lost":
                     for command in book.due(now, lambda life: life == edge):
@@ -476,8 +580,8 @@
                         running.pop(command.attempt, None)
                         given += used
                     continue
-                given += 0 if outcome == speech.NOT_RUN else used
-                command = end(attempt, outcome, used=used if outcome == speech.DONE else 0)
+                given += 0 if outcome == messages.NOT_RUN else used
+                command = end(attempt, outcome, used=used if outcome == messages.DONE else 0)
                 for _ in range(chance.choice([1, 2])):
                     take(book, command, now)
             else:
@@ -487,8 +591,8 @@
                     for _ in range(chance.choice([1, 2])):
                         take(book, command, now)
                     running[command.attempt] = edge
-                except result.Refusal as refusal:
-                    assert refusal.result is result.Result.OUT_OF_BUDGET and refusal.ran is result.Ran.NOT_RUN
+                except result.RequestError as refusal:
+                    assert refusal.result is result.ResultCode.OUT_OF_BUDGET and refusal.ran is result.Ran.NOT_RUN
             if chance.random() < 0.05:
                 book = taken_over(book)
             assert given + most * len(running) <= budget + most - 1
@@ -500,36 +604,36 @@
     take(book, begin("a", budget=25), START)
     take(book, begin("b", budget=1000), START)
     take(book, begin("c", budget=0), START)
-    assert refused(book, begin("d", budget=1000), START).result is result.Result.OUT_OF_BUDGET
-    take(book, end("a", speech.NOT_RUN), START)
-    assert refused(book, begin("e", budget=15), START).result is result.Result.OUT_OF_BUDGET
+    assert refused(book, begin("d", budget=1000), START).result is result.ResultCode.OUT_OF_BUDGET
+    take(book, end("a", messages.NOT_RUN), START)
+    assert refused(book, begin("e", budget=15), START).result is result.ResultCode.OUT_OF_BUDGET
     take(book, begin("e", budget=21), START)
-    assert refused(book, begin("f", budget=1000), START).result is result.Result.OUT_OF_BUDGET
-    take(book, end("b", speech.NOT_RUN), START)
-    take(book, end("c", speech.NOT_RUN), START)
+    assert refused(book, begin("f", budget=1000), START).result is result.ResultCode.OUT_OF_BUDGET
+    take(book, end("b", messages.NOT_RUN), START)
+    take(book, end("c", messages.NOT_RUN), START)
     take(book, begin("f"), START)
     take(book, begin("g"), START)
-    assert refused(book, begin("h", budget=25), START).result is result.Result.OUT_OF_BUDGET
+    assert refused(book, begin("h", budget=25), START).result is result.ResultCode.OUT_OF_BUDGET
     assert book.accounts["p"].budget == 21
 
 
 def test_without_a_budget_nothing_is_counted():
     book = ledger.Ledger()
     for number in range(50):
-        take(book, begin(f"t{number}", most=10 ** 9), START)
-        take(book, end(f"t{number}", used=10 ** 9), START)
+        take(book, begin(f"t{number}", most=10**9), START)
+        take(book, end(f"t{number}", used=10**9), START)
     assert (book.accounts["p"].used, book.accounts["p"].reserved) == (0, 0)
     take(book, begin("counted", budget=10), START)
-    assert refused(book, begin("more", budget=10), START).result is result.Result.OUT_OF_BUDGET
+    assert refused(book, begin("more", budget=10), START).result is result.ResultCode.OUT_OF_BUDGET
 
 
 def test_a_broken_stream_is_charged_in_full_and_a_turn_not_run_not_at_all():
     book = ledger.Ledger()
     take(book, begin("a", budget=100), START)
-    take(book, end("a", speech.UNKNOWN, used=3), START)
+    take(book, end("a", messages.UNKNOWN, used=3), START)
     assert book.accounts["p"].used == 10
     take(book, begin("b", budget=100), START)
-    take(book, end("b", speech.NOT_RUN), START)
+    take(book, end("b", messages.NOT_RUN), START)
     assert (book.accounts["p"].used, book.accounts["p"].reserved) == (10, 0)
     take(book, begin("c", budget=100), START)
     take(book, end("c", used=4), START)
@@ -539,55 +643,59 @@
 def test_a_program_that_goes_on_asking_is_not_forgotten_with_its_budget():
     book, now = ledger.Ledger(), START
     take(book, begin("a", budget=10, retained=False), now)
-    take(book, end("a", speech.UNKNOWN), now)
+    take(book, end("a", messages.UNKNOWN), now)
     for number in range(12):
-        now += moment.seconds(65)
+        now += clock.seconds(65)
         settle(book, now)
-        assert refused(book, begin(f"b{number}", budget=10), now).result is result.Result.OUT_OF_BUDGET
-    settle(book, now + moment.seconds(69))
+        assert refused(book, begin(f"b{number}", budget=10), now).result is result.ResultCode.OUT_OF_BUDGET
+    settle(book, now + clock.seconds(69))
     assert "p" in book.accounts
-    settle(book, now + moment.seconds(71))
+    settle(book, now + clock.seconds(71))
     assert "p" not in book.accounts and book.size() == 0
 
 
 def test_a_budget_outlives_takeovers_and_every_kept_turn_of_its_program():
     book, now = ledger.Ledger(), START
-    take(book, begin("a", budget=100, keep=moment.seconds(300)), now)
+    take(book, begin("a", budget=100, keep=clock.seconds(300)), now)
     take(book, end("a"), now)
     for _ in range(4):
-        now += moment.seconds(71)
+        now += clock.seconds(71)
         settle(book, now)
         assert book.accounts["p"].used == 7
         book = taken_over(book)
         assert book.accounts["p"].used == 7
     settle(book, now)
-    settle(book, now + moment.seconds(309))
+    settle(book, now + clock.seconds(309))
     assert book.accounts["p"].used == 7 and "a" in book.turns
-    settle(book, now + moment.seconds(311))
+    settle(book, now + clock.seconds(311))
     assert book.size() == 0
 
 
 def test_a_budget_outlives_a_long_turn_and_another_program_that_goes_on_from_its_turns():
-    book, late = ledger.Ledger(), START + moment.seconds(200)
+    book, late = ledger.Ledger(), START + clock.seconds(200)
     take(book, begin("a", budget=10), START)
     take(book, end("a"), START)
-    take(book, begin("b", "a", program="q", within=moment.seconds(500)), START)
-    take(book, begin("c", program="r", budget=10, within=moment.seconds(500)), START)
+    take(book, begin("b", "a", program="q", within=clock.seconds(500)), START)
+    take(book, begin("c", program="r", budget=10, within=clock.seconds(500)), START)
     settle(book, late)
-    assert {name: (one.used, one.reserved) for name, one in book.accounts.items()} == {"p": (7, 0), "q": (0, 0), "r": (0, 10)}
+    assert {name: (one.used, one.reserved) for name, one in book.accounts.items()} == {
+        "p": (7, 0),
+        "q": (0, 0),
+        "r": (0, 10),
+    }
 
 
 def test_a_program_that_was_forgotten_before_a_late_end_counts_none_of_its_turns():
     book = ledger.Ledger()
     take(book, begin("a"), START)
-    take(book, end("a", speech.UNKNOWN), START)
+    take(book, end("a", messages.UNKNOWN), START)
     book.fold(entry.Forget(("p",), (), (), (), ()))
     take(book, end("a"), START)
     take(book, begin("b", "a"), START)
     take(book, end("b"), START)
     assert book.accounts["p"].kept == 1
-    settle(book, START + moment.seconds(80))
-    settle(book, START + moment.seconds(160))
+    settle(book, START + clock.seconds(80))
+    settle(book, START + clock.seconds(160))
     assert book.size() == 0
 
 
@@ -612,8 +720,14 @@
     whole = take(book, begin("e", "d"), START)
     assert [one.attempt for one in whole.chain] == list("abcd") and whole.complete and whole.worker == "i-1"
     assert b"".join(one.input + one.output for one in whole.chain).decode() == "".join(
-        f"in {name}\nout {name}\n" for name in "abcd")
-    for have, names, complete in (("d", "", False), ("b", "cd", False), ("x", "abcd", True), ("nobody", "abcd", True)):
+        f"in {name}\nout {name}\n" for name in "abcd"
+    )
+    for have, names, complete in (
+        ("d", "", False),
+        ("b", "cd", False),
+        ("x", "abcd", True),
+        ("nobody", "abcd", True),
+    ):
         reply = take(book, begin("e", "d", have=have), START)
         assert ("".join(one.attempt for one in reply.chain), reply.complete) == (names, complete)
     branch = take(book, begin("y", "x"), START)
@@ -630,38 +744,40 @@
     assert take(book, begin("c", "b", budget=50), START) == first
     assert book.accounts["p"].reserved == 10
     for change in (dict(previous="a"), dict(edge="e2"), dict(program="q"), dict(session="t")):
-        assert refused(book, begin("c", **{"previous": "b", **change}), START).result is result.Result.TURN_UNDER_WAY
+        assert (
+            refused(book, begin("c", **{"previous": "b", **change}), START).result is result.ResultCode.TURN_UNDER_WAY
+        )
 
 
-@pytest.mark.parametrize("outcome", [speech.DONE, speech.NOT_RUN, speech.UNKNOWN])
+@pytest.mark.parametrize("outcome", [messages.DONE, messages.NOT_RUN, messages.UNKNOWN])
 @pytest.mark.parametrize("retained", [True, False])
 def test_an_ended_attempt_never_begins_again(outcome, retained):
     book = ledger.Ledger()
-    take(book, begin("a", retained=retained, keep=moment.seconds(5)), START)
+    take(book, begin("a", retained=retained, keep=clock.seconds(5)), START)
     take(book, end("a", outcome), START)
     for late in (0, 9, 20, 59):
-        now = START + moment.seconds(late)
+        now = START + clock.seconds(late)
         settle(book, now)
-        refusal = refused(book, begin("a", retained=retained, keep=moment.seconds(5)), now)
-        assert (refusal.result, refusal.ran) == (result.Result.STALE_TURN, ledger.RAN[outcome])
-        assert refused(taken_over(book), begin("a"), now).result is result.Result.STALE_TURN
-    settle(book, START + moment.seconds(80))
-    settle(book, START + moment.seconds(160))
+        refusal = refused(book, begin("a", retained=retained, keep=clock.seconds(5)), now)
+        assert (refusal.result, refusal.ran) == (result.ResultCode.STALE_TURN, ledger.RAN[outcome])
+        assert refused(taken_over(book), begin("a"), now).result is result.ResultCode.STALE_TURN
+    settle(book, START + clock.seconds(80))
+    settle(book, START + clock.seconds(160))
     assert book.size() == 0
 
 
 def test_a_turn_that_did_not_run_leaves_word_before_its_start_arrives():
     book = ledger.Ledger()
-    assert take(book, end("a", speech.NOT_RUN), START) == speech.Closed(speech.NOT_RUN)
-    assert take(book, end("a", speech.NOT_RUN), START) == speech.Closed(speech.NOT_RUN)
-    refusal = refused(book, begin("a"), START + moment.seconds(59))
-    assert (refusal.result, refusal.ran) == (result.Result.STALE_TURN, result.Ran.NOT_RUN)
-    assert refused(book, end("a"), START).result is result.Result.STALE_TURN
-    settle(book, START + moment.seconds(71))
+    assert take(book, end("a", messages.NOT_RUN), START) == messages.Closed(messages.NOT_RUN)
+    assert take(book, end("a", messages.NOT_RUN), START) == messages.Closed(messages.NOT_RUN)
+    refusal = refused(book, begin("a"), START + clock.seconds(59))
+    assert (refusal.result, refusal.ran) == (result.ResultCode.STALE_TURN, result.Ran.NOT_RUN)
+    assert refused(book, end("a"), START).result is result.ResultCode.STALE_TURN
+    settle(book, START + clock.seconds(71))
     assert book.size() == 0
-    for outcome in (speech.DONE, speech.UNKNOWN):
+    for outcome in (messages.DONE, messages.UNKNOWN):
         refusal = refused(book, end("b", outcome), START)
-        assert (refusal.result, refusal.ran) == (result.Result.UNKNOWN_TURN, result.Ran.UNKNOWN)
+        assert (refusal.result, refusal.ran) == (result.ResultCode.UNKNOWN_TURN, result.Ran.UNKNOWN)
 
 
 def test_words_about_attempts_that_did_not_run_are_bounded(monkeypatch):
@@ -669,11 +785,11 @@
     monkeypatch.setattr(ledger, "MOST_KEYS", 5)
     book = ledger.Ledger()
     for number in range(5):
-        take(book, end(f"t{number}", speech.NOT_RUN), START)
-        take(book, close(f"t{number}", speech.NOT_RUN), START)
-    for command in (end("t9", speech.NOT_RUN), begin("t9"), close("t9", speech.NOT_RUN), claim("t9")):
+        take(book, end(f"t{number}", messages.NOT_RUN), START)
+        take(book, close(f"t{number}", messages.NOT_RUN), START)
+    for command in (end("t9", messages.NOT_RUN), begin("t9"), close("t9", messages.NOT_RUN), claim("t9")):
         refusal = refused(book, command, START)
-        assert refusal.result is result.Result.OVERLOADED and refusal.retry is not None
+        assert refusal.result is result.ResultCode.OVERLOADED and refusal.retry is not None
 
 
 def test_history_of_a_full_ledger_is_refused_not_dropped(monkeypatch):
@@ -682,22 +798,22 @@
     book = ledger.Ledger()
     take(book, begin("a"), START)
     take(book, end("a", input=bytes(1000)), START)
-    assert refused(book, begin("b", "a"), START).result is result.Result.OVERLOADED
-    assert refused(book, claim("c"), START).result is result.Result.OVERLOADED
+    assert refused(book, begin("b", "a"), START).result is result.ResultCode.OVERLOADED
+    assert refused(book, claim("c"), START).result is result.ResultCode.OVERLOADED
     assert take(book, begin("b", "a", retained=False), START).complete
     take(book, begin("q", program="q", retained=False), START)
-    assert refused(book, begin("r", program="r", retained=False), START).result is result.Result.OVERLOADED
+    assert refused(book, begin("r", program="r", retained=False), START).result is result.ResultCode.OVERLOADED
     monkeypatch.setattr(ledger, "LARGEST_CHAIN", 999)
-    assert refused(book, begin("d", "a", retained=False), START).result is result.Result.TOO_LARGE
+    assert refused(book, begin("d", "a", retained=False), START).result is result.ResultCode.TOO_LARGE
 
 
 def test_a_turn_answered_less_than_its_keep_time_ago_is_there_also_after_takeovers():
     book, now = ledger.Ledger(), START
     line(book, "ab", now)
-    settle(book, now + KEEP - moment.seconds(0.1))
+    settle(book, now + KEEP - clock.seconds(0.1))
     assert take(book, entry.FindTurn("b"), now).found
     book = taken_over(book)
-    now += KEEP - moment.seconds(1)
+    now += KEEP - clock.seconds(1)
     settle(book, now)
     settle(book, now + KEEP)
     assert [one.attempt for one in take(book, begin("c", "b"), now + KEEP).chain] == ["a", "b"]
@@ -706,24 +822,24 @@
 def test_a_chain_is_kept_as_long_as_a_turn_that_goes_on_from_it_is_kept_or_under_way():
     book, now = ledger.Ledger(), START
     line(book, "abc", now)
-    take(book, begin("d", "b", within=moment.seconds(500)), now)
-    settle(book, now + moment.seconds(200))
+    take(book, begin("d", "b", within=clock.seconds(500)), now)
+    settle(book, now + clock.seconds(200))
     assert set(book.turns) == {"a", "b"}
-    take(book, end("d"), now + moment.seconds(200))
-    settle(book, now + moment.seconds(265))
+    take(book, end("d"), now + clock.seconds(200))
+    settle(book, now + clock.seconds(265))
     assert set(book.turns) == {"a", "b", "d"}
-    settle(book, now + moment.seconds(271))
+    settle(book, now + clock.seconds(271))
     assert not book.turns and book.bytes == 0 and not book.followers
 
 
 def test_a_whole_chain_goes_at_once_when_its_youngest_turn_goes():
     book = ledger.Ledger()
     line(book, "abcdefghijkl", START)
-    commands = book.due(START + moment.seconds(71), lambda edge: False)
+    commands = book.due(START + clock.seconds(71), lambda edge: False)
     assert commands[-1].turns == tuple("lkjihgfedcba")
     other = taken_over(book)
-    assert other.due(START + moment.seconds(71), lambda edge: False) == ()
-    assert len(other.due(START + moment.seconds(142), lambda edge: False)[-1].turns) == 12
+    assert other.due(START + clock.seconds(71), lambda edge: False) == ()
+    assert len(other.due(START + clock.seconds(142), lambda edge: False)[-1].turns) == 12
 
 
 def test_a_turn_whose_end_is_not_known_is_not_called_unknown():
@@ -731,15 +847,19 @@
     take(book, begin("a"), START)
     for command in (begin("b", "a"), entry.FindTurn("a")):
         refusal = refused(book, command, START)
-        assert (refusal.result, refusal.result.status, refusal.ran) == (result.Result.TURN_NOT_ENDED, 503, result.Ran.NOT_RUN)
-    take(book, end("a", speech.UNKNOWN), START)
-    assert refused(book, begin("b", "a"), START).result is result.Result.TURN_NOT_ENDED
+        assert (refusal.result, refusal.result.status, refusal.ran) == (
+            result.ResultCode.TURN_NOT_ENDED,
+            503,
+            result.Ran.NOT_RUN,
+        )
+    take(book, end("a", messages.UNKNOWN), START)
+    assert refused(book, begin("b", "a"), START).result is result.ResultCode.TURN_NOT_ENDED
     take(book, end("a"), START)
     assert take(book, begin("b", "a"), START).chain[0].attempt == "a"
     take(book, begin("c"), START)
-    take(book, end("c", speech.NOT_RUN), START)
+    take(book, end("c", messages.NOT_RUN), START)
     refusal = refused(book, begin("d", "c"), START)
-    assert (refusal.result, refusal.result.status) == (result.Result.UNKNOWN_TURN, 404)
+    assert (refusal.result, refusal.result.status) == (result.ResultCode.UNKNOWN_TURN, 404)
     assert not take(book, entry.FindTurn("c"), START).found
 
 
@@ -747,9 +867,15 @@
     there, here = ledger.Ledger(), ledger.Ledger()
     line(there, "abc", START)
     base = take(there, entry.FindTurn("c"), START).chain
-    assert refused(here, begin("d", "c"), START).result is result.Result.UNKNOWN_TURN
-    for wrong in (base[:2], base[1:], base[::-1], base + base, (dataclasses.replace(base[0], attempt="d"), *base[1:])):
-        assert refused(here, begin("d", "c", base=wrong), START).result is result.Result.MALFORMED
+    assert refused(here, begin("d", "c"), START).result is result.ResultCode.UNKNOWN_TURN
+    for wrong in (
+        base[:2],
+        base[1:],
+        base[::-1],
+        base + base,
+        (dataclasses.replace(base[0], attempt="d"), *base[1:]),
+    ):
+        assert refused(here, begin("d", "c", base=wrong), START).result is result.ResultCode.MALFORMED
     reply = take(here, begin("d", "c", base=base), START)
     assert reply.chain == base and reply.complete and reply.worker == "i-1"
     take(here, end("d"), START)
@@ -765,9 +891,9 @@
     reply = take(here, begin("h", "g", base=base), START)
     assert [one.attempt for one in reply.chain] == ["a", "b", "g"] and len(here.turns) == 5
     for attempt in "efh":
-        take(here, end(attempt, speech.NOT_RUN), START)
-    settle(here, START + moment.seconds(75))
-    settle(here, START + moment.seconds(150))
+        take(here, end(attempt, messages.NOT_RUN), START)
+    settle(here, START + clock.seconds(75))
+    settle(here, START + clock.seconds(150))
     assert here.size() == 0 and here.bytes == 0
 
 
@@ -779,25 +905,25 @@
     assert [one.attempt for one in settle(book, START, lambda edge: edge == "lost 1")] == ["b", "d"]
     assert (book.accounts["p"].used, book.accounts["p"].reserved) == (20, 10)
     assert not settle(book, START + WITHIN + BEYOND)
-    assert [one.attempt for one in settle(book, START + WITHIN + BEYOND + moment.seconds(0.1))] == ["c"]
+    assert [one.attempt for one in settle(book, START + WITHIN + BEYOND + clock.seconds(0.1))] == ["c"]
     assert (book.accounts["p"].used, book.accounts["p"].reserved) == (30, 0)
     for _ in range(2):
-        assert take(book, end("b", used=4), START) == speech.Closed(speech.DONE)
-        assert take(book, end("b", speech.UNKNOWN), START) == speech.Closed(speech.DONE)
-        assert take(book, end("d", speech.NOT_RUN), START) == speech.Closed(speech.NOT_RUN)
+        assert take(book, end("b", used=4), START) == messages.Closed(messages.DONE)
+        assert take(book, end("b", messages.UNKNOWN), START) == messages.Closed(messages.DONE)
+        assert take(book, end("d", messages.NOT_RUN), START) == messages.Closed(messages.NOT_RUN)
     assert (book.accounts["p"].used, book.accounts["p"].reserved) == (14, 0)
     assert [one.attempt for one in take(book, begin("f", "b"), START).chain] == ["a", "b"]
 
 
 def test_a_late_end_whose_chain_is_gone_is_refused():
     book = ledger.Ledger()
-    line(book, "a", START, keep=moment.seconds(1))
-    take(book, begin("b", "a", keep=moment.seconds(1)), START)
-    settle(book, START + moment.seconds(14))
-    settle(book, START + moment.seconds(15))
-    assert "a" not in book.turns and book.ended["b"].outcome == speech.UNKNOWN
-    refusal = refused(book, end("b"), START + moment.seconds(15))
-    assert (refusal.result, refusal.ran) == (result.Result.STALE_TURN, result.Ran.UNKNOWN)
+    line(book, "a", START, keep=clock.seconds(1))
+    take(book, begin("b", "a", keep=clock.seconds(1)), START)
+    settle(book, START + clock.seconds(14))
+    settle(book, START + clock.seconds(15))
+    assert "a" not in book.turns and book.ended["b"].outcome == messages.UNKNOWN
+    refusal = refused(book, end("b"), START + clock.seconds(15))
+    assert (refusal.result, refusal.ran) == (result.ResultCode.STALE_TURN, result.Ran.UNKNOWN)
 
 
 # -- keys --------------------------------------------------------------------------------------------
@@ -807,20 +933,20 @@
     for seed in range(60):
         chance, book, now, runs = random.Random(seed), ledger.Ledger(), START, []
         for number in range(60):
-            now += moment.seconds(chance.choice([0, 0.2, 1]))
+            now += clock.seconds(chance.choice([0, 0.2, 1]))
             command = claim(f"a{number % 20}", edge=f"e{number % 20 % 5}", digest=chance.randbytes(2))
             try:
                 reply = take(book, command, now)
-            except result.Refusal as refusal:
-                assert refusal.result is result.Result.STALE_TURN
+            except result.RequestError as refusal:
+                assert refusal.result is result.ResultCode.STALE_TURN
                 continue
             if reply.mine:
                 runs += [command.attempt] if command.attempt not in runs else []
-            if reply.outcome == speech.DONE:
+            if reply.outcome == messages.DONE:
                 assert (reply.status, reply.body) == (200, f"run {runs[-1]}".encode())
             if reply.mine and chance.random() < 0.3:
-                outcome = chance.choice([speech.DONE, speech.UNKNOWN, speech.NOT_RUN])
-                if outcome == speech.NOT_RUN:
+                outcome = chance.choice([messages.DONE, messages.UNKNOWN, messages.NOT_RUN])
+                if outcome == messages.NOT_RUN:
                     runs.remove(command.attempt)
                 take(book, close(command.attempt, outcome, body=f"run {command.attempt}".encode()), now)
             if chance.random() < 0.1:
@@ -831,38 +957,43 @@
 
 
 def test_a_key_is_held_its_window_beyond_the_last_moment_in_which_its_work_could_run():
-    for outcome in (speech.DONE, speech.UNKNOWN, ""):
+    for outcome in (messages.DONE, messages.UNKNOWN, ""):
         book, now = ledger.Ledger(), START
         assert take(book, claim("a"), now).mine
         if outcome:
             take(book, close("a", outcome), now + WITHIN)
         book = taken_over(book)
-        now += moment.seconds(50)
+        now += clock.seconds(50)
         settle(book, now)
         settle(book, now + WITHIN + MINUTE + BEYOND)
         reply = take(book, claim("b"), now + WITHIN + MINUTE + BEYOND)
-        assert not reply.mine and reply.outcome == (outcome or speech.UNKNOWN)
-        settle(book, now + 2 * (WITHIN + MINUTE + BEYOND + moment.seconds(1)))
-        assert take(book, claim("b"), now + moment.seconds(200)).mine
+        assert not reply.mine and reply.outcome == (outcome or messages.UNKNOWN)
+        settle(book, now + 2 * (WITHIN + MINUTE + BEYOND + clock.seconds(1)))
+        assert take(book, claim("b"), now + clock.seconds(200)).mine
 
 
 def test_an_answer_that_comes_late_is_held_a_window_from_then_on():
     book, now = ledger.Ledger(), START
     take(book, claim("a"), now)
-    settle(book, now + moment.seconds(14))
-    assert take(book, claim("b"), now).outcome == speech.UNKNOWN
-    assert take(book, close("a", speech.NOT_RUN), now + moment.seconds(50)) == speech.Closed(speech.UNKNOWN)
-    assert take(book, close("a"), now + moment.seconds(60)) == speech.Closed(speech.DONE)
-    settle(book, now + moment.seconds(60) + MINUTE)
-    reply = take(book, claim("b"), now + moment.seconds(120))
+    settle(book, now + clock.seconds(14))
+    assert take(book, claim("b"), now).outcome == messages.UNKNOWN
+    assert take(book, close("a", messages.NOT_RUN), now + clock.seconds(50)) == messages.Closed(messages.UNKNOWN)
+    assert take(book, close("a"), now + clock.seconds(60)) == messages.Closed(messages.DONE)
+    settle(book, now + clock.seconds(60) + MINUTE)
+    reply = take(book, claim("b"), now + clock.seconds(120))
     assert (reply.mine, reply.outcome, reply.status, reply.headers, reply.body) == (
-        False, speech.DONE, 200, (entry.Pair(b"Seal", b"1"),), b"body")
-    settle(book, now + moment.seconds(60) + MINUTE + BEYOND + moment.seconds(1))
+        False,
+        messages.DONE,
+        200,
+        (entry.Pair(b"Seal", b"1"),),
+        b"body",
+    )
+    settle(book, now + clock.seconds(60) + MINUTE + BEYOND + clock.seconds(1))
     assert book.size() == 0 and book.bytes == 0
 
 
 def test_a_key_is_not_forgotten_before_it_is_closed():
-    book, late = ledger.Ledger(), START + moment.seconds(500)
+    book, late = ledger.Ledger(), START + clock.seconds(500)
     for number in range(2 * ledger.MOST_DUE):
         take(book, begin(f"t{number}", retained=False), START)
     take(book, claim("a"), START)
@@ -870,7 +1001,7 @@
         for command in book.due(late, lambda edge: False):
             take(book, command, late)
     assert not book.under_way and list(book.keys) == ["k"] and not book.at_work
-    settle(book, late + moment.seconds(80))
+    settle(book, late + clock.seconds(80))
     assert book.size() == 0
 
 
@@ -880,36 +1011,42 @@
     assert take(book, claim("b"), START).outcome == ""
     settle(book, START, lambda edge: edge == "lost 1")
     reply = take(book, claim("b"), START)
-    assert not reply.mine and reply.outcome == speech.UNKNOWN
+    assert not reply.mine and reply.outcome == messages.UNKNOWN
 
 
 def test_a_key_not_run_is_free_at_once_but_not_for_the_same_attempt():
     book = ledger.Ledger()
     take(book, claim("a"), START)
-    assert take(book, close("b", speech.NOT_RUN), START) == speech.Closed(speech.NOT_RUN)
+    assert take(book, close("b", messages.NOT_RUN), START) == messages.Closed(messages.NOT_RUN)
     assert take(book, claim("a"), START).mine
     assert not take(book, claim("a", edge="e2"), START).mine
-    assert take(book, close("a", speech.NOT_RUN), START) == speech.Closed(speech.NOT_RUN)
-    assert take(book, close("a", speech.NOT_RUN), START) == speech.Closed(speech.NOT_RUN)
+    assert take(book, close("a", messages.NOT_RUN), START) == messages.Closed(messages.NOT_RUN)
+    assert take(book, close("a", messages.NOT_RUN), START) == messages.Closed(messages.NOT_RUN)
     for attempt in "ab":
-        refusal = refused(taken_over(book), claim(attempt), START + moment.seconds(59))
-        assert (refusal.result, refusal.ran) == (result.Result.STALE_TURN, result.Ran.NOT_RUN)
+        refusal = refused(taken_over(book), claim(attempt), START + clock.seconds(59))
+        assert (refusal.result, refusal.ran) == (result.ResultCode.STALE_TURN, result.Ran.NOT_RUN)
     assert take(book, claim("c"), START).mine
-    assert take(book, close("a"), START) == speech.Closed("")
+    assert take(book, close("a"), START) == messages.Closed("")
     assert take(book, claim("c"), START).mine
-    settle(book, START + moment.seconds(71))
+    settle(book, START + clock.seconds(71))
     assert not book.freed
 
 
 def test_an_answer_too_large_to_keep_is_told_as_such():
     book = ledger.Ledger()
-    for key, body, outcome in (("k", bytes(ledger.LARGEST_ANSWER - 5), speech.DONE),
-                               ("l", bytes(ledger.LARGEST_ANSWER), entry.NOT_KEPT)):
+    for key, body, outcome in (
+        ("k", bytes(ledger.LARGEST_ANSWER - 5), messages.DONE),
+        ("l", bytes(ledger.LARGEST_ANSWER), entry.NOT_KEPT),
+    ):
         take(book, claim("a", key=key), START)
         for _ in range(2):
-            assert take(book, close("a", key=key, body=body), START) == speech.Closed(speech.DONE)
+            assert take(book, close("a", key=key, body=body), START) == messages.Closed(messages.DONE)
         reply = take(book, claim("b", key=key), START)
-        assert (reply.mine, reply.outcome, reply.body) == (False, outcome, body if outcome == speech.DONE else b"")
+        assert (reply.mine, reply.outcome, reply.body) == (
+            False,
+            outcome,
+            body if outcome == messages.DONE else b"",
+        )
 
 
 # -- clocks, pictures, memory ------------------------------------------------------------------------
@@ -919,7 +1056,7 @@
     book, now, many = ledger.Ledger(), START, 3 * ledger.LOOKS
     for number in range(many):
         book.fold(entry.KeyClaimed(f"k{number}", f"a{number}", WITHIN, MINUTE, "e"))
-        book.fold(entry.KeyClosed(f"k{number}", f"a{number}", speech.DONE, 200, (), b""))
+        book.fold(entry.KeyClosed(f"k{number}", f"a{number}", messages.DONE, 200, (), b""))
     for number in range(2 * ledger.MOST_DUE):
         book.fold(entry.KeyClaimed(f"o{number}", f"o{number}", WITHIN, MINUTE, "lost"))
     assert len(book.due(now, lambda edge: edge == "lost")) == ledger.MOST_DUE
@@ -927,9 +1064,9 @@
     for _ in range(9):
         assert book.due(now, lambda edge: False) == ()
     assert len(book.noted) == book.size()
-    late, calls = now + moment.seconds(300), 0
+    late, calls = now + clock.seconds(300), 0
     while book.size() and calls < 1000:
-        late += moment.seconds(0.4)
+        late += clock.seconds(0.4)
         for command in book.due(late, lambda edge: False):
             if isinstance(command, entry.Forget):
                 assert len(command.keys) <= 2 * ledger.MOST_DUE
@@ -942,37 +1079,37 @@
 def test_a_round_of_looks_starts_some_seconds_after_the_one_before():
     book, now = ledger.Ledger(), START
     for attempt, wait in (("a", 0), ("b", 0.5), ("c", 1), ("d", 1.5)):
-        book.fold(entry.TurnEnded(attempt, speech.NOT_RUN, b"", b"", 0, ""))
+        book.fold(entry.TurnEnded(attempt, messages.NOT_RUN, b"", b"", 0, ""))
         assert book.due(now + ledger.ROUND * wait, lambda edge: False) == ()
     assert book.stopped == {"a": now, "b": now + ledger.ROUND, "c": now + ledger.ROUND}
 
 
 def test_a_picture_shares_its_history_and_shows_one_moment():
-    view = talk.Talk()
+    view = lane_sessions.Talk()
     book = view.ledger
     for number in range(20):
         take(book, begin(f"t{number}", f"t{number - 1}" if number else ""), START)
         take(book, end(f"t{number}", input=INPUT), START)
-    parts, before = view.picture_parts(), view.picture()
+    parts, before = view.snapshot_parts(), view.snapshot()
     take(book, begin("later"), START)
     pieces = list(parts)
     assert b"".join(pieces) == before and all(pieces)
     assert max(map(len, pieces)) <= ledger.GATHERED + len(INPUT)
     assert all(any(piece is kept.turn.input for piece in pieces) for kept in book.turns.values())
-    again = talk.Talk()
+    again = lane_sessions.Talk()
     again.restore(before)
-    assert again.picture() == before and again.size() == view.size() - 1
+    assert again.snapshot() == before and again.size() == view.size() - 1
 
 
 def test_a_picture_from_before_there_was_a_ledger_is_read_and_a_cut_one_refused():
-    view = talk.Talk()
-    view.restore(record.pack(speech.TalkPicture((), ())))
+    view = lane_sessions.Talk()
+    view.restore(codec.pack(messages.TalkPicture((), ())))
     assert view.size() == 0
     take(view.ledger, begin("a"), START)
-    body = view.picture()
+    body = view.snapshot()
     for end_at in range(9, len(body)):
-        with pytest.raises(record.Broken):
-            talk.Talk().restore(body[:end_at])
+        with pytest.raises(codec.Broken):
+            lane_sessions.Talk().restore(body[:end_at])
 
 
 def test_forgotten_history_frees_its_memory():
@@ -980,18 +1117,22 @@
 
     def fill(start: int) -> None:
         for number in range(start, start + turns):
-            take(book, begin(f"t{number}", f"t{number - 1}" if number % 20 else "", program=f"p{number // 20}"), now)
+            take(
+                book,
+                begin(f"t{number}", f"t{number - 1}" if number % 20 else "", program=f"p{number // 20}"),
+                now,
+            )
             take(book, end(f"t{number}", input=INPUT), now)
 
     fill(0)
-    settle(book, now + moment.seconds(80))
+    settle(book, now + clock.seconds(80))
     assert book.size() == 0
-    now += moment.seconds(1000)
+    now += clock.seconds(1000)
     tracemalloc.start()
     try:
         fill(turns)
         held = tracemalloc.get_traced_memory()[0]
-        settle(book, now + moment.seconds(80))
+        settle(book, now + clock.seconds(80))
         assert held > turns * len(INPUT) and held < 1.2 * turns * len(INPUT)
         assert tracemalloc.get_traced_memory()[0] < 0.02 * held
     finally:
@@ -999,7 +1140,7 @@
 
 
 def test_a_talk_group_hands_the_ledger_its_commands_events_and_clocks():
-    view = talk.Talk()
+    view = lane_sessions.Talk()
     for command in (begin("a", edge="lost"), claim("c")):
         events, _ = view.decide(command, START, 1)
         for event in events:
--- a/aspencroft/talk/speech.py
+++ b/aspencroft/sessions/messages.py
@@ -3,12 +3,12 @@
 import dataclasses
 import datetime
 
-import aspencroft.link.record as record
+from aspencroft.transport import codec
 
 DONE, NOT_RUN, UNKNOWN = "done", "not run", "unknown"
 
 
-@record.kind(100)
+@codec.kind(100)
 @dataclasses.dataclass(frozen=True)
 class Past:
     """One finished turn of a chain."""
@@ -20,7 +20,7 @@
     used: int
 
 
-@record.kind(101)
+@codec.kind(101)
 @dataclasses.dataclass(frozen=True)
 class OpenTurn:
     """Command: start a turn behind the one named, under the program's budget."""
@@ -37,7 +37,7 @@
     edge: str
 
 
-@record.kind(102)
+@codec.kind(102)
 @dataclasses.dataclass(frozen=True)
 class TurnOpened:
     """Event: a turn is under way and its output reserved."""
@@ -54,7 +54,7 @@
     edge: str
 
 
-@record.kind(103)
+@codec.kind(103)
 @dataclasses.dataclass(frozen=True)
 class TurnGranted:
     """Reply: the turn's number, its own earlier turns, and how much it may put out."""
@@ -64,7 +64,7 @@
     reserve: int
 
 
-@record.kind(104)
+@codec.kind(104)
 @dataclasses.dataclass(frozen=True)
 class CloseTurn:
     """Command: how a turn under way ended."""
@@ -78,7 +78,7 @@
     used: int
 
 
-@record.kind(105)
+@codec.kind(105)
 @dataclasses.dataclass(frozen=True)
 class TurnClosed:
     """Event: a turn ended; only a done one is kept as history, an unknown one is charged in full."""
@@ -92,7 +92,7 @@
     used: int
 
 
-@record.kind(106)
+@codec.kind(106)
 @dataclasses.dataclass(frozen=True)
 class ProgramForgotten:
     """Event: the keep time ran out."""
@@ -100,7 +100,7 @@
     program: str
 
 
-@record.kind(107)
+@codec.kind(107)
 @dataclasses.dataclass(frozen=True)
 class ForgetProgram:
     """Clock event: the keep time ran out by the primary's clock."""
@@ -108,7 +108,7 @@
     program: str
 
 
-@record.kind(110)
+@codec.kind(110)
 @dataclasses.dataclass(frozen=True)
 class ClaimOperation:
     """Command: be the one request that runs under this key; the digest tells what is asked."""
@@ -121,7 +121,7 @@
     keep: datetime.timedelta
 
 
-@record.kind(111)
+@codec.kind(111)
 @dataclasses.dataclass(frozen=True)
 class OperationClaimed:
     """Event: a go holds the key."""
@@ -134,7 +134,7 @@
     keep: datetime.timedelta
 
 
-@record.kind(112)
+@codec.kind(112)
 @dataclasses.dataclass(frozen=True)
 class CloseOperation:
     """Command: how the go under the key ended; not run frees the key."""
@@ -145,7 +145,7 @@
     answer: bytes
 
 
-@record.kind(113)
+@codec.kind(113)
 @dataclasses.dataclass(frozen=True)
 class OperationClosed:
     """Event: the key's outcome."""
@@ -156,7 +156,7 @@
     answer: bytes
 
 
-@record.kind(114)
+@codec.kind(114)
 @dataclasses.dataclass(frozen=True)
 class Operation:
     """Reply: a key's state; ``mine`` when the asking go holds it and has not ended."""
@@ -172,7 +172,7 @@
     keep: datetime.timedelta
 
 
-@record.kind(115)
+@codec.kind(115)
 @dataclasses.dataclass(frozen=True)
 class ForgetOperation:
     """Clock event: the key was remembered long enough."""
@@ -180,7 +180,7 @@
     key: str
 
 
-@record.kind(116)
+@codec.kind(116)
 @dataclasses.dataclass(frozen=True)
 class OperationForgotten:
     """Event: the key is free."""
@@ -188,7 +188,7 @@
     key: str
 
 
-@record.kind(117)
+@codec.kind(117)
 @dataclasses.dataclass(frozen=True)
 class Closed:
     """Reply: the turn's or operation's end is kept."""
@@ -196,7 +196,7 @@
     outcome: str
 
 
-@record.kind(118)
+@codec.kind(118)
 @dataclasses.dataclass(frozen=True)
 class OpenGo:
     """A turn under way, as a picture keeps it."""
@@ -209,7 +209,7 @@
     edge: str
 
 
-@record.kind(119)
+@codec.kind(119)
 @dataclasses.dataclass(frozen=True)
 class Chain:
     """The turns of a program's main line or of one helper."""
@@ -218,7 +218,7 @@
     past: tuple[Past, ...]
 
 
-@record.kind(120)
+@codec.kind(120)
 @dataclasses.dataclass(frozen=True)
 class Program:
     """A program: its chains, what it used and what is under way."""
@@ -249,7 +249,7 @@
         return sum(one.reserve for one in self.under_way)
 
 
-@record.kind(121)
+@codec.kind(121)
 @dataclasses.dataclass(frozen=True)
 class TalkPicture:
     """All programs and operations of a talk pair."""
--- a/aspencroft/sim/alerting_test.py
+++ b/aspencroft/simulation/alerting_test.py
@@ -2,9 +2,8 @@
 
 import asyncio
 
-import aspencroft.sim.promises as promises
-import aspencroft.sim.resting as resting
-import aspencroft.stand.shape as shape
+from aspencroft.emulator import shape
+from aspencroft.simulation import guarantees, resting
 
 
 def rule(expression: str, control: str = "", **labels: str) -> dict:
@@ -17,12 +16,15 @@
 
 
 def test_rules_fire_shed_and_clear_and_missing_samples_fire_nothing():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one, client = stage.scene, stage.client
         bad = await client.put("http://core-0/plan/rules/bad", json=rule("rate(a[5m]) > 1"))
         assert bad.status_code == 422 and bad.json()["error"]["faults"][0]["path"] == "rules/bad/expr"
-        for name, spec in (("missing", rule("nothing_of_that_name < 5", "shed", urgency="1")), ("plain", rule("sum(aspencroft_active) >= 0")),
-                           ("shed", rule("sum(aspencroft_asked_total) > 40", "shed", urgency="3"))):
+        for name, spec in (
+            ("missing", rule("nothing_of_that_name < 5", "shed", urgency="1")),
+            ("plain", rule("sum(aspencroft_active) >= 0")),
+            ("shed", rule("sum(aspencroft_asked_total) > 40", "shed", urgency="3")),
+        ):
             assert (await client.put(f"http://core-1/plan/rules/{name}", json=spec)).status_code == 200
 
         async def states() -> dict:
@@ -37,24 +39,32 @@
         shed = await stage.ask("edge-1", "shopper", "x", program="q")
         assert (shed.result, shed.ran) == (1108, "not run")
         assert (await stage.ask("edge-1", "till-lock", {"name": "k"}, operation="k")).ran == "done"
-        holder = next(name for name, own in one.nodes.items() if own.duties.get("alerts") and own.duties["alerts"].held())
+        holder = next(
+            name for name, own in one.nodes.items() if own.duties.get("alerts") and own.duties["alerts"].held()
+        )
         one.kill(holder)
         for _ in range(40):
             await asyncio.sleep(0.25)
             assert (await states())["shed"] == "firing"
         one.start(holder)
-        await client.delete("http://core-1/plan/rules/shed") if holder != "core-1" else await client.delete("http://core-0/plan/rules/shed")
+        await client.delete("http://core-1/plan/rules/shed") if holder != "core-1" else await client.delete(
+            "http://core-0/plan/rules/shed"
+        )
         await asyncio.sleep(6)
         assert (await stage.ask("edge-1", "shopper", "x", program="q")).ran == "done"
         text = (await client.get("http://edge-0/metrics")).text
-        for line in ("# TYPE aspencroft_asked_total counter", 'aspencroft_asked_total{area="north",node="edge-0:1",role="edge"}',
-                     'aspencroft_plan_current{area="north",node="edge-0:1",role="edge"} 1.0'):
+        for line in (
+            "# TYPE aspencroft_asked_total counter",
+            'aspencroft_asked_total{area="north",node="edge-0:1",role="edge"}',
+            'aspencroft_plan_current{area="north",node="edge-0:1",role="edge"} 1.0',
+        ):
             assert line in text, text[:600]
-    promises.play(81, acts)
+
+    guarantees.play(81, acts)
 
 
 def test_firing_rules_wake_and_keep_awake_and_hold_moves():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one, client = stage.scene, stage.client
         await resting.calm(stage, 3)
         await client.put("http://core-1/plan/rules/hold", json=rule("sum(aspencroft_asked_total) > 0", "hold_moves"))
@@ -73,4 +83,5 @@
         await client.delete("http://core-1/plan/rules/hold")
         await resting.calm(stage, 2)
         assert one.ended == []
-    promises.play(82, acts, name=shape.ARCHIVE)
+
+    guarantees.play(82, acts, name=shape.ARCHIVE)
--- a/aspencroft/sim/calls_test.py
+++ b/aspencroft/simulation/calls_test.py
@@ -2,26 +2,29 @@
 
 import asyncio
 
-import aspencroft.edge.path as path
-import aspencroft.sim.promises as promises
-import aspencroft.stand.backend as backend
+from aspencroft.emulator import backend
+from aspencroft.gateway import path
+from aspencroft.simulation import guarantees
 
 
 def test_an_answer_from_a_keys_record_adds_up_and_is_nobody_elses():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         for number, edge in enumerate(["edge-0", "edge-1", "edge-0"]):
             noted = await stage.ask(edge, "shopper", "x calls stock now", program="p", operation="k")
             assert noted.ran == "done" and noted.text.endswith('<call model="stock">'), noted
-        odd = [await stage.ask("edge-1", "shopper", "another input", program="p", operation="k"),
-               await stage.ask("edge-1", "shopper", "x calls stock now", program="q", operation="k"),
-               await stage.ask("edge-1", "supervisor", "x calls stock now", program="p", operation="k")]
+        odd = [
+            await stage.ask("edge-1", "shopper", "another input", program="p", operation="k"),
+            await stage.ask("edge-1", "shopper", "x calls stock now", program="q", operation="k"),
+            await stage.ask("edge-1", "supervisor", "x calls stock now", program="p", operation="k"),
+        ]
         assert [noted.result for noted in odd] == [1012, 1012, 1011] and not any(noted.text for noted in odd)
         assert all(noted.ran == "not run" for noted in odd) and len(stage.scene.world.seen()) == 1
-    promises.play(51, acts)
+
+    guarantees.play(51, acts)
 
 
 def test_an_answer_too_large_for_its_record_is_told_as_such_not_as_an_empty_one():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one = stage.scene
         for plain in one.world.plains:
             plain.answer = "y" * 300_000
@@ -29,11 +32,12 @@
         again = await stage.ask("edge-1", "till-lock", {"name": "k"}, operation="k")
         assert first.ran == "done" and (again.ran, again.result) == ("ran", 1013), again
         assert stage.runs("k") == 1
-    promises.play(52, acts)
+
+    guarantees.play(52, acts)
 
 
 def test_a_pair_without_a_primary_holds_up_none_but_its_own():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one = stage.scene
         pairs = one.edge_paths["edge-0"].node.settings.talk_pairs
         names = [f"n{number}" for number in range(4000)]
@@ -70,7 +74,8 @@
                 await asyncio.sleep(0.02)
         assert all(noted.ran == "done" for noted in others), [noted for noted in others if noted.ran != "done"][:3]
         assert max(took) < 0.5, max(took)
-    promises.play(53, acts)
+
+    guarantees.play(53, acts)
 
 
 def pair_of(name: str, pairs: int) -> int:
@@ -84,7 +89,8 @@
 def test_a_flood_costs_linear_work_and_what_cannot_be_served_is_refused_when_that_is_known():
     draws = []
     for calls in (300, 900):
-        async def acts(stage: promises.Stage) -> None:
+
+        async def acts(stage: guarantees.Stage) -> None:
             one, refused = stage.scene, []
 
             async def flood(number: int) -> None:
@@ -102,17 +108,20 @@
             assert edge.parked.total() == 0 and not edge.active
             late = [span for _, span in refused if span > 15]
             assert len(late) <= 0.05 * calls, (len(late), len(refused), calls)
-        promises.play(54, acts)
+
+        guarantees.play(54, acts)
     assert draws[1] < 2 * max(draws[0], 2) and draws[1] < 12, draws
 
 
 def test_an_edge_cut_off_with_calls_waiting_does_not_go_round_and_round():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one = stage.scene
         for model in one.world.models:
             model.pace = 13
-        asking = [asyncio.ensure_future(stage.ask("edge-0", "shopper", f"long {number}", program=f"f{number}"))
-                  for number in range(200)]
+        asking = [
+            asyncio.ensure_future(stage.ask("edge-0", "shopper", f"long {number}", program=f"f{number}"))
+            for number in range(200)
+        ]
         await asyncio.sleep(1)
         edge = one.edge_paths["edge-0"]
         assert edge.parked.total() > 20
@@ -123,11 +132,12 @@
         assert edge.counts["draws"] < 20 * len(noted), edge.counts
         assert all(each.ran in ("done", "not run") or each.result in (1405, 1106) for each in noted)
         assert (await stage.ask("edge-0", "shopper", "x", program="after")).ran == "done"
-    promises.play(58, acts)
+
+    guarantees.play(58, acts)
 
 
 def test_signals_have_places_of_their_own_beside_long_streams():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one, took = stage.scene, []
         for model in one.world.models:
             model.pace = 20
@@ -138,8 +148,10 @@
             assert noted.ran == "done", noted
             took.append(one.loop.time() - began)
 
-        streams = [asyncio.ensure_future(stage.ask("edge-0", "shopper", f"long {number}", program=f"f{number}"))
-                   for number in range(600)]
+        streams = [
+            asyncio.ensure_future(stage.ask("edge-0", "shopper", f"long {number}", program=f"f{number}"))
+            for number in range(600)
+        ]
         await asyncio.sleep(2)
         async with asyncio.TaskGroup() as group:
             for number in range(60):
@@ -147,25 +159,35 @@
                 await asyncio.sleep(0.01)
         assert max(took) < 0.3, max(took)
         await asyncio.gather(*streams)
+
     usual, path.SENDERS = path.SENDERS, {True: 16, False: 8}
     try:
-        promises.play(55, acts)
+        guarantees.play(55, acts)
     finally:
         path.SENDERS = usual
 
 
 def test_work_is_repeated_only_where_the_lane_says_so_and_is_charged_each_time():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one = stage.scene
-        lane = {"kind": "turns", "services": ["clerk"], "deadline": 20, "budget": 200, "turn_output": 40,
-                "repeatable": True}
+        lane = {
+            "kind": "turns",
+            "services": ["clerk"],
+            "deadline": 20,
+            "budget": 200,
+            "turn_output": 40,
+            "repeatable": True,
+        }
         response = await stage.client.patch("http://core-0/plan", json={"lanes": {"again": lane}})
         assert response.status_code == 200
         for model in one.world.models:
             model.faults = backend.Faults(lose_answer=0.5)
         noted = [await stage.ask("edge-0", "again", "x", program=f"p{number}") for number in range(30)]
         plain = [await stage.ask("edge-0", "shopper", "x", program=f"q{number}") for number in range(30)]
-        keyed = [await stage.ask("edge-0", "again", "x", program=f"r{number}", operation=f"r{number}") for number in range(20)]
+        keyed = [
+            await stage.ask("edge-0", "again", "x", program=f"r{number}", operation=f"r{number}")
+            for number in range(20)
+        ]
         goes = lambda request: [name for name in one.world.ran() if name.split(".")[0] == request]
         assert sum(each.ran == "done" for each in noted) >= 28 and sum(len(goes(each.request)) for each in noted) > 40
         assert any(each.ran == "unknown" for each in plain) and any(each.ran == "unknown" for each in keyed)
@@ -179,11 +201,12 @@
             model.faults = backend.Faults(cut_stream=1.0)
         cut = await stage.ask("edge-1", "again", "long x", program="t")
         assert cut.ran == "unknown" and len(goes(cut.request)) == (1 if cut.text else 5), cut
-    promises.play(56, acts)
+
+    guarantees.play(56, acts)
 
 
 def test_a_requests_story_is_told_though_its_edge_died_and_also_when_it_was_refused():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one = stage.scene
         done = await stage.ask("edge-0", "shopper", "x", program="p")
         refused = await stage.ask("edge-1", "shopper", "x", program="p", after=7)
@@ -191,25 +214,37 @@
         for model in one.world.models:
             model.pace = 50
         asking = asyncio.ensure_future(stage.ask("edge-0", "shopper", "long x", program="q"))
-        await one.until(lambda: any(body["program"] == "q" for body in one.world.seen() if "program" in body), 5, "sent")
+        await one.until(
+            lambda: any(body["program"] == "q" for body in one.world.seen() if "program" in body), 5, "sent"
+        )
         await asyncio.sleep(0.2)
         one.kill("edge-0")
         await asking
         cut = next(body["request"] for body in one.world.seen() if body.get("program") == "q")
-        for request, wanted in ((done.request, "done"), (refused.request, "1006"), (at_the_door.request, "1003"), (cut, "go 1 to")):
+        for request, wanted in (
+            (done.request, "done"),
+            (refused.request, "1006"),
+            (at_the_door.request, "1003"),
+            (cut, "go 1 to"),
+        ):
             response = await stage.client.get(f"http://core-0/requests/{request}")
             assert response.status_code == 200, (request, wanted, response.text)
-            told = [f"{line['what']} {line['detail']}" for story in response.json()["stories"] for line in story["lines"]]
+            told = [
+                f"{line['what']} {line['detail']}" for story in response.json()["stories"] for line in story["lines"]
+            ]
             assert any(wanted in line for line in told), (wanted, told)
-    promises.play(59, acts)
+
+    guarantees.play(59, acts)
 
 
 def test_every_refusal_names_when_to_come_back():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one, seen = stage.scene, set()
+
         async def ask(lane: str, given, **more) -> None:
             noted = await stage.ask("edge-0", lane, given, **more)
             seen.add(noted.result)
+
         for worker in one.world.workers():
             worker.faults = backend.Faults(lose_answer=1.0)
         await ask("till-lock", {"name": "a"}, operation="a")
@@ -227,4 +262,5 @@
         one.nodes["edge-0"].stopping.set()
         await ask("till-lock", {"name": "d"})
         assert {1203, 1010, 1104, 1103} <= seen and seen & {1201, 1202} and seen & {1105, 1106, 1101}, seen
-    promises.play(57, acts)
+
+    guarantees.play(57, acts)
--- a/aspencroft/sim/campaign.py
+++ b/aspencroft/simulation/campaign.py
@@ -11,20 +11,40 @@
 import defopt
 import httpx
 
-import aspencroft.pair.copy as copy
-import aspencroft.pair.witness as witness
-import aspencroft.sim.judge as judge
-import aspencroft.sim.liar as liar
-import aspencroft.sim.register as register
-import aspencroft.sim.scene as scene
-import aspencroft.sim.wire as wire
-import aspencroft.stand.backend as backend
-import aspencroft.stand.shape as shape
+from aspencroft.consensus import witness
+from aspencroft.emulator import backend, shape
+from aspencroft.replication import replica
+from aspencroft.simulation import faulty_list_server, oracle, register, simulated_cluster, wire
 
 RETURN = 12.0
-FAULTS = ("kill", "power", "freeze", "cut", "area", "swap", "slow", "restart", "blackout", "edge", "workers",
-          "damage", "jump", "leader", "replace", "seeds", "empty", "one way", "halves", "lossy", "apart", "long freeze",
-          "crowd", "bursts", "tail", "platform")
+FAULTS = (
+    "kill",
+    "power",
+    "freeze",
+    "cut",
+    "area",
+    "swap",
+    "slow",
+    "restart",
+    "blackout",
+    "edge",
+    "workers",
+    "damage",
+    "jump",
+    "leader",
+    "replace",
+    "seeds",
+    "empty",
+    "one way",
+    "halves",
+    "lossy",
+    "apart",
+    "long freeze",
+    "crowd",
+    "bursts",
+    "tail",
+    "platform",
+)
 APART = tuple(kind for kind in FAULTS if kind != "seeds") + ("core cut", "lost disk", "closing")
 SOLO = ("blackout", "seeds", "empty", "swap", "damage", "tail", "restart", "lost disk", "closing")
 OVERLAP = 0.4
@@ -37,7 +57,7 @@
     Example: ``await Day(one, chance).run()``
     """
 
-    scene: scene.Scene
+    scene: simulated_cluster.SimulatedCluster
     chance: random.Random
     kinds: tuple[str, ...] = FAULTS
     count: int = 3
@@ -55,14 +75,17 @@
         Example: ``await day.run()``
         """
         await self.scene.until(self.scene.formed, 30, "formed")
-        self.client = httpx.AsyncClient(transport=wire.SimTransport(self.scene.wire, scene.OUTSIDE))
+        self.client = httpx.AsyncClient(transport=wire.SimTransport(self.scene.wire, simulated_cluster.OUTSIDE))
         await self.put_first_plan()
         await self.scene.until(self.scene.ready, 20, "ready")
         self.asking = self.scene.caller(1)
         self.operators = register.Operators(self.scene, self.client, self.chance)
         async with asyncio.TaskGroup() as group:
-            traffic = [group.create_task(self.traffic()), group.create_task(self.swing()),
-                       *(group.create_task(self.operators.operate()) for _ in range(3))]
+            traffic = [
+                group.create_task(self.traffic()),
+                group.create_task(self.swing()),
+                *(group.create_task(self.operators.operate()) for _ in range(3)),
+            ]
             watching = group.create_task(self.watch_revisions())
             ends_in_a_fault = self.chance.random() < 0.3
             for number in range(self.count):
@@ -133,7 +156,8 @@
         Example: ``await scene.until(day.serves, 12, "back in service")``
         """
         return self.scene.ready() and all(
-            self.scene.nodes[self.scene.leader(pair)].hosts[pair].known.backups for pair in range(3))
+            self.scene.nodes[self.scene.leader(pair)].hosts[pair].known.backups for pair in range(3)
+        )
 
     async def traffic(self) -> None:
         """Programs and signals by the mix until the day is over.
@@ -266,7 +290,7 @@
             one.start(victim)
         elif kind == "platform":
             owner, sound = one.wire.pages["platform:80"]
-            one.wire.pages["platform:80"] = (owner, liar.Liar(sound, chance, 0.7))
+            one.wire.pages["platform:80"] = (owner, faulty_list_server.Liar(sound, chance, 0.7))
             await asyncio.sleep(long)
             one.wire.pages["platform:80"] = (owner, sound)
         elif kind == "slow":
@@ -276,7 +300,7 @@
         elif kind == "workers":
             await self.hurt_workers(long)
         elif kind == "jump":
-            one.clock_jump += chance.choice([-1, 1]) * (scene.EPOCH.resolution * 3_600_000_000)
+            one.clock_jump += chance.choice([-1, 1]) * (simulated_cluster.EPOCH.resolution * 3_600_000_000)
             one.kill(victim)
             one.start(victim)
         elif kind == "blackout":
@@ -296,7 +320,7 @@
                 one.disks[victim].wipe()
                 self.swaps += 1
                 role = one.cores if victim in one.cores else one.storages
-                fresh = f"{victim.split('-')[0]}-{one.made(role) + self.swaps - 1}"
+                fresh = f"{victim.split('-', maxsplit=1)[0]}-{one.made(role) + self.swaps - 1}"
                 role[role.index(victim)] = fresh
                 await asyncio.sleep(long)
                 one.start(fresh)
@@ -329,7 +353,7 @@
         Example: ``await day.change_seeds()``
         """
         one = self.scene
-        roster = one.nodes[one.leader(0)].electorate.roster
+        voter_set = one.nodes[one.leader(0)].proposer.voter_set
         able = [f"{name}:1" for name in (*one.cores, *one.edges)]
         wished = sorted(self.chance.sample(able, 3))
         for _ in range(8):
@@ -342,11 +366,11 @@
             await asyncio.sleep(0.5)
 
         def changed() -> bool:
-            rosters = [one.nodes[name].electorate.roster for name in one.storages if name in one.nodes]
-            return all(set(roster.present) == set(wished) and not roster.coming for roster in rosters)
+            rosters = [one.nodes[name].proposer.voter_set for name in one.storages if name in one.nodes]
+            return all(set(voter_set.present) == set(wished) and not voter_set.coming for voter_set in rosters)
 
-        await one.until(changed, 20, f"witnessed by {wished} instead of {roster.present}")
-        for address in roster.present:
+        await one.until(changed, 20, f"witnessed by {wished} instead of {voter_set.present}")
+        for address in voter_set.present:
             name = address.split(":")[0]
             if address not in wished:
                 one.kill(name)
@@ -390,8 +414,13 @@
         """
         one, chance = self.scene, self.chance
         for target in one.world.workers():
-            target.faults = backend.Faults(0.2 * chance.random(), 0.2 * chance.random(), 0.2 * chance.random(),
-                                           0.3, chance.random() < 0.5)
+            target.faults = backend.Faults(
+                0.2 * chance.random(),
+                0.2 * chance.random(),
+                0.2 * chance.random(),
+                0.3,
+                chance.random() < 0.5,
+            )
         victim = chance.choice(one.world.workers())
         one.kill(victim.name)
         await asyncio.sleep(long)
@@ -406,47 +435,72 @@
         Example: ``assert day.verdict() == []``
         """
         one = self.scene
-        allowed = frozenset((lane, service) for lane, spec in one.mix.document["lanes"].items()
-                            for service in spec["services"]) | frozenset(
-                                ("swing", service) for service in self.operators.plain)
-        history = judge.History(tuple(self.asking.noted), tuple(one.world.seen()), one.world.ran(),
-                                one.world.put_out(), self.document, one.marked,
-                                (*self.told, *self.asking.faults), allowed)
-        return [*judge.faults(history), *register.faults(self.operators.writes, self.operators.reads, one.mix.document),
-                *register.foreign_runs(self.operators.writes, register.swing_runs(one), one.mix.document)]
-
-
-def run_day(seed: int, kinds: tuple[str, ...] = FAULTS, count: int = 3, size: scene.Size = scene.Size(),
-            more: dict | None = None) -> dict:
+        allowed = frozenset(
+            (lane, service) for lane, spec in one.mix.document["lanes"].items() for service in spec["services"]
+        ) | frozenset(("swing", service) for service in self.operators.plain)
+        history = oracle.History(
+            tuple(self.asking.noted),
+            tuple(one.world.seen()),
+            one.world.ran(),
+            one.world.put_out(),
+            self.document,
+            one.marked,
+            (*self.told, *self.asking.faults),
+            allowed,
+        )
+        return [
+            *oracle.faults(history),
+            *register.faults(self.operators.writes, self.operators.reads, one.mix.document),
+            *register.foreign_runs(self.operators.writes, register.swing_runs(one), one.mix.document),
+        ]
+
+
+def run_day(
+    seed: int,
+    kinds: tuple[str, ...] = FAULTS,
+    count: int = 3,
+    size: simulated_cluster.Size = simulated_cluster.Size(),
+    more: dict | None = None,
+) -> dict:
     """One seeded campaign; what was wrong, what was done to the fleet, how long service took to return.
 
     Example: ``run_day(7)["wrong"] == []``
     """
     held: list[Day] = []
 
-    async def story(one: scene.Scene) -> None:
+    async def story(one: simulated_cluster.SimulatedCluster) -> None:
         held.append(Day(one, random.Random(seed * 7 + 1), kinds, count))
         await held[0].run()
 
-    copy.COMPACT_ENTRIES, witness.COMPACT = (40, 60) if seed % 3 else (4000, 2000)
+    replica.COMPACT_ENTRIES, witness.COMPACT = (40, 60) if seed % 3 else (4000, 2000)
     weather = wire.Weather(jitter=0.004, double=0.002, reset=0.0005)
     wrong = []
     began = time.perf_counter()
     played = None
     try:
-        played = scene.play(seed, story, size, name=(shape.TILLS, shape.ARCHIVE)[seed % 2], weather=weather,
-                            more=more)
+        played = simulated_cluster.play(
+            seed, story, size, name=(shape.TILLS, shape.ARCHIVE)[seed % 2], weather=weather, more=more
+        )
         wrong = held[0].verdict()
     except* Exception as group:
         wrong = [f"{type(error).__name__}: {error}" for error in flat(group)]
     day = held[0] if held else None
     if played is not None:
-        wrong.extend(f"unhandled: {one}" for one in played.loop.exceptions
-                     if "after response started" not in one and "cut in the middle" not in one)
+        wrong.extend(
+            f"unhandled: {one}"
+            for one in played.loop.exceptions
+            if "after response started" not in one and "cut in the middle" not in one
+        )
         wrong.extend(f"ended: {one}" for one in played.ended[:3])
-    return {"seed": seed, "wrong": wrong, "done": day.done if day else [], "returned": day.returned if day else [],
-            "waits": day.operators.waits if day and hasattr(day, "operators") else [], "counts": dict(day.asking.counts) if day and hasattr(day, "asking") else {},
-            "seconds": time.perf_counter() - began}
+    return {
+        "seed": seed,
+        "wrong": wrong,
+        "done": day.done if day else [],
+        "returned": day.returned if day else [],
+        "waits": day.operators.waits if day and hasattr(day, "operators") else [],
+        "counts": dict(day.asking.counts) if day and hasattr(day, "asking") else {},
+        "seconds": time.perf_counter() - began,
+    }
 
 
 def flat(group: BaseExceptionGroup) -> list[BaseException]:
@@ -460,8 +514,17 @@
     return found
 
 
-def campaign(*, first: int = 1, seeds: int = 40, faults: list[str] = FAULTS, count: int = 3,
-             processes: int = 8, whole: bool = False, apart: bool = False, losses: int = 1) -> None:
+def campaign(
+    *,
+    first: int = 1,
+    seeds: int = 40,
+    faults: list[str] = FAULTS,
+    count: int = 3,
+    processes: int = 8,
+    whole: bool = False,
+    apart: bool = False,
+    losses: int = 1,
+) -> None:
     """Run many seeded campaigns and print those that went wrong.
 
     :param first: first seed
@@ -473,16 +536,15 @@
     :param apart: five cores with disks that are the witnesses and hold the control group, storages the talk groups
     :param losses: machine losses to be borne, with ``apart``
     """
-    size, more = scene.Size(8, 3, 5) if whole else scene.Size(), {}
+    size, more = simulated_cluster.Size(8, 3, 5) if whole else simulated_cluster.Size(), {}
     if apart:
-        size = scene.Size(8 if whole else 2, 2 * losses + 1, 5, apart=True)
+        size = simulated_cluster.Size(8 if whole else 2, 2 * losses + 1, 5, apart=True)
         more = {"witnesses": "core", "losses": losses}
         faults = APART if tuple(faults) == FAULTS else faults
     total: collections.Counter = collections.Counter()
     returned, waits, bad = [], [], 0
     with concurrent.futures.ProcessPoolExecutor(processes) as pool:
-        work = [pool.submit(run_day, seed, tuple(faults), count, size, more)
-                for seed in range(first, first + seeds)]
+        work = [pool.submit(run_day, seed, tuple(faults), count, size, more) for seed in range(first, first + seeds)]
         for future in concurrent.futures.as_completed(work):
             shown = future.result()
             total.update(shown["counts"])
@@ -490,15 +552,22 @@
             waits.extend(shown["waits"])
             if shown["wrong"]:
                 bad += 1
-                print(shown["seed"], shown["done"], *[str(one)[:1500] for one in shown["wrong"][:4]], sep="\n  ",
-                      flush=True)
+                print(
+                    shown["seed"],
+                    shown["done"],
+                    *[str(one)[:1500] for one in shown["wrong"][:4]],
+                    sep="\n  ",
+                    flush=True,
+                )
     returned.sort()
     waits.sort()
     print(f"{seeds} seeds, {bad} wrong; answers {dict(sorted(total.items()))}")
     for name, row in (("service returned after a fault's end", returned), ("plan writes took", waits)):
         if row:
-            print(f"{name}: median {row[len(row) // 2]:.2f} s, 95 % {row[int(len(row) * .95)]:.2f} s, "
-                  f"most {row[-1]:.2f} s, of {len(row)}")
+            print(
+                f"{name}: median {row[len(row) // 2]:.2f} s, 95 % {row[int(len(row) * 0.95)]:.2f} s, "
+                f"most {row[-1]:.2f} s, of {len(row)}"
+            )
     sys.exit(1 if bad else 0)
 
 
--- a/aspencroft/sim/disk.py
+++ b/aspencroft/simulation/disk.py
@@ -5,7 +5,7 @@
 import random
 import shutil
 
-import aspencroft.disk.store as store
+from aspencroft.storage import store
 
 
 class SimDisk:
@@ -57,7 +57,7 @@
             elif path.suffix == ".dat" or path.suffix == ".dir":
                 data = path.read_bytes()
                 lasting = min(self.synced.get(path, 0), len(data))
-                tail = data[lasting:lasting + self.chance.randrange(len(data) - lasting + 1)]
+                tail = data[lasting : lasting + self.chance.randrange(len(data) - lasting + 1)]
                 if tail and self.chance.random() < 0.3:
                     tail = bytes(byte ^ 0x55 if self.chance.random() < 0.02 else byte for byte in tail)
                 path.write_bytes(data[:lasting] + tail)
@@ -80,7 +80,7 @@
         for path in sorted(self.folder.rglob("*.dat")):
             places = store.scan(path.read_bytes()).places
             if len(places) > 1:
-                path.write_bytes(path.read_bytes()[:places[-1][0]])
+                path.write_bytes(path.read_bytes()[: places[-1][0]])
                 lost += 1
         return lost
 
--- a/aspencroft/sim/forwarding.py
+++ b/aspencroft/simulation/forwarding.py
@@ -17,28 +17,17 @@
 
 import defopt
 
-import aspencroft.code.result as result
-import aspencroft.forward.call as call
-import aspencroft.forward.forwarder as forwarder
-import aspencroft.forward.instance as instance
-import aspencroft.forward.instances as instances
-import aspencroft.node.node as node
-import aspencroft.node.settings as settings
-import aspencroft.pair.copy as copy
-import aspencroft.pair.witness as witness
-import aspencroft.plan.configuration as configuration
-import aspencroft.program.daemon as daemon
-import aspencroft.seam.moment as moment
-import aspencroft.seam.surroundings as surroundings
-import aspencroft.sim.rules as rules
-import aspencroft.sim.scene as scene
-import aspencroft.sim.wire as wire
-import aspencroft.stand.agent as agent
-import aspencroft.stand.engine as engine
-import aspencroft.stand.shape as shape
-import aspencroft.stand.worker_server as worker_server
-import aspencroft.worker.list_reader as list_reader
-import aspencroft.worker.pool as pool
+from aspencroft.cli import daemon
+from aspencroft.configuration import operator_configuration
+from aspencroft.consensus import witness
+from aspencroft.emulator import agent, engine, shape, worker_server
+from aspencroft.errors import result
+from aspencroft.node import node, settings
+from aspencroft.proxy import call, forwarder, instance, instances
+from aspencroft.replication import replica
+from aspencroft.runtime import clock, environment
+from aspencroft.simulation import rules, simulated_cluster, wire
+from aspencroft.workers import list_reader, pool
 
 HOST = "h.example"
 WAY = 0.001
@@ -52,12 +41,56 @@
 SHOWN = 6
 ROUTES, SERVICES = "routes", "services"
 EDGE_FAULTS = ("edge kill", "edge power", "edge freeze", "edge stop")
-DISK_FAULTS = ("kill", "power", "freeze", "cut", "one way", "slow disk", "wipe", "replace", "stop", "leader", "after turn",
-               "after write", "halves", "retire", "reset")
-WORKER_FAULTS = ("release", "crash", "answers lost", "garble", "closes", "list", "worker freeze", "worker cut")
-FAULTS = (*EDGE_FAULTS, "edge cut", "edge add", *DISK_FAULTS, "storage add", *WORKER_FAULTS, "burst", "race", "invalid")
-MODEL = worker_server.Work(shape=engine.Shape(slots=8, queue=24, step=moment.seconds(0.004), step_more=moment.seconds(0.0002),
-                                              reading=60_000.0, memory=40_000, stride=10, at_once=10))
+DISK_FAULTS = (
+    "kill",
+    "power",
+    "freeze",
+    "cut",
+    "one way",
+    "slow disk",
+    "wipe",
+    "replace",
+    "stop",
+    "leader",
+    "after turn",
+    "after write",
+    "halves",
+    "retire",
+    "reset",
+)
+WORKER_FAULTS = (
+    "release",
+    "crash",
+    "answers lost",
+    "garble",
+    "closes",
+    "list",
+    "worker freeze",
+    "worker cut",
+)
+FAULTS = (
+    *EDGE_FAULTS,
+    "edge cut",
+    "edge add",
+    *DISK_FAULTS,
+    "storage add",
+    *WORKER_FAULTS,
+    "burst",
+    "race",
+    "invalid",
+)
+MODEL = worker_server.Work(
+    shape=engine.Shape(
+        slots=8,
+        queue=24,
+        step=clock.seconds(0.004),
+        step_more=clock.seconds(0.0002),
+        reading=60_000.0,
+        memory=40_000,
+        stride=10,
+        at_once=10,
+    )
+)
 PLAIN = worker_server.Work(slots=6, queue=12)
 FAULTS_AT_FIRST = worker_server.Faults()
 FLEET = (("chat-a", MODEL, 3), ("chat-b", MODEL, 2), ("tool-a", PLAIN, 2), ("tool-b", PLAIN, 1))
@@ -66,8 +99,10 @@
 LIGHT = agent.Use("light", HOST, "/light/", "safe", 0.1, 1.0, 1)
 ALERT = agent.Use("alert", HOST, "/alert/", "non_idempotent", 0.2, 1.5, 1)
 LOCK = agent.Use("lock", HOST, "/lock/", "keyed", 0.2, 1.5, 2)
-HABITS = ((agent.Habit(CHAT, (LIGHT, ALERT, LOCK)), 1.6),
-          (agent.Habit(DESK, (LIGHT, LOCK), turns=3, helper_share=0.3), 0.8))
+HABITS = (
+    (agent.Habit(CHAT, (LIGHT, ALERT, LOCK)), 1.6),
+    (agent.Habit(DESK, (LIGHT, LOCK), turns=3, helper_share=0.3), 0.8),
+)
 
 
 @dataclasses.dataclass(eq=False)
@@ -99,8 +134,9 @@
             await asyncio.sleep(1.0 if self.name in world.dark else WAY)
             raise agent.Gone(False)
         world.visits[self.name][visit] = None
-        visit.task = world.loop.create_task(self.serve(world.forwarders[self.name], one, visit),
-                                            context=world.loop.context_of(self.name))
+        visit.task = world.loop.create_task(
+            self.serve(world.forwarders[self.name], one, visit), context=world.loop.context_of(self.name)
+        )
         handed = False
         try:
             kind, value = await visit.told.get()
@@ -154,13 +190,13 @@
         Example: ``loop.create_task(door.serve(forwarding, call, visit), context=context)``
         """
         try:
-            answer = await forwarding.take(dataclasses.replace(one, arrived=moment.now()))
-        except result.Refusal as refusal:
+            answer = await forwarding.take(dataclasses.replace(one, arrived=clock.now()))
+        except result.RequestError as refusal:
             self.tell(visit, "refused", refusal)
             return
         except Exception as error:
             self.world.unforeseen.append(f"{self.name}: {one.attempt}: {error!r}")
-            self.tell(visit, "refused", result.Refusal(result.Result.INTERNAL, result.Ran.UNKNOWN))
+            self.tell(visit, "refused", result.RequestError(result.ResultCode.INTERNAL, result.Ran.UNKNOWN))
             return
         self.tell(visit, "answer", answer)
         if answer.parts is None:
@@ -169,7 +205,7 @@
             async for part in answer.parts:
                 self.tell(visit, "part", part)
             self.tell(visit, "end")
-        except result.Refusal:
+        except result.RequestError:
             self.tell(visit, "gone")
         except Exception as error:
             self.world.unforeseen.append(f"{self.name}: {one.attempt}: {error!r}")
@@ -206,19 +242,24 @@
         while self.asked and self.asked[0] < now - 1:
             self.asked.popleft()
         if len(self.asked) >= LIST_RATE:
-            raise result.Refusal(result.Result.LIST_BROKEN, detail="asked too often")
+            raise result.RequestError(result.ResultCode.LIST_BROKEN, detail="asked too often")
         self.asked.append(now)
         return list([found for at, found in self.history if at <= now][-1])
 
 
-class World(scene.Scene):
+class World(simulated_cluster.SimulatedCluster):
     """A scene whose edges forward opaque calls, with workers, a list of them, and what is noted for the judge.
 
     Example: ``play(7, story)``
     """
 
-    def __init__(self, seed: int, size: scene.Size, folder: pathlib.Path):
-        more = {"witnesses": settings.CORE, "currency": moment.seconds(30), "confirm": moment.seconds(0.25), "talk_pairs": GROUPS}
+    def __init__(self, seed: int, size: simulated_cluster.Size, folder: pathlib.Path):
+        more = {
+            "witnesses": settings.CORE,
+            "currency": clock.seconds(30),
+            "confirm": clock.seconds(0.25),
+            "talk_pairs": GROUPS,
+        }
         weather = wire.Weather(jitter=0.002)
         super().__init__(seed, size, shape.shape_of(shape.TILLS), weather, folder, more)
         self.forwarders: dict[str, forwarder.Forwarder] = {}
@@ -244,7 +285,7 @@
 
         Example: ``world.begin_world()``
         """
-        self.loop.begin(scene.OUTSIDE)
+        self.loop.begin(simulated_cluster.OUTSIDE)
         for service, work, count in FLEET:
             for number in range(count):
                 self.begin_worker(f"{service}-{number}", service, work)
@@ -258,7 +299,7 @@
         self.lives[name].append(self.loop.time())
         super().start(name)
 
-    async def live(self, name: str, place: settings.Settings, around: surroundings.Surroundings) -> None:
+    async def live(self, name: str, place: settings.Settings, around: environment.Environment) -> None:
         """A node's process, as the programs build it.
 
         Example: ``loop.create_task(world.live(name, place, around), context=context)``
@@ -281,15 +322,16 @@
 
         Example: ``world.works("edge-0", own)``
         """
+
         async def lister() -> list[instance.Instance]:
             await asyncio.sleep(2 * WAY)
             if self.cloud.silent or self.wire.is_cut(name, "platform"):
                 await asyncio.sleep(0.5)
-                raise result.Refusal(result.Result.LIST_BROKEN, detail="no answer")
+                raise result.RequestError(result.ResultCode.LIST_BROKEN, detail="no answer")
             return self.cloud.shown(self.loop.time())
 
         if own.settings.role == settings.EDGE:
-            connections, known = pool.Pool(own.surroundings, own.outside), instances.Instances()
+            connections, known = pool.Pool(own.environment, own.outside), instances.Instances()
             forwarding = forwarder.Forwarder(own, worker_server.StandDialect(), known, connections)
             own.stories = forwarding.stories
             self.forwarders[name] = forwarding
@@ -338,7 +380,7 @@
             async with asyncio.TaskGroup() as group:
                 if forwarding is not None:
                     group.create_task(forwarding.drain())
-                group.create_task(daemon.hand_over(own))
+                group.create_task(daemon.transfer_leadership(own))
             await asyncio.sleep(daemon.LAST_WORDS.total_seconds())
 
         ending = self.loop.create_task(whole(), context=self.loop.context_of(name))
@@ -367,14 +409,21 @@
 
         Example: ``await world.until(world.whole, 12, "whole")``
         """
-        witnesses = {address.split(":")[0] for name in self.cores if self.alive(name) and name in self.nodes
-                     for address in self.nodes[name].electorate.roster.everyone()}
+        witnesses = {
+            address.split(":")[0]
+            for name in self.cores
+            if self.alive(name) and name in self.nodes
+            for address in self.nodes[name].proposer.voter_set.everyone()
+        }
         if not self.ready() or not all(self.alive(name) for name in witnesses):
             return False
         if not all(self.nodes[self.leader(group)].hosts[group].known.backups for group in range(1 + GROUPS)):
             return False
-        return all(self.forwarders[name].ready() for name in self.edges
-                   if self.alive(name) and name not in self.loop.frozen and name in self.forwarders)
+        return all(
+            self.forwarders[name].ready()
+            for name in self.edges
+            if self.alive(name) and name not in self.loop.frozen and name in self.forwarders
+        )
 
     async def watch_readiness(self) -> None:
         """The platform's look at each edge: two misses take it out, one answer in.
@@ -427,7 +476,9 @@
         able = [name for name in self.edges if name in self.ready_edges]
         return [Door(self, name) for name in (able if 2 * len(able) >= len(self.edges) else self.edges)]
 
-    async def at_node(self, name: str, work: collections.abc.Callable[[node.Node], collections.abc.Awaitable], within: float):
+    async def at_node(
+        self, name: str, work: collections.abc.Callable[[node.Node], collections.abc.Awaitable], within: float
+    ):
         """Do something in a node's own life, as its control point would; Gone when it ends, TimeoutError when it is silent.
 
         Example: ``await world.at_node("core-0", lambda own: own.read_configuration(), 1.0)``
@@ -441,7 +492,7 @@
         async def serve() -> None:
             try:
                 value = "done", await work(own)
-            except result.Refusal as refusal:
+            except result.RequestError as refusal:
                 value = "refused", refusal
             except Exception as error:
                 self.unforeseen.append(f"{name}: an order: {error!r}")
@@ -481,15 +532,23 @@
         Example: ``world.begin_worker("chat-a-0", "chat-a", MODEL)``
         """
         name = f"i-{len(self.workers)}"
-        zone = scene.AREAS[len(self.workers) % 3]
-        life = worker_server.Worker(name, service, zone, work, random.Random(f"{self.seed} {name}"),
-                                    1.0 + 0.3 * (len(self.workers) % 3 == 0))
+        zone = simulated_cluster.AREAS[len(self.workers) % 3]
+        life = worker_server.Worker(
+            name,
+            service,
+            zone,
+            work,
+            random.Random(f"{self.seed} {name}"),
+            1.0 + 0.3 * (len(self.workers) % 3 == 0),
+        )
         life.faults = self.faults
         self.workers.append(life)
         self.at[host] = life
         self.loop.begin(host)
-        self.loop.create_task(life.serve(wire.SimNetwork(self.wire, host), f"{host}:80"), context=self.loop.context_of(host))
-        self.listed[name] = instance.Instance(name, f"{host}:80", service, zone, "v1", work.places(), False, moment.ZERO)
+        self.loop.create_task(
+            life.serve(wire.SimNetwork(self.wire, host), f"{host}:80"), context=self.loop.context_of(host)
+        )
+        self.listed[name] = instance.Instance(name, f"{host}:80", service, zone, "v1", work.places(), False, clock.ZERO)
         self.list_workers()
         return life
 
@@ -559,7 +618,7 @@
         self.list_workers()
         self.shown_as_leaving(life)
 
-    def note_refusal(self, one: call.Call, refusal: result.Refusal) -> None:
+    def note_refusal(self, one: call.Call, refusal: result.RequestError) -> None:
         """Note how full the workers that could serve a call were when it was refused.
 
         Example: ``world.note_refusal(call, refusal)``
@@ -567,9 +626,17 @@
         if refusal.result.name not in rules.NOT_OWN:
             return
         services = self.allowed(one)
-        loads = [life.load() for life in self.at.values() if life.service in services and not life.ended and not life.leaving]
-        self.refused.append(rules.Refused(one.attempt, sum(load[0] for load in loads), sum(load[1] for load in loads),
-                                          sum(load[2] for load in loads)))
+        loads = [
+            life.load() for life in self.at.values() if life.service in services and not life.ended and not life.leaving
+        ]
+        self.refused.append(
+            rules.Refused(
+                one.attempt,
+                sum(load[0] for load in loads),
+                sum(load[1] for load in loads),
+                sum(load[2] for load in loads),
+            )
+        )
 
 
 class Operator:
@@ -598,16 +665,29 @@
         for service, work, _ in FLEET:
             spec = {"kind": "model" if work.shape else "plain", "max_connections": work.connections}
             if work.shape:
-                spec["engine"] = {"slots": work.shape.slots, "kv_tokens": work.shape.memory, "stride": work.shape.stride,
-                                  "models": ["m"]}
+                spec["engine"] = {
+                    "slots": work.shape.slots,
+                    "kv_tokens": work.shape.memory,
+                    "stride": work.shape.stride,
+                    "models": ["m"],
+                }
             self.services[service] = spec
         for use in (CHAT, DESK, LIGHT, ALERT, LOCK):
             kind = "chat" if use.kind == "stream" else "tool"
             self.routes[use.name] = {
-                "host": HOST, "prefix": use.prefix, "kind": use.kind, "timeout": use.within, "aim": use.aim,
-                "retained": use.retained, "keep": 60.0, "attempts": self.attempts, "resumable": use.resumable,
+                "host": HOST,
+                "prefix": use.prefix,
+                "kind": use.kind,
+                "timeout": use.within,
+                "aim": use.aim,
+                "retained": use.retained,
+                "keep": 60.0,
+                "attempts": self.attempts,
+                "resumable": use.resumable,
                 "affinity": use.kind == "stream",
-                "gap": use.gap if use.kind == "stream" else 0.0, "targets": [{"service": f"{kind}-a", "weight": 1}]}
+                "gap": use.gap if use.kind == "stream" else 0.0,
+                "targets": [{"service": f"{kind}-a", "weight": 1}],
+            }
 
     def version(self, routes: dict[str, dict], base: int, valid: bool = True, step: int | None = None) -> rules.Version:
         """A version that an operator means to send.
@@ -621,19 +701,32 @@
         self.versions.append(one)
         return one
 
-    def command(self, one: rules.Version, before: dict[tuple[str, str], str] | None) -> configuration.ApplyConfiguration:
+    def command(
+        self, one: rules.Version, before: dict[tuple[str, str], str] | None
+    ) -> operator_configuration.ApplyConfiguration:
         """The order for a version, whole or as what differs from the one before.
 
         Example: ``operator.command(version, None)``
         """
         kinds = {ROUTES: "http_routes", SERVICES: "services"}
-        items = tuple(configuration.Item(group, name, text, kinds[group], name, text) for (group, name), text in one.items.items()
-                      if before is None or before.get((group, name)) != text)
-        gone = () if before is None else tuple(configuration.Label(*place) for place in before if place not in one.items)
-        digest = hashlib.blake2b(repr((one.number, one.base, before is None, items, gone)).encode(), digest_size=16).digest()
-        return configuration.ApplyConfiguration(one.number, one.base, before is None, items, gone, digest)
-
-    async def send(self, one: rules.Version, command: configuration.ApplyConfiguration, span: float = 30.0) -> str:
+        items = tuple(
+            operator_configuration.Item(group, name, text, kinds[group], name, text)
+            for (group, name), text in one.items.items()
+            if before is None or before.get((group, name)) != text
+        )
+        gone = (
+            ()
+            if before is None
+            else tuple(operator_configuration.Label(*place) for place in before if place not in one.items)
+        )
+        digest = hashlib.blake2b(
+            repr((one.number, one.base, before is None, items, gone)).encode(), digest_size=16
+        ).digest()
+        return operator_configuration.ApplyConfiguration(one.number, one.base, before is None, items, gone, digest)
+
+    async def send(
+        self, one: rules.Version, command: operator_configuration.ApplyConfiguration, span: float = 30.0
+    ) -> str:
         """Send an order until the answer is clear, to one node after the other; how it ended.
 
         Example: ``await operator.send(version, command)``
@@ -647,8 +740,12 @@
                 one.taken = world.loop.time()
                 self.waits.append(one.taken - began)
                 return "taken"
-            except result.Refusal as refusal:
-                if refusal.result in (result.Result.REVISION_DIFFERS, result.Result.PLAN_INVALID, result.Result.MALFORMED):
+            except result.RequestError as refusal:
+                if refusal.result in (
+                    result.ResultCode.REVISION_DIFFERS,
+                    result.ResultCode.PLAN_INVALID,
+                    result.ResultCode.MALFORMED,
+                ):
                     one.refused = True
                     return refusal.result.name
             except (agent.Gone, TimeoutError):
@@ -676,9 +773,11 @@
         began, pause = self.world.loop.time(), 0.05
         while self.world.loop.time() < began + 12:
             try:
-                found = await self.world.at_node(self.chance.choice(self.world.cores), lambda own: own.read_configuration(), 1.0)
+                found = await self.world.at_node(
+                    self.chance.choice(self.world.cores), lambda own: own.read_configuration(), 1.0
+                )
                 return found.version, {(item.group, item.label): item.text for item in found.items}
-            except (result.Refusal, agent.Gone, TimeoutError):
+            except (result.RequestError, agent.Gone, TimeoutError):
                 await asyncio.sleep(pause)
                 pause = min(0.5, 1.5 * pause)
         return None
@@ -707,17 +806,26 @@
         if kind == "add":
             self.added += 1
             fresh = f"extra{self.added}"
-            routes[fresh] = {**routes["light"], "prefix": f"/{fresh}/",
-                             "targets": [{"service": f"tool-{chance.choice('ab')}", "weight": 1}]}
+            routes[fresh] = {
+                **routes["light"],
+                "prefix": f"/{fresh}/",
+                "targets": [{"service": f"tool-{chance.choice('ab')}", "weight": 1}],
+            }
         elif kind == "remove" and extra:
             del routes[chance.choice(extra)]
         elif kind == "split":
             targets = [{"service": f"{sort}-{one}", "weight": chance.randrange(1, 100)} for one in "ab"]
             routes[name] = {**routes[name], "targets": targets}
         elif kind == "timeout":
-            routes[name] = {**routes[name], "timeout": round(routes[name]["timeout"] * (0.9 + 0.2 * chance.random()), 3)}
+            routes[name] = {
+                **routes[name],
+                "timeout": round(routes[name]["timeout"] * (0.9 + 0.2 * chance.random()), 3),
+            }
         else:
-            routes[name] = {**routes[name], "targets": [{"service": f"{sort}-{chance.choice('ab')}", "weight": 1}]}
+            routes[name] = {
+                **routes[name],
+                "targets": [{"service": f"{sort}-{chance.choice('ab')}", "weight": 1}],
+            }
         return routes
 
     async def change(self) -> None:
@@ -749,7 +857,10 @@
         Example: ``await operator.invalid()``
         """
         async with self.busy:
-            kind, routes = self.chance.choice(["service", "place", "weight", "number", "timeout"]), dict(self.routes)
+            kind, routes = (
+                self.chance.choice(["service", "place", "weight", "number", "timeout"]),
+                dict(self.routes),
+            )
             if kind == "service":
                 routes["light"] = {**routes["light"], "targets": [{"service": "nowhere", "weight": 1}]}
             elif kind == "place":
@@ -780,8 +891,15 @@
     Example: ``await Day(world, random.Random(1)).run()``
     """
 
-    def __init__(self, world: World, chance: random.Random, kinds: tuple[str, ...] = FAULTS, count: int = 4,
-                 closing: bool | None = None, rate: float = 1.0):
+    def __init__(
+        self,
+        world: World,
+        chance: random.Random,
+        kinds: tuple[str, ...] = FAULTS,
+        count: int = 4,
+        closing: bool | None = None,
+        rate: float = 1.0,
+    ):
         self.world = world
         self.chance = chance
         self.kinds = kinds
@@ -812,8 +930,11 @@
             watching = group.create_task(world.watch_readiness())
             await asyncio.sleep(0.1)
             habits = tuple((habit, rate * self.rate) for habit, rate in HABITS)
-            traffic = [group.create_task(self.agents.run(habits, lambda: self.over)),
-                       group.create_task(self.operator.run(lambda: self.over)), group.create_task(self.probe())]
+            traffic = [
+                group.create_task(self.agents.run(habits, lambda: self.over)),
+                group.create_task(self.operator.run(lambda: self.over)),
+                group.create_task(self.probe()),
+            ]
             await asyncio.sleep(1.0)
             async with asyncio.TaskGroup() as hurting:
                 for _ in range(self.count):
@@ -869,8 +990,10 @@
         for previous in sorted({one.call.previous for one in asked}):
             tries = [one for one in asked if one.call.previous == previous]
             if not any(one.good() for one in tries):
-                self.told.append(f"LOST after the closing fault turn {previous} could not be gone on from: "
-                                 f"{tries[-1].refusal or tries[-1].outcome}")
+                self.told.append(
+                    f"LOST after the closing fault turn {previous} could not be gone on from: "
+                    f"{tries[-1].refusal or tries[-1].outcome}"
+                )
 
     # -- faults ----------------------------------------------------------------------------------
 
@@ -998,8 +1121,11 @@
             if write and len(self.operator.waits) > taken:
                 return world.leader(0)
             if not write and len(self.agents.kept) > turns:
-                return world.leader(world.loop.context_of(scene.OUTSIDE).run(
-                    next(iter(world.forwarders.values())).group_of, self.agents.kept[-1][0]))
+                return world.leader(
+                    world.loop.context_of(simulated_cluster.OUTSIDE).run(
+                        next(iter(world.forwarders.values())).group_of, self.agents.kept[-1][0]
+                    )
+                )
             await asyncio.sleep(0.001)
         return ""
 
@@ -1034,10 +1160,10 @@
             name = self.chance.choice(world.cores)
             try:
                 if not asked:
-                    await world.at_node(name, lambda own: own.empty(victim, moment.seconds(0.9)), 1.0)
+                    await world.at_node(name, lambda own: own.empty(victim, clock.seconds(0.9)), 1.0)
                     asked = True
                 done = await world.at_node(name, lambda own: own.emptying(victim), 1.0) == node.EMPTIED
-            except (result.Refusal, agent.Gone, TimeoutError):
+            except (result.RequestError, agent.Gone, TimeoutError):
                 pass
             await asyncio.sleep(0.3)
         if not done:
@@ -1061,7 +1187,7 @@
             world.start(victim)
             return
         self.fresh += 1
-        role = victim.split("-")[0]
+        role = victim.split("-", maxsplit=1)[0]
         fresh = f"{role}-{20 + 3 * self.fresh + int(victim.split('-')[1]) % 3}"
         row = world.storages if role == "storage" else world.cores
         row[row.index(victim)] = fresh
@@ -1077,7 +1203,9 @@
         Example: ``await day.other_fault("release")``
         """
         world, chance, span = self.world, self.chance, 1 + 3 * self.chance.random()
-        hosts = sorted(host for host, life in world.at.items() if not life.ended and not life.leaving and host not in self.hurt)
+        hosts = sorted(
+            host for host, life in world.at.items() if not life.ended and not life.leaving and host not in self.hurt
+        )
         if kind == "release" and hosts:
             async with asyncio.TaskGroup() as group:
                 chosen = chance.sample(hosts, min(2, len(hosts)))
@@ -1091,8 +1219,18 @@
             await world.crash_worker(host)
             self.hurt.discard(host)
         elif kind in ("answers lost", "garble", "closes"):
-            some = {"answers lost": {"lost": 0.1, "silent": 0.05}, "closes": {"closes": 0.3},
-                    "garble": {"cut": 0.05, "garbage": 0.05, "surplus": 0.1, "late": 0.1, "failed": 0.05, "pieces": 0.3}}[kind]
+            some = {
+                "answers lost": {"lost": 0.1, "silent": 0.05},
+                "closes": {"closes": 0.3},
+                "garble": {
+                    "cut": 0.05,
+                    "garbage": 0.05,
+                    "surplus": 0.1,
+                    "late": 0.1,
+                    "failed": 0.05,
+                    "pieces": 0.3,
+                },
+            }[kind]
             for name, share in some.items():
                 setattr(world.faults, name, share)
             await asyncio.sleep(span)
@@ -1107,7 +1245,7 @@
             world.loop.thaw(host)
             world.wire.heal(ways)
         elif kind in ("edge add", "storage add"):
-            role = kind.split()[0]
+            role = kind.split(maxsplit=1)[0]
             self.fresh += 1
             fresh = f"{role}-{50 + self.fresh}"
             (world.edges if role == "edge" else world.storages).append(fresh)
@@ -1135,12 +1273,23 @@
         Example: ``rules.faults(day.history())``
         """
         world = self.world
-        return rules.History(self.agents.tries, self.agents.programs, world.workers, self.operator.versions, world.troubles,
-                             world.draining, world.lives, rules.Bounds(), self.read_back, self.closing, world.refused,
-                             list(self.told))
-
-
-def play(seed: int, story: collections.abc.Callable, size: scene.Size) -> World:
+        return rules.History(
+            self.agents.tries,
+            self.agents.programs,
+            world.workers,
+            self.operator.versions,
+            world.troubles,
+            world.draining,
+            world.lives,
+            rules.Bounds(),
+            self.read_back,
+            self.closing,
+            world.refused,
+            list(self.told),
+        )
+
+
+def play(seed: int, story: collections.abc.Callable, size: simulated_cluster.Size) -> World:
     """Play a story in a fresh world.
 
     Example: ``play(7, story, SIZE)``
@@ -1152,7 +1301,7 @@
         world.begin_world()
         for one in world.names():
             world.start(one)
-        await world.loop.create_task(story(world), context=world.loop.context_of(scene.OUTSIDE))
+        await world.loop.create_task(story(world), context=world.loop.context_of(simulated_cluster.OUTSIDE))
 
     try:
         world.loop.run_until_complete(whole())
@@ -1162,8 +1311,8 @@
     return world
 
 
-SIZE = scene.Size(3, 3, 3, apart=True)
-WHOLE = scene.Size(8, 3, 5, apart=True)
+SIZE = simulated_cluster.Size(3, 3, 3, apart=True)
+WHOLE = simulated_cluster.Size(8, 3, 5, apart=True)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -1185,16 +1334,28 @@
 
     Example: ``trace_of(day)``
     """
-    rows = [f"{one.call.attempt} {one.edge} {one.began!r} {one.ended!r} {one.outcome} {one.status} {one.seal} {len(one.heard)} "
-            f"{one.refusal}" for one in day.agents.tries]
-    rows.extend(f"{life.name} {run.attempt} {run.began!r} {run.ended!r} {run.seal}"
-                for life in day.world.workers for run in life.runs)
+    rows = [
+        f"{one.call.attempt} {one.edge} {one.began!r} {one.ended!r} {one.outcome} {one.status} {one.seal} {len(one.heard)} "
+        f"{one.refusal}"
+        for one in day.agents.tries
+    ]
+    rows.extend(
+        f"{life.name} {run.attempt} {run.began!r} {run.ended!r} {run.seal}"
+        for life in day.world.workers
+        for run in life.runs
+    )
     rows.extend(day.world.wire.trace)
     return hashlib.blake2b("\n".join(rows).encode(), digest_size=16).hexdigest()
 
 
-def run_day(seed: int, kinds: tuple[str, ...] = FAULTS, count: int = 4, closing: bool | None = None, rate: float = 1.0,
-            size: scene.Size = SIZE) -> Played:
+def run_day(
+    seed: int,
+    kinds: tuple[str, ...] = FAULTS,
+    count: int = 4,
+    closing: bool | None = None,
+    rate: float = 1.0,
+    size: simulated_cluster.Size = SIZE,
+) -> Played:
     """One seeded day and its verdict.
 
     Example: ``run_day(7).wrong == []``
@@ -1205,7 +1366,7 @@
         held.append(Day(world, random.Random(seed * 7 + 1), kinds, count, closing, rate))
         await held[0].run()
 
-    copy.COMPACT_ENTRIES, witness.COMPACT = (40, 60) if seed % 3 else (4000, 2000)
+    replica.COMPACT_ENTRIES, witness.COMPACT = (40, 60) if seed % 3 else (4000, 2000)
     began, wrong, played = time.perf_counter(), [], None
     try:
         played = play(seed, story, size)
@@ -1221,8 +1382,16 @@
         wrong.extend(f"unhandled: {one}" for one in played.loop.exceptions[:3])
         for name, own in day.world.nodes.items():
             wrong.extend(f"standing task of {name}: {task} {count} times" for task, count in own.standing.items())
-    return Played(seed, wrong, day.done, rules.figures(day.history()), day.operator.waits, trace_of(day),
-                  time.perf_counter() - began, stories_of(day, wrong))
+    return Played(
+        seed,
+        wrong,
+        day.done,
+        rules.figures(day.history()),
+        day.operator.waits,
+        trace_of(day),
+        time.perf_counter() - began,
+        stories_of(day, wrong),
+    )
 
 
 def stories_of(day: Day, wrong: list[str]) -> dict[str, list[str]]:
@@ -1234,8 +1403,9 @@
     for word in " ".join(wrong[:SHOWN]).replace(",", " ").replace("(", " ").split():
         for name, forwarding in day.world.forwarders.items():
             for story in forwarding.stories.told(word) if word.startswith("a") and word[1:].isdigit() else ():
-                found[f"{word} at {name}"] = [f"+{line.after.total_seconds():.3f} {line.what} {line.detail}"[:200]
-                                              for line in story.lines]
+                found[f"{word} at {name}"] = [
+                    f"+{line.after.total_seconds():.3f} {line.what} {line.detail}"[:200] for line in story.lines
+                ]
     return found
 
 
@@ -1250,8 +1420,17 @@
     return found
 
 
-def campaign(*, first: int = 1, seeds: int = 20, faults: list[str] = FAULTS, count: int = 4, processes: int = 6,
-             rate: float = 1.0, stories: bool = False, whole: bool = False) -> None:
+def campaign(
+    *,
+    first: int = 1,
+    seeds: int = 20,
+    faults: list[str] = FAULTS,
+    count: int = 4,
+    processes: int = 6,
+    rate: float = 1.0,
+    stories: bool = False,
+    whole: bool = False,
+) -> None:
     """Run many seeded days and print what broke, seed by seed.
 
     :param first: first seed
@@ -1266,8 +1445,10 @@
     bad, broken, total = 0, collections.Counter(), collections.Counter()
     added, waits, seconds = [], [], []
     with concurrent.futures.ProcessPoolExecutor(processes) as workers:
-        work = [workers.submit(run_day, seed, tuple(faults), count, None, rate, WHOLE if whole else SIZE)
-                for seed in range(first, first + seeds)]
+        work = [
+            workers.submit(run_day, seed, tuple(faults), count, None, rate, WHOLE if whole else SIZE)
+            for seed in range(first, first + seeds)
+        ]
         for future in concurrent.futures.as_completed(work):
             shown = future.result()
             bad += bool(shown.wrong)
@@ -1289,9 +1470,11 @@
     print(f"in all: {dict(sorted(total.items()))}")
     medians, waits = sorted(one[0] for one in added), sorted(waits)
     if waits:
-        print(f"added to a turn: median {medians[len(medians) // 2]} ms; a configuration was acknowledged in "
-              f"{waits[len(waits) // 2]:.3f} s by median, {waits[int(len(waits) * 0.95)]:.3f} s for 95 %, "
-              f"{waits[-1]:.3f} s at most; {max(seconds):.1f} s a seed at most")
+        print(
+            f"added to a turn: median {medians[len(medians) // 2]} ms; a configuration was acknowledged in "
+            f"{waits[len(waits) // 2]:.3f} s by median, {waits[int(len(waits) * 0.95)]:.3f} s for 95 %, "
+            f"{waits[-1]:.3f} s at most; {max(seconds):.1f} s a seed at most"
+        )
     sys.exit(1 if bad else 0)
 
 
--- a/aspencroft/sim/forwarding_test.py
+++ b/aspencroft/simulation/forwarding_test.py
@@ -5,12 +5,11 @@
 
 import pytest
 
-import aspencroft.forward.forwarder as forwarder
-import aspencroft.forward.instances as instances
-import aspencroft.sim.forwarding as forwarding
-import aspencroft.stand.worker_server as worker_server
-import aspencroft.talk.ledger as ledger
-import aspencroft.worker.pool as pool
+from aspencroft.emulator import worker_server
+from aspencroft.proxy import forwarder, instances
+from aspencroft.sessions import ledger
+from aspencroft.simulation import forwarding
+from aspencroft.workers import pool
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3, 4])
@@ -100,7 +99,10 @@
     def take(self, snapshot, seen_at):
         return held(self, [dataclasses.replace(one, draining=False) for one in snapshot], seen_at)
 
-    with changed(instances.Instances, "take", take), changed(instances.Instances, "barred", lambda self, name: False):
+    with (
+        changed(instances.Instances, "take", take),
+        changed(instances.Instances, "barred", lambda self, name: False),
+    ):
         assert "DRAIN" in told(302, ("release",), 3)
 
 
@@ -111,7 +113,7 @@
         try:
             async for part in held(self):
                 yield part
-        except pool.result.Refusal:
+        except pool.result.RequestError:
             self.whole = True
 
     with changed(pool.Response, "parts", parts):
--- a/aspencroft/sim/groups.py
+++ b/aspencroft/simulation/groups.py
@@ -4,16 +4,14 @@
 
 import httpx
 
-import aspencroft.pair.holding as holding
-import aspencroft.sim.promises as promises
-import aspencroft.sim.scene as scene
-import aspencroft.sim.wire as wire
-import aspencroft.stand.shape as shape
+from aspencroft.consensus import replica_set
+from aspencroft.emulator import shape
+from aspencroft.simulation import guarantees, simulated_cluster, wire
 
-SIZE = scene.Size(2, 3, 5, apart=True)
+SIZE = simulated_cluster.Size(2, 3, 5, apart=True)
 
 
-class Stage(promises.Stage):
+class Stage(guarantees.Stage):
     """A formed fleet with its plan in force.
 
     Example: ``play(1, acts)`` where ``acts`` takes a stage.
@@ -38,13 +36,16 @@
         await self.scene.until(lambda: bool(self.scene.leader(0)), 12, "led")
         return set(self.scene.nodes[self.scene.leader(0)].hosts[0].copy.view.document["services"])
 
-    def record(self, pair: int) -> holding.Holding | None:
+    def record(self, pair: int) -> replica_set.ReplicaSet | None:
         """The newest record of a group that any node knows.
 
         Example: ``stage.record(0).members()``
         """
-        known = [own.ring.holdings[pair] for name, own in self.scene.nodes.items()
-                 if self.scene.alive(name) and pair in own.ring.holdings]
+        known = [
+            own.ring.holdings[pair]
+            for name, own in self.scene.nodes.items()
+            if self.scene.alive(name) and pair in own.ring.holdings
+        ]
         return max(known, key=lambda one: one.epoch, default=None)
 
     def members(self, pair: int) -> list[str]:
@@ -60,8 +61,10 @@
         Example: ``await scene.until(stage.whole, 10, "whole")``
         """
         leaders = {pair: self.scene.leader(pair) for pair in range(3)}
-        return all(name and len(self.record(pair).members()) >= self.scene.nodes[name].goal(pair)
-                   for pair, name in leaders.items())
+        return all(
+            name and len(self.record(pair).members()) >= self.scene.nodes[name].goal(pair)
+            for pair, name in leaders.items()
+        )
 
     async def ask_node(self, name: str, work: collections.abc.Coroutine):
         """Do something as a node does it; its result, or the exception that it raised.
@@ -75,18 +78,23 @@
             return error
 
 
-def play(seed: int, acts, size: scene.Size = SIZE, more: dict | None = None) -> scene.Scene:
+def play(
+    seed: int, acts, size: simulated_cluster.Size = SIZE, more: dict | None = None
+) -> simulated_cluster.SimulatedCluster:
     """Form a fleet whose cores are the witnesses, put its plan in force, wait until it is whole, act.
 
     Example: ``play(1, acts, more={"losses": 2})``
     """
-    async def story(one: scene.Scene) -> None:
+
+    async def story(one: simulated_cluster.SimulatedCluster) -> None:
         stage = Stage(one)
         await stage.set()
         await one.until(stage.whole, 15, "whole")
         await acts(stage)
         assert stage.asking.faults == [], stage.asking.faults[:3]
 
-    played = scene.play(seed, story, size, shape.TILLS, wire.Weather(jitter=0.002), {"witnesses": "core", **(more or {})})
+    played = simulated_cluster.play(
+        seed, story, size, shape.TILLS, wire.Weather(jitter=0.002), {"witnesses": "core", **(more or {})}
+    )
     assert played.ended == []
     return played
--- a/aspencroft/sim/promises.py
+++ b/aspencroft/simulation/guarantees.py
@@ -1,11 +1,9 @@
 """What must never happen, brought about point by point in simulated fleets; each test names its point."""
 
-
 import httpx
 
-import aspencroft.sim.scene as scene
-import aspencroft.sim.wire as wire
-import aspencroft.stand.shape as shape
+from aspencroft.emulator import shape
+from aspencroft.simulation import simulated_cluster, wire
 
 
 class Stage:
@@ -14,9 +12,9 @@
     Example: ``play(1, acts)`` where ``acts`` takes a stage.
     """
 
-    def __init__(self, one: scene.Scene):
+    def __init__(self, one: simulated_cluster.SimulatedCluster):
         self.scene = one
-        self.client = httpx.AsyncClient(transport=wire.SimTransport(one.wire, scene.OUTSIDE))
+        self.client = httpx.AsyncClient(transport=wire.SimTransport(one.wire, simulated_cluster.OUTSIDE))
         self.asking = one.caller(1)
 
     async def set(self) -> None:
@@ -47,21 +45,25 @@
 
         Example: ``stage.runs("k") <= 1``
         """
-        return sum(isinstance(body["input"], dict) and body["input"].get("name") == name
-                   for body in self.scene.world.seen())
+        return sum(
+            isinstance(body["input"], dict) and body["input"].get("name") == name for body in self.scene.world.seen()
+        )
 
 
-def play(seed: int, acts, name: str = shape.TILLS, size: scene.Size = scene.Size()) -> scene.Scene:
+def play(
+    seed: int, acts, name: str = shape.TILLS, size: simulated_cluster.Size = simulated_cluster.Size()
+) -> simulated_cluster.SimulatedCluster:
     """Set a stage and play acts on it.
 
     Example: ``play(1, acts)``
     """
-    async def story(one: scene.Scene) -> None:
+
+    async def story(one: simulated_cluster.SimulatedCluster) -> None:
         stage = Stage(one)
         await stage.set()
         await acts(stage)
         assert stage.asking.faults == [], stage.asking.faults[:3]
 
-    played = scene.play(seed, story, name=name, size=size, weather=wire.Weather(jitter=0.002))
+    played = simulated_cluster.play(seed, story, name=name, size=size, weather=wire.Weather(jitter=0.002))
     assert played.ended == []
     return played
--- a/aspencroft/sim/promises_test.py
+++ b/aspencroft/simulation/guarantees_test.py
@@ -1,25 +1,22 @@
-"""Tests of ``aspencroft.sim.promises``."""
+"""Tests of ``aspencroft.simulation.guarantees``."""
 
 import asyncio
 import collections
 import hashlib
 import json
 
-import aspencroft.code.result as result
-import aspencroft.keep.residency as residency
-import aspencroft.link.frame as frame
-import aspencroft.pair.holding as holding
-import aspencroft.plan.control as control
-import aspencroft.seam.moment as moment
-import aspencroft.sim.campaign as campaign
-import aspencroft.sim.promises as promises
-import aspencroft.sim.scene as scene
-import aspencroft.sim.wire as wire
-import aspencroft.stand.backend as backend
+from aspencroft.configuration import control_state
+from aspencroft.consensus import replica_set
+from aspencroft.emulator import backend
+from aspencroft.errors import result
+from aspencroft.residency import residency
+from aspencroft.runtime import clock
+from aspencroft.simulation import campaign, guarantees, simulated_cluster, wire
+from aspencroft.transport import frame
 
 
 def test_a_key_at_many_edges_runs_once_though_the_primary_dies_and_answers_are_lost():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         for one in stage.scene.world.plains:
             one.faults = backend.Faults(lose_answer=0.5)
         for number in range(8):
@@ -41,12 +38,13 @@
         assert sum(ran.values()) >= 4
         for noted in stage.asking.noted:
             assert noted.ran != "not run" or noted.request not in ran
+
     for seed in (1, 2):
-        promises.play(seed, acts)
+        guarantees.play(seed, acts)
 
 
 def test_an_edge_frozen_between_claim_and_send_sends_nothing_late():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one, edge = stage.scene, stage.scene.edge_paths["edge-0"]
         original = edge.draw_one
         caught = []
@@ -68,11 +66,12 @@
         await asyncio.sleep(5)
         assert noted.ran == "not run" and second.ran != "done"
         assert stage.runs("late") == 0
-    promises.play(3, acts)
+
+    guarantees.play(3, acts)
 
 
 def test_a_lost_answer_is_unknown_and_the_work_is_not_done_again():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         for one in stage.scene.world.plains:
             one.faults = backend.Faults(lose_answer=1.0)
         first = await stage.ask("edge-0", "handset-alert", {"name": "a"}, operation="a")
@@ -84,17 +83,25 @@
             one.faults = backend.Faults(put_back=1.0)
         put_back = await stage.ask("edge-0", "handset-alert", {"name": "c"}, operation="c")
         assert put_back.ran == "not run" and stage.runs("c") == 0
-    promises.play(4, acts)
+
+    guarantees.play(4, acts)
 
 
 def test_parallel_helpers_over_edges_and_a_takeover_stay_in_budget():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one = stage.scene
 
         async def helper(number: int) -> None:
             for after in range(6):
-                await stage.ask(one.edges[(number + after) % len(one.edges)], "shopper", f"long {number} {after}",
-                                program="p", helper=f"h{number}", after=after, budget=130)
+                await stage.ask(
+                    one.edges[(number + after) % len(one.edges)],
+                    "shopper",
+                    f"long {number} {after}",
+                    program="p",
+                    helper=f"h{number}",
+                    after=after,
+                    budget=130,
+                )
 
         async with asyncio.TaskGroup() as group:
             for number in range(8):
@@ -107,12 +114,13 @@
                 one.start(victim)
         put_out = sum(one.world.put_out().values())
         assert 130 < put_out <= 130 + 40, put_out
+
     for seed in (5, 6):
-        promises.play(seed, acts)
+        guarantees.play(seed, acts)
 
 
 def test_history_outlives_its_holders_one_after_the_other():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one = stage.scene
         programs = [f"p{number}" for number in range(6)]
         for program in programs:
@@ -131,11 +139,12 @@
             assert noted.ran == "done", noted
         turns = [body for body in one.world.seen() if body.get("turn") == 2]
         assert all(body["history"][0][0] == f"{body['program']} first" for body in turns) and len(turns) == 6
-    promises.play(7, acts)
+
+    guarantees.play(7, acts)
 
 
 def test_a_worker_lost_in_mid_stream_ends_the_turn_with_an_error_never_with_another_run():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one = stage.scene
         for worker in one.world.models:
             worker.faults = backend.Faults(cut_stream=1.0)
@@ -147,11 +156,12 @@
         after = await stage.ask("edge-1", "shopper", "again", program="p0", after=0)
         assert after.ran == "done"
         assert [body["history"] for body in one.world.seen()][-1] == []
-    promises.play(8, acts)
+
+    guarantees.play(8, acts)
 
 
 def test_a_program_goes_on_soon_after_the_edge_that_served_it_died():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one = stage.scene
         asking = asyncio.ensure_future(stage.ask("edge-0", "shopper", "long first", program="p"))
         await one.until(lambda: bool(one.world.seen()), 5, "sent")
@@ -165,17 +175,19 @@
             assert noted.result == 1008 and noted.ran == "not run", noted
             await asyncio.sleep(0.5)
         assert noted.ran == "done", noted
-    promises.play(24, acts)
+
+    guarantees.play(24, acts)
 
 
 def test_acknowledged_plans_outlive_a_primary_killed_or_frozen_at_any_step_of_a_write():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one, kept = stage.scene, {}
         for number in range(14):
             name = f"extra-{number}"
             await asyncio.sleep(5)
-            writing = asyncio.ensure_future(stage.client.put(
-                f"http://{one.edges[number % 2]}/plan/services/{name}", json={"kind": "plain"}))
+            writing = asyncio.ensure_future(
+                stage.client.put(f"http://{one.edges[number % 2]}/plan/services/{name}", json={"kind": "plain"})
+            )
             await asyncio.sleep(0.008 * number)
             victim = one.leader(0)
             if number % 2:
@@ -192,11 +204,12 @@
             await one.until(one.ready, 12, "ready")
         document = one.nodes[one.leader(0)].hosts[0].copy.view.document["services"]
         assert all(name in document for name in kept) and len(kept) >= 3, (kept, sorted(document))
-    promises.play(9, acts)
+
+    guarantees.play(9, acts)
 
 
 def test_nothing_is_answered_with_one_copy_when_primary_and_backup_are_cut_apart():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one, acknowledged = stage.scene, 0
         for number in range(3):
             await asyncio.sleep(4)
@@ -213,11 +226,12 @@
                 assert f"extra-{number}" in document
             one.start(leader)
         assert acknowledged
-    promises.play(20, acts)
+
+    guarantees.play(20, acts)
 
 
 def test_a_record_that_changes_under_a_serving_primary_neither_ends_it_nor_its_writes():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one = stage.scene
 
         async def signal(number: int) -> None:
@@ -232,16 +246,22 @@
                     pair = 1 + number // 6 % 2
                     held = one.nodes[one.leader(pair) or one.leader(3 - pair)].hosts[pair]
                     if held.claimed():
-                        without = one.loop.create_task(held.ballot(lambda standing: holding.Holding(
-                            standing.pair, standing.epoch + 1, standing.primary, ())),
-                            context=one.loop.context_of(held.address.split(":")[0]))
+                        without = one.loop.create_task(
+                            held.ballot(
+                                lambda standing: replica_set.ReplicaSet(
+                                    standing.pair, standing.epoch + 1, standing.primary, ()
+                                )
+                            ),
+                            context=one.loop.context_of(held.address.split(":")[0]),
+                        )
                         await asyncio.wait([without])
+
     for seed in (25, 26, 27):
-        promises.play(seed, acts)
+        guarantees.play(seed, acts)
 
 
 def test_a_primary_that_wakes_up_answers_nothing_before_it_claimed_anew():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one = stage.scene
         for number in range(3):
             old = one.leader(0)
@@ -252,16 +272,24 @@
             assert written.status_code == 200
             one.loop.thaw(old)
             context = one.loop.context_of(old)
-            answers = await asyncio.gather(*[
-                one.loop.create_task(own.hosts[0].submit(control.ReadPlan(control.NEVER), moment.seconds(1)),
-                                     context=context) for _ in range(3)], return_exceptions=True)
-            assert all(isinstance(answer, result.Refusal) for answer in answers), answers
+            answers = await asyncio.gather(
+                *[
+                    one.loop.create_task(
+                        own.hosts[0].submit(control_state.ReadPlan(control_state.NEVER), clock.seconds(1)),
+                        context=context,
+                    )
+                    for _ in range(3)
+                ],
+                return_exceptions=True,
+            )
+            assert all(isinstance(answer, result.RequestError) for answer in answers), answers
             await one.until(one.ready, 12, "ready")
-    promises.play(19, acts)
+
+    guarantees.play(19, acts)
 
 
 def test_a_plan_outlives_power_lost_everywhere_just_after_its_answer():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one = stage.scene
         for round_number in range(3):
             name = f"extra-{round_number}"
@@ -276,11 +304,12 @@
             shown = (await stage.client.get("http://edge-1/plan")).json()
             assert name in shown["plan"]["services"], revision
             assert int(shown["revision"].split(".")[1]) >= int(revision.split(".")[1])
-    promises.play(10, acts)
+
+    guarantees.play(10, acts)
 
 
 def test_a_disk_that_lost_just_its_last_synced_value_loses_nothing_that_was_acknowledged():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one, taken = stage.scene, 0
         for number in range(6):
             name, program = f"extra-{number}", f"p{number}"
@@ -320,12 +349,13 @@
             assert noted.ran == "done", (number, noted)
             taken += sum(held.counts["taken at start"] for own in one.nodes.values() for held in own.hosts.values())
         assert taken >= 3, taken
+
     for seed in (29, 30):
-        promises.play(seed, acts)
+        guarantees.play(seed, acts)
 
 
 def test_operators_that_race_with_conditions_never_overwrite_each_other():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one, won = stage.scene, collections.Counter()
 
         async def operator(name: str, node: str) -> None:
@@ -343,11 +373,12 @@
                 group.create_task(operator(f"o{number}", node))
         held = one.nodes[one.leader(0)].hosts[0].copy.view.document["services"]["till-counter"]["size"]
         assert held == sum(won.values()) >= 8
-    promises.play(11, acts)
+
+    guarantees.play(11, acts)
 
 
 def test_a_planned_restart_drops_no_answer_under_way():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one, asking = stage.scene, stage.asking
         traffic = [asyncio.ensure_future(asking.one(f"n{number}")) for number in range(30)]
         await asyncio.sleep(0.03)
@@ -360,11 +391,12 @@
         await asyncio.gather(*traffic)
         lost = [noted for noted in asking.noted if noted.ran == "unknown"]
         assert lost == [] and asking.faults == [] and asking.counts["done"] > 100, (lost, asking.counts)
-    promises.play(12, acts)
+
+    guarantees.play(12, acts)
 
 
 def test_signals_are_served_under_a_flood_and_refusals_come_at_once():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one = stage.scene
         took, refused = [], []
         for held in one.disks.values():
@@ -391,11 +423,12 @@
         assert refused and max(refused) < 0.2, (len(refused), max(refused, default=0))
         assert max(took) < 1.5, max(took)
         assert max(one.world.ran().values()) == 1
-    promises.play(13, acts)
+
+    guarantees.play(13, acts)
 
 
 def test_a_worker_marked_as_leaving_gets_nothing_new_after_three_seconds():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one = stage.scene
         marked = {}
         for number in range(60):
@@ -406,14 +439,19 @@
             if number == 20:
                 one.world.leaving.add("model-1")
                 marked["model-1"] = one.loop.time()
-        late = [body for body in one.world.seen() if body["worker"] in marked
-                and body["at"] > marked[body["worker"]] + (0 if body["worker"] == "model-0" else 0.6)]
+        late = [
+            body
+            for body in one.world.seen()
+            if body["worker"] in marked
+            and body["at"] > marked[body["worker"]] + (0 if body["worker"] == "model-0" else 0.6)
+        ]
         assert late == [] and len(one.world.seen()) == 60
-    promises.play(14, acts)
+
+    guarantees.play(14, acts)
 
 
 def test_all_witnesses_losing_their_memory_at_once_neither_stops_nor_splits_the_fleet():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one = stage.scene
         for _ in range(2):
             epochs = {pair: one.nodes[one.leader(pair)].hosts[pair].known.epoch for pair in range(3)}
@@ -427,20 +465,28 @@
                 assert one.nodes[one.leader(pair)].hosts[pair].known.epoch >= epoch
         noted = await stage.ask("edge-0", "till-lock", {"name": "k"}, operation="k")
         assert noted.ran == "done"
-    promises.play(15, acts)
+
+    guarantees.play(15, acts)
 
 
 def test_the_residency_duty_moves_under_a_higher_epoch_and_reports_stay_in_their_budget():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one = stage.scene
         holders = []
         for _ in range(2):
+
             def held() -> bool:
-                return any(one.alive(name) and own.duties.get("residency") and own.duties["residency"].held()
-                           for name, own in one.nodes.items())
+                return any(
+                    one.alive(name) and own.duties.get("residency") and own.duties["residency"].held()
+                    for name, own in one.nodes.items()
+                )
+
             await one.until(held, 12, "held")
-            holder = next(name for name, own in one.nodes.items() if one.alive(name)
-                          and own.duties.get("residency") and own.duties["residency"].held())
+            holder = next(
+                name
+                for name, own in one.nodes.items()
+                if one.alive(name) and own.duties.get("residency") and own.duties["residency"].held()
+            )
             began, before = one.loop.time(), sum(worker.counts["reports read"] for worker in one.world.models)
             for number in range(20):
                 await stage.ask("edge-0", "shopper", f"x calls stock now {number}", program=f"p{len(holders)}-{number}")
@@ -453,11 +499,12 @@
         assert orders > 0
         stale = await one.world.models[0].order({"epoch": 0, "release": [], "offload": [], "load": [], "restore": []})
         assert stale[0] == 409 or one.world.models[0].epoch == 0
-    promises.play(16, acts)
+
+    guarantees.play(16, acts)
 
 
 def test_a_backup_that_lost_power_is_replaced_though_only_reads_arrive():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one = stage.scene
         for pair in (0, 1):
             lost = one.nodes[one.leader(pair)].hosts[pair].known.backups[0].address
@@ -471,41 +518,57 @@
             await one.until(replaced, 5, "replaced")
             one.start(lost.split(":")[0])
             await asyncio.sleep(3)
-    promises.play(18, acts, size=scene.Size(edges=1, storages=4, cores=3))
+
+    guarantees.play(18, acts, size=simulated_cluster.Size(edges=1, storages=4, cores=3))
 
 
 def test_bad_input_gets_a_number_and_leaves_nothing_half_done():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one, client = stage.scene, stage.client
         before = (await client.get("http://edge-0/plan")).json()
-        wrong = [("PUT", "/plan", b"{", 400, 1001), ("PUT", "/plan", b"[]", 400, 1001),
-                 ("PATCH", "/plan", b'{"lanes": {"a": {}}, "odd": {"b": {}}}', 422, 1301),
-                 ("PUT", "/plan/services/a", b'{"kind": "odd"}', 422, 1301),
-                 ("PUT", "/plan/odd/a", b"{}", 404, 1303), ("DELETE", "/plan/lanes/none", b"", 404, 1303),
-                 ("DELETE", "/plan/services/clerk", b"", 422, 1301), ("GET", "/plan/lanes/none", b"", 404, 1303),
-                 ("POST", "/requests", b"{", 400, 1001), ("POST", "/requests", b'{"lane": "none", "input": 1}', 404, 1003),
-                 ("POST", "/requests", b'{"lane": "shopper", "input": 1}', 400, 1001),
-                 ("POST", "/requests", b'{"lane": "shopper", "input": 1, "program": "none", "after": 3}', 404, 1005),
-                 ("POST", "/requests", b'{"lane": "shopper", "input": 1, "program": "p", "tool": 7}', 400, 1001),
-                 ("POST", "/requests", b'"' + b"x" * (9 << 20) + b'"', 413, 1002),
-                 ("GET", "/requests/none", b"", 404, 1501), ("GET", "/none", b"", 404, 1303)]
+        wrong = [
+            ("PUT", "/plan", b"{", 400, 1001),
+            ("PUT", "/plan", b"[]", 400, 1001),
+            ("PATCH", "/plan", b'{"lanes": {"a": {}}, "odd": {"b": {}}}', 422, 1301),
+            ("PUT", "/plan/services/a", b'{"kind": "odd"}', 422, 1301),
+            ("PUT", "/plan/odd/a", b"{}", 404, 1303),
+            ("DELETE", "/plan/lanes/none", b"", 404, 1303),
+            ("DELETE", "/plan/services/clerk", b"", 422, 1301),
+            ("GET", "/plan/lanes/none", b"", 404, 1303),
+            ("POST", "/requests", b"{", 400, 1001),
+            ("POST", "/requests", b'{"lane": "none", "input": 1}', 404, 1003),
+            ("POST", "/requests", b'{"lane": "shopper", "input": 1}', 400, 1001),
+            (
+                "POST",
+                "/requests",
+                b'{"lane": "shopper", "input": 1, "program": "none", "after": 3}',
+                404,
+                1005,
+            ),
+            ("POST", "/requests", b'{"lane": "shopper", "input": 1, "program": "p", "tool": 7}', 400, 1001),
+            ("POST", "/requests", b'"' + b"x" * (9 << 20) + b'"', 413, 1002),
+            ("GET", "/requests/none", b"", 404, 1501),
+            ("GET", "/none", b"", 404, 1303),
+        ]
         for method, path, body, status, number in wrong:
             response = await client.request(method, f"http://edge-0{path}", content=body)
             shown = response.json()["error"]
             assert (response.status_code, shown["result"]) == (status, number), (method, path, shown)
             assert shown["ran"] == "not run" or number == 1501
-        response = await client.put("http://core-2/plan/services/a", json={"kind": "plain"},
-                                    headers={"If-Match": "9.9"})
+        response = await client.put(
+            "http://core-2/plan/services/a", json={"kind": "plain"}, headers={"If-Match": "9.9"}
+        )
         assert response.json()["error"]["result"] == 1302
         after = (await client.get("http://edge-0/plan")).json()
         assert after == before and one.world.seen() == []
         faults = (await client.patch("http://edge-0/plan", json={"lanes": {"a": {}}, "odd": {}})).json()["error"]
         assert {fault["path"] for fault in faults["faults"]} == {"odd", "lanes/a/kind", "lanes/a/services"}
-    promises.play(21, acts)
+
+    guarantees.play(21, acts)
 
 
 def test_without_a_list_of_workers_refusals_come_at_once():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one = stage.scene
         one.loop.end("platform")
         one.kill("edge-0")
@@ -515,11 +578,12 @@
         noted = await stage.ask("edge-0", "till-lock", {"name": "k"}, operation="k")
         assert (noted.ran, noted.result) == ("not run", 1104) and one.loop.time() - began < 1.5, noted
         assert (await stage.ask("edge-1", "till-lock", {"name": "k"}, operation="k")).ran == "done"
-    promises.play(28, acts)
+
+    guarantees.play(28, acts)
 
 
 def test_a_watch_tells_every_change_once_and_in_order():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         seen = []
 
         async def watch() -> None:
@@ -540,14 +604,15 @@
         assert numbers == sorted(set(numbers))
         changed = [(one["name"], one["spec"] is None) for event in seen[1:] for one in event["changes"]]
         assert changed == [("w0", False), ("w1", False), ("w0", True), ("w1", True)]
-    promises.play(22, acts)
+
+    guarantees.play(22, acts)
 
 
 def test_broken_frames_close_the_connection_and_are_counted():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one = stage.scene
-        outside = wire.SimNetwork(one.wire, scene.OUTSIDE)
-        sound = frame.encode(frame.Frame(frame.ASK, 1, 0, holding.Survey("outside")))
+        outside = wire.SimNetwork(one.wire, simulated_cluster.OUTSIDE)
+        sound = frame.encode(frame.Frame(frame.ASK, 1, 0, replica_set.WitnessStateRequest("outside")))
         for place in (4, 6, 7, 20, len(sound) - 1):
             broken = bytearray(sound)
             broken[place] ^= 0x7F
@@ -561,7 +626,8 @@
                 pass
         assert one.nodes["core-0"].link.counts["broken frames"] == 5
         assert one.ready()
-    promises.play(23, acts)
+
+    guarantees.play(23, acts)
 
 
 def test_the_same_seed_gives_the_same_trace():
@@ -569,11 +635,11 @@
     for _ in range(2):
         held = []
 
-        async def story(one: scene.Scene) -> None:
+        async def story(one: simulated_cluster.SimulatedCluster) -> None:
             held.append(campaign.Day(one, one.chance, ("leader", "cut"), 1))
             await held[0].run()
 
-        played = scene.play(17, story, weather=wire.Weather(jitter=0.004, double=0.002, reset=0.0005))
+        played = simulated_cluster.play(17, story, weather=wire.Weather(jitter=0.004, double=0.002, reset=0.0005))
         text = "\n".join([*played.wire.trace, *map(str, held[0].asking.noted)])
         digests.append(hashlib.sha256(text.encode()).hexdigest())
     assert digests[0] == digests[1]
--- a/aspencroft/sim/keeping_test.py
+++ b/aspencroft/simulation/keeping_test.py
@@ -3,23 +3,26 @@
 import asyncio
 import datetime
 
-import aspencroft.pair.copy as copy
-import aspencroft.sim.promises as promises
-import aspencroft.sim.scene as scene
+from aspencroft.replication import replica
+from aspencroft.simulation import guarantees, simulated_cluster
 
 
-def on_disks(one: scene.Scene, text: bytes) -> int:
+def on_disks(one: simulated_cluster.SimulatedCluster, text: bytes) -> int:
     """How often a text is found in the copies of the pairs' members; one that is a member no more keeps its last.
 
     Example: ``on_disks(scene, b"first turn")``
     """
-    folders = [host.copy.folder for own in one.nodes.values() for host in own.hosts.values()
-               if host.known is not None and host.me() in host.known.members()]
+    folders = [
+        host.copy.folder
+        for own in one.nodes.values()
+        for host in own.hosts.values()
+        if host.known is not None and host.me() in host.known.members()
+    ]
     return sum(path.read_bytes().count(text) for folder in folders for path in folder.rglob("*.dat"))
 
 
 def test_a_key_holds_a_minute_over_edges_takeovers_a_full_stop_and_jumping_clocks_then_is_free():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one, began = stage.scene, stage.scene.loop.time()
 
         async def again(edge: str, at: float) -> None:
@@ -48,16 +51,24 @@
         assert noted.ran == "done" and stage.runs("k") == 2
         times = sorted(body["at"] for body in one.world.seen())
         assert times[1] - times[0] > 60
-    promises.play(91, acts)
+
+    guarantees.play(91, acts)
 
 
 def test_history_is_there_until_its_keep_time_ends_also_after_takeovers_and_its_room_is_given_back():
-    kept = copy.COMPACT_ENTRIES
-    copy.COMPACT_ENTRIES = 60
+    kept = replica.COMPACT_ENTRIES
+    replica.COMPACT_ENTRIES = 60
 
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one = stage.scene
-        lane = {"kind": "turns", "services": ["clerk"], "deadline": 10, "keep": 20, "budget": 4000, "turn_output": 40}
+        lane = {
+            "kind": "turns",
+            "services": ["clerk"],
+            "deadline": 10,
+            "keep": 20,
+            "budget": 4000,
+            "turn_output": 40,
+        }
         assert (await stage.client.patch("http://core-0/plan", json={"lanes": {"brief": lane}})).status_code == 200
         programs = [f"p{number}" for number in range(60)]
         for program in programs:
@@ -83,7 +94,8 @@
         held = [host.copy.view for own in one.nodes.values() for pair, host in own.hosts.items() if pair]
         assert all(not set(view.programs) & set(programs) for view in held if view.operations)
         assert on_disks(one, b"long first") == 0, on_disks(one, b"long first")
+
     try:
-        promises.play(92, acts)
+        guarantees.play(92, acts)
     finally:
-        copy.COMPACT_ENTRIES = kept
+        replica.COMPACT_ENTRIES = kept
--- a/aspencroft/sim/loop_test.py
+++ b/aspencroft/simulation/loop_test.py
@@ -1,8 +1,8 @@
-"""Tests of ``aspencroft.sim.loop``."""
+"""Tests of ``aspencroft.simulation.loop``."""
 
 import asyncio
 
-import aspencroft.sim.loop as loop_module
+import aspencroft.simulation.loop as loop_module
 
 
 def test_frozen_work_waits_and_ended_work_stops():
--- a/aspencroft/sim/measure.py
+++ b/aspencroft/simulation/measure.py
@@ -9,14 +9,12 @@
 import defopt
 import httpx
 
-import aspencroft.edge.draw as draw
-import aspencroft.keep.residency as residency
-import aspencroft.keep.word as word
-import aspencroft.rest.rest as rest
-import aspencroft.seam.moment as moment
-import aspencroft.sim.scene as scene
-import aspencroft.sim.wire as wire
-import aspencroft.stand.shape as shape
+from aspencroft.emulator import shape
+from aspencroft.gateway import selection
+from aspencroft.power import machine_power
+from aspencroft.residency import messages, residency
+from aspencroft.runtime import clock
+from aspencroft.simulation import simulated_cluster, wire
 
 PAPER, NO_INTENT, RECENCY, PASSIVE = "paper", "no intent", "recency", "passive"
 VARIANTS = (PAPER, NO_INTENT, RECENCY, PASSIVE)
@@ -43,7 +41,8 @@
         if self.variant == RECENCY:
             last = {name: since for name, (_, since) in self.signals.popularity.items()}
             self.signals.reuse = lambda name, services, window, at: (
-                1 / (1 + (at - last[name]).total_seconds()) if name in last else 0.0)
+                1 / (1 + (at - last[name]).total_seconds()) if name in last else 0.0
+            )
             self.signals.returns = lambda program, window, at: 0.5 if program in self.signals.sessions else 0.01
         return super().decide(now)
 
@@ -54,7 +53,9 @@
         """
         if self.variant == NO_INTENT:
             kept = self.duty.words.put_nowait
-            self.duty.words.put_nowait = lambda message: None if isinstance(message, word.Intended) else kept(message)
+            self.duty.words.put_nowait = lambda message: (
+                None if isinstance(message, messages.Intended) else kept(message)
+            )
         await super().hear()
 
 
@@ -67,9 +68,9 @@
     Plainer.variant = variant
     original, residency.Residency = residency.Residency, Plainer
 
-    async def story(one: scene.Scene) -> None:
+    async def story(one: simulated_cluster.SimulatedCluster) -> None:
         await one.until(one.formed, 30, "formed")
-        client = httpx.AsyncClient(transport=wire.SimTransport(one.wire, scene.OUTSIDE))
+        client = httpx.AsyncClient(transport=wire.SimTransport(one.wire, simulated_cluster.OUTSIDE))
         await client.put("http://core-1/plan", json=one.mix.document)
         await one.until(one.ready, 20, "ready")
         asking = one.caller(1)
@@ -80,21 +81,36 @@
         counts = sum((worker.counts for worker in one.world.models), collections.Counter())
         firsts = sorted(asking.firsts)
         calls = sum(sum(worker.ran.values()) for worker in one.world.models)
-        shown.update({"seed": seed, "variant": variant, "calls": calls, "cold": counts["cold"],
-                      "loads ordered": counts["loads ordered"], "dropped": counts["dropped"],
-                      "reports": counts["reports read"],
-                      "first median": statistics.median(firsts), "first 95": firsts[int(len(firsts) * 0.95)],
-                      "asleep": counts["put to rest"]})
+        shown.update(
+            {
+                "seed": seed,
+                "variant": variant,
+                "calls": calls,
+                "cold": counts["cold"],
+                "loads ordered": counts["loads ordered"],
+                "dropped": counts["dropped"],
+                "reports": counts["reports read"],
+                "first median": statistics.median(firsts),
+                "first 95": firsts[int(len(firsts) * 0.95)],
+                "asleep": counts["put to rest"],
+            }
+        )
 
     try:
-        scene.play(seed, story, name=name)
+        simulated_cluster.play(seed, story, name=name)
     finally:
         residency.Residency = original
     return shown
 
 
-def keeps(*, first: int = 1, seeds: int = 8, deployment: str = shape.ARCHIVE, programs: int = 120,
-          variants: list[str] = VARIANTS) -> None:
+def keeps(
+    *,
+    first: int = 1,
+    seeds: int = 8,
+    deployment: str = shape.ARCHIVE,
+    programs: int = 120,
+    variants: list[str] = VARIANTS,
+) -> None:
     """Compare variants of the residency duty on the same seeds; prints a line of JSON for each variant.
 
     :param first: first seed
@@ -104,37 +120,55 @@
     :param variants: paper, "no intent", recency, passive
     """
     with concurrent.futures.ProcessPoolExecutor(8) as pool:
-        work = [pool.submit(run, seed, variant, deployment, programs)
-                for variant in variants for seed in range(first, first + seeds)]
+        work = [
+            pool.submit(run, seed, variant, deployment, programs)
+            for variant in variants
+            for seed in range(first, first + seeds)
+        ]
         rows = [future.result() for future in work]
     for variant in variants:
         mine = [row for row in rows if row["variant"] == variant]
         calls = sum(row["calls"] for row in mine)
         cold = [row["cold"] / row["calls"] for row in mine]
-        print(json.dumps({
-            "variant": variant, "seeds": len(mine), "calls": calls,
-            "cold share": round(sum(row["cold"] for row in mine) / calls, 4),
-            "cold share by seed": [round(min(cold), 4), round(max(cold), 4)],
-            "loads ordered per call": round(sum(row["loads ordered"] for row in mine) / calls, 3),
-            "dropped per call": round(sum(row["dropped"] for row in mine) / calls, 3),
-            "first piece median": round(statistics.median(row["first median"] for row in mine), 4),
-            "first piece 95 %": round(statistics.median(row["first 95"] for row in mine), 4)}), flush=True)
-
-
-def staged(seed: int, acts, size: scene.Size = scene.Size(), name: str = shape.TILLS, more: dict | None = None) -> None:
+        print(
+            json.dumps(
+                {
+                    "variant": variant,
+                    "seeds": len(mine),
+                    "calls": calls,
+                    "cold share": round(sum(row["cold"] for row in mine) / calls, 4),
+                    "cold share by seed": [round(min(cold), 4), round(max(cold), 4)],
+                    "loads ordered per call": round(sum(row["loads ordered"] for row in mine) / calls, 3),
+                    "dropped per call": round(sum(row["dropped"] for row in mine) / calls, 3),
+                    "first piece median": round(statistics.median(row["first median"] for row in mine), 4),
+                    "first piece 95 %": round(statistics.median(row["first 95"] for row in mine), 4),
+                }
+            ),
+            flush=True,
+        )
+
+
+def staged(
+    seed: int,
+    acts,
+    size: simulated_cluster.Size = simulated_cluster.Size(),
+    name: str = shape.TILLS,
+    more: dict | None = None,
+) -> None:
     """Form a fleet, put its plan in force, let five seconds pass, then act.
 
     Example: ``staged(1, acts)`` where ``acts`` takes the scene and an HTTP client.
     """
-    async def story(one: scene.Scene) -> None:
+
+    async def story(one: simulated_cluster.SimulatedCluster) -> None:
         await one.until(one.formed, 30, "formed")
-        client = httpx.AsyncClient(transport=wire.SimTransport(one.wire, scene.OUTSIDE))
+        client = httpx.AsyncClient(transport=wire.SimTransport(one.wire, simulated_cluster.OUTSIDE))
         await client.put("http://core-1/plan", json=one.mix.document)
         await one.until(one.ready, 20, "ready")
         await asyncio.sleep(5)
         await acts(one, client)
 
-    scene.play(seed, story, size, name, wire.Weather(jitter=0.002), more)
+    simulated_cluster.play(seed, story, size, name, wire.Weather(jitter=0.002), more)
 
 
 def spread(row: list[float]) -> str:
@@ -153,7 +187,7 @@
     for how in ("kill", "power_off", "freeze"):
         led, gaps = [], []
 
-        async def acts(one: scene.Scene, _) -> None:
+        async def acts(one: simulated_cluster.SimulatedCluster, _) -> None:
             old, began, gap, ahead = one.leader(0), one.loop.time(), dict.fromkeys(one.edges, 0.0), None
             one.loop.freeze(old) if how == "freeze" else getattr(one, how)(old)
             while one.loop.time() - began < 8:
@@ -166,11 +200,22 @@
             gaps.append(max(gap.values()))
 
         for seed in range(1, 1 + seeds):
-            staged(seed, acts, scene.Size(4, 3, 5))
+            staged(seed, acts, simulated_cluster.Size(4, 3, 5))
         print(f"{how}: next primary serves after {spread(led)} s; an edge without current plan {spread(gaps)} s")
 
 
-GROUP_FAULTS = ("kill", "power_off", "freeze", "backup", "cut", "cut out", "cut in", "blackout", "lost disk", "lost machine")
+GROUP_FAULTS = (
+    "kill",
+    "power_off",
+    "freeze",
+    "backup",
+    "cut",
+    "cut out",
+    "cut in",
+    "blackout",
+    "lost disk",
+    "lost machine",
+)
 
 
 def group_run(how: str, pair: int, seed: int, losses: int) -> float:
@@ -181,7 +226,7 @@
     """
     took: list[float] = []
 
-    async def story(one: scene.Scene) -> None:
+    async def story(one: simulated_cluster.SimulatedCluster) -> None:
         await one.until(one.formed, 30, "formed")
         await asyncio.sleep(6 + one.chance.random())
         old, began = one.leader(pair), one.loop.time()
@@ -214,8 +259,13 @@
             await one.until(lambda: one.leader(pair) not in ("", old), 15, "led by another")
         took.append(one.loop.time() - began)
 
-    scene.play(seed, story, scene.Size(3, 2 * losses + 1, 5, apart=True), weather=wire.Weather(jitter=0.002),
-               more={"witnesses": "core", "losses": losses})
+    simulated_cluster.play(
+        seed,
+        story,
+        simulated_cluster.Size(3, 2 * losses + 1, 5, apart=True),
+        weather=wire.Weather(jitter=0.002),
+        more={"witnesses": "core", "losses": losses},
+    )
     return took[0]
 
 
@@ -227,10 +277,17 @@
     :param processes: how many at once
     """
     with concurrent.futures.ProcessPoolExecutor(processes) as pool:
-        work = {(how, pair): [pool.submit(group_run, how, pair, seed, losses) for seed in range(1, 1 + seeds)]
-                for how in GROUP_FAULTS for pair in (0, 1) if not (how.startswith("cut") and pair)}
+        work = {
+            (how, pair): [pool.submit(group_run, how, pair, seed, losses) for seed in range(1, 1 + seeds)]
+            for how in GROUP_FAULTS
+            for pair in (0, 1)
+            if not (how.startswith("cut") and pair)
+        }
         for (how, pair), rows in work.items():
-            print(f"{how}, {'talk' if pair else 'control'} group: {spread([row.result() for row in rows])} s", flush=True)
+            print(
+                f"{how}, {'talk' if pair else 'control'} group: {spread([row.result() for row in rows])} s",
+                flush=True,
+            )
 
 
 def delivery(*, seeds: int = 4) -> None:
@@ -238,17 +295,25 @@
 
     :param seeds: how many
     """
-    for size in (scene.Size(2, 3, 3), scene.Size(8, 3, 5), scene.Size(24, 4, 12)):
+    for size in (
+        simulated_cluster.Size(2, 3, 3),
+        simulated_cluster.Size(8, 3, 5),
+        simulated_cluster.Size(24, 4, 12),
+    ):
         took, asked, cut = [], [], []
 
-        async def acts(one: scene.Scene, client: httpx.AsyncClient) -> None:
+        async def acts(one: simulated_cluster.SimulatedCluster, client: httpx.AsyncClient) -> None:
             for number in range(4):
                 before = sum(own.relay.counts["pulls"] for own in one.nodes.values())
                 pushes = sum(own.relay.counts["pushes"] for own in one.nodes.values())
                 response = await client.put(f"http://edge-0/plan/services/x{number}", json={"kind": "plain"})
                 took.append(response.json()["waited"])
-                asked.append(sum(own.relay.counts["pulls"] for own in one.nodes.values()) - before
-                             + sum(own.relay.counts["pushes"] for own in one.nodes.values()) - pushes)
+                asked.append(
+                    sum(own.relay.counts["pulls"] for own in one.nodes.values())
+                    - before
+                    + sum(own.relay.counts["pushes"] for own in one.nodes.values())
+                    - pushes
+                )
                 await asyncio.sleep(1)
             one.wire.cut(["edge-1"], [name for name in one.names() if name != "edge-1"])
             response = await client.put("http://edge-0/plan/services/cut", json={"kind": "plain"})
@@ -257,8 +322,10 @@
         for seed in range(1, 1 + seeds):
             staged(seed, acts, size)
         nodes = size.edges + size.storages + size.cores
-        print(f"{nodes} nodes: in force everywhere after {spread(took)} s, {spread(asked)} messages; "
-              f"with a node cut off {spread(cut)} s")
+        print(
+            f"{nodes} nodes: in force everywhere after {spread(took)} s, {spread(asked)} messages; "
+            f"with a node cut off {spread(cut)} s"
+        )
 
 
 def currency(*, seeds: int = 4) -> None:
@@ -269,7 +336,7 @@
     for length in (1.5, 2.5, 4.0, 6.0):
         refused, waited = [], []
 
-        async def acts(one: scene.Scene, client: httpx.AsyncClient) -> None:
+        async def acts(one: simulated_cluster.SimulatedCluster, client: httpx.AsyncClient) -> None:
             asking = one.caller(2)
             one.kill(one.leader(0))
             async with asyncio.TaskGroup() as group:
@@ -282,9 +349,11 @@
             waited.append(response.json().get("waited", -1.0))
 
         for seed in range(1, 1 + seeds):
-            staged(seed, acts, more={"currency": moment.seconds(length)})
-        print(f"{length} s: refused for want of a plan within 6 s of the primary's death {spread(refused)}; "
-              f"a write in a cut waits {spread(waited)} s")
+            staged(seed, acts, more={"currency": clock.seconds(length)})
+        print(
+            f"{length} s: refused for want of a plan within 6 s of the primary's death {spread(refused)}; "
+            f"a write in a cut waits {spread(waited)} s"
+        )
 
 
 def slow_disk(*, seeds: int = 4) -> None:
@@ -295,7 +364,7 @@
     for delay in (0.002, 0.02, 0.1, 0.3):
         took, batched = [], []
 
-        async def acts(one: scene.Scene, _) -> None:
+        async def acts(one: simulated_cluster.SimulatedCluster, _) -> None:
             for held in one.disks.values():
                 held.delay = delay
 
@@ -315,8 +384,10 @@
 
         for seed in range(1, 1 + seeds):
             staged(seed, acts)
-        print(f"sync takes about {delay} s: a signal takes {spread(took)} s, {len(took)} done of {100 * seeds}; "
-              f"writes per batch {spread(batched)}")
+        print(
+            f"sync takes about {delay} s: a signal takes {spread(took)} s, {len(took)} done of {100 * seeds}; "
+            f"writes per batch {spread(batched)}"
+        )
 
 
 def quiet(*, seeds: int = 4) -> None:
@@ -324,16 +395,16 @@
 
     :param seeds: how many
     """
-    original = rest.Rest.step
+    original = machine_power.Rest.step
     for resting in (True, False):
         asleep, firsts, late = [], [], []
 
         async def no_step(self, now) -> None:
             return
 
-        rest.Rest.step = original if resting else no_step
+        machine_power.Rest.step = original if resting else no_step
 
-        async def acts(one: scene.Scene, _) -> None:
+        async def acts(one: simulated_cluster.SimulatedCluster, _) -> None:
             asking, seconds = one.caller(3), []
             for number in range(120):
                 if number % 4 == 0:
@@ -351,9 +422,11 @@
 
         for seed in range(1, 1 + seeds):
             staged(seed, acts, name=shape.ARCHIVE)
-        print(f"{'with' if resting else 'without'} the rest duty: share of model workers asleep in a calm minute "
-              f"{spread(asleep)}; first piece median {spread(firsts)} ms, 95 % {spread(late)} ms")
-    rest.Rest.step = original
+        print(
+            f"{'with' if resting else 'without'} the rest duty: share of model workers asleep in a calm minute "
+            f"{spread(asleep)}; first piece median {spread(firsts)} ms, 95 % {spread(late)} ms"
+        )
+    machine_power.Rest.step = original
 
 
 def power_run(seed: int, resting: bool, deployment: str) -> dict:
@@ -362,14 +435,14 @@
     Example: ``power_run(1, True, "archive")["joules a turn"]``
     """
     shown: dict = {}
-    original = rest.Rest.step
+    original = machine_power.Rest.step
 
     async def no_step(self, now) -> None:
         return
 
-    rest.Rest.step = original if resting else no_step
+    machine_power.Rest.step = original if resting else no_step
 
-    async def acts(one: scene.Scene, _) -> None:
+    async def acts(one: simulated_cluster.SimulatedCluster, _) -> None:
         asking, began = one.caller(3), one.loop.time()
         for model in one.world.models:
             model.count_energy()
@@ -389,18 +462,26 @@
         joules = sum(model.count_energy() for model in one.world.models)
         turns = sum(noted.ran == "done" and bool(noted.text) for noted in asking.noted)
         firsts = sorted(asking.firsts)
-        shown.update({"resting": resting, "turns": turns, "asked": len(asking.noted),
-                      "refused": sum(noted.ran != "done" for noted in asking.noted),
-                      "kilojoules": joules / 1000, "joules a turn": joules / turns,
-                      "watts": joules / (one.loop.time() - began),
-                      "first median": 1000 * statistics.median(firsts), "first 95": 1000 * firsts[int(len(firsts) * .95)],
-                      "first most": 1000 * firsts[-1],
-                      "cold": (sum(model.counts["cold"] for model in one.world.models) - cold) / max(1, turns)})
+        shown.update(
+            {
+                "resting": resting,
+                "turns": turns,
+                "asked": len(asking.noted),
+                "refused": sum(noted.ran != "done" for noted in asking.noted),
+                "kilojoules": joules / 1000,
+                "joules a turn": joules / turns,
+                "watts": joules / (one.loop.time() - began),
+                "first median": 1000 * statistics.median(firsts),
+                "first 95": 1000 * firsts[int(len(firsts) * 0.95)],
+                "first most": 1000 * firsts[-1],
+                "cold": (sum(model.counts["cold"] for model in one.world.models) - cold) / max(1, turns),
+            }
+        )
 
     try:
         staged(seed, acts, name=deployment)
     finally:
-        rest.Rest.step = original
+        machine_power.Rest.step = original
     return shown
 
 
@@ -411,13 +492,19 @@
     :param deployment: archive or tills
     """
     with concurrent.futures.ProcessPoolExecutor(8) as pool:
-        work = [pool.submit(power_run, seed, resting, deployment) for resting in (False, True)
-                for seed in range(1, 1 + seeds)]
+        work = [
+            pool.submit(power_run, seed, resting, deployment)
+            for resting in (False, True)
+            for seed in range(1, 1 + seeds)
+        ]
         rows = [future.result() for future in work]
     for resting in (False, True):
         mine = [row for row in rows if row["resting"] == resting]
-        print(f"quiet list {'on' if resting else 'off'}: " + "; ".join(
-            f"{name} {spread([row[name] for row in mine])}" for name in mine[0] if name != "resting"), flush=True)
+        print(
+            f"quiet list {'on' if resting else 'off'}: "
+            + "; ".join(f"{name} {spread([row[name] for row in mine])}" for name in mine[0] if name != "resting"),
+            flush=True,
+        )
 
 
 class ByName:
@@ -437,14 +524,14 @@
     Example: ``crowding_run(1, True, True)["put back"]``
     """
     shown: dict = {}
-    original = draw.draw
+    original = selection.draw
 
     def by_name(allowed, program, view, tried, chance):
         return original(allowed, program, view, tried, ByName())
 
-    draw.draw = original if by_lot else by_name
+    selection.draw = original if by_lot else by_name
 
-    async def acts(one: scene.Scene, _) -> None:
+    async def acts(one: simulated_cluster.SimulatedCluster, _) -> None:
         asking = one.caller(3)
         async with asyncio.TaskGroup() as group:
             for number in range(300 if crowd else 80):
@@ -453,16 +540,25 @@
         calls = sorted(sum(model.ran.values()) for model in one.world.models)
         counts = sum((model.counts for model in one.world.models), collections.Counter())
         firsts = sorted(asking.firsts)
-        shown.update({"lot": by_lot, "crowd": crowd, "calls": sum(calls), "most called worker's share": calls[-1] / sum(calls),
-                      "least": calls[0] / sum(calls), "put back a call": counts["put back"] / sum(calls),
-                      "cold a call": counts["cold"] / sum(calls),
-                      "refused": sum(noted.ran == "not run" for noted in asking.noted) / len(asking.noted),
-                      "first median, ms": 1000 * statistics.median(firsts), "first 95, ms": 1000 * firsts[int(len(firsts) * .95)]})
+        shown.update(
+            {
+                "lot": by_lot,
+                "crowd": crowd,
+                "calls": sum(calls),
+                "most called worker's share": calls[-1] / sum(calls),
+                "least": calls[0] / sum(calls),
+                "put back a call": counts["put back"] / sum(calls),
+                "cold a call": counts["cold"] / sum(calls),
+                "refused": sum(noted.ran == "not run" for noted in asking.noted) / len(asking.noted),
+                "first median, ms": 1000 * statistics.median(firsts),
+                "first 95, ms": 1000 * firsts[int(len(firsts) * 0.95)],
+            }
+        )
 
     try:
-        staged(seed, acts, scene.Size(8, 3, 5), shape.ARCHIVE)
+        staged(seed, acts, simulated_cluster.Size(8, 3, 5), shape.ARCHIVE)
     finally:
-        draw.draw = original
+        selection.draw = original
     return shown
 
 
@@ -472,15 +568,26 @@
     :param seeds: how many
     """
     with concurrent.futures.ProcessPoolExecutor(6) as pool:
-        work = [pool.submit(crowding_run, seed, by_lot, crowd) for crowd in (True, False) for by_lot in (False, True)
-                for seed in range(1, 1 + seeds)]
+        work = [
+            pool.submit(crowding_run, seed, by_lot, crowd)
+            for crowd in (True, False)
+            for by_lot in (False, True)
+            for seed in range(1, 1 + seeds)
+        ]
         rows = [future.result() for future in work]
     for crowd in (True, False):
         for by_lot in (False, True):
             mine = [row for row in rows if (row["crowd"], row["lot"]) == (crowd, by_lot)]
-            print(f"{'crowd' if crowd else 'calm'}, ties by {'lot' if by_lot else 'name'}: " + "; ".join(
-                f"{name} {min(row[name] for row in mine):.3g} / {statistics.median(row[name] for row in mine):.3g} / "
-                f"{max(row[name] for row in mine):.3g}" for name in mine[0] if name not in ("lot", "crowd")), flush=True)
+            print(
+                f"{'crowd' if crowd else 'calm'}, ties by {'lot' if by_lot else 'name'}: "
+                + "; ".join(
+                    f"{name} {min(row[name] for row in mine):.3g} / {statistics.median(row[name] for row in mine):.3g} / "
+                    f"{max(row[name] for row in mine):.3g}"
+                    for name in mine[0]
+                    if name not in ("lot", "crowd")
+                ),
+                flush=True,
+            )
 
 
 def nodes(*, seeds: int = 2) -> None:
@@ -488,10 +595,15 @@
 
     :param seeds: how many
     """
-    for size in (scene.Size(2, 3, 3), scene.Size(8, 3, 5), scene.Size(20, 4, 8), scene.Size(44, 6, 14)):
+    for size in (
+        simulated_cluster.Size(2, 3, 3),
+        simulated_cluster.Size(8, 3, 5),
+        simulated_cluster.Size(20, 4, 8),
+        simulated_cluster.Size(44, 6, 14),
+    ):
         frames, took, led = [], [], []
 
-        async def acts(one: scene.Scene, client: httpx.AsyncClient) -> None:
+        async def acts(one: simulated_cluster.SimulatedCluster, client: httpx.AsyncClient) -> None:
             before, began = sum(own.link.counts["frames out"] for own in one.nodes.values()), one.loop.time()
             await asyncio.sleep(10)
             after = sum(own.link.counts["frames out"] for own in one.nodes.values())
@@ -505,8 +617,11 @@
 
         for seed in range(1, 1 + seeds):
             staged(seed, acts, size)
-        print(f"{size.edges + size.storages + size.cores} nodes: {spread(frames)} frames a second and node; "
-              f"a plan in force after {spread(took)} s; another primary after {spread(led)} s", flush=True)
+        print(
+            f"{size.edges + size.storages + size.cores} nodes: {spread(frames)} frames a second and node; "
+            f"a plan in force after {spread(took)} s; another primary after {spread(led)} s",
+            flush=True,
+        )
 
 
 if __name__ == "__main__":
--- a/aspencroft/sim/members.py
+++ b/aspencroft/simulation/members.py
@@ -5,19 +5,13 @@
 import pathlib
 import random
 
-import aspencroft.code.result as result
-import aspencroft.link.record as record
-import aspencroft.pair.copy as copy
-import aspencroft.pair.electorate as electorate
-import aspencroft.pair.exchange as exchange
-import aspencroft.pair.holding as holding
-import aspencroft.pair.host as host
-import aspencroft.pair.part as part
-import aspencroft.plan.control as control
-import aspencroft.seam.moment as moment
-import aspencroft.seam.surroundings as surroundings
-import aspencroft.sim.disk as disk
-import aspencroft.sim.loop as loop
+from aspencroft.configuration import control_state
+from aspencroft.consensus import proposer, replica_set
+from aspencroft.errors import result
+from aspencroft.replication import group_replica, group_state, messages, replica
+from aspencroft.runtime import clock, environment
+from aspencroft.simulation import disk, loop
+from aspencroft.transport import codec
 
 AREAS = ("north", "middle", "south")
 
@@ -28,51 +22,55 @@
     Example: ``register.standing().epoch``
     """
 
-    def __init__(self, first: holding.Holding):
-        self.value = record.tagged(first)
+    def __init__(self, first: replica_set.ReplicaSet):
+        self.value = codec.tagged(first)
         self.number = 1
         self.unknown = False
         self.refusing = False
         self.deaf = False
         self.lengths: list = []
-        self.watch: collections.abc.Callable[[holding.Holding], None] = lambda standing: None
+        self.watch: collections.abc.Callable[[replica_set.ReplicaSet], None] = lambda standing: None
 
-    def standing(self) -> holding.Holding:
+    def standing(self) -> replica_set.ReplicaSet:
         """The record that stands.
 
         Example: ``register.standing().members()``
         """
-        return record.untagged(self.value)
+        return codec.untagged(self.value)
 
-    async def change(self, _, asker: str, function: collections.abc.Callable[[bytes], bytes]) -> electorate.Chosen:
+    async def change(self, _, asker: str, function: collections.abc.Callable[[bytes], bytes]) -> proposer.Chosen:
         """As ``electorate.Electorate.change``.
 
         Example: ``await register.change(1, "a", lambda value: value)``
         """
-        await moment.pause(moment.seconds(0.001))
+        await clock.sleep(clock.seconds(0.001))
         if self.refusing:
-            raise result.Refusal(result.Result.NO_CLAIM)
+            raise result.RequestError(result.ResultCode.NO_CLAIM)
         self.value = function(self.value)
         self.number += 1
         self.watch(self.standing())
         if self.unknown:
             self.unknown = False
-            raise result.Refusal(result.Result.OUTCOME_UNKNOWN, result.Ran.UNKNOWN)
-        return electorate.Chosen(self.number, self.value)
+            raise result.RequestError(result.ResultCode.OUTCOME_UNKNOWN, result.Ran.UNKNOWN)
+        return proposer.Chosen(self.number, self.value)
 
-    async def claim(self, chosen: electorate.Chosen, _, claimant: str, length):
+    async def claim(self, chosen: proposer.Chosen, _, claimant: str, length):
         """As ``electorate.Electorate.claim``.
 
         Example: ``end, newest, answered = await register.claim(chosen, 1, "a", length)``
         """
-        started = moment.now()
+        started = clock.now()
         self.lengths.append(length)
         if self.deaf:
-            await moment.pause(electorate.ASK)
+            await clock.sleep(proposer.ASK)
             return None, b"", False
-        await moment.pause(moment.seconds(0.001))
+        await clock.sleep(clock.seconds(0.001))
         standing = chosen.value == self.value and str(self.standing().primary) == claimant
-        return (started + length if standing else None), (self.value if chosen.value != self.value else b""), True
+        return (
+            (started + length if standing else None),
+            (self.value if chosen.value != self.value else b""),
+            True,
+        )
 
 
 class Members:
@@ -86,7 +84,7 @@
         self.names = [f"n{number}:1" for number in range(count)]
         self.copies = copies
         self.goal = goal
-        self.hosts: dict[str, host.Host] = {}
+        self.hosts: dict[str, group_replica.GroupReplica] = {}
         self.silent: set[str] = set()
         self.emptied: set[str] = set()
         self.gone: set[str] = set()
@@ -100,16 +98,32 @@
         Example: ``await those.begin(2)``
         """
         for place, name in enumerate(self.names):
-            held = copy.Copy(surroundings.Surroundings(None, disk.SimDisk(self.folder / name, random.Random(place)), None,
-                                                       random.Random(place + 7), None), self.folder / name, 0, control.Control)
+            held = replica.Replica(
+                environment.Environment(
+                    None,
+                    disk.SimDisk(self.folder / name, random.Random(place)),
+                    None,
+                    random.Random(place + 7),
+                    None,
+                ),
+                self.folder / name,
+                0,
+                control_state.ControlState,
+            )
             await held.open()
-            around = part.Around(self.candidates, self.emptied.__contains__, lambda _: None, lambda _: False,
-                                 self.copies, lambda: self.goal)
-            self.hosts[name] = host.Host(held, self, None, name, AREAS[place % 3], around)
+            around = group_state.GroupPolicy(
+                self.candidates,
+                self.emptied.__contains__,
+                lambda _: None,
+                lambda _: False,
+                self.copies,
+                lambda: self.goal,
+            )
+            self.hosts[name] = group_replica.GroupReplica(held, self, None, name, AREAS[place % 3], around)
         first = [self.hosts[name].me() for name in self.names[:members]]
-        self.register = Register(holding.Holding(0, 1, first[0], tuple(first[1:])))
+        self.register = Register(replica_set.ReplicaSet(0, 1, first[0], tuple(first[1:])))
         for one in self.hosts.values():
-            one.electorate = self.register
+            one.proposer = self.register
             one.learn(self.register.standing())
 
     def run(self, *names: str) -> None:
@@ -120,12 +134,16 @@
         for name in names:
             self.tasks.append(asyncio.ensure_future(self.hosts[name].run()))
 
-    def candidates(self) -> tuple[part.Candidate, ...]:
+    def candidates(self) -> tuple[group_state.Candidate, ...]:
         """All nodes but those that membership knows to be gone.
 
         Example: ``those.candidates()``
         """
-        return tuple(part.Candidate(name, AREAS[place % 3]) for place, name in enumerate(self.names) if name not in self.gone)
+        return tuple(
+            group_state.Candidate(name, AREAS[place % 3])
+            for place, name in enumerate(self.names)
+            if name not in self.gone
+        )
 
     async def ask(self, address: str, message, within):
         """As ``link.Link.ask``.
@@ -133,19 +151,19 @@
         Example: ``await those.ask("n1:1", exchange.Compare(0, 1), within)``
         """
         self.heard.append((address, message))
-        await moment.pause(moment.seconds(0.001))
+        await clock.sleep(clock.seconds(0.001))
         if address in self.silent:
-            await moment.pause(within)
-            raise result.Refusal(result.Result.UNREACHABLE, result.Ran.UNKNOWN, address)
+            await clock.sleep(within)
+            raise result.RequestError(result.ResultCode.UNREACHABLE, result.Ran.UNKNOWN, address)
         one = self.hosts[address]
         match message:
-            case exchange.Append():
+            case messages.Append():
                 return await one.append(message)
-            case exchange.Compare():
+            case messages.Compare():
                 return one.compare(message)
-            case exchange.Mend():
-                return await one.mend(message)
-            case exchange.Fetch():
+            case messages.Repair():
+                return await one.repair(message)
+            case messages.Fetch():
                 return await one.fetch(message)
         return await one.appoint(message)
 
@@ -154,12 +172,12 @@
 
         Example: ``await those.until(lambda: those.hosts["n0:1"].claimed())``
         """
-        began = moment.now()
+        began = clock.now()
         while not condition():
-            late = (moment.now() - began).total_seconds() > within
+            late = (clock.now() - began).total_seconds() > within
             assert not late, {name: (one.why, one.known) for name, one in self.hosts.items()}
-            await moment.pause(moment.seconds(0.01))
-        return (moment.now() - began).total_seconds()
+            await clock.sleep(clock.seconds(0.01))
+        return (clock.now() - began).total_seconds()
 
     async def write(self, name: str, to: str = "n0:1", within: float = 5.0):
         """Write a service through a node.
@@ -167,7 +185,7 @@
         Example: ``await those.write("a")``
         """
         body = f'{{"services": {{"{name}": {{"kind": "plain"}}}}}}'
-        return await self.hosts[to].submit(control.WritePlan("merge", "", "", body, None), moment.seconds(within))
+        return await self.hosts[to].submit(control_state.WritePlan("merge", "", "", body, None), clock.seconds(within))
 
     def same(self, *names: str) -> bool:
         """Whether nodes' copies are the same.
@@ -182,6 +200,7 @@
 
     Example: ``play(tmp_path, 3, acts, members=3, copies=3, goal=3)``
     """
+
     async def whole() -> None:
         those = Members(folder, count, copies, goal)
         await those.begin(members)
