--- a/aspencroft/sim/judge.py
+++ b/aspencroft/simulation/oracle.py
@@ -4,8 +4,7 @@
 import dataclasses
 import json
 
-import aspencroft.stand.backend as backend
-import aspencroft.stand.caller as caller
+from aspencroft.emulator import backend, caller
 
 
 @dataclasses.dataclass(frozen=True)
@@ -30,9 +29,17 @@
 
     Example: ``assert faults(history) == []``
     """
-    return [*history.told, *run_twice(history), *keys_twice(history), *not_run_yet_ran(history),
-            *over_budget(history), *foreign_turns(history), *foreign_services(history),
-            *to_leaving(history), *unforeseen(history)]
+    return [
+        *history.told,
+        *run_twice(history),
+        *keys_twice(history),
+        *not_run_yet_ran(history),
+        *over_budget(history),
+        *foreign_turns(history),
+        *foreign_services(history),
+        *to_leaving(history),
+        *unforeseen(history),
+    ]
 
 
 def run_twice(history: History) -> list[str]:
@@ -43,23 +50,30 @@
     lane_of = {one.request: one.lane for one in history.noted}
     found = [f"{go} ran {count} times" for go, count in history.ran.items() if count > 1]
     goes = collections.Counter(go.split(".")[0] for go in history.ran)
-    found.extend(f"{request} ran in {count} goes" for request, count in goes.items() if count > 1
-                 and not history.document["lanes"].get(lane_of.get(request, ""), {}).get("repeatable"))
+    found.extend(
+        f"{request} ran in {count} goes"
+        for request, count in goes.items()
+        if count > 1 and not history.document["lanes"].get(lane_of.get(request, ""), {}).get("repeatable")
+    )
     return found
 
 
 def keys_twice(history: History) -> list[str]:
     """Operation keys under which more than one run began (a run is told by its input's name)."""
-    names = collections.Counter(body["input"]["name"] for body in history.seen
-                                if isinstance(body["input"], dict) and body["input"].get("keyed"))
+    names = collections.Counter(
+        body["input"]["name"] for body in history.seen if isinstance(body["input"], dict) and body["input"].get("keyed")
+    )
     return [f"key {name} ran {count} times" for name, count in names.items() if count > 1]
 
 
 def not_run_yet_ran(history: History) -> list[str]:
     """Requests refused as not run that some worker ran, before or after the refusal."""
     requests = {go.split(".")[0] for go in history.ran}
-    return [f"{one.request} was refused as not run ({one.result}) and ran" for one in history.noted
-            if one.ran == "not run" and one.request in requests]
+    return [
+        f"{one.request} was refused as not run ({one.result}) and ran"
+        for one in history.noted
+        if one.ran == "not run" and one.request in requests
+    ]
 
 
 def over_budget(history: History) -> list[str]:
@@ -73,8 +87,9 @@
             put_out[body["program"]] += history.put_out.get(body["request"], 0)
             lane = lanes[lane_of[body["program"]]]
             limit[body["program"]] = lane["budget"] + lane["turn_output"]
-    return [f"{program} put out {count} of {limit[program]}" for program, count in put_out.items()
-            if count > limit[program]]
+    return [
+        f"{program} put out {count} of {limit[program]}" for program, count in put_out.items() if count > limit[program]
+    ]
 
 
 def foreign_turns(history: History) -> list[str]:
@@ -89,7 +104,7 @@
         for before, (said, answer) in enumerate(body["history"]):
             if answer not in chain[json.dumps([before, said])]:
                 found.append(f"{body['request']}: {answer!r} is no answer to turn {before + 1} {said!r}")
-        whole = "".join(backend.answer_words(body)[:body["max_output"]])
+        whole = "".join(backend.answer_words(body)[: body["max_output"]])
         chain[json.dumps([body["turn"] - 1, body["input"]])].add(whole)
     return found
 
@@ -107,9 +122,11 @@
 
 def to_leaving(history: History) -> list[str]:
     """Runs that began on a worker more than 3 s after it was marked as leaving."""
-    return [f"{body['request']} went to {body['worker']} {body['at'] - history.leaving[body['worker']]:.2f} s late"
-            for body in history.seen if body["worker"] in history.leaving
-            and body["at"] > history.leaving[body["worker"]] + 3.0]
+    return [
+        f"{body['request']} went to {body['worker']} {body['at'] - history.leaving[body['worker']]:.2f} s late"
+        for body in history.seen
+        if body["worker"] in history.leaving and body["at"] > history.leaving[body["worker"]] + 3.0
+    ]
 
 
 def unforeseen(history: History) -> list[str]:
@@ -123,9 +140,18 @@
     Example: ``sample(ran={"r1": 2})``
     """
     noted = caller.Noted("chat", "r1", "p", "", 0, "", "done", 0, "m turn 1 mark 0000", 3, 200)
-    body = {"request": "r1", "program": "p", "helper": "", "turn": 1, "history": [], "input": "hi", "model": "m",
-            "max_output": 40, "worker": "w", "at": 1.0}
+    body = {
+        "request": "r1",
+        "program": "p",
+        "helper": "",
+        "turn": 1,
+        "history": [],
+        "input": "hi",
+        "model": "m",
+        "max_output": 40,
+        "worker": "w",
+        "at": 1.0,
+    }
     lanes = {"chat": {"budget": 10, "turn_output": 5}}
-    sound = History((noted,), (body,), {"r1": 1}, {"r1": 3}, {"lanes": lanes},
-                    {}, (), frozenset({("chat", "m")}))
+    sound = History((noted,), (body,), {"r1": 1}, {"r1": 3}, {"lanes": lanes}, {}, (), frozenset({("chat", "m")}))
     return dataclasses.replace(sound, **changes)
--- a/aspencroft/sim/plans_test.py
+++ b/aspencroft/simulation/plans_test.py
@@ -5,16 +5,15 @@
 import json
 import random
 
-import aspencroft.plan.plan as plan
-import aspencroft.sim.promises as promises
-import aspencroft.sim.register as register
-import aspencroft.sim.wire as wire
+from aspencroft.configuration import resources
+from aspencroft.simulation import guarantees, register, wire
 
 
 def test_racing_operators_in_every_way_under_faults_and_traffic():
     total = collections.Counter()
     for seed in (71, 72, 73):
-        async def acts(stage: promises.Stage) -> None:
+
+        async def acts(stage: guarantees.Stage) -> None:
             one = stage.scene
             operators = register.Operators(one, stage.client, random.Random(seed))
 
@@ -51,50 +50,66 @@
                 response = await stage.client.get(f"http://{node}/plan")
                 shown = response.json()
                 now = one.loop.time()
-                operators.reads.append(register.Read(now, now, node, shown["current"], register.number_of(shown["revision"]), shown["plan"]))
+                operators.reads.append(
+                    register.Read(
+                        now, now, node, shown["current"], register.number_of(shown["revision"]), shown["plan"]
+                    )
+                )
             assert register.faults(operators.writes, operators.reads, one.mix.document) == []
             assert register.foreign_runs(operators.writes, register.swing_runs(one), one.mix.document) == []
             total.update(operators.counts)
             total["runs"] += len(register.swing_runs(one))
-        promises.play(seed, acts)
+
+        guarantees.play(seed, acts)
     for way in ("put", "delete", "merge", "whole"):
         assert total[f"{way} {register.ACKNOWLEDGED}"] >= 5, total
     assert total["runs"] > 100, total
 
 
 def test_a_conditional_write_whose_frames_come_twice_is_not_refused_for_itself():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one = stage.scene
         one.wire.weather = wire.Weather(jitter=0.002, double=1.0)
         for number in range(12):
-            response = await stage.client.put(f"http://edge-{number % 2}/plan/services/extra-{number}",
-                                              json={"kind": "plain"}, headers={"If-None-Match": "*"})
+            response = await stage.client.put(
+                f"http://edge-{number % 2}/plan/services/extra-{number}",
+                json={"kind": "plain"},
+                headers={"If-None-Match": "*"},
+            )
             assert response.status_code == 200, response.json()
         assert sum(own.link.counts["doubled frames"] for own in one.nodes.values()) > 100
+
     for seed in (75, 76):
-        promises.play(seed, acts)
+        guarantees.play(seed, acts)
 
 
 def test_a_plan_of_thousands_of_routes_is_taken_delivered_and_changed_in_small_steps():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one = stage.scene
         document = json.loads(json.dumps(one.mix.document))
         for number in range(3000):
-            document["routes"][f"many-{number}"] = {"lane": "till-lock", "tool": f"t{number}", "services": ["locks"]}
+            document["routes"][f"many-{number}"] = {
+                "lane": "till-lock",
+                "tool": f"t{number}",
+                "services": ["locks"],
+            }
         response = await stage.client.put("http://edge-1/plan", json=document)
         assert response.status_code == 200 and response.json()["changed"] == 3000
         for name in one.names():
             assert len(one.nodes[name].relay.plan.lane_routes) == 3000 + len(one.mix.document["routes"])
-        before = plan.check_one.cache_info().misses
+        before = resources.check_one.cache_info().misses
         whole = sum(own.relay.counts["whole plans"] for own in one.nodes.values())
-        response = await stage.client.put("http://core-1/plan/routes/many-7",
-                                          json={"lane": "till-lock", "tool": "other", "services": ["locks"]})
-        assert response.status_code == 200 and plan.check_one.cache_info().misses - before <= 1
+        response = await stage.client.put(
+            "http://core-1/plan/routes/many-7",
+            json={"lane": "till-lock", "tool": "other", "services": ["locks"]},
+        )
+        assert response.status_code == 200 and resources.check_one.cache_info().misses - before <= 1
         assert sum(own.relay.counts["whole plans"] for own in one.nodes.values()) == whole
         assert (await stage.ask("edge-0", "till-lock", {"name": "k"}, operation="k", tool="other")).ran == "done"
-        for number in range(plan.MOST_RESOURCES):
+        for number in range(resources.MOST_RESOURCES):
             document["workers"] = document.get("workers", {})
             document["workers"][f"w{number}"] = {}
         response = await stage.client.put("http://core-2/plan", json=document)
         assert response.status_code == 422 and "more than" in response.json()["error"]["faults"][0]["meaning"]
-    promises.play(74, acts)
+
+    guarantees.play(74, acts)
--- a/aspencroft/sim/register.py
+++ b/aspencroft/simulation/register.py
@@ -8,7 +8,7 @@
 
 import httpx
 
-import aspencroft.sim.scene as scene
+from aspencroft.simulation import simulated_cluster
 
 ACKNOWLEDGED, REFUSED, UNSURE = "acknowledged", "refused", "unsure"
 HORIZON = 25.0
@@ -65,7 +65,7 @@
     Example: ``group.create_task(operators.operate("a"))``
     """
 
-    def __init__(self, one: scene.Scene, client: httpx.AsyncClient, chance: random.Random):
+    def __init__(self, one: simulated_cluster.SimulatedCluster, client: httpx.AsyncClient, chance: random.Random):
         self.scene = one
         self.client = client
         self.chance = chance
@@ -91,9 +91,20 @@
             return {"kind": "plain", "size": self.count}
         if kind == "lanes":
             services = [self.chance.choice(self.plain)] if resource == SWING else self.plain[:2]
-            return {"kind": "signal", "services": services, "urgency": 4, "deadline": 5, "keep": 60, "budget": self.count}
+            return {
+                "kind": "signal",
+                "services": services,
+                "urgency": 4,
+                "deadline": 5,
+                "keep": 60,
+                "budget": self.count,
+            }
         if kind == "routes":
-            return {"lane": self.lane, "tool": f"{resource.rpartition('-')[2]}-{self.count}", "services": [self.service]}
+            return {
+                "lane": self.lane,
+                "tool": f"{resource.rpartition('-')[2]}-{self.count}",
+                "services": [self.service],
+            }
         return {"leaving": False} if self.count % 2 else {"leaving": True}
 
     def resource(self) -> str:
@@ -175,8 +186,16 @@
         response = await self.ask("GET", f"http://{node}/plan")
         if response is not None and response.status_code == 200:
             shown = response.json()
-            self.reads.append(Read(began, self.scene.loop.time(), node, shown["current"],
-                                   number_of(shown["revision"]), shown["plan"]))
+            self.reads.append(
+                Read(
+                    began,
+                    self.scene.loop.time(),
+                    node,
+                    shown["current"],
+                    number_of(shown["revision"]),
+                    shown["plan"],
+                )
+            )
 
     async def ask(self, method: str, address: str, content=None, headers=None) -> httpx.Response | None:
         """One request, or none when there was no answer.
@@ -203,32 +222,53 @@
         acknowledged = [write for write in mine if write.outcome == ACKNOWLEDGED]
         for write in acknowledged if not name.startswith("workers/") else ():
             if write.expected == 0:
-                last = max((other for other in acknowledged if other.revision < write.revision),
-                           key=lambda other: other.revision, default=None)
+                last = max(
+                    (other for other in acknowledged if other.revision < write.revision),
+                    key=lambda other: other.revision,
+                    default=None,
+                )
                 gone = any(other.outcome == UNSURE and not other.values[name] for other in mine)
                 if last is not None and last.values[name] and not gone:
                     found.append(f"{name}: created at {write.revision} over {last.revision}")
             elif write.expected is not None:
-                between = [other for other in acknowledged if other is not write and other.values[name] != write.values[name]
-                           and write.expected < other.revision < write.revision]
+                between = [
+                    other
+                    for other in acknowledged
+                    if other is not write
+                    and other.values[name] != write.values[name]
+                    and write.expected < other.revision < write.revision
+                ]
                 if between:
-                    found.append(f"{name}: a write on {write.expected} became {write.revision} over {between[0].revision}")
+                    found.append(
+                        f"{name}: a write on {write.expected} became {write.revision} over {between[0].revision}"
+                    )
     for read in reads:
         for name, mine in by_path.items():
             kind, _, own = name.partition("/")
             spec = read.document.get(kind, {}).get(own)
             shown = text_of(spec) if spec is not None else ""
-            last = max((write for write in mine if write.outcome == ACKNOWLEDGED and write.revision <= read.revision),
-                       key=lambda write: write.revision, default=None)
+            last = max(
+                (write for write in mine if write.outcome == ACKNOWLEDGED and write.revision <= read.revision),
+                key=lambda write: write.revision,
+                default=None,
+            )
             first = initial.get(kind, {}).get(own)
             allowed = {last.values[name] if last is not None else text_of(first) if first is not None else ""}
-            allowed |= {write.values[name] for write in mine if write.outcome == UNSURE and write.began <= read.ended
-                        and (last is None or write.ended + HORIZON >= last.began)}
+            allowed |= {
+                write.values[name]
+                for write in mine
+                if write.outcome == UNSURE
+                and write.began <= read.ended
+                and (last is None or write.ended + HORIZON >= last.began)
+            }
             if shown not in allowed:
                 found.append(f"{name} reads {shown!r} at {read.revision} through {read.node}, not {sorted(allowed)}")
         if read.current:
-            behind = [write.revision for write in writes if write.outcome == ACKNOWLEDGED and write.ended < read.began
-                      and write.revision > read.revision]
+            behind = [
+                write.revision
+                for write in writes
+                if write.outcome == ACKNOWLEDGED and write.ended < read.began and write.revision > read.revision
+            ]
             if behind:
                 found.append(f"{read.node} acts on {read.revision} after {max(behind)} was answered")
     newest: dict[str, Read] = {}
@@ -267,10 +307,13 @@
     return found
 
 
-def swing_runs(one: scene.Scene) -> list[tuple[float, str]]:
+def swing_runs(one: simulated_cluster.SimulatedCluster) -> list[tuple[float, str]]:
     """When workers ran which service for the swing lane.
 
     Example: ``foreign_runs(writes, swing_runs(one), document)``
     """
-    return [(body["at"], body["service"]) for body in one.world.seen()
-            if isinstance(body["input"], dict) and str(body["input"].get("name", "")).startswith("swing-")]
+    return [
+        (body["at"], body["service"])
+        for body in one.world.seen()
+        if isinstance(body["input"], dict) and str(body["input"].get("name", "")).startswith("swing-")
+    ]
--- a/aspencroft/sim/register_test.py
+++ b/aspencroft/simulation/register_test.py
@@ -1,8 +1,8 @@
-"""Tests of ``aspencroft.sim.register``."""
+"""Tests of ``aspencroft.simulation.register``."""
 
 import dataclasses
 
-import aspencroft.sim.register as register
+from aspencroft.simulation import register
 
 
 def test_the_register_model_sees_each_fault():
@@ -16,12 +16,34 @@
         return register.Read(at, at, "n", current, revision, {"services": {"a": value}})
 
     assert register.faults([first, second, refused, unsure], [read("two"), read("five", 9, 5.0)], {}) == []
-    for writes, reads in (([first, second], [read("one")]), ([first, second, lost], []), ([first, second, refused], [read("four")]),
-                          ([first, dataclasses.replace(second, expected=0)], []), ([first, second], [read("one", 5)]), ([first], [read("one", 9), read("one", 5, 6.0)]),
-                          ([first, second], [read("two", 5, current=False)])):
+    for writes, reads in (
+        ([first, second], [read("one")]),
+        ([first, second, lost], []),
+        ([first, second, refused], [read("four")]),
+        ([first, dataclasses.replace(second, expected=0)], []),
+        ([first, second], [read("one", 5)]),
+        ([first], [read("one", 9), read("one", 5, 6.0)]),
+        ([first, second], [read("two", 5, current=False)]),
+    ):
         assert register.faults(writes, reads, {}), (writes, reads)
-    swing = [register.Write(0.0, 0.1, {register.SWING: register.text_of({"services": ["handset"]})}, None, register.ACKNOWLEDGED, 1),
-             register.Write(5.0, 5.5, {register.SWING: register.text_of({"services": ["locks"]})}, None, register.ACKNOWLEDGED, 2)]
+    swing = [
+        register.Write(
+            0.0,
+            0.1,
+            {register.SWING: register.text_of({"services": ["handset"]})},
+            None,
+            register.ACKNOWLEDGED,
+            1,
+        ),
+        register.Write(
+            5.0,
+            5.5,
+            {register.SWING: register.text_of({"services": ["locks"]})},
+            None,
+            register.ACKNOWLEDGED,
+            2,
+        ),
+    ]
     assert register.foreign_runs(swing, [(1.0, "handset"), (7.0, "handset"), (5.2, "locks"), (9.0, "locks")], {}) == []
     for run in ((1.0, "locks"), (7.6, "handset"), (6.0, "lights")):
         assert register.foreign_runs(swing, [run], {}), run
--- a/aspencroft/sim/resting.py
+++ b/aspencroft/simulation/resting.py
@@ -2,10 +2,10 @@
 
 import asyncio
 
-import aspencroft.sim.promises as promises
+from aspencroft.simulation import guarantees
 
 
-def asleep(stage: promises.Stage) -> list:
+def asleep(stage: guarantees.Stage) -> list:
     """The model workers that sleep.
 
     Example: ``len(asleep(stage))``
@@ -13,7 +13,7 @@
     return [one for one in stage.scene.world.models if one.asleep]
 
 
-async def calm(stage: promises.Stage, count: int) -> None:
+async def calm(stage: guarantees.Stage, count: int) -> None:
     """Wait in light traffic until so many machines sleep.
 
     Example: ``await calm(stage, 3)``
@@ -27,12 +27,16 @@
         assert stage.scene.loop.time() - began < 90, [one.counts for one in stage.scene.world.models]
 
 
-async def crowd(stage: promises.Stage, name: str, count: int) -> list:
+async def crowd(stage: guarantees.Stage, name: str, count: int) -> list:
     """Many programs' first turns at once.
 
     Example: ``noted = await crowd(stage, "a", 100)``
     """
     async with asyncio.TaskGroup() as group:
-        tasks = [group.create_task(stage.ask(stage.scene.edges[number % 2], "catalogue", f"long {number}",
-                                             program=f"{name}-{number}")) for number in range(count)]
+        tasks = [
+            group.create_task(
+                stage.ask(stage.scene.edges[number % 2], "catalogue", f"long {number}", program=f"{name}-{number}")
+            )
+            for number in range(count)
+        ]
     return [task.result() for task in tasks]
--- a/aspencroft/sim/resting_test.py
+++ b/aspencroft/simulation/resting_test.py
@@ -1,16 +1,14 @@
-"""Tests of ``aspencroft.sim.resting``."""
+"""Tests of ``aspencroft.simulation.resting``."""
 
 import asyncio
 
-import aspencroft.keep.residency as residency
-import aspencroft.sim.promises as promises
-import aspencroft.sim.resting as resting
-import aspencroft.stand.backend as backend
-import aspencroft.stand.shape as shape
+from aspencroft.emulator import backend, shape
+from aspencroft.residency import residency
+from aspencroft.simulation import guarantees, resting
 
 
 def test_a_machine_that_fails_to_wake_is_asked_again_and_another_is_woken():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         await resting.calm(stage, 4)
         stubborn = resting.asleep(stage)
         for one in stubborn:
@@ -23,28 +21,35 @@
         await asyncio.sleep(12)
         assert all(one.counts["woken"] for one in stubborn), [one.counts for one in stubborn]
         assert sum(one.counts["put to rest while busy"] for one in stage.scene.world.models) == 0
-    promises.play(61, acts, name=shape.ARCHIVE)
+
+    guarantees.play(61, acts, name=shape.ARCHIVE)
 
 
 def test_a_machine_is_not_drawn_before_it_is_awake_and_wakes_with_nothing_held():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one = stage.scene
         await resting.calm(stage, 5)
         sleepers = resting.asleep(stage)
         before = {worker.name: worker.counts["put back"] for worker in sleepers}
         noted = await resting.crowd(stage, "a", 150)
         assert sum(one.ran == "done" for one in noted) > 140
-        assert sum(worker.counts["put back"] - worker.counts["put back as full"] - before[worker.name]
-                   for worker in sleepers) == 0
+        assert (
+            sum(
+                worker.counts["put back"] - worker.counts["put back as full"] - before[worker.name]
+                for worker in sleepers
+            )
+            == 0
+        )
         assert any(worker.ran for worker in sleepers)
         read = sum(worker.counts["reports read asleep"] for worker in one.world.models)
         probes = sum(worker.counts["reports read"] for worker in one.world.models)
         assert probes <= 1 + one.loop.time() / residency.PROBE.total_seconds() and read <= 4, (read, probes)
-    promises.play(62, acts, name=shape.ARCHIVE)
+
+    guarantees.play(62, acts, name=shape.ARCHIVE)
 
 
 def test_a_machine_marked_as_leaving_in_its_sleep_gets_nothing_and_serves_again_once_unmarked():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one = stage.scene
         await resting.calm(stage, 3)
         marked = resting.asleep(stage)[0]
@@ -58,20 +63,28 @@
             await resting.crowd(stage, f"b{number}", 120)
             await asyncio.sleep(1)
         assert sum(marked.ran.values()) > ran, marked.counts
-    promises.play(63, acts, name=shape.ARCHIVE)
+
+    guarantees.play(63, acts, name=shape.ARCHIVE)
 
 
 def test_the_holder_of_the_rest_duty_may_die_between_any_two_steps():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one = stage.scene
         for number in range(6):
-            holder = next((name for name, own in one.nodes.items() if one.alive(name)
-                           and own.duties.get("rest") and own.duties["rest"].held()), None)
+            holder = next(
+                (
+                    name
+                    for name, own in one.nodes.items()
+                    if one.alive(name) and own.duties.get("rest") and own.duties["rest"].held()
+                ),
+                None,
+            )
             await asyncio.sleep(4 + 1.3 * number)
             if holder is not None:
                 one.kill(holder)
-            noted = [await stage.ask(one.edges[each % 2], "catalogue", "x", program=f"p{number}-{each}")
-                     for each in range(4)]
+            noted = [
+                await stage.ask(one.edges[each % 2], "catalogue", "x", program=f"p{number}-{each}") for each in range(4)
+            ]
             assert all(each.ran == "done" for each in noted), noted
             if holder is not None:
                 one.start(holder)
@@ -82,5 +95,6 @@
         noted = await resting.crowd(stage, "b", 150)
         assert all(each.ran == "done" for each in noted)
         assert sum(worker.counts["put to rest while busy"] for worker in one.world.models) == 0
+
     for seed in (64, 65):
-        promises.play(seed, acts, name=shape.ARCHIVE)
+        guarantees.play(seed, acts, name=shape.ARCHIVE)
--- a/aspencroft/sim/rules.py
+++ b/aspencroft/simulation/rules.py
@@ -5,12 +5,10 @@
 import functools
 import statistics
 
-import aspencroft.code.result as result
-import aspencroft.forward.events as events
-import aspencroft.plan.http_route as http_route
-import aspencroft.plan.route_table as route_table
-import aspencroft.stand.agent as agent
-import aspencroft.stand.worker_server as worker_server
+from aspencroft.configuration import http_route, route_table
+from aspencroft.emulator import agent, worker_server
+from aspencroft.errors import result
+from aspencroft.proxy import events
 
 NOT_OWN = ("OVERLOADED", "NO_WORKER", "PUT_BACK", "NO_PLAN", "NOT_PRIMARY", "NO_BACKUP", "UNREACHABLE")
 
@@ -141,8 +139,11 @@
         Example: ``history.in_touch("edge-0", 12.0)``
         """
         began = (at if since is None else since) - self.bounds.contact
-        return not any(one.touches(began, at) for one in self.troubles
-                       if one.machine == machine or not one.machine.startswith("edge"))
+        return not any(
+            one.touches(began, at)
+            for one in self.troubles
+            if one.machine == machine or not one.machine.startswith("edge")
+        )
 
 
 def faults(history: History) -> list[str]:
@@ -151,8 +152,23 @@
     Example: ``assert rules.faults(history) == []``
     """
     found = list(history.told)
-    for rule in (mixed, unasked, twice, refused, denied, routed, drained, lost_turns, lost_calls, ordered, budgeted, configured,
-                 stepped_back, written, recovered):
+    for rule in (
+        mixed,
+        unasked,
+        twice,
+        refused,
+        denied,
+        routed,
+        drained,
+        lost_turns,
+        lost_calls,
+        ordered,
+        budgeted,
+        configured,
+        stepped_back,
+        written,
+        recovered,
+    ):
         found.extend(rule(history))
     return found
 
@@ -195,8 +211,10 @@
             if any(event not in made for event in one.heard.split(b"\n\n")):
                 found.append(f"MIXED {about}: an event came that none of its runs made")
         elif one.heard != run.output or one.status != run.status:
-            found.append(f"MIXED {about}: {len(one.heard)} bytes came, {len(run.output)} with {run.status} were sent "
-                         f"by {run.seal}")
+            found.append(
+                f"MIXED {about}: {len(one.heard)} bytes came, {len(run.output)} with {run.status} were sent "
+                f"by {run.seal}"
+            )
         elif run.broke and one.good():
             found.append(f"MIXED {about}: its worker broke the answer off")
         elif one.call.key and one.good() and first[key_of(one)][1].seal != one.seal:
@@ -234,14 +252,19 @@
         if (run.method, run.target, run.host) != (one.call.method, one.call.target, one.call.host):
             found.append(f"UNASKED {run.attempt} ran at {life.name} as {run.method} {run.target} of {run.host}")
         elif run.body != expected:
-            found.append(f"UNASKED {run.attempt} ran at {life.name} with {len(run.body)} bytes instead of {len(expected)}, "
-                         f"the same up to {common(run.body, expected)}")
+            found.append(
+                f"UNASKED {run.attempt} ran at {life.name} with {len(run.body)} bytes instead of {len(expected)}, "
+                f"the same up to {common(run.body, expected)}"
+            )
     return found
 
 
 def common(left: bytes, right: bytes) -> int:
     """How many first bytes are the same."""
-    return next((place for place, (one, other) in enumerate(zip(left, right)) if one != other), min(len(left), len(right)))
+    return next(
+        (place for place, (one, other) in enumerate(zip(left, right)) if one != other),
+        min(len(left), len(right)),
+    )
 
 
 def twice(history: History) -> list[str]:
@@ -271,16 +294,21 @@
         if one.promised() and history.runs_of.get(one.call.attempt):
             life, run = history.runs_of[one.call.attempt][0]
             kind = "REFUSED" if not repeatable(one) else "REFUSED (repeatable)"
-            found.append(f"{kind} {one.call.attempt} ({one.use.name}) at {one.edge} by {one.refusal} at {one.ended:.3f}, "
-                         f"and ran at {life.name} {run.began:.3f}")
+            found.append(
+                f"{kind} {one.call.attempt} ({one.use.name}) at {one.edge} by {one.refusal} at {one.ended:.3f}, "
+                f"and ran at {life.name} {run.began:.3f}"
+            )
     return found
 
 
 def denied(history: History) -> list[str]:
     """DENIED: a proper request ended with a 4xx of the product's own; budgets, keys, routes and turns have their own rules."""
     proper = ("UNKNOWN_ROUTE", "UNKNOWN_TURN", "OUT_OF_BUDGET", "OPERATION_IN_PROGRESS", "OPERATION_UNKNOWN")
-    return [f"DENIED {one.call.attempt} ({one.use.name}) at {one.edge} {one.ended:.3f}: {one.refusal}" for one in history.tries
-            if one.refusal is not None and 300 <= one.refusal.result.status < 500 and one.refusal.result.name not in proper]
+    return [
+        f"DENIED {one.call.attempt} ({one.use.name}) at {one.edge} {one.ended:.3f}: {one.refusal}"
+        for one in history.tries
+        if one.refusal is not None and 300 <= one.refusal.result.status < 500 and one.refusal.result.name not in proper
+    ]
 
 
 def path_of(one: agent.Try) -> str:
@@ -298,7 +326,9 @@
             continue
         place = one.call.host, path_of(one)
         if place not in allowed:
-            allowed[place] = frozenset().union(*(version.services(*place) for version in history.versions if version.valid))
+            allowed[place] = frozenset().union(
+                *(version.services(*place) for version in history.versions if version.valid)
+            )
         if life.service not in allowed[place]:
             found.append(f"ROUTE {run.attempt} to {place} ran at {life.name} of {life.service}")
     return found
@@ -314,8 +344,10 @@
             if one is None or not arrival.taken or arrival.at <= shown + history.bounds.drain:
                 continue
             if history.in_touch(one.edge, arrival.at, shown):
-                found.append(f"DRAIN {arrival.attempt} by {one.edge} reached {life.name} {arrival.at - shown:.2f} s after it was "
-                             "shown as leaving")
+                found.append(
+                    f"DRAIN {arrival.attempt} by {one.edge} reached {life.name} {arrival.at - shown:.2f} s after it was "
+                    "shown as leaving"
+                )
     return found
 
 
@@ -327,8 +359,10 @@
         if one.refusal is None or one.refusal.result.name != "UNKNOWN_TURN" or behind is None or not behind.good():
             continue
         if one.began < behind.ended + history.bounds.keep:
-            found.append(f"LOST {one.call.attempt} at {one.edge} {one.ended:.3f}: turn {behind.call.attempt}, answered whole by "
-                         f"{behind.edge} at {behind.ended:.3f}, is unknown")
+            found.append(
+                f"LOST {one.call.attempt} at {one.edge} {one.ended:.3f}: turn {behind.call.attempt}, answered whole by "
+                f"{behind.edge} at {behind.ended:.3f}, is unknown"
+            )
     return found
 
 
@@ -338,16 +372,30 @@
     for one in history.tries:
         if one.outcome != agent.BROKEN or not one.read:
             continue
-        planned = [each for each in history.troubles if each.planned and each.machine == one.edge
-                   and each.began <= one.ended <= each.began + history.bounds.grace + 1]
-        others = [each for each in history.troubles
-                  if not each.planned and each.touches(one.began - history.bounds.contact, one.ended)]
+        planned = [
+            each
+            for each in history.troubles
+            if each.planned
+            and each.machine == one.edge
+            and each.began <= one.ended <= each.began + history.bounds.grace + 1
+        ]
+        others = [
+            each
+            for each in history.troubles
+            if not each.planned and each.touches(one.began - history.bounds.contact, one.ended)
+        ]
         runs = history.runs_of.get(one.call.attempt, [])
         late = one.ended - one.began >= one.call.within.total_seconds() - history.bounds.loss_slack
-        slow = planned and runs and (runs[-1][1].ended is None or runs[-1][1].ended > planned[0].began + history.bounds.grace / 2)
+        slow = (
+            planned
+            and runs
+            and (runs[-1][1].ended is None or runs[-1][1].ended > planned[0].began + history.bounds.grace / 2)
+        )
         if planned and not others and not late and not slow and not any(run.broke for _, run in runs):
-            found.append(f"LOST {one.call.attempt} ({one.use.name}) at {one.edge}, stopped in order at {planned[0].began:.3f}, "
-                         f"broke off at {one.ended:.3f}")
+            found.append(
+                f"LOST {one.call.attempt} ({one.use.name}) at {one.edge}, stopped in order at {planned[0].began:.3f}, "
+                f"broke off at {one.ended:.3f}"
+            )
     return found
 
 
@@ -392,14 +440,19 @@
             given[name] += events_of(one) * strides.get(name, 10)
             most[name] = max(most[name], one.call.reserve)
             budget[name] = one.call.budget
-    return [f"BUDGET {name} got {given[name]} tokens of {budget[name]}, a turn's most is {most[name]}"
-            for name in budget if given[name] > budget[name] + most[name]]
+    return [
+        f"BUDGET {name} got {given[name]} tokens of {budget[name]}, a turn's most is {most[name]}"
+        for name in budget
+        if given[name] > budget[name] + most[name]
+    ]
 
 
 def may_be_in_force(history: History, sent: float, at: float) -> list[Version]:
     """The versions by one of which a machine in touch may handle a request: the newest that had to be, and all later ones."""
-    bound = max((one.number for one in history.versions
-                 if one.taken is not None and one.taken + history.bounds.apply < sent), default=0)
+    bound = max(
+        (one.number for one in history.versions if one.taken is not None and one.taken + history.bounds.apply < sent),
+        default=0,
+    )
     return [one for one in history.versions if one.number >= bound and one.sent <= at and one.valid and not one.refused]
 
 
@@ -408,7 +461,7 @@
     found = []
     for one in history.tries:
         runs = history.runs_of.get(one.call.attempt, [])
-        unknown = one.refusal is not None and one.refusal.result is result.Result.UNKNOWN_ROUTE
+        unknown = one.refusal is not None and one.refusal.result is result.ResultCode.UNKNOWN_ROUTE
         if not (runs or unknown) or not history.in_touch(one.edge, one.ended):
             continue
         at = max([one.ended, *(run.began for _, run in runs)])
@@ -418,12 +471,16 @@
         place = one.call.host, path_of(one)
         allowed = [version.services(*place) for version in versions]
         if unknown and all(allowed):
-            found.append(f"CONFIG {one.call.attempt} to {place} sent to {one.edge} at {one.began:.3f}: no route, though versions "
-                         f"{[version.number for version in versions]} have it")
+            found.append(
+                f"CONFIG {one.call.attempt} to {place} sent to {one.edge} at {one.began:.3f}: no route, though versions "
+                f"{[version.number for version in versions]} have it"
+            )
         for life, run in runs:
             if not any(life.service in services for services in allowed):
-                found.append(f"CONFIG {one.call.attempt} to {place} sent to {one.edge} at {one.began:.3f} ran at {life.service}, "
-                             f"which {[version.number for version in versions]} do not allow")
+                found.append(
+                    f"CONFIG {one.call.attempt} to {place} sent to {one.edge} at {one.began:.3f} ran at {life.service}, "
+                    f"which {[version.number for version in versions]} do not allow"
+                )
     return found
 
 
@@ -434,12 +491,17 @@
     seen: dict[tuple[str, int], list[tuple[float, int, str]]] = collections.defaultdict(list)
     looks = []
     for one in history.tries:
-        unknown = one.refusal is not None and one.refusal.result is result.Result.UNKNOWN_ROUTE
+        unknown = one.refusal is not None and one.refusal.result is result.ResultCode.UNKNOWN_ROUTE
         place = one.call.host, path_of(one)
         for at, service in [(run.began, life.service) for life, run in history.runs_of.get(one.call.attempt, [])] + (
-                [(one.ended, "")] if unknown else []):
-            able = [version.number for version in sent if version.sent <= at and
-                    (service in version.services(*place) if service else not version.services(*place))]
+            [(one.ended, "")] if unknown else []
+        ):
+            able = [
+                version.number
+                for version in sent
+                if version.sent <= at
+                and (service in version.services(*place) if service else not version.services(*place))
+            ]
             if able:
                 life = sum(began <= one.began for began in history.lives.get(one.edge, ()))
                 same = life == sum(began <= at for began in history.lives.get(one.edge, ()))
@@ -449,21 +511,32 @@
     for one, at, life, low, _ in looks:
         seen[one.edge, life].append((at, low, one.call.attempt))
     for one, at, life, _, high in looks:
-        slow = any(each.touches(one.began - history.bounds.contact, at) for each in history.troubles if each.machine == one.edge)
+        slow = any(
+            each.touches(one.began - history.bounds.contact, at)
+            for each in history.troubles
+            if each.machine == one.edge
+        )
         slack = history.bounds.revert * (8 if slow else 1)
         older = [each for each in seen[one.edge, life] if each[0] + slack < one.began and each[1] > high]
         if older:
-            found.append(f"CONFIG {one.edge} went back: {older[0][2]} showed version {older[0][1]} at {older[0][0]:.3f}, and "
-                         f"{one.call.attempt} sent at {one.began:.3f} was handled by {high} or older")
+            found.append(
+                f"CONFIG {one.edge} went back: {older[0][2]} showed version {older[0][1]} at {older[0][0]:.3f}, and "
+                f"{one.call.attempt} sent at {one.began:.3f} was handled by {high} or older"
+            )
     return found
 
 
 def written(history: History) -> list[str]:
     """CONFIG and LOST: what was acknowledged of the operators' versions, and what is read back at the end of the day."""
-    found = [f"CONFIG version {one.number} is invalid and was acknowledged" for one in history.versions
-             if one.taken is not None and not one.valid]
+    found = [
+        f"CONFIG version {one.number} is invalid and was acknowledged"
+        for one in history.versions
+        if one.taken is not None and not one.valid
+    ]
     bases = collections.Counter(one.base for one in history.versions if one.taken is not None)
-    found.extend(f"CONFIG {count} versions on top of {base} were acknowledged" for base, count in bases.items() if count > 1)
+    found.extend(
+        f"CONFIG {count} versions on top of {base} were acknowledged" for base, count in bases.items() if count > 1
+    )
     newest = max((one.number for one in history.versions if one.taken is not None), default=0)
     if history.read_back is None:
         return [*found, "CONFIG nothing was read back"]
@@ -491,8 +564,10 @@
 
     if not before or share(before) < 0.25 or not after or share(after) >= 0.25:
         return []
-    return [f"RECOVER {share(after):.2f} of {len(after)} tries were served later than {history.bounds.recovery} s after the "
-            "closing fault"]
+    return [
+        f"RECOVER {share(after):.2f} of {len(after)} tries were served later than {history.bounds.recovery} s after the "
+        "closing fault"
+    ]
 
 
 def figures(history: History) -> dict:
@@ -520,15 +595,29 @@
     arrived = {arrival.attempt: arrival.at for life in history.workers for arrival in life.arrivals if arrival.taken}
     for one in history.tries:
         runs = history.runs_of.get(one.call.attempt, [])
-        if one.good() and one.use.kind == http_route.STREAM and runs and one.call.attempt in arrived and runs[-1][1].whole:
+        if (
+            one.good()
+            and one.use.kind == http_route.STREAM
+            and runs
+            and one.call.attempt in arrived
+            and runs[-1][1].whole
+        ):
             run = runs[-1][1]
             firsts.append(1000 * (arrived[one.call.attempt] - one.began))
             ends.append(1000 * (one.ended - run.ended))
             added.append(1000 * (arrived[one.call.attempt] - one.began + one.ended - run.ended))
     broken = sum(one.outcome == agent.BROKEN and one.read for one in history.tries)
-    return {"programs": dict(sorted(programs.items())), "refusals": dict(sorted(refusals.items())), "tries": len(history.tries),
-            "refused while places were free": free, "broken off": broken, "unjust budgets": len(unjust(history)),
-            "to the worker": middle(firsts), "after its end": middle(ends), "added to a turn": middle(added)}
+    return {
+        "programs": dict(sorted(programs.items())),
+        "refusals": dict(sorted(refusals.items())),
+        "tries": len(history.tries),
+        "refused while places were free": free,
+        "broken off": broken,
+        "unjust budgets": len(unjust(history)),
+        "to the worker": middle(firsts),
+        "after its end": middle(ends),
+        "added to a turn": middle(added),
+    }
 
 
 def middle(row: list[float]) -> tuple[float, float]:
@@ -549,7 +638,7 @@
     for one in history.tries:
         tries[one.call.program].append(one)
     for one in history.tries:
-        if one.refusal is None or one.refusal.result is not result.Result.OUT_OF_BUDGET:
+        if one.refusal is None or one.refusal.result is not result.ResultCode.OUT_OF_BUDGET:
             continue
         spent = 0
         for other in tries[one.call.program]:
@@ -558,7 +647,9 @@
             if other.promised() and other.ended < one.began:
                 continue
             over = other.ended and other.ended < one.began
-            spent += events_of(other) * strides.get(one.call.program, 10) if over and other.good() else other.call.reserve
+            spent += (
+                events_of(other) * strides.get(one.call.program, 10) if over and other.good() else other.call.reserve
+            )
         if spent + one.call.reserve <= one.call.budget:
             found.append(f"{one.call.attempt} of {one.call.program}: {spent} spent of {one.call.budget}")
     return found
--- a/aspencroft/sim/rules_test.py
+++ b/aspencroft/simulation/rules_test.py
@@ -2,12 +2,11 @@
 
 import random
 
-import aspencroft.code.result as result
-import aspencroft.forward.call as call
-import aspencroft.seam.moment as moment
-import aspencroft.sim.rules as rules
-import aspencroft.stand.agent as agent
-import aspencroft.stand.worker_server as worker_server
+from aspencroft.emulator import agent, worker_server
+from aspencroft.errors import result
+from aspencroft.proxy import call
+from aspencroft.runtime import clock
+from aspencroft.simulation import rules
 
 CHAT = agent.Use("chat", "h", "/chat/", "stream", 0.3, 4.0, 1, retained=True)
 DESK = agent.Use("desk", "h", "/desk/", "stream", 0.3, 4.0, 1, resumable=True)
@@ -19,7 +18,12 @@
     return {"host": "h", "prefix": use.prefix, "kind": use.kind, "targets": [{"service": service}]}
 
 
-ROUTES = {"chat": route(CHAT, "a"), "desk": route(DESK, "a"), "alert": route(ALERT, "a"), "lock": route(LOCK, "a")}
+ROUTES = {
+    "chat": route(CHAT, "a"),
+    "desk": route(DESK, "a"),
+    "alert": route(ALERT, "a"),
+    "lock": route(LOCK, "a"),
+}
 
 
 class Seen:
@@ -28,11 +32,19 @@
     def __init__(self):
         self.life = worker_server.Worker("i-1", "a", "north", worker_server.Work(), random.Random(1))
         first = rules.Version(1, 0, 0.0, ROUTES, {("routes", "chat"): "x"}, taken=0.1)
-        self.history = rules.History([], [], [self.life], [first], [], {}, {"edge-0": [0.0], "edge-1": [0.0]},
-                                     read_back=(1, {("routes", "chat"): "x"}))
+        self.history = rules.History(
+            [],
+            [],
+            [self.life],
+            [first],
+            [],
+            {},
+            {"edge-0": [0.0], "edge-1": [0.0]},
+            read_back=(1, {("routes", "chat"): "x"}),
+        )
 
     def trying(self, use, attempt, at=10.0, body=b"in", edge="edge-0", **more):
-        one = call.Call("POST", f"{use.prefix}x", "h", (), body, attempt, moment.seconds(4), moment.seconds(at), **more)
+        one = call.Call("POST", f"{use.prefix}x", "h", (), body, attempt, clock.seconds(4), clock.seconds(at), **more)
         found = agent.Try(one, use, edge, at, ended=at + 0.1)
         self.history.tries.append(found)
         return found
@@ -40,23 +52,47 @@
     def run(self, attempt, at=10.05, body=b"in", events=0, life=None, target=None, whole=True):
         life = life or self.life
         seal = f"{life.name}.{len(life.runs)}"
-        output = b"".join(b"id: %d\ndata: %s %d xx\n\n" % (number, seal.encode(), number)
-                          for number in range(1, events + 1)) or b"done"
+        output = (
+            b"".join(b"id: %d\ndata: %s %d xx\n\n" % (number, seal.encode(), number) for number in range(1, events + 1))
+            or b"done"
+        )
         use = next(one.use for one in self.history.tries if one.call.attempt == attempt)
         life.arrivals.append(worker_server.Arrival(at, attempt, True))
-        life.runs.append(worker_server.Run(attempt, "POST", target or f"{use.prefix}x", "h", (), body, at, seal, 200, output,
-                                           events, at, at + 0.02, whole))
+        life.runs.append(
+            worker_server.Run(
+                attempt,
+                "POST",
+                target or f"{use.prefix}x",
+                "h",
+                (),
+                body,
+                at,
+                seal,
+                200,
+                output,
+                events,
+                at,
+                at + 0.02,
+                whole,
+            )
+        )
         return life.runs[-1]
 
     def good(self, use, attempt, at=10.0, body=b"in", ran=None, events=None, **more):
         found = self.trying(use, attempt, at, body, **more)
         events = events if events is not None else 2 if use.kind == "stream" else 0
         run = self.run(attempt, at + 0.05, body if ran is None else ran, events)
-        found.status, found.seal, found.heard, found.whole, found.outcome = 200, run.seal, run.output, True, agent.ANSWERED
+        found.status, found.seal, found.heard, found.whole, found.outcome = (
+            200,
+            run.seal,
+            run.output,
+            True,
+            agent.ANSWERED,
+        )
         return found
 
     def refuse(self, found, kind, ran=result.Ran.NOT_RUN):
-        found.outcome, found.refusal = agent.REFUSED, result.Refusal(kind, ran)
+        found.outcome, found.refusal = agent.REFUSED, result.RequestError(kind, ran)
         return found
 
     def told(self):
@@ -70,9 +106,18 @@
     seen.good(ALERT, "a3")
     held = seen.good(LOCK, "a4", key="k", tenant="t")
     repeat = seen.trying(LOCK, "a5", 12.0, key="k", tenant="t", edge="edge-1")
-    repeat.status, repeat.seal, repeat.heard, repeat.whole, repeat.outcome = 200, held.seal, held.heard, True, agent.ANSWERED
-    seen.refuse(seen.trying(CHAT, "a6"), result.Result.OVERLOADED)
-    seen.refuse(seen.trying(agent.Use("none", "h", "/none/", "safe", 0.1, 1.0, 0), "a7"), result.Result.UNKNOWN_ROUTE)
+    repeat.status, repeat.seal, repeat.heard, repeat.whole, repeat.outcome = (
+        200,
+        held.seal,
+        held.heard,
+        True,
+        agent.ANSWERED,
+    )
+    seen.refuse(seen.trying(CHAT, "a6"), result.ResultCode.OVERLOADED)
+    seen.refuse(
+        seen.trying(agent.Use("none", "h", "/none/", "safe", 0.1, 1.0, 0), "a7"),
+        result.ResultCode.UNKNOWN_ROUTE,
+    )
     assert seen.told() == []
 
 
@@ -101,7 +146,7 @@
     seen.good(CHAT, "a2", 11.0, previous="a1", ran=b"in")
     assert seen.told() == ["UNASKED"]
     seen = Seen()
-    seen.refuse(seen.trying(CHAT, "a1"), result.Result.OVERLOADED)
+    seen.refuse(seen.trying(CHAT, "a1"), result.ResultCode.OVERLOADED)
     seen.good(CHAT, "a2", 11.0, previous="a1", ran=b"inin")
     assert seen.told() == ["UNASKED"]
 
@@ -112,11 +157,11 @@
     seen.run("a1", 10.07)
     assert seen.told() == ["TWICE"]
     seen = Seen()
-    seen.refuse(seen.trying(ALERT, "a1"), result.Result.OVERLOADED)
+    seen.refuse(seen.trying(ALERT, "a1"), result.ResultCode.OVERLOADED)
     seen.run("a1", 11.0)
     assert seen.told() == ["REFUSED"]
     seen = Seen()
-    seen.refuse(seen.trying(CHAT, "a1"), result.Result.OUT_OF_BUDGET)
+    seen.refuse(seen.trying(CHAT, "a1"), result.ResultCode.OUT_OF_BUDGET)
     seen.run("a1", 11.0)
     assert seen.told() == ["REFUSED"]
 
@@ -129,7 +174,11 @@
     seen.run("a1", life=other)
     found.outcome = agent.BROKEN
     assert seen.told() == ["CONFIG", "ROUTE"]
-    for trouble, told in ((None, ["DRAIN"]), (rules.Trouble("edge-0", 8.0, False, 9.0), []), (rules.Trouble("core-1", 1.0), [])):
+    for trouble, told in (
+        (None, ["DRAIN"]),
+        (rules.Trouble("edge-0", 8.0, False, 9.0), []),
+        (rules.Trouble("core-1", 1.0), []),
+    ):
         seen = Seen()
         seen.good(ALERT, "a1")
         seen.history.draining["i-1"] = 6.9
@@ -140,7 +189,7 @@
 def test_kept_turns_are_not_lost():
     seen = Seen()
     seen.good(CHAT, "a1")
-    seen.refuse(seen.trying(CHAT, "a2", 60.0, previous="a1"), result.Result.UNKNOWN_TURN)
+    seen.refuse(seen.trying(CHAT, "a2", 60.0, previous="a1"), result.ResultCode.UNKNOWN_TURN)
     assert seen.told() == ["LOST"]
     seen.history.tries[-1].began = 71.0
     assert seen.told() == []
@@ -184,7 +233,7 @@
     seen = Seen()
     seen.history.programs.append(agent.Program("p", agent.Habit(CHAT, ()), 100, 0.0, 1.0, False))
     seen.good(CHAT, "a1", program="p", budget=100, reserve=60)
-    seen.refuse(seen.trying(CHAT, "a2", 11.0, program="p", budget=100, reserve=60), result.Result.OUT_OF_BUDGET)
+    seen.refuse(seen.trying(CHAT, "a2", 11.0, program="p", budget=100, reserve=60), result.ResultCode.OUT_OF_BUDGET)
     assert len(rules.unjust(seen.history)) == 1
     seen.history.tries[0].whole = False
     assert rules.unjust(seen.history) == []
@@ -211,7 +260,7 @@
     back.history.lives["edge-0"].append(10.2)
     assert back.told() == []
     dropped = day([], "")
-    dropped.refuse(dropped.trying(ALERT, "a1", 20.0), result.Result.UNKNOWN_ROUTE)
+    dropped.refuse(dropped.trying(ALERT, "a1", 20.0), result.ResultCode.UNKNOWN_ROUTE)
     assert dropped.told() == ["CONFIG"]
 
 
@@ -240,7 +289,7 @@
         seen.good(ALERT, "a1")
         seen.history.closing = 20.0, 22.0
         for number in range(4):
-            seen.refuse(seen.trying(ALERT, f"b{number}", 35.0 + number), result.Result.NO_PLAN)
+            seen.refuse(seen.trying(ALERT, f"b{number}", 35.0 + number), result.ResultCode.NO_PLAN)
         for number in range(served):
             seen.good(ALERT, f"c{number}", 36.0)
         assert seen.told() == told
@@ -249,11 +298,15 @@
 def test_figures_count_programs_refusals_and_what_the_tier_adds():
     seen = Seen()
     habit = agent.Habit(CHAT, ())
-    seen.history.programs.extend([agent.Program("p", habit, 9, 0.0, 5.0, False, agent.ENDED, ended=4.0),
-                                  agent.Program("q", habit, 9, 0.0, 5.0, False, agent.ENDED, ended=6.0),
-                                  agent.Program("r", habit, 9, 0.0, 5.0, True, agent.SPENT)])
+    seen.history.programs.extend(
+        [
+            agent.Program("p", habit, 9, 0.0, 5.0, False, agent.ENDED, ended=4.0),
+            agent.Program("q", habit, 9, 0.0, 5.0, False, agent.ENDED, ended=6.0),
+            agent.Program("r", habit, 9, 0.0, 5.0, True, agent.SPENT),
+        ]
+    )
     seen.good(CHAT, "a1")
-    seen.refuse(seen.trying(CHAT, "a2"), result.Result.OVERLOADED)
+    seen.refuse(seen.trying(CHAT, "a2"), result.ResultCode.OVERLOADED)
     seen.history.refused.extend([rules.Refused("a2", 1, 0, 8), rules.Refused("a2", 7, 0, 8)])
     found = rules.figures(seen.history)
     assert found["programs"] == {"by its aim": 1, "late": 1, "runaway": 1} and found["refusals"] == {"OVERLOADED": 1}
--- a/aspencroft/sim/scene.py
+++ b/aspencroft/simulation/simulated_cluster.py
@@ -9,28 +9,21 @@
 import shutil
 import tempfile
 
-import aspencroft.alert.alerts as alerts
-import aspencroft.edge.callers as callers
-import aspencroft.edge.path as path
-import aspencroft.keep.residency as residency
-import aspencroft.node.node as node
-import aspencroft.node.operator as operator
-import aspencroft.node.settings as settings
-import aspencroft.pair.holding as holding
-import aspencroft.program.daemon as daemon
-import aspencroft.rest.rest as rest
-import aspencroft.seam.surroundings as surroundings
-import aspencroft.sim.disk as disk
-import aspencroft.sim.loop as loop
-import aspencroft.sim.wire as wire
-import aspencroft.stand.caller as caller
-import aspencroft.stand.shape as shape
-import aspencroft.stand.world as world
-import aspencroft.worker.adapter as adapter
+from aspencroft.alerts import alerts
+from aspencroft.cli import daemon
+from aspencroft.consensus import replica_set
+from aspencroft.emulator import caller, shape, world
+from aspencroft.gateway import callers, path
+from aspencroft.node import node, operator, settings
+from aspencroft.power import machine_power
+from aspencroft.residency import residency
+from aspencroft.runtime import environment
+from aspencroft.simulation import disk, loop, wire
+from aspencroft.workers import adapter
 
 AREAS = ("north", "middle", "south")
 OUTSIDE = "outside"
-EPOCH = datetime.datetime(2030, 1, 1, tzinfo=datetime.timezone.utc)
+EPOCH = datetime.datetime(2030, 1, 1, tzinfo=datetime.UTC)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -51,18 +44,25 @@
         Example: ``Size().holds()["core"] == ()``
         """
         if self.apart:
-            return {settings.STORAGE: (holding.TALK,), settings.CORE: (holding.CONTROL,)}
-        return {settings.STORAGE: (holding.CONTROL, holding.TALK)}
+            return {settings.STORAGE: (replica_set.TALK,), settings.CORE: (replica_set.CONTROL,)}
+        return {settings.STORAGE: (replica_set.CONTROL, replica_set.TALK)}
 
 
-class Scene:
+class SimulatedCluster:
     """One simulated world.
 
     Example: ``play(seed, story)`` where ``story`` is a coroutine function of the scene.
     """
 
-    def __init__(self, seed: int, size: Size, mix: shape.Shape, weather: wire.Weather, folder: pathlib.Path,
-                 more: dict | None = None):
+    def __init__(
+        self,
+        seed: int,
+        size: Size,
+        mix: shape.Shape,
+        weather: wire.Weather,
+        folder: pathlib.Path,
+        more: dict | None = None,
+    ):
         self.chance = random.Random(seed)
         self.seed = seed
         self.size = size
@@ -117,12 +117,23 @@
 
         Example: ``scene.place("core-0").role``
         """
-        role = name.split("-")[0]
+        role = name.split("-", maxsplit=1)[0]
         holds = self.holds.get(role, ())
         data = self.folder / name if holds else None
         area = AREAS[int(name.split("-")[1]) % 3]
-        place = settings.Settings(f"{name}:1", f"{name}:80", area, self.seeds, role, data,
-                                  "http://platform:80/api/workers", 2, None, name, holds=holds)
+        place = settings.Settings(
+            f"{name}:1",
+            f"{name}:80",
+            area,
+            self.seeds,
+            role,
+            data,
+            "http://platform:80/api/workers",
+            2,
+            None,
+            name,
+            holds=holds,
+        )
         return dataclasses.replace(place, **{"first_start": name not in self.lost, **self.more})
 
     def start(self, name: str) -> None:
@@ -134,14 +145,16 @@
         place = self.place(name)
         if name not in self.disks and place.data is not None:
             self.disks[name] = disk.SimDisk(place.data, random.Random(f"{self.seed} {name}"))
-        around = surroundings.Surroundings(
-            wire.SimNetwork(self.wire, name), self.disks.get(name),
+        around = environment.Environment(
+            wire.SimNetwork(self.wire, name),
+            self.disks.get(name),
             lambda: wire.SimTransport(self.wire, name),
             random.Random(f"{self.seed} {name} {self.loop.lives[name]}"),
-            lambda: EPOCH + datetime.timedelta(seconds=self.loop.time()) + self.clock_jump)
+            lambda: EPOCH + datetime.timedelta(seconds=self.loop.time()) + self.clock_jump,
+        )
         self.loop.create_task(self.live(name, place, around), context=self.loop.context_of(name))
 
-    async def live(self, name: str, place: settings.Settings, around: surroundings.Surroundings) -> None:
+    async def live(self, name: str, place: settings.Settings, around: environment.Environment) -> None:
         """A node's process.
 
         Example: ``loop.create_task(scene.live(name, place, around), context=context)``
@@ -156,7 +169,11 @@
             self.edge_paths[name] = edge
             more, works = callers.handlers(edge), [edge.run]
         else:
-            works = [residency.Residency(own, back).run, rest.Rest(own, back).run, alerts.Alerts(own).run]
+            works = [
+                residency.Residency(own, back).run,
+                machine_power.Rest(own, back).run,
+                alerts.Alerts(own).run,
+            ]
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(own.run())
@@ -203,7 +220,7 @@
             async with asyncio.TaskGroup() as group:
                 if name in self.edge_paths:
                     group.create_task(self.edge_paths[name].drain())
-                group.create_task(daemon.hand_over(own))
+                group.create_task(daemon.transfer_leadership(own))
             self.wire.pages.pop(f"{name}:80", None)
             await asyncio.sleep(daemon.LAST_WORDS.total_seconds())
 
@@ -228,10 +245,16 @@
 
         Example: ``scene.show()``
         """
-        return {name: {"pairs": {pair: (held.why, str(held.known), held.claimed())
-                                 for pair, held in own.hosts.items()},
-                       "seat": own.seat.why, "plan": own.relay.revision.text(), "current": own.relay.current()}
-                for name, own in self.nodes.items() if self.alive(name)} | {"ended": self.ended}
+        return {
+            name: {
+                "pairs": {pair: (held.why, str(held.known), held.claimed()) for pair, held in own.hosts.items()},
+                "seat": own.seat.why,
+                "plan": own.relay.revision.text(),
+                "current": own.relay.current(),
+            }
+            for name, own in self.nodes.items()
+            if self.alive(name)
+        } | {"ended": self.ended}
 
     def alive(self, name: str) -> bool:
         """Whether a node's process runs.
@@ -263,26 +286,39 @@
 
         Example: ``await scene.until(scene.ready, 20, "ready")``
         """
-        return self.formed() and all(name in self.nodes and self.nodes[name].relay.current()
-                                     for name in self.edges if self.alive(name) and name not in self.loop.frozen)
+        return self.formed() and all(
+            name in self.nodes and self.nodes[name].relay.current()
+            for name in self.edges
+            if self.alive(name) and name not in self.loop.frozen
+        )
 
     def caller(self, seed: int) -> caller.Caller:
         """Callers outside the fleet.
 
         Example: ``asking = scene.caller(1)``
         """
-        return caller.Caller(self.mix, tuple(f"{name}:80" for name in self.edges),
-                             wire.SimTransport(self.wire, OUTSIDE), random.Random(self.seed * 1000 + seed))
-
-
-def play(seed: int, story: collections.abc.Callable, size: Size = Size(), name: str = shape.TILLS,
-         weather: wire.Weather = wire.Weather(), more: dict | None = None) -> Scene:
+        return caller.Caller(
+            self.mix,
+            tuple(f"{name}:80" for name in self.edges),
+            wire.SimTransport(self.wire, OUTSIDE),
+            random.Random(self.seed * 1000 + seed),
+        )
+
+
+def play(
+    seed: int,
+    story: collections.abc.Callable,
+    size: Size = Size(),
+    name: str = shape.TILLS,
+    weather: wire.Weather = wire.Weather(),
+    more: dict | None = None,
+) -> SimulatedCluster:
     """Play a story in a fresh simulated world; ``more`` are settings of all nodes that differ from their defaults.
 
     Example: ``play(7, story)``
     """
     folder = pathlib.Path(tempfile.mkdtemp(prefix="aspencroft-"))
-    scene = Scene(seed, size, shape.shape_of(name), weather, folder, more)
+    scene = SimulatedCluster(seed, size, shape.shape_of(name), weather, folder, more)
 
     async def whole() -> None:
         scene.begin_world()
--- a/aspencroft/sim/stops_test.py
+++ b/aspencroft/simulation/stops_test.py
@@ -3,9 +3,9 @@
 import asyncio
 import collections
 
-import aspencroft.program.daemon as daemon
-import aspencroft.seam.steady as steady
-import aspencroft.sim.loop as loop
+from aspencroft.cli import daemon
+from aspencroft.runtime import supervision
+from aspencroft.simulation import loop
 
 
 def test_tasks_that_fail_in_the_moment_of_a_stop_end_and_a_stubborn_one_is_named():
@@ -16,7 +16,7 @@
             raise ValueError("at the same moment")
 
     async def work():
-        async with steady.Group() as group:
+        async with supervision.Group() as group:
             group.create_task(fails())
             group.create_task(fails())
 
@@ -31,7 +31,7 @@
     ended = asyncio.Event()
 
     async def scene():
-        standing = [asyncio.ensure_future(steady.stand("work", work, collections.Counter())) for _ in range(3)]
+        standing = [asyncio.ensure_future(supervision.stand("work", work, collections.Counter())) for _ in range(3)]
         last = asyncio.ensure_future(stubborn())
         await asyncio.wait([last], timeout=0)
         left = await daemon.end([*standing, last])
--- a/aspencroft/sim/surfaces_test.py
+++ b/aspencroft/simulation/surfaces_test.py
@@ -7,33 +7,37 @@
 import types
 import typing
 
-import aspencroft.link.frame as frame
-import aspencroft.link.record as record
-import aspencroft.sim.liar as liar
-import aspencroft.sim.promises as promises
-import aspencroft.sim.scene as scene
-import aspencroft.sim.wire as wire
+from aspencroft.simulation import faulty_list_server, guarantees, simulated_cluster, wire
+from aspencroft.transport import codec, frame
 
 
 def test_no_page_of_the_platform_or_a_back_end_ends_a_process_or_a_standing_task():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one, chance = stage.scene, random.Random(stage.scene.seed)
         sound = dict(one.wire.pages)
         outside = ["platform:80", *(f"{worker.name}:80" for worker in one.world.workers())]
         liars = []
         for address in outside:
             owner, application = sound[address]
-            liars.append(liar.Liar(application, chance, 0.6))
+            liars.append(faulty_list_server.Liar(application, chance, 0.6))
             one.wire.pages[address] = (owner, liars[-1])
         for number in range(60):
             lane = ("shopper", "till-lock", "handset-alert")[number % 3]
             given = f"x calls stock now {number}" if lane == "shopper" else {"name": f"n{number}", "keyed": True}
-            await stage.ask(one.edges[number % 2], lane, given, program=f"p{number}" if lane == "shopper" else "",
-                            operation="" if lane == "shopper" else f"n{number}")
+            await stage.ask(
+                one.edges[number % 2],
+                lane,
+                given,
+                program=f"p{number}" if lane == "shopper" else "",
+                operation="" if lane == "shopper" else f"n{number}",
+            )
             await asyncio.sleep(0.1)
         assert sum(each.lies for each in liars) > 60 and one.ended == [], one.ended
         for name in one.names():
-            assert one.nodes[name].status()["faults"]["standing tasks"] == {}, (name, one.nodes[name].status()["faults"])
+            assert one.nodes[name].status()["faults"]["standing tasks"] == {}, (
+                name,
+                one.nodes[name].status()["faults"],
+            )
         counted = sum(sum(one.nodes[name].status()["faults"]["outside"].values()) for name in one.names())
         assert counted > 20, counted
         for address in outside:
@@ -43,35 +47,84 @@
             noted = await stage.ask(one.edges[number % 2], "shopper", "x", program=f"after-{number}")
             assert noted.ran == "done", noted
         assert any(own.duties.get("residency") and own.duties["residency"].held() for own in one.nodes.values())
+
     for seed in (41, 42):
-        promises.play(seed, acts)
+        guarantees.play(seed, acts)
 
 
 def test_nothing_that_a_caller_or_operator_sends_ends_a_process():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one, client, chance = stage.scene, stage.client, random.Random(stage.scene.seed)
-        ask = {"lane": "shopper", "input": "x", "program": "p", "helper": "", "after": 0, "operation": "o",
-               "most": 5, "budget": 9, "tool": "stock"}
-        write = {"services": {"a": {"kind": "plain", "size": 3, "startup": 1.0}},
-                 "lanes": {"b": {"kind": "turns", "services": ["a"], "deadline": 3, "keep": 3, "budget": 9}},
-                 "routes": {"c": {"lane": "b", "tool": "t", "services": ["a"]}},
-                 "workers": {"w": {"leaving": False}}, "machines": {"storage-9:1": {"emptied": False}}}
-        wrong = [("POST", "/requests", json.dumps({**ask, name: value}).encode())
-                 for name in ask for value in ("\ud800", float("nan"), 10 ** 40, [[]])]
-        wrong += [("PATCH", "/plan", json.dumps({"lanes": {"x": {"kind": "turns", "services": ["clerk"], name: value}}}).encode())
-                  for name in ("deadline", "keep", "budget", "urgency") for value in (float("nan"), float("inf"), -1, 10 ** 40)]
-        wrong += [(method, path, raw) for raw in liar.RAW for method, path in
-                  (("POST", "/requests"), ("PUT", "/plan"), ("PATCH", "/plan"), ("PUT", "/plan/lanes/x"))
-                  if raw not in (b"{}",)]
-        wrong += [("POST", "/requests", liar.odd_bytes(json.dumps(ask).encode(), chance)) for _ in range(60)]
-        wrong += [("PATCH", "/plan", liar.odd_bytes(json.dumps(write).encode(), chance)) for _ in range(60)]
-        wrong += [("GET", path, b"") for path in ("/plan?after=x.y", "/plan?watch=maybe", "/plan?watch=true&after=9",
-                                                  "/observed/x", "/requests/%00", "/plan/lanes/%FF")]
+        ask = {
+            "lane": "shopper",
+            "input": "x",
+            "program": "p",
+            "helper": "",
+            "after": 0,
+            "operation": "o",
+            "most": 5,
+            "budget": 9,
+            "tool": "stock",
+        }
+        write = {
+            "services": {"a": {"kind": "plain", "size": 3, "startup": 1.0}},
+            "lanes": {"b": {"kind": "turns", "services": ["a"], "deadline": 3, "keep": 3, "budget": 9}},
+            "routes": {"c": {"lane": "b", "tool": "t", "services": ["a"]}},
+            "workers": {"w": {"leaving": False}},
+            "machines": {"storage-9:1": {"emptied": False}},
+        }
+        wrong = [
+            ("POST", "/requests", json.dumps({**ask, name: value}).encode())
+            for name in ask
+            for value in ("\ud800", float("nan"), 10**40, [[]])
+        ]
+        wrong += [
+            (
+                "PATCH",
+                "/plan",
+                json.dumps({"lanes": {"x": {"kind": "turns", "services": ["clerk"], name: value}}}).encode(),
+            )
+            for name in ("deadline", "keep", "budget", "urgency")
+            for value in (float("nan"), float("inf"), -1, 10**40)
+        ]
+        wrong += [
+            (method, path, raw)
+            for raw in faulty_list_server.RAW
+            for method, path in (
+                ("POST", "/requests"),
+                ("PUT", "/plan"),
+                ("PATCH", "/plan"),
+                ("PUT", "/plan/lanes/x"),
+            )
+            if raw not in (b"{}",)
+        ]
+        wrong += [
+            ("POST", "/requests", faulty_list_server.odd_bytes(json.dumps(ask).encode(), chance)) for _ in range(60)
+        ]
+        wrong += [
+            ("PATCH", "/plan", faulty_list_server.odd_bytes(json.dumps(write).encode(), chance)) for _ in range(60)
+        ]
+        wrong += [
+            ("GET", path, b"")
+            for path in (
+                "/plan?after=x.y",
+                "/plan?watch=maybe",
+                "/plan?watch=true&after=9",
+                "/observed/x",
+                "/requests/%00",
+                "/plan/lanes/%FF",
+            )
+        ]
         for method, path, raw in wrong:
             response = await client.request(method, f"http://edge-{chance.randrange(2)}{path}", content=raw)
             if response.status_code >= 400:
                 shown = response.json()["error"]
-                assert isinstance(shown["result"], int) and shown["result"] != 1901, (method, path, raw[:200], shown)
+                assert isinstance(shown["result"], int) and shown["result"] != 1901, (
+                    method,
+                    path,
+                    raw[:200],
+                    shown,
+                )
                 assert shown["ran"] in ("not run", "unknown"), shown
             assert one.ended == [], (method, path, raw[:200], one.ended)
         await asyncio.sleep(2)
@@ -79,20 +132,23 @@
         for name in one.names():
             assert one.nodes[name].status()["faults"]["standing tasks"] == {}
         assert (await stage.ask("edge-0", "till-lock", {"name": "k"}, operation="k")).ran == "done"
+
     for seed in (44,):
-        promises.play(seed, acts)
+        guarantees.play(seed, acts)
 
 
 def test_no_record_on_a_link_ends_a_process():
-    async def acts(stage: promises.Stage) -> None:
+    async def acts(stage: guarantees.Stage) -> None:
         one, chance = stage.scene, random.Random(stage.scene.seed)
-        outside = wire.SimNetwork(one.wire, scene.OUTSIDE)
+        outside = wire.SimNetwork(one.wire, simulated_cluster.OUTSIDE)
         for _ in range(250):
-            number = chance.choice(sorted(record.KINDS))
+            number = chance.choice(sorted(codec.KINDS))
             body = bytes(chance.randrange(256) if chance.random() < 0.3 else 0 for _ in range(chance.randrange(90)))
             if chance.random() < 0.6:
-                body = sample_bytes(record.KINDS[number], chance)
-            header = frame.HEADER.pack(len(body), number, frame.VERSION, chance.choice([frame.TELL, frame.ASK]), 1, 0, 0)[:-4]
+                body = sample_bytes(codec.KINDS[number], chance)
+            header = frame.HEADER.pack(
+                len(body), number, frame.VERSION, chance.choice([frame.TELL, frame.ASK]), 1, 0, 0
+            )[:-4]
             channel = await outside.connect(f"{chance.choice(one.names())}:1")
             await channel.write(header + frame.CHECK.pack(frame.checksum(header, body)) + body)
             await asyncio.sleep(0.01)
@@ -101,8 +157,9 @@
         assert one.ended == [], one.ended
         for name in one.names():
             assert one.nodes[name].status()["faults"]["standing tasks"] == {}, name
+
     for seed in (46, 47):
-        promises.play(seed, acts)
+        guarantees.play(seed, acts)
 
 
 def sample_bytes(shape: type, chance: random.Random) -> bytes:
@@ -122,26 +179,26 @@
     """
     origin = typing.get_origin(shape)
     if shape is int:
-        record.write(int, chance.choice([-1, 0, 1, 2, 7, 1 << 40, -(1 << 62)]), into)
+        codec.write(int, chance.choice([-1, 0, 1, 2, 7, 1 << 40, -(1 << 62)]), into)
     elif shape is datetime.timedelta:
-        record.write(int, chance.choice([-1, 0, 500_000, 86_400_000_000]), into)
+        codec.write(int, chance.choice([-1, 0, 500_000, 86_400_000_000]), into)
     elif shape in (str, bytes):
         text = chance.choice(["", "x", "edge-0:1", "core-1:1", "residency", "{", "[]", "merge", "put"])
-        record.write(shape, text if shape is str else text.encode(), into)
+        codec.write(shape, text if shape is str else text.encode(), into)
     elif shape is float:
-        record.write(float, chance.choice([0.0, -1.5, float("nan")]), into)
+        codec.write(float, chance.choice([0.0, -1.5, float("nan")]), into)
     elif shape is bool:
-        record.write(bool, chance.random() < 0.5, into)
+        codec.write(bool, chance.random() < 0.5, into)
     elif origin is tuple:
         count = chance.randrange(3) if depth < 3 else 0
-        into += record.LENGTH.pack(count)
+        into += codec.LENGTH.pack(count)
         for _ in range(count):
             fill(typing.get_args(shape)[0], chance, into, depth + 1)
     elif origin is types.UnionType:
         present = chance.random() < 0.5 and depth < 3
-        into += record.FLAG.pack(present)
+        into += codec.FLAG.pack(present)
         if present:
             fill(typing.get_args(shape)[0], chance, into, depth + 1)
     else:
-        for _, inner in record.shapes(shape):
+        for _, inner in codec.shapes(shape):
             fill(inner, chance, into, depth + 1)
--- a/aspencroft/sim/wire.py
+++ b/aspencroft/simulation/wire.py
@@ -8,7 +8,7 @@
 
 import httpx
 
-import aspencroft.sim.loop as loop
+from aspencroft.simulation import loop
 
 LATENCY = 0.0005
 HANG = 30.0
@@ -206,8 +206,9 @@
         """
         return (source, target) in self.cuts
 
-    def cut(self, left: collections.abc.Iterable[str], right: collections.abc.Iterable[str],
-            one_way: bool = False) -> set[tuple[str, str]]:
+    def cut(
+        self, left: collections.abc.Iterable[str], right: collections.abc.Iterable[str], one_way: bool = False
+    ) -> set[tuple[str, str]]:
         """Cut all ways between two groups, or just those from the left one to the right one; what was cut.
 
         Example: ``wire.cut(["a"], ["b", "c"])``
@@ -277,7 +278,7 @@
 
         Example: ``channel = await network.connect("core-1:1")``
         """
-        target = address.split(":")[0]
+        target = address.split(":", maxsplit=1)[0]
         await asyncio.sleep(self.wire.delay())
         if self.wire.is_cut(self.node, target):
             await asyncio.sleep(HANG)
@@ -368,25 +369,48 @@
         queue: asyncio.Queue = asyncio.Queue()
         hung = asyncio.Event()
         self.wire.trace.append(f"{self.wire.loop.time():.6f} {self.node} asks {address} {request.url.path}")
-        self.wire.loop.create_task(self.answer(application, request, given, queue, owner, hung),
-                                   context=self.wire.loop.context_of(owner))
+        self.wire.loop.create_task(
+            self.answer(application, request, given, queue, owner, hung),
+            context=self.wire.loop.context_of(owner),
+        )
         kind, start = await self.receive(queue, owner, life, "answer")
         if kind == "broken":
             raise httpx.ReadError("the connection is broken")
-        return httpx.Response(start["status"], headers=start["headers"],
-                              stream=Body(self, queue, owner, life, hung), request=request)
-
-    async def answer(self, application, request: httpx.Request, given: bytes, queue: asyncio.Queue, owner: str,
-                     hung: asyncio.Event) -> None:
+        return httpx.Response(
+            start["status"],
+            headers=start["headers"],
+            stream=Body(self, queue, owner, life, hung),
+            request=request,
+        )
+
+    async def answer(
+        self,
+        application,
+        request: httpx.Request,
+        given: bytes,
+        queue: asyncio.Queue,
+        owner: str,
+        hung: asyncio.Event,
+    ) -> None:
         """What the target does with a request.
 
         Example: ``loop.create_task(transport.answer(...), context=context)``
         """
-        scope = {"type": "http", "asgi": {"version": "3.0"}, "http_version": "1.1", "method": request.method,
-                 "headers": [(name.lower(), value) for name, value in request.headers.raw],
-                 "scheme": "http", "path": request.url.path, "raw_path": request.url.raw_path.split(b"?")[0],
-                 "query_string": request.url.query, "server": (request.url.host, request.url.port),
-                 "client": (self.node, 1), "root_path": "", "state": {}}
+        scope = {
+            "type": "http",
+            "asgi": {"version": "3.0"},
+            "http_version": "1.1",
+            "method": request.method,
+            "headers": [(name.lower(), value) for name, value in request.headers.raw],
+            "scheme": "http",
+            "path": request.url.path,
+            "raw_path": request.url.raw_path.split(b"?")[0],
+            "query_string": request.url.query,
+            "server": (request.url.host, request.url.port),
+            "client": (self.node, 1),
+            "root_path": "",
+            "state": {},
+        }
         told = [False]
 
         async def receive():
--- a/aspencroft/disk/store.py
+++ b/aspencroft/storage/store.py
@@ -10,7 +10,7 @@
 import typing
 import zlib
 
-import aspencroft.seam.surroundings as surroundings
+from aspencroft.runtime import environment
 
 HEADER = struct.Struct(">4sQIQ")
 CHECK = struct.Struct(">I")
@@ -81,14 +81,14 @@
 
     Example: ``value_at(value(0, item), 0) == (0, item, OVERHEAD + len(item.payload))``
     """
-    if place + OVERHEAD > len(data) or data[place:place + 4] != MAGIC:
+    if place + OVERHEAD > len(data) or data[place : place + 4] != MAGIC:
         return None
-    header, check = data[place:place + HEADER.size], data[place + HEADER.size:place + OVERHEAD]
+    header, check = data[place : place + HEADER.size], data[place + HEADER.size : place + OVERHEAD]
     _, index, length, epoch = HEADER.unpack(header)
     end = place + OVERHEAD + length
     if end > len(data):
         return None
-    payload = data[place + OVERHEAD:end]
+    payload = data[place + OVERHEAD : end]
     if zlib.crc32(payload, zlib.crc32(header)) != CHECK.unpack(check)[0]:
         return None
     return index, Item(epoch, payload), end
@@ -118,7 +118,7 @@
     inside ``disk.perform``.
     """
 
-    def __init__(self, folder: pathlib.Path, disk: surroundings.Disk, generation: int):
+    def __init__(self, folder: pathlib.Path, disk: environment.Disk, generation: int):
         self.folder = folder
         self.disk = disk
         self.generation = generation
@@ -141,8 +141,7 @@
         if data_file.stat().st_size != found.end:
             os.truncate(data_file, found.end)
             self.disk.synchronise(data_file)
-        index = "".join(f"{format(number, '016x')!r}, {place!r}\n"
-                        for number, place in enumerate(found.places))
+        index = "".join(f"{format(number, '016x')!r}, {place!r}\n" for number, place in enumerate(found.places))
         if not index_file.exists() or index_file.read_text("latin-1", errors="replace") != index:
             fresh = self.home() / "journal.fresh"
             fresh.write_text(index, "latin-1")
@@ -234,7 +233,7 @@
         return
 
 
-def load(folder: pathlib.Path, disk: surroundings.Disk) -> tuple[Store, tuple[Item, ...], Condition]:
+def load(folder: pathlib.Path, disk: environment.Disk) -> tuple[Store, tuple[Item, ...], Condition]:
     """Open the store in a folder; a damaged one is handed back with no items and starts anew.
 
     Example: ``kept, items, condition = await disk.perform(store.load, folder, disk)``
--- a/aspencroft/disk/store_test.py
+++ b/aspencroft/storage/store_test.py
@@ -1,6 +1,6 @@
-"""Tests of ``aspencroft.disk.store``."""
+"""Tests of ``aspencroft.storage.store``."""
 
-import aspencroft.disk.store as store
+from aspencroft.storage import store
 
 
 def test_cut_at_every_byte_keeps_all_whole_items(tmp_path):
@@ -13,9 +13,9 @@
     ends = [place + length for place, length in store.scan(data).places]
     for cut in range(ends[4], ends[6] + 1):
         (home / "journal.dat").write_bytes(data[:cut])
-        (home / "journal.dir").write_bytes(index[:cut % len(index)])
+        (home / "journal.dir").write_bytes(index[: cut % len(index)])
         again, items, _ = store.load(tmp_path / "a", store.Inline())
-        assert items == written[:sum(end <= cut for end in ends)]
+        assert items == written[: sum(end <= cut for end in ends)]
         again.append((store.Item(99, b"after"),))
         assert store.load(tmp_path / "a", store.Inline())[1] == items + (store.Item(99, b"after"),)
 
@@ -41,4 +41,7 @@
     kept.append((store.Item(1, b"old"),))
     kept.replace((store.Item(2, b"picture"),))
     kept.append((store.Item(2, b"tail"),))
-    assert store.load(tmp_path / "a", store.Inline())[1] == (store.Item(2, b"picture"), store.Item(2, b"tail"))
+    assert store.load(tmp_path / "a", store.Inline())[1] == (
+        store.Item(2, b"picture"),
+        store.Item(2, b"tail"),
+    )
--- a/aspencroft/link/record.py
+++ b/aspencroft/transport/codec.py
@@ -27,12 +27,14 @@
 
     Example: ``@record.kind(7)`` above ``@dataclasses.dataclass(frozen=True)``
     """
+
     def register(record_type: type) -> type:
         if number in KINDS:
             raise ValueError(f"kind {number} is taken by {KINDS[number].__name__}")
         KINDS[number] = record_type
         NUMBERS[record_type] = number
         return record_type
+
     return register
 
 
@@ -46,8 +48,7 @@
     """
     if record_type not in SHAPES:
         hints = typing.get_type_hints(record_type)
-        SHAPES[record_type] = tuple((field.name, hints[field.name])
-                                    for field in dataclasses.fields(record_type))
+        SHAPES[record_type] = tuple((field.name, hints[field.name]) for field in dataclasses.fields(record_type))
     return SHAPES[record_type]
 
 
@@ -86,7 +87,7 @@
         """
         text = "\n    ".join([f"def {signature}:", *self.lines])
         exec(compile(text, f"<record {signature}>", "exec"), self.names)
-        return self.names[signature.split("(")[0]]
+        return self.names[signature.split("(", maxsplit=1)[0]]
 
 
 class Writing:
@@ -235,9 +236,12 @@
 
     Example: ``plainly_made(Beat)``
     """
-    return (len(dataclasses.fields(record_type)) > FEW and all(field.init for field in dataclasses.fields(record_type))
-            and not hasattr(record_type, "__post_init__")
-            and all("__slots__" not in vars(one) for one in record_type.__mro__[:-1]))
+    return (
+        len(dataclasses.fields(record_type)) > FEW
+        and all(field.init for field in dataclasses.fields(record_type))
+        and not hasattr(record_type, "__post_init__")
+        and all("__slots__" not in vars(one) for one in record_type.__mro__[:-1])
+    )
 
 
 WRITERS: dict[object, typing.Callable] = {}
--- a/aspencroft/link/record_test.py
+++ b/aspencroft/transport/codec_test.py
@@ -11,7 +11,7 @@
 import pytest
 
 import aspencroft
-import aspencroft.link.record as record
+from aspencroft.transport import codec
 
 
 @dataclasses.dataclass(frozen=True)
@@ -68,28 +68,28 @@
     """
     origin = typing.get_origin(shape)
     if shape is int:
-        into += record.WHOLE.pack(value)
+        into += codec.WHOLE.pack(value)
     elif shape is str:
         data = value.encode()
-        into += record.LENGTH.pack(len(data)) + data
+        into += codec.LENGTH.pack(len(data)) + data
     elif shape is bytes:
-        into += record.LENGTH.pack(len(value)) + value
+        into += codec.LENGTH.pack(len(value)) + value
     elif shape is float:
-        into += record.REAL.pack(value)
+        into += codec.REAL.pack(value)
     elif shape is bool:
-        into += record.FLAG.pack(value)
+        into += codec.FLAG.pack(value)
     elif shape is datetime.timedelta:
-        into += record.WHOLE.pack(value // record.MICROSECOND)
+        into += codec.WHOLE.pack(value // codec.MICROSECOND)
     elif origin is tuple:
-        into += record.LENGTH.pack(len(value))
+        into += codec.LENGTH.pack(len(value))
         for item in value:
             plainly_written(typing.get_args(shape)[0], item, into)
     elif origin is types.UnionType:
-        into += record.FLAG.pack(value is not None)
+        into += codec.FLAG.pack(value is not None)
         if value is not None:
             plainly_written(typing.get_args(shape)[0], value, into)
     else:
-        for name, inner in record.shapes(shape):
+        for name, inner in codec.shapes(shape):
             plainly_written(inner, getattr(value, name), into)
 
 
@@ -116,7 +116,7 @@
         return tuple(by_chance(inner, chance, depth + 1) for _ in range(chance.randrange(3) if depth < 4 else 0))
     if origin is types.UnionType:
         return by_chance(typing.get_args(shape)[0], chance, depth + 1) if chance.random() < 0.5 and depth < 4 else None
-    return shape(**{name: by_chance(inner, chance, depth + 1) for name, inner in record.shapes(shape)})
+    return shape(**{name: by_chance(inner, chance, depth + 1) for name, inner in codec.shapes(shape)})
 
 
 def all_kinds() -> list[type]:
@@ -127,28 +127,28 @@
     for module in pkgutil.walk_packages(aspencroft.__path__, "aspencroft."):
         if not module.name.endswith("_test"):
             importlib.import_module(module.name)
-    return [record.KINDS[number] for number in sorted(record.KINDS)]
+    return [codec.KINDS[number] for number in sorted(codec.KINDS)]
 
 
 def test_every_cut_of_a_record_is_refused():
     value = Sample(-5, "é", (datetime.timedelta(seconds=1.5),), (Sample(1, "", (), (), b"x"),), None)
-    data = record.pack(value)
-    assert record.unpack(Sample, data) == value
+    data = codec.pack(value)
+    assert codec.unpack(Sample, data) == value
     for end in range(len(data)):
-        with pytest.raises(record.Broken):
-            record.unpack(Sample, data[:end])
-    with pytest.raises(record.Broken):
-        record.unpack(Sample, data + b"\0")
+        with pytest.raises(codec.Broken):
+            codec.unpack(Sample, data[:end])
+    with pytest.raises(codec.Broken):
+        codec.unpack(Sample, data + b"\0")
 
 
 def test_every_cut_of_a_wide_record_is_refused():
     chance = random.Random(3)
     for _ in range(20):
         value = by_chance(Wide, chance)
-        data = record.pack(value)
+        data = codec.pack(value)
         for end in sorted(chance.sample(range(len(data)), min(200, len(data)))):
-            with pytest.raises(record.Broken):
-                record.unpack(Wide, data[:end])
+            with pytest.raises(codec.Broken):
+                codec.unpack(Wide, data[:end])
 
 
 def test_compiled_and_plain_encodings_agree_over_random_records():
@@ -157,55 +157,74 @@
         for _ in range(30):
             value, plain = by_chance(record_type, chance), bytearray()
             plainly_written(record_type, value, plain)
-            data = record.pack(value)
+            data = codec.pack(value)
             assert data == bytes(plain), record_type
-            read = record.unpack(record_type, data)
+            read = codec.unpack(record_type, data)
             assert read == value and type(read) is record_type
             assert {field.name: getattr(read, field.name) for field in dataclasses.fields(read)} == {
-                field.name: getattr(value, field.name) for field in dataclasses.fields(value)}
-            assert record.unpack(record_type, bytearray(data)) == value
-            if record_type in record.NUMBERS:
-                assert record.tagged(value) == record.TAG.pack(record.NUMBERS[record_type]) + data
-                assert record.untagged(record.tagged(value)) == value
+                field.name: getattr(value, field.name) for field in dataclasses.fields(value)
+            }
+            assert codec.unpack(record_type, bytearray(data)) == value
+            if record_type in codec.NUMBERS:
+                assert codec.tagged(value) == codec.TAG.pack(codec.NUMBERS[record_type]) + data
+                assert codec.untagged(codec.tagged(value)) == value
             into = bytearray(b"before")
-            record.write(record_type, value, into)
+            codec.write(record_type, value, into)
             assert into == b"before" + data
-            assert record.read(record_type, bytes(into), 6) == (value, len(into))
+            assert codec.read(record_type, bytes(into), 6) == (value, len(into))
 
 
 def test_values_outside_any_record_are_written_alike():
     chance = random.Random(2)
-    for shape in (int, str, bytes, float, bool, datetime.timedelta, tuple[int, ...], tuple[Sample, ...], bytes | None):
+    for shape in (
+        int,
+        str,
+        bytes,
+        float,
+        bool,
+        datetime.timedelta,
+        tuple[int, ...],
+        tuple[Sample, ...],
+        bytes | None,
+    ):
         for _ in range(30):
             value, plain, into = by_chance(shape, chance), bytearray(), bytearray()
             plainly_written(shape, value, plain)
-            record.write(shape, value, into)
+            codec.write(shape, value, into)
             assert into == plain
-            assert record.read(shape, bytes(into), 0) == (value, len(into))
+            assert codec.read(shape, bytes(into), 0) == (value, len(into))
 
 
 def test_a_length_or_count_past_the_end_is_refused_at_once():
     for shape in (str, bytes, tuple[int, ...]):
-        with pytest.raises(record.Broken):
-            record.read(shape, record.LENGTH.pack(1 << 31) + b"x" * 20, 0)
+        with pytest.raises(codec.Broken):
+            codec.read(shape, codec.LENGTH.pack(1 << 31) + b"x" * 20, 0)
 
 
 def test_values_of_a_wrong_type_are_refused_where_they_are_written():
-    for wrong in (dict(number="1"), dict(number=1 << 63), dict(text=b"x"), dict(text="\udc80"), dict(other="x"),
-                  dict(spans=(5,)), dict(inner=(None,)), dict(spans=None)):
+    for wrong in (
+        dict(number="1"),
+        dict(number=1 << 63),
+        dict(text=b"x"),
+        dict(text="\udc80"),
+        dict(other="x"),
+        dict(spans=(5,)),
+        dict(inner=(None,)),
+        dict(spans=None),
+    ):
         value = dataclasses.replace(Sample(1, "", (), (), None), **wrong)
-        with pytest.raises((ValueError, TypeError, AttributeError, record.struct.error)):
-            record.pack(value)
+        with pytest.raises((ValueError, TypeError, AttributeError, codec.struct.error)):
+            codec.pack(value)
 
 
 def test_a_record_that_checks_itself_is_made_by_its_own_hand():
-    assert record.unpack(Checked, record.pack(Checked(3))) == Checked(3)
-    with pytest.raises(record.Broken):
-        record.unpack(Checked, record.WHOLE.pack(-3))
+    assert codec.unpack(Checked, codec.pack(Checked(3))) == Checked(3)
+    with pytest.raises(codec.Broken):
+        codec.unpack(Checked, codec.WHOLE.pack(-3))
 
 
 def test_big_bytes_are_handed_on_not_copied():
     big = bytes(100_000)
     value = Sample(1, "x", (), (Sample(2, "y", (), (), big),), None)
-    assert any(piece is big for piece in record.pieces(value))
-    assert b"".join(record.pieces(value)) == record.pack(value)
+    assert any(piece is big for piece in codec.pieces(value))
+    assert b"".join(codec.pieces(value)) == codec.pack(value)
--- a/aspencroft/link/link.py
+++ b/aspencroft/transport/connections.py
@@ -10,24 +10,21 @@
 
 import logbook
 
-import aspencroft.code.result as result
-import aspencroft.link.frame as frame
-import aspencroft.link.record as record
-import aspencroft.seam.moment as moment
-import aspencroft.seam.steady as steady
-import aspencroft.seam.surroundings as surroundings
+from aspencroft.errors import result
+from aspencroft.runtime import clock, environment, supervision
+from aspencroft.transport import codec, frame
 
 LOG = logbook.Logger("link")
 WAITING = 1024
 SERVED_AT_ONCE = 512
-CONNECT = moment.seconds(1)
-REST = moment.seconds(0.2)
-IDLE = moment.seconds(60)
-PING = moment.seconds(0.7)
-SILENT = moment.seconds(2)
+CONNECT = clock.seconds(1)
+REST = clock.seconds(0.2)
+IDLE = clock.seconds(60)
+PING = clock.seconds(0.7)
+SILENT = clock.seconds(2)
 
 
-@record.kind(2)
+@codec.kind(2)
 @dataclasses.dataclass(frozen=True)
 class Ping:
     """Asks for nothing but a sign of life; answered by itself."""
@@ -56,18 +53,18 @@
         """
         while True:
             try:
-                async with moment.limit(IDLE):
+                async with clock.limit(IDLE):
                     first = await self.outward.get()
             except TimeoutError:
                 if self.outward.empty():
-                    self.link.fellows.pop(self.address, None)
+                    self.link.peers.pop(self.address, None)
                     return
                 continue
             channel = None
             try:
-                async with moment.limit(CONNECT):
-                    channel = await self.link.surroundings.network.connect(self.address)
-                async with steady.Group() as group:
+                async with clock.limit(CONNECT):
+                    channel = await self.link.environment.network.connect(self.address)
+                async with supervision.Group() as group:
                     group.create_task(self.send(channel, first))
                     group.create_task(self.receive(channel))
                     group.create_task(self.watch())
@@ -81,10 +78,10 @@
                 if channel is not None:
                     channel.close()
                 self.fail()
-            steady.heed()
-            await moment.pause(REST)
+            supervision.heed()
+            await clock.sleep(REST)
 
-    async def send(self, channel: surroundings.Channel, first: tuple[int, bytes]) -> None:
+    async def send(self, channel: environment.Channel, first: tuple[int, bytes]) -> None:
         """Write frames as they come.
 
         Example: ``group.create_task(fellow.send(channel, first))``
@@ -93,10 +90,10 @@
         while True:
             await channel.write(data)
             if way == frame.ASK and self.waiting_since is None:
-                self.waiting_since = moment.now()
+                self.waiting_since = clock.now()
             way, data = await self.outward.get()
 
-    async def receive(self, channel: surroundings.Channel) -> None:
+    async def receive(self, channel: environment.Channel) -> None:
         """Match answers with whoever awaits them.
 
         Example: ``group.create_task(fellow.receive(channel))``
@@ -115,10 +112,10 @@
         """
         self.waiting_since = None
         while True:
-            await moment.pause(PING)
+            await clock.sleep(PING)
             if self.waiting_since is None:
                 continue
-            if moment.now() - self.waiting_since > SILENT:
+            if clock.now() - self.waiting_since > SILENT:
                 self.link.counts["silent connections"] += 1
                 raise ConnectionResetError("no answer for long")
             if not self.outward.full():
@@ -133,8 +130,9 @@
             self.outward.get_nowait()
         for waiting in self.awaited.values():
             if not waiting.done():
-                waiting.set_exception(result.Refusal(result.Result.UNREACHABLE, result.Ran.UNKNOWN,
-                                                     self.address))
+                waiting.set_exception(
+                    result.RequestError(result.ResultCode.UNREACHABLE, result.Ran.UNKNOWN, self.address)
+                )
         self.awaited.clear()
 
 
@@ -144,29 +142,29 @@
     Example: ``await link.ask("127.0.0.1:7000", message, moment.seconds(1))``
     """
 
-    def __init__(self, around: surroundings.Surroundings, address: str, server: Server):
-        self.surroundings = around
+    def __init__(self, around: environment.Environment, address: str, server: Server):
+        self.environment = around
         self.address = address
         self.server = server
-        self.fellows: dict[str, Fellow] = {}
+        self.peers: dict[str, Fellow] = {}
         self.numbers = itertools.count(1)
         self.counts: collections.Counter = collections.Counter()
-        self.group: steady.Group | None = None
+        self.group: supervision.Group | None = None
 
     async def run(self, ready: asyncio.Event) -> None:
         """Listen, and serve every connection in a task of its own.
 
         Example: ``group.create_task(link.run(ready))``
         """
-        accepted = await self.surroundings.network.listen(self.address)
-        async with steady.Group() as group:
+        accepted = await self.environment.network.listen(self.address)
+        async with supervision.Group() as group:
             self.group = group
             ready.set()
             while True:
                 channel = await accepted.get()
                 group.create_task(self.serve(channel))
 
-    async def serve(self, channel: surroundings.Channel) -> None:
+    async def serve(self, channel: environment.Channel) -> None:
         """Answer the frames of one accepted connection until it ends.
 
         Who asks numbers the questions upwards: one that comes twice is answered once, lest a conditional
@@ -177,7 +175,7 @@
         places, newest = asyncio.Semaphore(SERVED_AT_ONCE), 0
         answers: asyncio.Queue[bytes] = asyncio.Queue(SERVED_AT_ONCE)
         try:
-            async with steady.Group() as group:
+            async with supervision.Group() as group:
                 group.create_task(self.send_answers(channel, answers))
                 while True:
                     one = await frame.receive(channel)
@@ -199,7 +197,7 @@
         finally:
             channel.close()
 
-    async def send_answers(self, channel: surroundings.Channel, answers: asyncio.Queue) -> None:
+    async def send_answers(self, channel: environment.Channel, answers: asyncio.Queue) -> None:
         """Write a connection's answers in the order in which they come to be.
 
         Example: ``group.create_task(link.send_answers(channel, answers))``
@@ -217,14 +215,14 @@
             reply = one.message if pinged else await self.server.answer(one.message)
             if one.way == frame.ASK:
                 await answers.put(encoded(frame.Frame(frame.ANSWER, one.number, 0, reply)))
-        except result.Refusal as refusal:
+        except result.RequestError as refusal:
             if one.way == frame.ASK:
                 await answers.put(frame.encode(frame.Frame(frame.FAULT, one.number, 0, to_fault(refusal))))
         except Exception as error:
             self.counts["internal faults"] += 1
             LOG.exception("a message could not be answered: {}", type(one.message).__name__)
             if one.way == frame.ASK:
-                refusal = result.Refusal(result.Result.INTERNAL, result.Ran.UNKNOWN, repr(error))
+                refusal = result.RequestError(result.ResultCode.INTERNAL, result.Ran.UNKNOWN, repr(error))
                 await answers.put(frame.encode(frame.Frame(frame.FAULT, one.number, 0, to_fault(refusal))))
         finally:
             places.release()
@@ -235,18 +233,18 @@
         Example: ``link.queue(address, one)``
         """
         data = encoded(one)
-        fellow = self.fellows.get(address)
-        if fellow is None:
+        peer = self.peers.get(address)
+        if peer is None:
             if self.group is None:
-                raise result.Refusal(result.Result.UNREACHABLE, detail="the link is not up")
-            fellow = self.fellows[address] = Fellow(address, self)
-            self.group.create_task(fellow.run())
-        if fellow.outward.full():
+                raise result.RequestError(result.ResultCode.UNREACHABLE, detail="the link is not up")
+            peer = self.peers[address] = Fellow(address, self)
+            self.group.create_task(peer.run())
+        if peer.outward.full():
             self.counts["refused"] += 1
-            raise result.Refusal(result.Result.UNREACHABLE, detail=f"queue to {address} is full")
+            raise result.RequestError(result.ResultCode.UNREACHABLE, detail=f"queue to {address} is full")
         self.counts["frames out"] += 1
-        fellow.outward.put_nowait((one.way, data))
-        return fellow
+        peer.outward.put_nowait((one.way, data))
+        return peer
 
     def tell(self, address: str, message, epoch: int = 0) -> None:
         """Send without awaiting an answer; it may be lost.
@@ -255,7 +253,7 @@
         """
         try:
             self.queue(address, frame.Frame(frame.TELL, 0, epoch, message))
-        except result.Refusal:
+        except result.RequestError:
             self.counts["tells lost"] += 1
 
     async def ask(self, address: str, message, within: datetime.timedelta, epoch: int = 0):
@@ -267,16 +265,17 @@
             return await self.server.answer(message)
         number = next(self.numbers)
         waiting = asyncio.get_running_loop().create_future()
-        fellow = self.queue(address, frame.Frame(frame.ASK, number, epoch, message))
-        fellow.awaited[number] = waiting
+        peer = self.queue(address, frame.Frame(frame.ASK, number, epoch, message))
+        peer.awaited[number] = waiting
         try:
-            async with moment.limit(within):
+            async with clock.limit(within):
                 one = await waiting
         except TimeoutError:
-            raise result.Refusal(result.Result.UNREACHABLE, result.Ran.UNKNOWN,
-                                 f"{address} did not answer in time") from None
+            raise result.RequestError(
+                result.ResultCode.UNREACHABLE, result.Ran.UNKNOWN, f"{address} did not answer in time"
+            ) from None
         finally:
-            fellow.awaited.pop(number, None)
+            peer.awaited.pop(number, None)
         if one.way == frame.FAULT:
             raise from_fault(one.message)
         return one.message
@@ -290,26 +289,31 @@
     try:
         return frame.encode(one)
     except frame.BrokenFrame as error:
-        raise result.Refusal(result.Result.TOO_LARGE, detail=str(error)) from None
+        raise result.RequestError(result.ResultCode.TOO_LARGE, detail=str(error)) from None
     except (ValueError, TypeError, AttributeError, struct.error) as error:
-        raise result.Refusal(result.Result.MALFORMED, detail=f"{type(one.message).__name__}: {error!r}"[:300]) from None
+        raise result.RequestError(
+            result.ResultCode.MALFORMED, detail=f"{type(one.message).__name__}: {error!r}"[:300]
+        ) from None
 
 
-def to_fault(refusal: result.Refusal) -> frame.Fault:
+def to_fault(refusal: result.RequestError) -> frame.Fault:
     """A refusal as a record.
 
     Example: ``from_fault(to_fault(refusal)).result is refusal.result``
     """
     retry = -1 if refusal.retry is None else int(refusal.retry.total_seconds() * 1e6)
-    return frame.Fault(refusal.result.number, refusal.ran.value,
-                       refusal.detail.encode("utf-8", "replace").decode(), retry)
+    return frame.Fault(
+        refusal.result.number, refusal.ran.value, refusal.detail.encode("utf-8", "replace").decode(), retry
+    )
 
 
-def from_fault(fault: frame.Fault) -> result.Refusal:
+def from_fault(fault: frame.Fault) -> result.RequestError:
     """The refusal that a record holds.
 
     Example: ``raise from_fault(message)``
     """
     retry = None if fault.retry < 0 else datetime.timedelta(microseconds=fault.retry)
     known = {ran.value: ran for ran in result.Ran}
-    return result.Refusal(result.by_number(fault.result), known.get(fault.ran, result.Ran.UNKNOWN), fault.detail, retry)
+    return result.RequestError(
+        result.by_number(fault.result), known.get(fault.ran, result.Ran.UNKNOWN), fault.detail, retry
+    )
--- a/aspencroft/link/frame.py
+++ b/aspencroft/transport/frame.py
@@ -4,8 +4,8 @@
 import struct
 import zlib
 
-import aspencroft.link.record as record
-import aspencroft.seam.surroundings as surroundings
+from aspencroft.runtime import environment
+from aspencroft.transport import codec
 
 HEADER = struct.Struct(">IHBBQQI")
 CHECK = struct.Struct(">I")
@@ -36,11 +36,12 @@
 
     Example: ``await channel.write(frame.encode(one))``
     """
-    body = record.pack(frame.message)
+    body = codec.pack(frame.message)
     if len(body) > LARGEST:
         raise BrokenFrame(f"a body of {len(body)} bytes is over the limit")
-    start = HEADER.pack(len(body), record.NUMBERS[type(frame.message)], VERSION, frame.way,
-                        frame.number, frame.epoch, 0)[:-4]
+    start = HEADER.pack(
+        len(body), codec.NUMBERS[type(frame.message)], VERSION, frame.way, frame.number, frame.epoch, 0
+    )[:-4]
     return start + CHECK.pack(checksum(start, body)) + body
 
 
@@ -52,7 +53,7 @@
     return zlib.crc32(body, zlib.crc32(start))
 
 
-async def receive(channel: surroundings.Channel) -> Frame:
+async def receive(channel: environment.Channel) -> Frame:
     """The next frame of a channel; BrokenFrame when the bytes are none.
 
     Example: ``one = await frame.receive(channel)``
@@ -66,12 +67,12 @@
     body = await channel.read(length)
     if checksum(header[:-4], body) != expected:
         raise BrokenFrame("checksum")
-    record_type = record.KINDS.get(kind)
+    record_type = codec.KINDS.get(kind)
     if record_type is None:
         raise BrokenFrame(f"kind {kind}")
     try:
-        return Frame(way, number, epoch, record.unpack(record_type, body))
-    except record.Broken as error:
+        return Frame(way, number, epoch, codec.unpack(record_type, body))
+    except codec.Broken as error:
         raise BrokenFrame(str(error)) from error
 
 
@@ -92,7 +93,7 @@
         return piece
 
 
-@record.kind(1)
+@codec.kind(1)
 @dataclasses.dataclass(frozen=True)
 class Fault:
     """A refusal on the link: result number, whether anything ran, detail, microseconds to wait."""
--- a/aspencroft/worker/adapter.py
+++ b/aspencroft/workers/adapter.py
@@ -8,32 +8,42 @@
 import httpx
 import voluptuous
 
-import aspencroft.code.result as result
-import aspencroft.seam.moment as moment
-import aspencroft.seam.outside as outside
-import aspencroft.seam.surroundings as surroundings
-import aspencroft.worker.worker as worker
-
-CONNECT = moment.seconds(1)
-LIST = moment.seconds(1)
-REPORT = moment.seconds(1)
+from aspencroft.errors import result
+from aspencroft.runtime import clock, environment, json_input
+from aspencroft.workers import worker
+
+CONNECT = clock.seconds(1)
+LIST = clock.seconds(1)
+REPORT = clock.seconds(1)
 LARGEST_LINE = 1 << 20
 LARGEST_PAGE = 8 << 20
 MOST_WORKERS = 4096
-TROUBLES = (httpx.HTTPError, httpx.InvalidURL, httpx.StreamError, TimeoutError, outside.Unsound)
+TROUBLES = (httpx.HTTPError, httpx.InvalidURL, httpx.StreamError, TimeoutError, json_input.Unsound)
 BYTES = voluptuous.All(int, voluptuous.Range(min=0, max=1 << 50))
 TEXT = voluptuous.All(str, voluptuous.Length(min=1, max=300))
-KEPT = voluptuous.Schema({
-    voluptuous.Required("name"): TEXT, voluptuous.Required("size"): BYTES,
-    voluptuous.Optional("tokens", default=0): BYTES, voluptuous.Required("place"): TEXT,
-    voluptuous.Optional("busy", default=0): BYTES}, extra=voluptuous.REMOVE_EXTRA)
-REPORTED = voluptuous.Schema({voluptuous.Required("memory"): BYTES, voluptuous.Required("kept"): list},
-                             extra=voluptuous.REMOVE_EXTRA)
+KEPT = voluptuous.Schema(
+    {
+        voluptuous.Required("name"): TEXT,
+        voluptuous.Required("size"): BYTES,
+        voluptuous.Optional("tokens", default=0): BYTES,
+        voluptuous.Required("place"): TEXT,
+        voluptuous.Optional("busy", default=0): BYTES,
+    },
+    extra=voluptuous.REMOVE_EXTRA,
+)
+REPORTED = voluptuous.Schema(
+    {voluptuous.Required("memory"): BYTES, voluptuous.Required("kept"): list}, extra=voluptuous.REMOVE_EXTRA
+)
 HELD = voluptuous.Schema({voluptuous.Required("held"): [TEXT]}, extra=voluptuous.REMOVE_EXTRA)
-RESTED = voluptuous.Schema({
-    voluptuous.Required("asleep"): bool,
-    voluptuous.Optional("awake_in", default=0): voluptuous.All(voluptuous.Any(int, float), voluptuous.Range(min=0, max=3600)),
-}, extra=voluptuous.REMOVE_EXTRA)
+RESTED = voluptuous.Schema(
+    {
+        voluptuous.Required("asleep"): bool,
+        voluptuous.Optional("awake_in", default=0): voluptuous.All(
+            voluptuous.Any(int, float), voluptuous.Range(min=0, max=3600)
+        ),
+    },
+    extra=voluptuous.REMOVE_EXTRA,
+)
 NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout, httpx.UnsupportedProtocol)
 
 
@@ -115,7 +125,7 @@
     Example: ``Adapter(around, counts).workers("http://127.0.0.1:9000/api/workers")``
     """
 
-    def __init__(self, around: surroundings.Surroundings, faults: collections.Counter):
+    def __init__(self, around: environment.Environment, faults: collections.Counter):
         timeout = httpx.Timeout(10, connect=CONNECT.total_seconds())
         self.client = httpx.AsyncClient(transport=around.transport(), timeout=timeout, trust_env=False)
         self.faults = faults
@@ -127,26 +137,29 @@
         """
         await self.client.aclose()
 
-    async def ask(self, page: str, method: str, url: str, within: datetime.timedelta,
-                  body: dict | None = None) -> tuple[int, object]:
+    async def ask(
+        self, page: str, method: str, url: str, within: datetime.timedelta, body: dict | None = None
+    ) -> tuple[int, object]:
         """Status and JSON of a page, or a Refusal; an answer that is too large or no sound JSON counts as none.
 
         Example: ``status, shown = await adapter.ask("report", "GET", url, REPORT)``
         """
         try:
-            async with moment.limit(within), self.client.stream(method, url, json=body) as response:
+            async with clock.limit(within), self.client.stream(method, url, json=body) as response:
                 parts, size = [], 0
                 async for part in response.aiter_bytes():
                     parts.append(part)
                     size += len(part)
                     if size > LARGEST_PAGE:
-                        raise outside.Unsound(f"over {LARGEST_PAGE} bytes")
+                        raise json_input.Unsound(f"over {LARGEST_PAGE} bytes")
                 if not response.is_success and response.status_code != 409:
-                    raise outside.Unsound(f"HTTP {response.status_code}")
-                return response.status_code, outside.parsed(b"".join(parts))
+                    raise json_input.Unsound(f"HTTP {response.status_code}")
+                return response.status_code, json_input.parsed(b"".join(parts))
         except TROUBLES as error:
             self.faults[page] += 1
-            raise result.Refusal(result.Result.UNREACHABLE, result.Ran.UNKNOWN, f"{url}: {error!r}"[:500]) from None
+            raise result.RequestError(
+                result.ResultCode.UNREACHABLE, result.Ran.UNKNOWN, f"{url}: {error!r}"[:500]
+            ) from None
 
     async def workers(self, url: str) -> tuple[worker.Worker, ...]:
         """The platform's list; a row that cannot be read, or bears a name twice, costs just that row.
@@ -157,7 +170,7 @@
         rows = shown.get("workers") if isinstance(shown, dict) else shown
         if not isinstance(rows, list) or len(rows) > MOST_WORKERS:
             self.faults["list"] += 1
-            raise result.Refusal(result.Result.LIST_BROKEN, detail="no list of workers")
+            raise result.RequestError(result.ResultCode.LIST_BROKEN, detail="no list of workers")
         found: dict[str, worker.Worker] = {}
         for row in rows:
             one = worker.of(row)
@@ -166,7 +179,7 @@
             else:
                 found[one.name] = one
         if rows and not found:
-            raise result.Refusal(result.Result.LIST_BROKEN, detail="no row can be read")
+            raise result.RequestError(result.ResultCode.LIST_BROKEN, detail="no row can be read")
         return tuple(found.values())
 
     async def report(self, target: worker.Worker) -> Report:
@@ -184,7 +197,7 @@
         except voluptuous.Invalid as error:
             why = str(error)
         self.faults["report"] += 1
-        raise result.Refusal(result.Result.WORKER_BROKE, detail=f"report: {why}"[:500])
+        raise result.RequestError(result.ResultCode.WORKER_BROKE, detail=f"report: {why}"[:500])
 
     async def order(self, target: worker.Worker, order: Order) -> tuple[str, ...]:
         """Send an order; the names that the worker holds or is loading once it took the order.
@@ -193,12 +206,14 @@
         """
         status, shown = await self.ask("order", "POST", f"{target.url}/api/orders", REPORT, dataclasses.asdict(order))
         if status == 409:
-            raise result.Refusal(result.Result.LOWER_EPOCH, detail=str(shown)[:200])
+            raise result.RequestError(result.ResultCode.LOWER_EPOCH, detail=str(shown)[:200])
         try:
             return tuple(HELD(shown)["held"])
         except voluptuous.Invalid as error:
             self.faults["order"] += 1
-            raise result.Refusal(result.Result.WORKER_BROKE, result.Ran.UNKNOWN, f"order: {error}"[:500]) from None
+            raise result.RequestError(
+                result.ResultCode.WORKER_BROKE, result.Ran.UNKNOWN, f"order: {error}"[:500]
+            ) from None
 
     async def rest(self, target: worker.Worker, asleep: bool) -> datetime.timedelta:
         """Put a worker's machine to rest, or wake it; how long it will be until it can serve.
@@ -211,12 +226,12 @@
         try:
             full = RESTED(shown)
             if status == 200 and full["asleep"] is asleep:
-                return moment.seconds(full["awake_in"])
+                return clock.seconds(full["awake_in"])
             why = f"HTTP {status}, {full}"
         except voluptuous.Invalid as error:
             why = str(error)
         self.faults["rest"] += 1
-        raise result.Refusal(result.Result.WORKER_BROKE, result.Ran.UNKNOWN, f"rest: {why}"[:500])
+        raise result.RequestError(result.ResultCode.WORKER_BROKE, result.Ran.UNKNOWN, f"rest: {why}"[:500])
 
     async def run(self, target: worker.Worker, work: Work) -> collections.abc.AsyncIterator[Piece | End]:
         """Send work once and hand on what comes back; a Refusal says whether it ran.
@@ -227,37 +242,50 @@
         """
         if target.kind == worker.MODEL:
             path = "/api/generate"
-            body = {"request": work.go, "model": work.service, "program": work.program, "helper": work.helper,
-                    "turn": work.turn, "history": [list(one) for one in work.past], "input": work.input,
-                    "max_output": work.most, "within": work.within.total_seconds()}
+            body = {
+                "request": work.go,
+                "model": work.service,
+                "program": work.program,
+                "helper": work.helper,
+                "turn": work.turn,
+                "history": [list(one) for one in work.past],
+                "input": work.input,
+                "max_output": work.most,
+                "within": work.within.total_seconds(),
+            }
         else:
             path = "/api/run"
-            body = {"request": work.go, "service": work.service, "input": work.input,
-                    "within": work.within.total_seconds()}
+            body = {
+                "request": work.go,
+                "service": work.service,
+                "input": work.input,
+                "within": work.within.total_seconds(),
+            }
         try:
             request = self.client.build_request("POST", target.url + path, json=body)
         except (httpx.InvalidURL, ValueError) as error:
-            raise result.Refusal(result.Result.UNREACHABLE, result.Ran.NOT_RUN, repr(error)) from None
+            raise result.RequestError(result.ResultCode.UNREACHABLE, result.Ran.NOT_RUN, repr(error)) from None
         try:
             response = await self.client.send(request, stream=True)
         except NOT_SENT as error:
-            raise result.Refusal(result.Result.UNREACHABLE, result.Ran.NOT_RUN, repr(error)) from None
+            raise result.RequestError(result.ResultCode.UNREACHABLE, result.Ran.NOT_RUN, repr(error)) from None
         except httpx.HTTPError as error:
-            raise result.Refusal(result.Result.WORKER_LOST, result.Ran.UNKNOWN, repr(error)) from None
+            raise result.RequestError(result.ResultCode.WORKER_LOST, result.Ran.UNKNOWN, repr(error)) from None
         try:
             async for one in self.read_answer(response, target, work):
                 yield one
         except (httpx.HTTPError, httpx.StreamError) as error:
-            raise result.Refusal(result.Result.WORKER_LOST, result.Ran.UNKNOWN, repr(error)) from None
-        except result.Refusal as refusal:
-            if refusal.result is result.Result.WORKER_BROKE:
+            raise result.RequestError(result.ResultCode.WORKER_LOST, result.Ran.UNKNOWN, repr(error)) from None
+        except result.RequestError as refusal:
+            if refusal.result is result.ResultCode.WORKER_BROKE:
                 self.faults["answer"] += 1
             raise
         finally:
             await response.aclose()
 
-    async def read_answer(self, response: httpx.Response, target: worker.Worker,
-                          work: Work) -> collections.abc.AsyncIterator[Piece | End]:
+    async def read_answer(
+        self, response: httpx.Response, target: worker.Worker, work: Work
+    ) -> collections.abc.AsyncIterator[Piece | End]:
         """Pieces and end of an answer, or a Refusal that says whether the work ran.
 
         Example: ``async for one in adapter.read_answer(response, target, work): ...``
@@ -265,39 +293,54 @@
         if response.status_code != 200:
             shown = parsed(await whole(response))
             if shown.get("put_back") is True:
-                raise result.Refusal(result.Result.PUT_BACK, result.Ran.NOT_RUN, target.name)
-            raise result.Refusal(result.Result.WORKER_REFUSED, result.Ran.UNKNOWN,
-                                 f"{target.name}: HTTP {response.status_code}")
+                raise result.RequestError(result.ResultCode.PUT_BACK, result.Ran.NOT_RUN, target.name)
+            raise result.RequestError(
+                result.ResultCode.WORKER_REFUSED,
+                result.Ran.UNKNOWN,
+                f"{target.name}: HTTP {response.status_code}",
+            )
         if target.kind == worker.PLAIN:
             shown = parsed(await whole(response))
             if shown.get("request") != work.go or shown.get("done") is not True:
-                raise result.Refusal(result.Result.WORKER_BROKE, result.Ran.UNKNOWN, target.name)
+                raise result.RequestError(result.ResultCode.WORKER_BROKE, result.Ran.UNKNOWN, target.name)
             yield End(0, 0, shown.get("answer"))
             return
         count, used, ended = 0, 0, False
         async for line in lines(response):
             shown = parsed(line)
             if shown.get("put_back") is True and count == 0 and not ended:
-                raise result.Refusal(result.Result.PUT_BACK, result.Ran.NOT_RUN, target.name)
+                raise result.RequestError(result.ResultCode.PUT_BACK, result.Ran.NOT_RUN, target.name)
             if ended or shown.get("request") != work.go:
-                raise result.Refusal(result.Result.WORKER_BROKE, result.Ran.UNKNOWN, "an answer of another request")
+                raise result.RequestError(
+                    result.ResultCode.WORKER_BROKE, result.Ran.UNKNOWN, "an answer of another request"
+                )
             if shown.get("end") is True:
                 if shown.get("pieces") != count:
-                    raise result.Refusal(result.Result.WORKER_BROKE, result.Ran.UNKNOWN, "pieces are missing")
+                    raise result.RequestError(result.ResultCode.WORKER_BROKE, result.Ran.UNKNOWN, "pieces are missing")
                 ended = True
                 yield End(count, used, None)
                 continue
             tokens = shown.get("tokens")
-            if (shown.get("piece") != count or not isinstance(shown.get("text"), str)
-                    or type(tokens) is not int or tokens < 0):
-                raise result.Refusal(result.Result.WORKER_BROKE, result.Ran.UNKNOWN, f"piece {count} is unclear")
+            if (
+                shown.get("piece") != count
+                or not isinstance(shown.get("text"), str)
+                or type(tokens) is not int
+                or tokens < 0
+            ):
+                raise result.RequestError(
+                    result.ResultCode.WORKER_BROKE, result.Ran.UNKNOWN, f"piece {count} is unclear"
+                )
             used += tokens
             if used > work.most:
-                raise result.Refusal(result.Result.WORKER_BROKE, result.Ran.UNKNOWN, "more output than allowed")
+                raise result.RequestError(
+                    result.ResultCode.WORKER_BROKE, result.Ran.UNKNOWN, "more output than allowed"
+                )
             yield Piece(count, shown["text"], tokens)
             count += 1
         if not ended:
-            raise result.Refusal(result.Result.WORKER_LOST, result.Ran.UNKNOWN, "the stream ended without its end")
+            raise result.RequestError(
+                result.ResultCode.WORKER_LOST, result.Ran.UNKNOWN, "the stream ended without its end"
+            )
 
 
 def parsed(data: bytes) -> dict:
@@ -306,8 +349,8 @@
     Example: ``parsed(b"{") == {}``
     """
     try:
-        shown = outside.parsed(data)
-    except outside.Unsound:
+        shown = json_input.parsed(data)
+    except json_input.Unsound:
         return {}
     return shown if isinstance(shown, dict) else {}
 
@@ -321,7 +364,7 @@
     async for part in response.aiter_bytes():
         held += part
         if len(held) > LARGEST_LINE:
-            raise result.Refusal(result.Result.WORKER_BROKE, result.Ran.UNKNOWN, "the answer is too large")
+            raise result.RequestError(result.ResultCode.WORKER_BROKE, result.Ran.UNKNOWN, "the answer is too large")
     return held
 
 
@@ -337,6 +380,6 @@
         for line in full:
             yield line
         if len(held) > LARGEST_LINE:
-            raise result.Refusal(result.Result.WORKER_BROKE, result.Ran.UNKNOWN, "a line is too large")
+            raise result.RequestError(result.ResultCode.WORKER_BROKE, result.Ran.UNKNOWN, "a line is too large")
     if held:
         yield held
--- a/aspencroft/worker/adapter_test.py
+++ b/aspencroft/workers/adapter_test.py
@@ -1,4 +1,4 @@
-"""Tests of ``aspencroft.worker.adapter``."""
+"""Tests of ``aspencroft.workers.adapter``."""
 
 import asyncio
 import collections
@@ -7,26 +7,36 @@
 
 import httpx
 
-import aspencroft.code.result as result
-import aspencroft.seam.moment as moment
-import aspencroft.seam.surroundings as surroundings
-import aspencroft.worker.adapter as adapter
-import aspencroft.worker.worker as worker
+from aspencroft.errors import result
+from aspencroft.runtime import clock, environment
+from aspencroft.workers import adapter, worker
 
 
 def test_a_stream_that_is_cut_doubled_or_mixed_never_looks_complete():
-    work = adapter.Work("id", "m", "p", "", 1, (), "x", 50, moment.seconds(5))
+    work = adapter.Work("id", "m", "p", "", 1, (), "x", 50, clock.seconds(5))
     target = worker.Worker("w", "http://w:80", worker.MODEL, ("m",), False, 1, 8)
     rows = [{"request": "id", "piece": number, "text": f"t{number}", "tokens": 1} for number in range(4)]
     rows.append({"request": "id", "end": True, "pieces": 4})
-    wrong = [rows[:cut] for cut in range(len(rows))] + [rows[:place] + rows[place + 1:] for place in range(4)]
-    wrong += [[rows[0], *rows], [*rows, rows[4]], [*rows, rows[0]], [{**rows[0], "request": "other"}, *rows[1:]],
-              [*rows[:4], {**rows[4], "pieces": 3}], [{**rows[0], "tokens": 51}, *rows[1:]], [rows[1], rows[0], *rows[2:]]]
+    wrong = [rows[:cut] for cut in range(len(rows))] + [rows[:place] + rows[place + 1 :] for place in range(4)]
+    wrong += [
+        [rows[0], *rows],
+        [*rows, rows[4]],
+        [*rows, rows[0]],
+        [{**rows[0], "request": "other"}, *rows[1:]],
+        [*rows[:4], {**rows[4], "pieces": 3}],
+        [{**rows[0], "tokens": 51}, *rows[1:]],
+        [rows[1], rows[0], *rows[2:]],
+    ]
 
     async def read(shown: list[dict]) -> list:
         body = b"".join(json.dumps(row).encode() + b"\n" for row in shown)
-        around = surroundings.Surroundings(None, None, lambda: httpx.MockTransport(
-            lambda request: httpx.Response(200, content=body)), None, None)
+        around = environment.Environment(
+            None,
+            None,
+            lambda: httpx.MockTransport(lambda request: httpx.Response(200, content=body)),
+            None,
+            None,
+        )
         return [event async for event in adapter.Adapter(around, collections.Counter()).run(target, work)]
 
     async def scene():
@@ -34,7 +44,7 @@
         for shown in wrong:
             try:
                 await read(shown)
-            except result.Refusal as refusal:
+            except result.RequestError as refusal:
                 assert refusal.ran is result.Ran.UNKNOWN, shown
                 continue
             raise AssertionError(shown)
--- a/aspencroft/worker/list_reader.py
+++ b/aspencroft/workers/list_reader.py
@@ -6,26 +6,23 @@
 
 import logbook
 
-import aspencroft.code.result as result
-import aspencroft.duty.duty as duty
-import aspencroft.forward.instance as instance
-import aspencroft.forward.instances as instances
-import aspencroft.node.node as node
-import aspencroft.node.settings as settings
-import aspencroft.plan.control as control
-import aspencroft.relay.news as news
-import aspencroft.seam.moment as moment
-import aspencroft.seam.steady as steady
+from aspencroft.configuration import control_state
+from aspencroft.distribution import updates
+from aspencroft.errors import result
+from aspencroft.leadership import duty
+from aspencroft.node import node, settings
+from aspencroft.proxy import instance, instances
+from aspencroft.runtime import clock, supervision
 
 LOG = logbook.Logger("workers")
 TOPIC, READ = "workers", "workers read"
-PERIOD = moment.seconds(0.6)
-CALM_PERIOD = moment.seconds(1)
-CALM = moment.seconds(4)
-BEAT = moment.seconds(1.2)
-MOST_PAUSE = moment.seconds(5)
-STALE = moment.seconds(2.5)
-FIRST = moment.seconds(0.2)
+PERIOD = clock.seconds(0.6)
+CALM_PERIOD = clock.seconds(1)
+CALM = clock.seconds(4)
+BEAT = clock.seconds(1.2)
+MOST_PAUSE = clock.seconds(5)
+STALE = clock.seconds(2.5)
+FIRST = clock.seconds(0.2)
 RATE = 20.0
 SHARE = 0.5
 EPOCH_UNIT = 1 << 32
@@ -38,8 +35,22 @@
 
     Example: ``heard(told(found)) == found``
     """
-    return json.dumps([[one.name, one.address, one.service, one.zone, one.version, one.slots, int(one.draining),
-                        round(one.cold.total_seconds() * 1000)] for one in found], separators=(",", ":"))
+    return json.dumps(
+        [
+            [
+                one.name,
+                one.address,
+                one.service,
+                one.zone,
+                one.version,
+                one.slots,
+                int(one.draining),
+                round(one.cold.total_seconds() * 1000),
+            ]
+            for one in found
+        ],
+        separators=(",", ":"),
+    )
 
 
 def heard(body: str) -> list[instance.Instance]:
@@ -47,8 +58,10 @@
 
     Example: ``heard("[]") == []``
     """
-    return [instance.Instance(name, address, service, zone, version, slots, bool(draining), moment.seconds(cold / 1000))
-            for name, address, service, zone, version, slots, draining, cold in json.loads(body)]
+    return [
+        instance.Instance(name, address, service, zone, version, slots, bool(draining), clock.seconds(cold / 1000))
+        for name, address, service, zone, version, slots, draining, cold in json.loads(body)
+    ]
 
 
 def matter(found: collections.abc.Iterable[instance.Instance]) -> frozenset:
@@ -56,8 +69,19 @@
 
     Example: ``matter(before) != matter(after)``
     """
-    return frozenset((one.name, one.address, one.service, one.zone, one.version, one.slots, one.draining, one.cold > moment.ZERO)
-                     for one in found)
+    return frozenset(
+        (
+            one.name,
+            one.address,
+            one.service,
+            one.zone,
+            one.version,
+            one.slots,
+            one.draining,
+            one.cold > clock.ZERO,
+        )
+        for one in found
+    )
 
 
 class ListReader:
@@ -69,19 +93,25 @@
     Example: ``group.create_task(ListReader(own, lambda: instance_list.read(pool, address)).run())``
     """
 
-    def __init__(self, own: node.Node, lister: Lister, period: datetime.timedelta = PERIOD,
-                 calm_period: datetime.timedelta = CALM_PERIOD):
+    def __init__(
+        self,
+        own: node.Node,
+        lister: Lister,
+        period: datetime.timedelta = PERIOD,
+        calm_period: datetime.timedelta = CALM_PERIOD,
+    ):
         self.node = own
         self.lister = lister
         self.period = period
         self.calm_period = max(period, calm_period)
-        self.duty = duty.Duty("workers", own.address, own.incarnation, lambda: own.ring.fellows, own.submit,
-                              settings.CORE)
+        self.duty = duty.Duty(
+            "workers", own.address, own.incarnation, lambda: own.ring.peers, own.submit, settings.CORE
+        )
         own.duties["workers"] = self.duty
         self.shown: frozenset | None = None
-        self.changed = moment.ZERO
-        self.revision = control.NEVER
-        self.beaten = moment.ZERO
+        self.changed = clock.ZERO
+        self.revision = control_state.NEVER
+        self.beaten = clock.ZERO
         self.refused = 0
         self.counts = {"list reads": 0, "list refusals": 0, "list changes": 0}
 
@@ -90,9 +120,9 @@
 
         Example: ``group.create_task(reader.run())``
         """
-        async with steady.Group() as group:
-            group.create_task(steady.stand("workers duty", self.duty.run, self.node.standing))
-            group.create_task(steady.stand("workers list", self.work, self.node.standing))
+        async with supervision.Group() as group:
+            group.create_task(supervision.stand("workers duty", self.duty.run, self.node.standing))
+            group.create_task(supervision.stand("workers list", self.work, self.node.standing))
 
     async def work(self) -> None:
         """Read while the duty is held; how long until the next read depends on what was found.
@@ -100,13 +130,13 @@
         Example: ``group.create_task(reader.work())``
         """
         while True:
-            began = moment.now()
+            began = clock.now()
             if not self.duty.held():
                 self.shown = None
-                await moment.pause(self.period / 4)
+                await clock.sleep(self.period / 4)
                 continue
             await self.step(began)
-            await moment.pause(self.wait() - (moment.now() - began))
+            await clock.sleep(self.wait() - (clock.now() - began))
 
     def wait(self) -> datetime.timedelta:
         """The time from one read to the next.
@@ -115,7 +145,7 @@
         """
         if self.refused:
             return min(MOST_PAUSE, self.period * 2 ** min(self.refused, 8))
-        return self.calm_period if moment.now() - self.changed > CALM else self.period
+        return self.calm_period if clock.now() - self.changed > CALM else self.period
 
     async def step(self, now: datetime.timedelta) -> None:
         """Read once, and tell what is to be told.
@@ -125,7 +155,7 @@
         self.counts["list reads"] += 1
         try:
             found = await self.lister()
-        except result.Refusal as refusal:
+        except result.RequestError as refusal:
             self.refused += 1
             self.counts["list refusals"] += 1
             LOG.info("{}", refusal)
@@ -138,11 +168,11 @@
                 return
             self.revision, self.shown, self.changed = told_now, shown, now
             self.counts["list changes"] += 1
-            self.beaten = moment.ZERO
+            self.beaten = clock.ZERO
         if now - self.beaten >= BEAT and await self.publish(READ, json.dumps([self.revision.text()])) is not None:
             self.beaten = now
 
-    async def publish(self, topic: str, body: str) -> control.Revision | None:
+    async def publish(self, topic: str, body: str) -> control_state.Revision | None:
         """Give a topic's new state to the root of the relay tree; its revision if the root took it.
 
         Example: ``await reader.publish("workers", "[]")``
@@ -152,10 +182,10 @@
             return None
         known = self.node.relay.topics.get(topic)
         number = max(self.duty.epoch * EPOCH_UNIT, known.revision.number if known else 0, self.revision.number) + 1
-        one = news.News(topic, control.Revision(self.duty.epoch, number), None, body)
+        one = updates.News(topic, control_state.Revision(self.duty.epoch, number), None, body)
         try:
-            await self.node.link.ask(holders.primary.address, news.Publish(one), moment.seconds(1))
-        except result.Refusal as refusal:
+            await self.node.link.ask(holders.primary.address, updates.Publish(one), clock.seconds(1))
+        except result.RequestError as refusal:
             LOG.info("publishing {}: {}", topic, refusal)
             return None
         return one.revision
@@ -174,9 +204,9 @@
         self.instances = known
         self.lister = lister
         self.rate = rate
-        self.taken: news.News | None = None
-        self.counted: news.News | None = None
-        self.next_read = moment.ZERO
+        self.taken: updates.News | None = None
+        self.counted: updates.News | None = None
+        self.next_read = clock.ZERO
         self.refused = 0
         self.counts = {"own list reads": 0}
 
@@ -186,10 +216,10 @@
         Example: ``group.create_task(watch.run())``
         """
         await self.begin()
-        async with steady.Group() as group:
-            group.create_task(steady.stand("workers follow", lambda: self.follow(TOPIC), self.node.standing))
-            group.create_task(steady.stand("workers beat", lambda: self.follow(READ), self.node.standing))
-            group.create_task(steady.stand("workers fallback", self.fall_back, self.node.standing))
+        async with supervision.Group() as group:
+            group.create_task(supervision.stand("workers follow", lambda: self.follow(TOPIC), self.node.standing))
+            group.create_task(supervision.stand("workers beat", lambda: self.follow(READ), self.node.standing))
+            group.create_task(supervision.stand("workers fallback", self.fall_back, self.node.standing))
 
     async def begin(self) -> None:
         """Wait for the plan, and a moment more for the list, which comes with it when some node reads it already.
@@ -198,10 +228,10 @@
 
         Example: ``await watch.begin()``
         """
-        limit = moment.now() + STALE
-        while not self.node.relay.current() and moment.now() < limit:
-            await moment.pause(FIRST / 8)
-        self.next_read = moment.now() + FIRST * (1 + self.node.surroundings.randomness.random())
+        limit = clock.now() + STALE
+        while not self.node.relay.current() and clock.now() < limit:
+            await clock.sleep(FIRST / 8)
+        self.next_read = clock.now() + FIRST * (1 + self.node.environment.randomness.random())
 
     async def follow(self, topic: str) -> None:
         """Take what the relay tree brings of a topic, each time that it changes.
@@ -217,7 +247,7 @@
 
         Example: ``watch.take()``
         """
-        now = moment.now()
+        now = clock.now()
         held, beat = self.node.relay.topics.get(TOPIC), self.node.relay.topics.get(READ)
         if held is not None and held is not self.taken:
             self.taken = held
@@ -233,8 +263,8 @@
         Example: ``group.create_task(watch.fall_back())``
         """
         while True:
-            await moment.pause(PERIOD / 2 if self.instances.listed else FIRST / 2)
-            age, now = self.instances.age(), moment.now()
+            await clock.sleep(PERIOD / 2 if self.instances.listed else FIRST / 2)
+            age, now = self.instances.age(), clock.now()
             if now < self.next_read or (age is not None and age < STALE):
                 continue
             nodes = max(1, len(self.node.ring.live()))
@@ -243,9 +273,9 @@
                 found = await self.lister()
                 self.refused = 0
                 self.instances.take(found, now)
-            except result.Refusal as refusal:
+            except result.RequestError as refusal:
                 self.refused += 1
                 LOG.info("{}", refusal)
-            span = max(CALM_PERIOD, moment.seconds(nodes / (self.rate * SHARE)))
-            span *= self.node.surroundings.randomness.uniform(0.7, 1.3) * 2 ** min(self.refused, 3)
-            self.next_read = moment.now() + span
+            span = max(CALM_PERIOD, clock.seconds(nodes / (self.rate * SHARE)))
+            span *= self.node.environment.randomness.uniform(0.7, 1.3) * 2 ** min(self.refused, 3)
+            self.next_read = clock.now() + span
--- a/aspencroft/worker/list_reader_test.py
+++ b/aspencroft/workers/list_reader_test.py
@@ -3,13 +3,12 @@
 import asyncio
 import collections.abc
 
-import aspencroft.code.result as result
-import aspencroft.forward.instance as instance
-import aspencroft.forward.instances as instances
-import aspencroft.plan.control as control
-import aspencroft.seam.moment as moment
-import aspencroft.sim.scene as scene
-import aspencroft.worker.list_reader as list_reader
+from aspencroft.configuration import control_state
+from aspencroft.errors import result
+from aspencroft.proxy import instance, instances
+from aspencroft.runtime import clock
+from aspencroft.simulation import simulated_cluster
+from aspencroft.workers import list_reader
 
 
 def worker(name: str, draining: bool = False, cold: float = 0.0) -> instance.Instance:
@@ -17,13 +16,13 @@
 
     Example: ``worker("i-1", draining=True)``
     """
-    return instance.Instance(name, f"{name}:80", "chat", "north", "v1", 8, draining, moment.seconds(cold))
+    return instance.Instance(name, f"{name}:80", "chat", "north", "v1", 8, draining, clock.seconds(cold))
 
 
 class Platform:
     """A platform that counts who reads its list, and the readers and watchers of a scene's nodes."""
 
-    def __init__(self, one: scene.Scene):
+    def __init__(self, one: simulated_cluster.SimulatedCluster):
         self.scene = one
         self.listed: dict[str, instance.Instance] = {"a": worker("a"), "b": worker("b")}
         self.reads: list[tuple[float, str]] = []
@@ -36,12 +35,14 @@
 
         Example: ``await platform.lister("core-0")()``
         """
+
         async def read() -> list[instance.Instance]:
             self.reads.append((self.scene.loop.time(), name))
             await asyncio.sleep(0.02)
             if self.refuses:
-                raise result.Refusal(result.Result.OVERLOADED)
+                raise result.RequestError(result.ResultCode.OVERLOADED)
             return list(self.listed.values())
+
         return read
 
     def attach(self, name: str) -> None:
@@ -83,7 +84,8 @@
 
     Example: ``play(1, acts)`` where ``acts(platform)`` is a coroutine function
     """
-    async def story(one: scene.Scene) -> None:
+
+    async def story(one: simulated_cluster.SimulatedCluster) -> None:
         await one.until(one.formed, 30, "formed")
         platform = Platform(one)
         for name in [*one.cores, *one.edges]:
@@ -92,7 +94,7 @@
         await acts(platform)
         assert not one.ended and not one.loop.exceptions, (one.ended, one.loop.exceptions)
 
-    scene.play(seed, story)
+    simulated_cluster.play(seed, story)
 
 
 def test_the_wire_form_of_the_list_keeps_it():
@@ -126,6 +128,7 @@
         gaps = [late - early for (early, _), (late, _) in zip(platform.reads, platform.reads[1:])]
         assert max(gaps) < 0.65, "after a change it is read more often"
         assert began < platform.scene.loop.time()
+
     play(3, acts)
 
 
@@ -148,6 +151,7 @@
         await platform.everywhere("", 2)
         await asyncio.sleep(4)
         assert {name for _, name in platform.reads} == {platform.holder()}
+
     play(5, acts)
 
 
@@ -158,6 +162,7 @@
         platform.listed["b"] = worker("b", True)
         assert await platform.everywhere("a", 6) < 4
         await platform.scene.until(lambda: platform.holder() not in ("", holder), 15, "another holder")
+
     play(6, acts)
 
 
@@ -174,6 +179,7 @@
         platform.refuses = False
         platform.listed["c"] = worker("c")
         assert await platform.everywhere("abc", 9) < 9
+
     play(7, acts)
 
 
@@ -183,8 +189,11 @@
         platform.scene.loop.freeze(holder)
         platform.listed["b"] = worker("b", True)
         await platform.everywhere("a", 6)
-        await platform.scene.until(lambda: any(one.duty.held() for name, one in platform.readers.items() if name != holder),
-                                   15, "another holder")
+        await platform.scene.until(
+            lambda: any(one.duty.held() for name, one in platform.readers.items() if name != holder),
+            15,
+            "another holder",
+        )
         platform.listed["c"] = worker("c")
         await platform.everywhere("ac", 4)
         platform.scene.loop.thaw(holder)
@@ -192,6 +201,7 @@
         while platform.scene.loop.time() < ended:
             assert set(platform.known()) == {frozenset("ac")}
             await asyncio.sleep(0.05)
+
     play(11, acts)
 
 
@@ -200,25 +210,32 @@
         platform.scene.kill("edge-0")
         await asyncio.sleep(1)
         platform.scene.start("edge-0")
-        await platform.scene.until(lambda: "edge-0" in platform.scene.nodes and platform.scene.nodes["edge-0"].started.is_set(),
-                                   10, "started")
+        await platform.scene.until(
+            lambda: "edge-0" in platform.scene.nodes and platform.scene.nodes["edge-0"].started.is_set(),
+            10,
+            "started",
+        )
         platform.reads.clear()
         platform.attach("edge-0")
         assert await platform.everywhere("ab", 4) < 3
         assert not [name for _, name in platform.reads if name == "edge-0"]
+
     play(13, acts)
 
 
 def test_edges_that_begin_before_any_reader_read_once_each_as_soon_as_they_have_the_plan():
-    async def story(one: scene.Scene) -> None:
+    async def story(one: simulated_cluster.SimulatedCluster) -> None:
         await one.until(one.formed, 30, "formed")
-        write = control.WritePlan("merge", "", "", '{"services": {"a": {"kind": "plain"}}}', None)
+        write = control_state.WritePlan("merge", "", "", '{"services": {"a": {"kind": "plain"}}}', None)
         await one.loop.create_task(one.nodes["core-0"].write_plan(write), context=one.loop.context_of("core-0"))
         await one.until(one.ready, 30, "ready")
         platform = Platform(one)
         for name in one.edges:
             platform.attach(name)
-        assert await platform.everywhere("ab", 2) < 0.6, "nobody does the duty, and an edge cannot serve without the list"
+        assert await platform.everywhere("ab", 2) < 0.6, (
+            "nobody does the duty, and an edge cannot serve without the list"
+        )
         await asyncio.sleep(0.5)
         assert sorted(name for _, name in platform.reads) == sorted(one.edges)
-    scene.play(17, story)
+
+    simulated_cluster.play(17, story)
--- a/aspencroft/worker/pool.py
+++ b/aspencroft/workers/pool.py
@@ -7,19 +7,18 @@
 import datetime
 import re
 
-import aspencroft.code.result as result
-import aspencroft.forward.call as call
-import aspencroft.seam.moment as moment
-import aspencroft.seam.surroundings as surroundings
-
-CONNECT = moment.seconds(0.5)
-SILENCE = moment.seconds(4)
-SWEEP = moment.seconds(0.25)
-IDLE = moment.seconds(4)
-MARGIN = moment.seconds(1)
+from aspencroft.errors import result
+from aspencroft.proxy import call
+from aspencroft.runtime import clock, environment
+
+CONNECT = clock.seconds(0.5)
+SILENCE = clock.seconds(4)
+SWEEP = clock.seconds(0.25)
+IDLE = clock.seconds(4)
+MARGIN = clock.seconds(1)
 EARLIER = 0.7
-SHORTEST = moment.seconds(0.05)
-DISTRUST = moment.seconds(30)
+SHORTEST = clock.seconds(0.05)
+DISTRUST = clock.seconds(30)
 MOST_OPEN = 1500
 READ = 1 << 16
 LARGEST_HEAD = 1 << 16
@@ -40,14 +39,14 @@
 Accepts = collections.abc.Callable[[int, call.Headers], bool]
 
 
-class Lost(result.Refusal):
+class Lost(result.RequestError):
     """A connection ended before any byte of an answer; ``reused`` when it had carried another request before.
 
     Example: ``except pool.Lost as lost: lost.reused``
     """
 
     def __init__(self, reused: bool, detail: str):
-        super().__init__(result.Result.WORKER_LOST, result.Ran.UNKNOWN, detail)
+        super().__init__(result.ResultCode.WORKER_LOST, result.Ran.UNKNOWN, detail)
         self.reused = reused
 
 
@@ -108,7 +107,7 @@
     told = TIMEOUT.search(kept)
     idle = IDLE
     if told is not None:
-        whole = moment.seconds(int(told[1]))
+        whole = clock.seconds(int(told[1]))
         idle = max(whole - MARGIN, whole / 2)
     return Head(code, tuple(headers), length, b"close" not in [one.strip() for one in options.split(b",")], idle)
 
@@ -119,7 +118,7 @@
     Example: ``request_head("GET", "/a", ((b"Host", b"h"),), 0)``
     """
     if METHOD.fullmatch(method) is None or TARGET.fullmatch(target) is None:
-        raise result.Refusal(result.Result.MALFORMED, detail="no method or target")
+        raise result.RequestError(result.ResultCode.MALFORMED, detail="no method or target")
     lines = [f"{method} {target} HTTP/1.1".encode("latin-1")]
     lines.extend(name + b": " + value for name, value in headers if name.lower() not in FRAMING)
     if size or method in BODIED:
@@ -127,20 +126,20 @@
     lines.extend((b"", b""))
     raw = b"\r\n".join(lines)
     if raw.count(b"\n") != len(lines) - 1 or raw.count(b"\r") != len(lines) - 1 or b"\0" in raw:
-        raise result.Refusal(result.Result.MALFORMED, detail="a header holds a line's end")
+        raise result.RequestError(result.ResultCode.MALFORMED, detail="a header holds a line's end")
     return raw
 
 
 class Connection:
     """One stream to a worker's address, and the bytes that came and were not looked at yet."""
 
-    def __init__(self, address: str, channel: surroundings.Channel):
+    def __init__(self, address: str, channel: environment.Channel):
         self.address = address
         self.channel = channel
         self.buffer = bytearray()
-        self.retire = moment.ZERO
-        self.since = moment.ZERO
-        self.idled = moment.ZERO
+        self.retire = clock.ZERO
+        self.since = clock.ZERO
+        self.idled = clock.ZERO
         self.uses = 0
         self.expired = False
         self.timer: asyncio.TimerHandle | None = None
@@ -169,7 +168,7 @@
                 raise Ended("a line without end")
             await self.fill()
         raw = bytes(self.buffer[:end])
-        del self.buffer[:end + 2]
+        del self.buffer[: end + 2]
         return raw
 
     def expire(self) -> None:
@@ -272,7 +271,7 @@
                 raise self.broken("answer too large")
         return b"".join(found)
 
-    def broken(self, why: str) -> result.Refusal:
+    def broken(self, why: str) -> result.RequestError:
         """Close the connection; the refusal for an answer that cannot be used.
 
         Example: ``raise response.broken("answer cut off")``
@@ -309,8 +308,8 @@
     Example: ``pool = Pool(around, counts); group.create_task(pool.run())``
     """
 
-    def __init__(self, around: surroundings.Surroundings, counts: collections.Counter, most_open: int = MOST_OPEN):
-        self.surroundings = around
+    def __init__(self, around: environment.Environment, counts: collections.Counter, most_open: int = MOST_OPEN):
+        self.environment = around
         self.counts = counts
         self.most_open = most_open
         self.resting: dict[str, list[Connection]] = {}
@@ -324,7 +323,7 @@
         Example: ``group.create_task(pool.run())``
         """
         while True:
-            await moment.pause(SWEEP)
+            await clock.sleep(SWEEP)
             self.sweep()
 
     def sweep(self) -> None:
@@ -332,7 +331,7 @@
 
         Example: ``pool.sweep()``
         """
-        now = moment.now()
+        now = clock.now()
         self.short = {address: known for address, known in self.short.items() if known[1] > now}
         for address, resting in list(self.resting.items()):
             kept = []
@@ -356,8 +355,17 @@
                 self.drop(one, "worker connections retired")
         self.resting.clear()
 
-    async def request(self, address: str, method: str, target: str, headers: call.Headers, body: bytes,
-                      end: datetime.timedelta, most_connections: int, accepts: Accepts | None = None) -> Response:
+    async def request(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        headers: call.Headers,
+        body: bytes,
+        end: datetime.timedelta,
+        most_connections: int,
+        accepts: Accepts | None = None,
+    ) -> Response:
         """Send a request once and read the head of its answer.
 
         ``end`` is on the loop's clock. An answer that ``accepts`` rejects belongs to another request: the
@@ -378,7 +386,7 @@
                 raise self.broken(connection, "an answer to another request came")
             return Response(self, connection, head)
         except BaseException:
-            self.end(connection, False, moment.ZERO)
+            self.end(connection, False, clock.ZERO)
             raise
 
     async def obtain(self, address: str, end: datetime.timedelta, most_connections: int) -> Connection:
@@ -386,7 +394,7 @@
 
         Example: ``connection = await pool.obtain("10.0.0.9:80", end, 240)``
         """
-        now = moment.now()
+        now = clock.now()
         resting = self.resting.get(address)
         while resting:
             one = resting.pop()
@@ -396,16 +404,16 @@
                 return one
             self.retire(one, now)
         if now >= end:
-            raise result.Refusal(result.Result.DEADLINE)
+            raise result.RequestError(result.ResultCode.DEADLINE)
         if self.open[address] >= most_connections or (self.total >= self.most_open and not self.make_room()):
-            raise result.Refusal(result.Result.OVERLOADED, detail="no connection to the worker is free")
+            raise result.RequestError(result.ResultCode.OVERLOADED, detail="no connection to the worker is free")
         self.open[address] += 1
         self.total += 1
         self.counts["worker connections"] += 1
         channel = None
         try:
-            async with moment.limit(min(CONNECT, end - now)):
-                channel = await self.surroundings.network.connect(address)
+            async with clock.limit(min(CONNECT, end - now)):
+                channel = await self.environment.network.connect(address)
             channel.watch(SILENCE)
         except BaseException as error:
             self.forget(address)
@@ -413,8 +421,8 @@
                 channel.abort()
             if isinstance(error, (OSError, TimeoutError)):
                 self.counts["worker connections failed"] += 1
-                refused = result.Result.DEADLINE if moment.now() >= end else result.Result.UNREACHABLE
-                raise result.Refusal(refused, detail=f"{address}: {error!r}"[:200]) from None
+                refused = result.ResultCode.DEADLINE if clock.now() >= end else result.ResultCode.UNREACHABLE
+                raise result.RequestError(refused, detail=f"{address}: {error!r}"[:200]) from None
             raise
         return Connection(address, channel)
 
@@ -454,20 +462,20 @@
                 head = head_of(bytes(buffer[:end]), bodiless)
             except Ended as error:
                 raise self.broken(connection, f"{error}") from None
-            del buffer[:end + 4]
+            del buffer[: end + 4]
             if head.status >= 200:
                 return head
             interim += 1
             if head.status == 101 or interim > MOST_INTERIM:
                 raise self.broken(connection, f"interim answer {head.status}")
 
-    def lost(self, connection: Connection, why: str) -> result.Refusal:
+    def lost(self, connection: Connection, why: str) -> result.RequestError:
         """The refusal for a request whose connection ended before any byte of an answer.
 
         Example: ``raise pool.lost(connection, "reset")``
         """
         if connection.expired:
-            return result.Refusal(result.Result.DEADLINE, result.Ran.UNKNOWN)
+            return result.RequestError(result.ResultCode.DEADLINE, result.Ran.UNKNOWN)
         self.counts["worker connections lost"] += 1
         if connection.uses:
             self.counts["worker connections dead when used again"] += 1
@@ -489,23 +497,26 @@
 
         Example: ``pool.distrust("10.0.0.9:80", moment.seconds(0.5))``
         """
-        now = moment.now()
+        now = clock.now()
         before, _ = self.short.get(address, (IDLE, now))
         span = max(SHORTEST, min(before, span))
         self.short[address] = (span, now + DISTRUST)
         for one in self.resting.get(address, ()):
             one.retire = min(one.retire, one.since + span)
 
-    def broken(self, connection: Connection, why: str) -> result.Refusal:
+    def broken(self, connection: Connection, why: str) -> result.RequestError:
         """The refusal for an answer that cannot be used.
 
         Example: ``raise pool.broken(connection, "head cut off")``
         """
         if connection.expired:
-            return result.Refusal(result.Result.DEADLINE, result.Ran.UNKNOWN)
+            return result.RequestError(result.ResultCode.DEADLINE, result.Ran.UNKNOWN)
         self.counts["worker answers broken"] += 1
-        return result.Refusal(result.Result.WORKER_BROKE, result.Ran.UNKNOWN,
-                              f"{connection.address}, use {connection.uses + 1}: {why}"[:300])
+        return result.RequestError(
+            result.ResultCode.WORKER_BROKE,
+            result.Ran.UNKNOWN,
+            f"{connection.address}, use {connection.uses + 1}: {why}"[:300],
+        )
 
     def end(self, connection: Connection, reuse: bool, idle: datetime.timedelta) -> None:
         """A request is over: keep its connection for the next, or close it.
@@ -520,7 +531,7 @@
             writing.cancel()
             reuse = False
         connection.uses += 1
-        now = moment.now()
+        now = clock.now()
         if connection.address in self.short:
             span, until = self.short[connection.address]
             if now < until:
@@ -559,7 +570,11 @@
 
         Example: ``pool.make_room()``
         """
-        found = min((resting[0] for resting in self.resting.values() if resting), key=lambda one: one.retire, default=None)
+        found = min(
+            (resting[0] for resting in self.resting.values() if resting),
+            key=lambda one: one.retire,
+            default=None,
+        )
         if found is None:
             return False
         self.resting[found.address].remove(found)
--- a/aspencroft/worker/pool_test.py
+++ b/aspencroft/workers/pool_test.py
@@ -7,12 +7,10 @@
 import socket
 import struct
 
-import aspencroft.code.result as result
-import aspencroft.seam.moment as moment
-import aspencroft.seam.surroundings as surroundings
-import aspencroft.sim.loop as loop
-import aspencroft.sim.wire as wire
-import aspencroft.worker.pool as pools
+import aspencroft.workers.pool as pools
+from aspencroft.errors import result
+from aspencroft.runtime import clock, environment
+from aspencroft.simulation import loop, wire
 
 WORKER = "worker:80"
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nAttempt-Id: %s\r\n\r\nok"
@@ -49,7 +47,7 @@
         self.script = script
         self.came: list[list[bytes]] = []
         self.counts = collections.Counter()
-        around = surroundings.Surroundings(wire.SimNetwork(self.wire, "edge"), None, None, random.Random(seed), None)
+        around = environment.Environment(wire.SimNetwork(self.wire, "edge"), None, None, random.Random(seed), None)
         self.pool = pools.Pool(around, self.counts)
 
     async def serve(self) -> None:
@@ -80,21 +78,22 @@
 
         Example: ``status, body = await stage.ask()``
         """
-        response = await self.pool.request(WORKER, method, "/a?b=1", HEADERS, body, moment.now() + moment.seconds(within),
-                                           most, accepts)
+        response = await self.pool.request(
+            WORKER, method, "/a?b=1", HEADERS, body, clock.now() + clock.seconds(within), most, accepts
+        )
         try:
             return response.status, await response.read()
         finally:
             await response.close(True)
 
-    async def refused(self, **named) -> tuple[result.Result, result.Ran]:
+    async def refused(self, **named) -> tuple[result.ResultCode, result.Ran]:
         """The refusal that a request ends in.
 
         Example: ``await stage.refused() == (result.Result.WORKER_LOST, result.Ran.UNKNOWN)``
         """
         try:
             answer = await self.ask(**named)
-        except result.Refusal as refusal:
+        except result.RequestError as refusal:
             return refusal.result, refusal.ran
         raise AssertionError(answer)
 
@@ -118,11 +117,11 @@
     return stage
 
 
-BROKE = (result.Result.WORKER_BROKE, result.Ran.UNKNOWN)
-LOST = (result.Result.WORKER_LOST, result.Ran.UNKNOWN)
-LATE = (result.Result.DEADLINE, result.Ran.UNKNOWN)
-FULL = (result.Result.OVERLOADED, result.Ran.NOT_RUN)
-AWAY = (result.Result.UNREACHABLE, result.Ran.NOT_RUN)
+BROKE = (result.ResultCode.WORKER_BROKE, result.Ran.UNKNOWN)
+LOST = (result.ResultCode.WORKER_LOST, result.Ran.UNKNOWN)
+LATE = (result.ResultCode.DEADLINE, result.Ran.UNKNOWN)
+FULL = (result.ResultCode.OVERLOADED, result.Ran.NOT_RUN)
+AWAY = (result.ResultCode.UNREACHABLE, result.Ran.NOT_RUN)
 
 
 def test_requests_are_written_exactly_and_the_last_connection_is_used_again():
@@ -133,44 +132,64 @@
 
     stage = play(lambda connection, number: [OK % b"1"], acts)
     start = b" /a?b=1 HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: 1\r\n"
-    assert stage.came == [[b"GET" + start + b"\r\n", b"POST" + start + b"Content-Length: 3\r\n\r\nxyz",
-                           b"POST" + start + b"Content-Length: 0\r\n\r\n"]]
+    assert stage.came == [
+        [
+            b"GET" + start + b"\r\n",
+            b"POST" + start + b"Content-Length: 3\r\n\r\nxyz",
+            b"POST" + start + b"Content-Length: 0\r\n\r\n",
+        ]
+    ]
     assert stage.counts["worker connections"] == 1 and stage.counts["worker connections reused"] == 2
 
 
 def test_heads_that_could_be_read_as_more_are_never_sent():
-    for method, target, headers in (("GET", "/a b", ()), ("GET", "/a\r\nX: 1", ()), ("G T", "/", ()),
-                                    ("GET", "/", ((b"A", b"1\r\nB: 2"),)), ("GET", "/", ((b"A\n", b"1"),)),
-                                    ("GET", "/", ((b"A", b"\0"),)), ("GET", "", ())):
+    for method, target, headers in (
+        ("GET", "/a b", ()),
+        ("GET", "/a\r\nX: 1", ()),
+        ("G T", "/", ()),
+        ("GET", "/", ((b"A", b"1\r\nB: 2"),)),
+        ("GET", "/", ((b"A\n", b"1"),)),
+        ("GET", "/", ((b"A", b"\0"),)),
+        ("GET", "", ()),
+    ):
         try:
             raise AssertionError(pools.request_head(method, target, headers, 0))
-        except result.Refusal as refusal:
-            assert refusal.result is result.Result.MALFORMED and refusal.ran is result.Ran.NOT_RUN
+        except result.RequestError as refusal:
+            assert refusal.result is result.ResultCode.MALFORMED and refusal.ran is result.Ran.NOT_RUN
     framed = ((b"Content-Length", b"9"), (b"Transfer-Encoding", b"chunked"), (b"A", b"1"))
     assert pools.request_head("PUT", "/", framed, 2) == b"PUT / HTTP/1.1\r\nA: 1\r\nContent-Length: 2\r\n\r\n"
 
 
 def test_chunks_in_any_pieces_make_the_body():
-    raw = (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n"
-           b"3\r\nabc\r\n0A;x=y\r\n0123456789\r\n0\r\nTrailer: 1\r\n\r\n")
+    raw = (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n"
+        b"3\r\nabc\r\n0A;x=y\r\n0123456789\r\n0\r\nTrailer: 1\r\n\r\n"
+    )
     for size in (1, 2, 3, 7, 50, 1000):
-        pieces = [raw[place:place + size] for place in range(0, len(raw), size)]
+        pieces = [raw[place : place + size] for place in range(0, len(raw), size)]
 
         async def acts(stage):
             for _ in range(2):
                 assert await stage.ask() == (200, b"abc0123456789")
+
         assert len(play(lambda connection, number: pieces, acts).came) == 1, size
 
 
 def test_parts_come_as_they_are_sent():
     async def acts(stage):
-        response = await stage.pool.request(WORKER, "GET", "/", HEADERS, b"", moment.now() + moment.seconds(9), 8)
+        response = await stage.pool.request(WORKER, "GET", "/", HEADERS, b"", clock.now() + clock.seconds(9), 8)
         came = [(part, stage.loop.time()) async for part in response.parts()]
         await response.close(True)
         assert [part for part, _ in came] == [b"ab", b"cd"] and came[1][1] - came[0][1] >= 0.9
 
-    play(lambda connection, number: [b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", 1.0,
-                                     b"2\r\ncd\r\n0\r\n\r\n"], acts)
+    play(
+        lambda connection, number: [
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+            1.0,
+            b"2\r\ncd\r\n0\r\n\r\n",
+        ],
+        acts,
+    )
 
 
 def test_answers_without_a_body_leave_the_connection_sound():
@@ -180,8 +199,12 @@
         assert await stage.ask() == (304, b"")
         assert await stage.ask() == (200, b"ok")
 
-    answers = [b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n", b"HTTP/1.1 204 No Content\r\n\r\n",
-               b"HTTP/1.1 304 Not Modified\r\nContent-Length: 7\r\n\r\n", OK % b"1"]
+    answers = [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n",
+        b"HTTP/1.1 204 No Content\r\n\r\n",
+        b"HTTP/1.1 304 Not Modified\r\nContent-Length: 7\r\n\r\n",
+        OK % b"1",
+    ]
     assert len(play(lambda connection, number: [answers[number]], acts).came) == 1
 
 
@@ -202,46 +225,70 @@
 def test_what_is_no_whole_answer_is_broken_and_its_connection_closed():
     sound = b"HTTP/1.1 200 OK\r\n"
     broken = [
-        b"\x00\x01\x02garbage", b"HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok", b"HTTP/2 200\r\n\r\n",
-        b"HTTP/1.1 2x0 OK\r\nContent-Length: 2\r\n\r\nok", b"HTTP/1.1 200 OK\nContent-Length: 2\n\nok\r\n\r\n",
-        sound + b"\r\nok", sound + b"Content-Length: 2\r\nContent-Length: 3\r\n\r\nok",
-        sound + b"Content-Length: -2\r\n\r\nok", sound + b"Content-Length: 2, 2\r\n\r\nok",
+        b"\x00\x01\x02garbage",
+        b"HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok",
+        b"HTTP/2 200\r\n\r\n",
+        b"HTTP/1.1 2x0 OK\r\nContent-Length: 2\r\n\r\nok",
+        b"HTTP/1.1 200 OK\nContent-Length: 2\n\nok\r\n\r\n",
+        sound + b"\r\nok",
+        sound + b"Content-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+        sound + b"Content-Length: -2\r\n\r\nok",
+        sound + b"Content-Length: 2, 2\r\n\r\nok",
         sound + b"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-        sound + b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", sound + b"Transfer-Encoding: identity\r\n\r\n",
-        sound + b"A: 1\r\n folded: 2\r\nContent-Length: 2\r\n\r\nok", sound + b"A : 1\r\nContent-Length: 2\r\n\r\nok",
-        sound + b"A: 1\rB: 2\r\nContent-Length: 2\r\n\r\nok", sound + b"Content-Length: 2\0\r\n\r\nok",
-        sound + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n", sound + b"Transfer-Encoding: chunked\r\n\r\n-1\r\n",
+        sound + b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        sound + b"Transfer-Encoding: identity\r\n\r\n",
+        sound + b"A: 1\r\n folded: 2\r\nContent-Length: 2\r\n\r\nok",
+        sound + b"A : 1\r\nContent-Length: 2\r\n\r\nok",
+        sound + b"A: 1\rB: 2\r\nContent-Length: 2\r\n\r\nok",
+        sound + b"Content-Length: 2\0\r\n\r\nok",
+        sound + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+        sound + b"Transfer-Encoding: chunked\r\n\r\n-1\r\n",
         sound + b"Transfer-Encoding: chunked\r\n\r\n2\r\nokk\r\n0\r\n\r\n",
         sound + b"Transfer-Encoding: chunked\r\n\r\n0\r\nno trailer\r\n\r\n",
-        sound + b"Transfer-Encoding: chunked\r\n\r\n" + b"1" * 5000, sound + b"A: " + b"x" * 70000,
-        sound + b"Content-Length: 99999999999\r\n\r\n"]
-    cut = [b"HTTP/1.1 200 O", sound + b"Content-Length: 2\r\n\r\no", sound + b"Content-Length: 2\r\n",
-           sound + b"Transfer-Encoding: chunked\r\n\r\n5\r\nab", sound + b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
-           sound + b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n"]
+        sound + b"Transfer-Encoding: chunked\r\n\r\n" + b"1" * 5000,
+        sound + b"A: " + b"x" * 70000,
+        sound + b"Content-Length: 99999999999\r\n\r\n",
+    ]
+    cut = [
+        b"HTTP/1.1 200 O",
+        sound + b"Content-Length: 2\r\n\r\no",
+        sound + b"Content-Length: 2\r\n",
+        sound + b"Transfer-Encoding: chunked\r\n\r\n5\r\nab",
+        sound + b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+        sound + b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n",
+    ]
     for parts in [[raw] for raw in broken] + [[raw, None] for raw in cut]:
+
         async def acts(stage):
             assert await stage.refused() == BROKE, parts
             assert stage.pool.total == 0 and not stage.pool.resting
             assert await stage.ask() == (200, b"ok")
+
         stage = play(lambda connection, number: parts if connection == 0 else [OK % b"1"], acts)
         assert len(stage.came) == 2 and stage.counts["worker answers broken"] == 1, parts
 
 
 def test_a_stream_that_is_cut_raises_after_its_parts():
     async def acts(stage):
-        response = await stage.pool.request(WORKER, "GET", "/", HEADERS, b"", moment.now() + moment.seconds(9), 8)
+        response = await stage.pool.request(WORKER, "GET", "/", HEADERS, b"", clock.now() + clock.seconds(9), 8)
         came = []
         try:
             async for part in response.parts():
                 came.append(part)
             raise AssertionError("looked complete")
-        except result.Refusal as refusal:
+        except result.RequestError as refusal:
             assert (refusal.result, refusal.ran) == BROKE
         assert came == [b"ab"] and stage.pool.total == 0, "closed at once, whoever forgets to"
         await response.close(True)
         assert stage.pool.total == 0
 
-    play(lambda connection, number: [b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", None], acts)
+    play(
+        lambda connection, number: [
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+            None,
+        ],
+        acts,
+    )
 
 
 def test_a_connection_that_ends_before_any_answer_leaves_it_unknown_whether_the_request_ran():
@@ -282,20 +329,34 @@
 
 
 def test_connections_that_are_to_close_are_not_used_again():
-    for said in (b"Connection: close", b"connection: Keep-Alive, CLOSE", b"Connection: a\r\nConnection: close",
-                 b"Keep-Alive: timeout=0"):
+    for said in (
+        b"Connection: close",
+        b"connection: Keep-Alive, CLOSE",
+        b"Connection: a\r\nConnection: close",
+        b"Keep-Alive: timeout=0",
+    ):
+
         async def acts(stage):
             for _ in range(2):
                 assert await stage.ask() == (200, b"ok")
+
         answer = b"HTTP/1.1 200 OK\r\n" + said + b"\r\nContent-Length: 2\r\n\r\nok"
         assert len(play(lambda connection, number: [answer], acts).came) == 2, said
 
 
 def test_idle_connections_are_retired_before_the_worker_closes_them():
-    for said, pause, connections in ((b"timeout=5, max=9", 3.9, 1), (b"timeout=5", 4.1, 2), (b"Timeout=2", 0.9, 1),
-                                     (b"timeout=2", 1.1, 2), (b"timeout=1", 0.4, 1), (b"timeout=1", 0.6, 2),
-                                     (b"none", 3.9, 1), (b"none", 4.1, 2)):
+    for said, pause, connections in (
+        (b"timeout=5, max=9", 3.9, 1),
+        (b"timeout=5", 4.1, 2),
+        (b"Timeout=2", 0.9, 1),
+        (b"timeout=2", 1.1, 2),
+        (b"timeout=1", 0.4, 1),
+        (b"timeout=1", 0.6, 2),
+        (b"none", 3.9, 1),
+        (b"none", 4.1, 2),
+    ):
         for swept in (False, True):
+
             async def acts(stage):
                 assert await stage.ask() == (200, b"ok")
                 sweeping = asyncio.ensure_future(stage.pool.run()) if swept else None
@@ -303,8 +364,13 @@
                 assert await stage.ask() == (200, b"ok")
                 if sweeping is not None:
                     sweeping.cancel()
+
             answer = b"HTTP/1.1 200 OK\r\nKeep-Alive: " + said + b"\r\nContent-Length: 2\r\n\r\nok"
-            assert len(play(lambda connection, number: [answer], acts).came) == connections, (said, pause, swept)
+            assert len(play(lambda connection, number: [answer], acts).came) == connections, (
+                said,
+                pause,
+                swept,
+            )
 
 
 def test_a_connection_closed_while_idle_is_not_used_and_is_swept():
@@ -342,9 +408,9 @@
         assert await stage.refused() == AWAY
         assert 0.4 < stage.loop.time() - began < 0.6
         began = stage.loop.time()
-        assert await stage.refused(within=0.2) == (result.Result.DEADLINE, result.Ran.NOT_RUN)
+        assert await stage.refused(within=0.2) == (result.ResultCode.DEADLINE, result.Ran.NOT_RUN)
         assert stage.loop.time() - began < 0.25
-        assert await stage.refused(within=-1) == (result.Result.DEADLINE, result.Ran.NOT_RUN)
+        assert await stage.refused(within=-1) == (result.ResultCode.DEADLINE, result.Ran.NOT_RUN)
         assert stage.pool.total == 0 and not stage.pool.open
 
     play(lambda connection, number: [OK % b"1"], acts)
@@ -352,7 +418,7 @@
 
 def test_a_connection_that_breaks_as_it_comes_up_says_that_nothing_ran():
     async def acts(stage):
-        connect = stage.pool.surroundings.network.connect
+        connect = stage.pool.environment.network.connect
 
         def broken(silence):
             raise OSError("bad descriptor")
@@ -362,8 +428,9 @@
             channel.watch = broken
             made.append(channel)
             return channel
+
         made = []
-        stage.pool.surroundings.network.connect = breaking
+        stage.pool.environment.network.connect = breaking
         assert await stage.refused() == AWAY
         await asyncio.sleep(0.1)
         assert stage.pool.total == 0 and stage.came == [[]] and not made[0].quiet()
@@ -379,7 +446,10 @@
             assert abs(stage.loop.time() - began - 1.5) < 0.01
             assert stage.pool.total == 0
 
-    stage = play(lambda connection, number: [] if connection == 0 else [b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab"], acts)
+    stage = play(
+        lambda connection, number: [] if connection == 0 else [b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab"],
+        acts,
+    )
     assert len(stage.came) == 2 and not stage.counts["worker answers broken"]
 
 
@@ -397,12 +467,12 @@
 
 def test_an_answer_left_unread_is_not_followed_by_another():
     async def acts(stage):
-        response = await stage.pool.request(WORKER, "GET", "/", HEADERS, b"", moment.now() + moment.seconds(9), 8)
+        response = await stage.pool.request(WORKER, "GET", "/", HEADERS, b"", clock.now() + clock.seconds(9), 8)
         await response.close(True)
         await response.close(True)
         assert stage.pool.total == 0
         assert await stage.ask() == (200, b"ok")
-        response = await stage.pool.request(WORKER, "GET", "/", HEADERS, b"", moment.now() + moment.seconds(9), 8)
+        response = await stage.pool.request(WORKER, "GET", "/", HEADERS, b"", clock.now() + clock.seconds(9), 8)
         await response.read()
         await response.close(False)
         assert stage.pool.total == 0
@@ -444,12 +514,14 @@
             assert await stage.refused(most=2) == FULL
         assert [task.result() for task in tasks] == [(200, b"ok")] * 2
         accepted = await wire.SimNetwork(stage.wire, "worker").listen("other:80")
-        response = asyncio.ensure_future(stage.pool.request("other:80", "GET", "/", HEADERS, b"",
-                                                            moment.now() + moment.seconds(9), 8))
+        response = asyncio.ensure_future(
+            stage.pool.request("other:80", "GET", "/", HEADERS, b"", clock.now() + clock.seconds(9), 8)
+        )
         await accepted.get()
         stage.wire.listeners["third:80"] = stage.wire.listeners["other:80"]
-        more = asyncio.ensure_future(stage.pool.request("third:80", "GET", "/", HEADERS, b"",
-                                                        moment.now() + moment.seconds(9), 8))
+        more = asyncio.ensure_future(
+            stage.pool.request("third:80", "GET", "/", HEADERS, b"", clock.now() + clock.seconds(9), 8)
+        )
         await accepted.get()
         assert stage.pool.total == 3 and stage.pool.open[WORKER] == 1, "an idle one gave way"
         response.cancel()
@@ -474,10 +546,12 @@
 
         def script(connection, number):
             wanted = stage.came[connection][number].split(b"Attempt-Id: ")[1].split(b"\r\n")[0]
-            whole = b"HTTP/1.1 200 OK\r\nAttempt-Id: " + wanted + b"\r\nContent-Length: %d\r\n\r\n" % len(wanted) + wanted
+            whole = (
+                b"HTTP/1.1 200 OK\r\nAttempt-Id: " + wanted + b"\r\nContent-Length: %d\r\n\r\n" % len(wanted) + wanted
+            )
             lot = chance.random()
             if lot < 0.1:
-                return [whole[:chance.randrange(len(whole))], None]
+                return [whole[: chance.randrange(len(whole))], None]
             if lot < 0.2:
                 return [whole, chance.choice([0.0, 0.01, 0.3]), OK % b"0"]
             if lot < 0.3:
@@ -494,15 +568,22 @@
             headers = ((b"Host", b"h"), (b"Attempt-Id", wanted))
             try:
                 response = await stage.pool.request(
-                    WORKER, "GET", "/", headers, b"", moment.now() + moment.seconds(1), 6,
-                    lambda status, found: dict(found)[b"Attempt-Id"] == wanted)
-            except result.Refusal as refusal:
+                    WORKER,
+                    "GET",
+                    "/",
+                    headers,
+                    b"",
+                    clock.now() + clock.seconds(1),
+                    6,
+                    lambda status, found: dict(found)[b"Attempt-Id"] == wanted,
+                )
+            except result.RequestError as refusal:
                 outcomes[refusal.result] += 1
                 return
             try:
                 assert await response.read() == wanted
-                outcomes[result.Result.DONE] += 1
-            except result.Refusal as refusal:
+                outcomes[result.ResultCode.DONE] += 1
+            except result.RequestError as refusal:
                 outcomes[refusal.result] += 1
             finally:
                 await response.close(True)
@@ -532,7 +613,7 @@
 
         stage.loop.run_until_complete(scene())
         stage.loop.bury()
-        assert outcomes[result.Result.DONE] > 70, outcomes
+        assert outcomes[result.ResultCode.DONE] > 70, outcomes
         sent = [raw for requests in stage.came for raw in requests]
         assert len(sent) == len(set(sent)), "a request was sent twice"
 
@@ -550,7 +631,7 @@
     async def scene():
         server = await asyncio.start_server(handler, "127.0.0.1", 0)
         address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
-        pool = pools.Pool(surroundings.machine(), counts)
+        pool = pools.Pool(environment.machine(), counts)
         await acts(pool, address)
         await pool.close()
         server.close()
@@ -564,7 +645,7 @@
 
     Example: ``await ask(pool, address) == b"ok"``
     """
-    response = await pool.request(address, "POST", "/", HEADERS, body, moment.now() + moment.seconds(20), 8)
+    response = await pool.request(address, "POST", "/", HEADERS, body, clock.now() + clock.seconds(20), 8)
     try:
         return await response.read()
     finally:
@@ -600,8 +681,9 @@
         async def refused():
             try:
                 raise AssertionError(await ask(pool, address))
-            except result.Refusal as refusal:
+            except result.RequestError as refusal:
                 return refusal.result, refusal.ran
+
         assert await refused() == LOST
         assert await ask(pool, address) == b"ok"
         assert await refused() == LOST
--- a/aspencroft/worker/worker.py
+++ b/aspencroft/workers/worker.py
@@ -5,7 +5,7 @@
 import httpx
 import voluptuous
 
-import aspencroft.plan.lane as lane
+from aspencroft.configuration import lane
 
 MODEL, PLAIN = "model", "plain"
 
@@ -24,15 +24,18 @@
     return url
 
 
-SCHEMA = voluptuous.Schema({
-    voluptuous.Required("name"): lane.NAME,
-    voluptuous.Required("url"): voluptuous.All(voluptuous.Match(r"^https?://[^/\s]+\Z"), usable),
-    voluptuous.Required("kind"): voluptuous.Any(MODEL, PLAIN),
-    voluptuous.Required("services"): lane.NAMES,
-    voluptuous.Optional("leaving", default=False): bool,
-    voluptuous.Optional("memory", default=72_000_000_000): voluptuous.All(int, voluptuous.Range(min=1)),
-    voluptuous.Optional("places", default=8): voluptuous.All(int, voluptuous.Range(min=1, max=4096)),
-}, extra=voluptuous.REMOVE_EXTRA)
+SCHEMA = voluptuous.Schema(
+    {
+        voluptuous.Required("name"): lane.NAME,
+        voluptuous.Required("url"): voluptuous.All(voluptuous.Match(r"^https?://[^/\s]+\Z"), usable),
+        voluptuous.Required("kind"): voluptuous.Any(MODEL, PLAIN),
+        voluptuous.Required("services"): lane.NAMES,
+        voluptuous.Optional("leaving", default=False): bool,
+        voluptuous.Optional("memory", default=72_000_000_000): voluptuous.All(int, voluptuous.Range(min=1)),
+        voluptuous.Optional("places", default=8): voluptuous.All(int, voluptuous.Range(min=1, max=4096)),
+    },
+    extra=voluptuous.REMOVE_EXTRA,
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -60,5 +63,12 @@
         full = SCHEMA(raw)
     except voluptuous.Invalid:
         return None
-    return Worker(full["name"], full["url"], full["kind"], tuple(full["services"]), full["leaving"],
-                  full["memory"], full["places"])
+    return Worker(
+        full["name"],
+        full["url"],
+        full["kind"],
+        tuple(full["services"]),
+        full["leaving"],
+        full["memory"],
+        full["places"],
+    )
--- a/aspencroft/worker/worker_test.py
+++ b/aspencroft/workers/worker_test.py
@@ -1,6 +1,6 @@
-"""Tests of ``aspencroft.worker.worker``."""
+"""Tests of ``aspencroft.workers.worker``."""
 
-import aspencroft.worker.worker as worker
+from aspencroft.workers import worker
 
 
 def test_unreadable_rows_are_left_out():
