Witness: a pure state machine apart from clock, disk and network; ballots' decisions pure

Cause: what a witness and a proposer decide was tangled with asyncio and the disk, so no checker could drive it. Change: consensus/witness_state.py (prepare, accept, learn_chosen, renew, adopt, learn, started) takes a message and the time and hands back the next state, the reply and what must be synced first; Witness applies and syncs. consensus/ballot.py holds quorums, choice of a value, when a ballot counts, a lease's end.

--- a/aspencroft/consensus/proposer.py
+++ b/aspencroft/consensus/proposer.py
@@ -1,62 +1,53 @@
-"""Asking the witnesses: ballots in both phases, and claims."""
+"""Asking the witnesses: ballots in both phases, and leases."""
 
 import asyncio
 import collections.abc
-import dataclasses
+import contextlib
 import datetime
 
-from aspencroft.consensus import replica_set, witness
+from aspencroft.consensus import ballot as ballots
+from aspencroft.consensus import replica_set
 from aspencroft.errors import result
 from aspencroft.runtime import clock, environment
 from aspencroft.transport import codec, connections
 
 ASK = clock.seconds(0.4)
-COUNTER_UNIT = 1 << 40
-
-
-@dataclasses.dataclass(frozen=True)
-class Chosen:
-    """A value that a majority accepted, and the ballot in which it did."""
-
-    ballot: int
-    value: bytes
+Chosen = ballots.Chosen
 
 
 class Proposer:
     """The witnesses as a node knows them.
 
-    Example: ``await electorate.change(0, "me", lambda value: fresh)``
+    Example: ``await proposer.change(0, "me", lambda value: fresh)``
     """
 
-    def __init__(self, around: environment.Environment, links: connections.Link, first_roster: replica_set.VoterSet):
+    def __init__(self, around: environment.Environment, links: connections.Link, first_voter_set: replica_set.VoterSet):
         self.environment = around
         self.link = links
-        self.voter_set = first_roster
+        self.voter_set = first_voter_set
         self.highest = 0
 
     def ballot(self) -> int:
         """A ballot number above all that were seen, and nobody else's.
 
-        Example: ``electorate.ballot() > electorate.highest``
+        Example: ``proposer.ballot() > proposer.highest``
         """
-        self.highest = (self.highest // COUNTER_UNIT + 1) * COUNTER_UNIT + self.environment.randomness.randrange(
-            COUNTER_UNIT
-        )
+        self.highest = ballots.next_ballot(self.highest, self.environment.randomness)
         return self.highest
 
     def heed(self, answers: dict) -> None:
-        """Learn higher ballots and newer rosters from answers.
+        """Learn higher ballots and newer voter sets from answers.
 
-        Example: ``electorate.heed(answers)``
+        Example: ``proposer.heed(answers)``
         """
         for one in answers.values():
             self.highest = max(self.highest, one.ballot.raised)
             self.learn(one.voter_set)
 
     def learn(self, voter_set: replica_set.VoterSet) -> None:
-        """Take a newer roster of witnesses.
+        """Take a newer voter set.
 
-        Example: ``electorate.learn(roster)``
+        Example: ``proposer.learn(voter_set)``
         """
         if voter_set.number > self.voter_set.number:
             self.voter_set = voter_set
@@ -66,15 +57,13 @@
     ) -> dict[str, replica_set.BallotReply]:
         """Ask witnesses at once; answers by address, as soon as they are enough or nobody is left.
 
-        Example: ``answers = await electorate.ask_all(messages, lambda answers: False)``
+        Example: ``answers = await proposer.ask_all(messages, lambda answers: False)``
         """
         answers: dict[str, replica_set.BallotReply] = {}
 
         async def ask(address: str, message) -> None:
-            try:
+            with contextlib.suppress(result.RequestError):
                 answers[address] = await self.link.ask(address, message, ASK)
-            except result.RequestError:
-                pass
 
         waiting = [asyncio.ensure_future(ask(address, message)) for address, message in messages.items()]
         try:
@@ -86,86 +75,62 @@
                 task.cancel()
         return dict(answers)
 
-    def granted(self, answers: dict) -> dict[str, replica_set.BallotReply]:
-        """Those answers that grant.
-
-        Example: ``roster.quorum(electorate.granted(answers))``
-        """
-        return {address: one for address, one in answers.items() if one.granted}
-
-    def decided(self, voter_set: replica_set.VoterSet, answers: dict) -> bool:
-        """Whether more answers change nothing: a majority grants, or so many refused that none can.
+    async def ask_voters(
+        self, voter_set: replica_set.VoterSet, messages: dict[str, object]
+    ) -> dict[str, replica_set.BallotReply]:
+        """Ask voters until more answers change nothing, and learn from what they tell.
 
-        Example: ``electorate.decided(roster, answers)``
+        Example: ``answers = await proposer.ask_voters(voter_set, messages)``
         """
-        granted = self.granted(answers)
-        refused = set(answers) - set(granted)
-        return voter_set.quorum(granted) or not voter_set.quorum(set(voter_set.everyone()) - refused)
+        answers = await self.ask_all(messages, lambda found: ballots.settled(voter_set, found))
+        self.heed(answers)
+        return answers
 
     async def change(self, register: int, asker: str, function: collections.abc.Callable[[bytes], bytes]) -> Chosen:
         """One ballot: learn the newest value that may be chosen, record what the function makes of it.
 
         The value is finished, unchanged, when the function hands it back. Refused with the time to
-        wait when a claim stands in the way or another ballot is higher.
+        wait when a lease stands in the way or another ballot is higher.
 
-        Example: ``chosen = await electorate.change(0, asker, lambda value: value)``
+        Example: ``chosen = await proposer.change(0, asker, lambda value: value)``
         """
-        voter_set = self.voter_set
-        started = clock.now()
+        voter_set, started = self.voter_set, clock.now()
         ballot = self.ballot()
-        raising = replica_set.Prepare(register, ballot, asker, voter_set.number)
-        answers = await self.ask_all(
-            dict.fromkeys(voter_set.everyone(), raising),
-            lambda found: self.decided(voter_set, found),
-        )
-        self.heed(answers)
-        promised = self.granted(answers)
+        prepare = replica_set.Prepare(register, ballot, asker, voter_set.number)
+        answers = await self.ask_voters(voter_set, dict.fromkeys(voter_set.everyone(), prepare))
+        promised = ballots.granted(answers)
         if not voter_set.quorum(promised):
-            waits = [one.wait for one in answers.values()]
             raise result.RequestError(
                 result.ResultCode.NO_CLAIM,
-                retry=max(waits, default=clock.ZERO),
+                retry=ballots.wait_before_retry(answers),
                 detail=f"{len(promised)} of {len(voter_set.everyone())} witnesses promised",
             )
-        newest = max((one.ballot for one in promised.values()), key=lambda one: one.accepted)
-        value = function(newest.value)
-        accepting = {
-            address: replica_set.Accept(register, ballot, value, one.incarnation, voter_set.number)
-            for address, one in promised.items()
-        }
-        answers = await self.ask_all(accepting, lambda found: self.decided(voter_set, found))
-        self.heed(answers)
-        if clock.now() - started > witness.LEASE or not voter_set.quorum(self.granted(answers)):
+        value = function(ballots.newest_accepted(promised).value)
+        accepts = ballots.accept_messages(voter_set, register, ballot, value, promised)
+        answers = await self.ask_voters(voter_set, accepts)
+        if not ballots.is_chosen(voter_set, answers, started, clock.now()):
             raise result.RequestError(
                 result.ResultCode.OUTCOME_UNKNOWN, result.Ran.UNKNOWN, "the ballot did not finish"
             )
-        return Chosen(ballot, value)
+        return ballots.Chosen(ballot, value)
 
     async def claim(
         self, chosen: Chosen, register: int, claimant: str, length: datetime.timedelta
     ) -> tuple[datetime.timedelta | None, bytes, bool]:
-        """Renew a claim: its end, counted from before it was asked for, or none; the newest value seen; whether most answered.
+        """Renew a lease: its end, counted from before it was asked for, or none; the newest value; if most answered.
 
-        Example: ``end, newest, answered = await electorate.claim(chosen, 0, claimant, witness.CLAIM)``
+        Example: ``end, newest, answered = await proposer.claim(chosen, 0, claimant, witness.LEASE)``
         """
-        voter_set = self.voter_set
-        started = clock.now()
+        voter_set, started = self.voter_set, clock.now()
         message = replica_set.LeaseRequest(register, chosen.ballot, chosen.value, claimant, length, voter_set.number)
-        answers = await self.ask_all(
-            dict.fromkeys(voter_set.everyone(), message),
-            lambda found: self.decided(voter_set, found),
-        )
-        self.heed(answers)
-        newest = max((one.ballot for one in answers.values()), key=lambda one: one.accepted, default=None)
-        value = newest.value if newest is not None and newest.accepted > chosen.ballot else b""
-        if voter_set.quorum(self.granted(answers)):
-            return started + length, value, True
-        return None, value, voter_set.quorum(answers)
+        answers = await self.ask_voters(voter_set, dict.fromkeys(voter_set.everyone(), message))
+        outcome = ballots.lease_outcome(voter_set, answers, chosen, started, length)
+        return outcome.end, outcome.newest, outcome.answered
 
 
 def replica_set_of(value: bytes) -> replica_set.ReplicaSet | None:
-    """The record of holders in a register's value.
+    """The replica set in a register's value.
 
-    Example: ``holding_of(chosen.value).epoch``
+    Example: ``replica_set_of(chosen.value).epoch``
     """
     return codec.untagged(value) if value else None
--- a/aspencroft/consensus/witness.py
+++ b/aspencroft/consensus/witness.py
@@ -1,37 +1,26 @@
-"""A witness: keeps epochs and claims only, decides with its like who holds a pair."""
+"""A witness on its node: applies messages to its state one after the other, and syncs each change before it is told."""
 
 import asyncio
-import dataclasses
-import datetime
 import pathlib
+import typing
 
 import logbook
 
-from aspencroft.consensus import replica_set
-from aspencroft.errors import result
+from aspencroft.consensus import replica_set, witness_state
 from aspencroft.runtime import clock, environment
 from aspencroft.storage import store
 from aspencroft.transport import codec
 
 LOG = logbook.Logger("witness")
-LEASE = clock.seconds(1)
-LEASE_MARGIN = clock.seconds(0.15)
-BLANK_BALLOT = 0
+LEASE = witness_state.LEASE
+LEASE_MARGIN = witness_state.LEASE_MARGIN
 COMPACT = 2000
 
 
-@dataclasses.dataclass(frozen=True)
-class LeaseGrant:
-    """A claim that a witness granted, by its own clock with a margin."""
-
-    claimant: str
-    end: datetime.timedelta
-
-
 class Witness:
-    """One witness's state; diskless ones lose it at a restart and then do not vote at first.
+    """One witness: its state and its store; diskless ones lose it at a restart and then do not vote at first.
 
-    Example: ``await witness.raise_ballot(Raise(0, 7, "me", 1))``
+    Example: ``await witness.prepare(Prepare(0, 7, "me", 1))``
     """
 
     def __init__(
@@ -40,213 +29,138 @@
         folder: pathlib.Path | None,
         address: str,
         incarnation: int,
-        first_roster: replica_set.VoterSet,
+        first_voter_set: replica_set.VoterSet,
     ):
         self.environment = around
-        self.address = address
         self.folder = folder
-        self.incarnation = incarnation
-        self.voter_set = first_roster
-        self.ballots: dict[int, replica_set.Ballot] = {}
-        self.grants: dict[int, LeaseGrant] = {}
-        self.voting = False
-        self.known = replica_set.RememberedCluster(first_roster, ())
-        self.awake = clock.ZERO
+        self.state = witness_state.WitnessState(address, incarnation, first_voter_set)
+        self.known = replica_set.RememberedCluster(first_voter_set, ())
         self.kept: store.Store | None = None
         self.writing = asyncio.Lock()
 
-    async def start(self, founding: bool = False) -> None:
-        """Read what the disk holds; claims of an earlier life count as granted until they ran out.
+    @property
+    def voting(self) -> bool:
+        """Whether this witness answers askers."""
+        return self.state.voting
+
+    @property
+    def voter_set(self) -> replica_set.VoterSet:
+        """The voter set in force here."""
+        return self.state.voter_set
 
-        With ``founding`` an empty disk is one that never held anything, so that this witness of the first roster votes at once:
-        there is nothing that it could have forgotten.
+    @property
+    def ballots(self) -> typing.Mapping[int, replica_set.Ballot]:
+        """What is kept of each register."""
+        return self.state.ballots
+
+    def ballot(self, register: int) -> replica_set.Ballot:
+        """What is kept of a register.
+
+        Example: ``witness.ballot(0).raised``
+        """
+        return self.state.ballot(register)
+
+    def waits_out_leases(self) -> bool:
+        """Whether leases that were granted in an earlier life may still be in force.
+
+        Example: ``if witness.waits_out_leases(): return``
+        """
+        return clock.now() < self.state.awake
+
+    async def start(self, founding: bool = False) -> None:
+        """Read what the disk holds; with ``founding`` an empty disk is one that never held anything.
 
         Example: ``await witness.start()``
         """
-        self.awake = clock.now() + LEASE + LEASE_MARGIN
-        if self.folder is None:
-            return
-        self.kept, items, condition = await self.environment.disk.perform(
-            store.load, self.folder, self.environment.disk
-        )
-        for item in items:
-            value = codec.untagged(item.payload)
-            if isinstance(value, replica_set.VoterSet):
-                self.voter_set = value
-            elif isinstance(value, replica_set.RememberedCluster):
-                self.known = value
-            else:
-                self.ballots[value.register] = value
-        self.voting = self.voter_set.number > 0 and self.address in self.voter_set.everyone()
+        values, condition = [], None
+        if self.folder is not None:
+            self.kept, items, condition = await self.environment.disk.perform(
+                store.load, self.folder, self.environment.disk
+            )
+            values = [codec.untagged(item.payload) for item in items]
         if condition is store.Condition.DAMAGED:
             LOG.warning("the witness's store was damaged; it starts blank")
-        if founding and condition is store.Condition.EMPTY and self.address in self.voter_set.present:
-            self.voter_set = replica_set.VoterSet(replica_set.FOUNDING, tuple(sorted(self.voter_set.present)), ())
-            await self.keep(self.voter_set)
-            self.awake, self.voting = clock.ZERO, True
+        for value in values:
+            if isinstance(value, replica_set.RememberedCluster):
+                self.known = value
+        founds = founding and condition is store.Condition.EMPTY
+        state, writes = self.state.started(values, clock.now(), founds)
+        await self.keep(*writes)
+        self.state = state
 
     async def keep(self, *values) -> None:
-        """Make values last before anybody is told of them.
+        """Sync values before anybody is told of them.
 
         Example: ``await witness.keep(ballot)``
         """
-        if self.kept is None:
+        if self.kept is None or not values:
             return
         async with self.writing:
-            if self.kept.count > COMPACT:
-                values = (self.known, self.voter_set, *self.ballots.values())
+            compacts = self.kept.count > COMPACT
+            if compacts:
+                remembered = witness_state.lasting(self.known)
+                values = (*self.ballots.values(), self.voter_set, *remembered)
             items = tuple(store.Item(0, codec.tagged(value)) for value in values)
-            work = self.kept.replace if self.kept.count > COMPACT else self.kept.append
+            work = self.kept.replace if compacts else self.kept.append
             await self.environment.disk.perform(work, items)
 
-    def ballot(self, register: int) -> replica_set.Ballot:
-        """What is kept of a register.
+    async def settle(self, step: witness_state.Step) -> replica_set.BallotReply | None:
+        """Take a step's state into memory, sync it, and then hand out its reply.
 
-        Example: ``witness.ballot(0).raised``
+        Example: ``return await witness.settle(step)``
         """
-        return self.ballots.get(register, replica_set.Ballot(register, BLANK_BALLOT, BLANK_BALLOT, b""))
+        self.state = step.state
+        await self.keep(*step.writes)
+        return step.reply
 
-    def answer(self, granted: bool, register: int, wait: datetime.timedelta = clock.ZERO) -> replica_set.BallotReply:
-        """The answer to a raise, an accept or a claim.
+    async def prepare(self, message: replica_set.Prepare) -> replica_set.BallotReply:
+        """First phase of a ballot.
 
-        Example: ``witness.answer(False, 0)``
+        Example: ``await witness.prepare(Prepare(0, 7, "me", 1))``
         """
-        return replica_set.BallotReply(granted, self.incarnation, self.ballot(register), self.voter_set, wait)
-
-    def check(self, voter_set: int) -> bool:
-        """Whether the asker uses the very roster in force here; a blank witness answers nobody.
+        return await self.settle(self.state.prepare(message, clock.now()))
 
-        Example: ``witness.check(message.roster)``
-        """
-        if not self.voting:
-            raise result.RequestError(result.ResultCode.WITNESS_BLANK)
-        return voter_set == self.voter_set.number
-
-    async def raise_ballot(self, message: replica_set.Prepare) -> replica_set.BallotReply:
-        """First phase; refused while somebody else's claim may be in force.
+    async def accept(self, message: replica_set.Accept) -> replica_set.BallotReply:
+        """Second phase of a ballot.
 
-        Example: ``await witness.raise_ballot(holding.Raise(0, 7, "me", 1))``
-        """
-        if not self.check(message.voter_set):
-            return self.answer(False, message.register)
-        current = self.ballot(message.register)
-        wait = self.claimed(message.register, message.asker)
-        if wait > clock.ZERO or message.ballot <= current.raised:
-            return self.answer(False, message.register, max(wait, clock.ZERO))
-        await self.settle(dataclasses.replace(current, raised=message.ballot))
-        return self.answer(self.ballot(message.register).raised == message.ballot, message.register)
-
-    def claimed(self, register: int, asker: str) -> datetime.timedelta:
-        """How long somebody else's claim on a register may still be in force.
-
-        Example: ``witness.claimed(0, "me") > moment.ZERO``
+        Example: ``await witness.accept(Accept(0, 7, value, incarnation, 1))``
         """
-        if register == replica_set.VOTER_SET:
-            return clock.ZERO
-        grant = self.grants.get(register)
-        if grant is not None and grant.claimant == asker:
-            return clock.ZERO
-        end = self.awake if grant is None else max(grant.end, self.awake)
-        current = self.ballot(register)
-        if grant is None and current.value and str(codec.untagged(current.value).primary) == asker:
-            return clock.ZERO
-        return end - clock.now()
-
-    async def settle(self, fresh: replica_set.Ballot) -> None:
-        """Take a register's new state into memory, then make it last; twice, as a disk may lose its last value.
-
-        Example: ``await witness.settle(ballot)``
-        """
-        self.ballots[fresh.register] = fresh
-        await self.keep(fresh, fresh)
+        return await self.settle(self.state.accept(message))
 
-    async def accept(self, message: replica_set.Accept) -> replica_set.BallotReply:
-        """Second phase; only for a ballot that this very incarnation promised.
+    async def claim(self, message: replica_set.LeaseRequest) -> replica_set.BallotReply:
+        """Renew a primary's lease; a chosen value that was missed is learnt first.
 
-        Example: ``await witness.accept(holding.Accept(0, 7, value, incarnation, 1))``
+        Example: ``await witness.claim(request)``
         """
-        if not self.check(message.voter_set):
-            return self.answer(False, message.register)
-        current = self.ballot(message.register)
-        if message.incarnation != self.incarnation or current.raised != message.ballot:
-            return self.answer(False, message.register)
-        await self.settle(dataclasses.replace(current, accepted=message.ballot, value=message.value))
-        value = codec.untagged(message.value)
-        if message.register == replica_set.VOTER_SET:
-            await self.adopt(value)
-        elif str(value.primary) != getattr(self.grants.get(message.register), "claimant", ""):
-            self.grants.pop(message.register, None)
-        return self.answer(self.ballot(message.register).accepted == message.ballot, message.register)
+        await self.settle(self.state.learn_chosen(message))
+        return await self.settle(self.state.renew(message, clock.now()))
 
     async def adopt(self, voter_set: replica_set.VoterSet) -> None:
-        """Take a newer roster; older ones are refused from then on.
+        """Take a newer voter set that was chosen.
 
-        Example: ``await witness.adopt(roster)``
+        Example: ``await witness.adopt(voter_set)``
         """
-        if voter_set.number > self.voter_set.number and self.voting:
-            self.voter_set = voter_set
-            if self.address not in voter_set.everyone():
-                self.voting = False
-                self.ballots.clear()
-            await self.keep(voter_set)
+        await self.settle(self.state.adopt(voter_set))
 
     async def remember(self, known: replica_set.RememberedCluster) -> None:
-        """Keep what this node knows of the fleet, for the start after a full stop.
+        """Keep what this node knows of the cluster, for the start after a full stop.
 
-        Example: ``await witness.remember(holding.Known(roster, disks))``
+        Example: ``await witness.remember(RememberedCluster(voter_set, disks))``
         """
         if known != self.known:
             self.known = known
             await self.keep(known)
 
-    async def claim(self, message: replica_set.LeaseRequest) -> replica_set.BallotReply:
-        """Renew a claim under the record that stands; nobody's while a higher ballot is raised.
-
-        Example: ``await witness.claim(claim)``
-        """
-        if not self.check(message.voter_set):
-            return self.answer(False, message.register)
-        current = self.ballot(message.register)
-        if message.ballot > current.accepted and message.ballot >= current.raised:
-            current = replica_set.Ballot(message.register, message.ballot, message.ballot, message.value)
-            await self.settle(current)
-        current = self.ballot(message.register)
-        standing = codec.untagged(current.value) if current.value else None
-        if (
-            standing is None
-            or current.accepted != message.ballot
-            or current.raised != message.ballot
-            or str(standing.primary) != message.claimant
-            or self.claimed(message.register, message.claimant) > clock.ZERO
-        ):
-            return self.answer(False, message.register)
-        end, before = clock.now() + message.length + LEASE_MARGIN, self.grants.get(message.register)
-        if before is not None and before.claimant == message.claimant:
-            end = max(end, before.end)
-        self.grants[message.register] = LeaseGrant(message.claimant, end)
-        return self.answer(True, message.register)
-
     def survey(self) -> replica_set.WitnessState:
         """All that is kept, for a blank witness that wants to learn.
 
         Example: ``witness.survey().voting``
         """
-        return replica_set.WitnessState(self.voting, self.incarnation, self.voter_set, tuple(self.ballots.values()))
+        return self.state.survey()
 
     async def learn(self, voter_set: replica_set.VoterSet, ballots: tuple[replica_set.Ballot, ...]) -> None:
-        """Take the newest of what others keep, and vote from now on; claims count as granted.
+        """Take the newest of what others keep, and vote from now on.
 
-        Example: ``await witness.learn(roster, ballots)``
+        Example: ``await witness.learn(voter_set, ballots)``
         """
-        if self.voting:
-            return
-        for one in ballots:
-            mine = self.ballot(one.register)
-            newest = one if one.accepted >= mine.accepted else mine
-            self.ballots[one.register] = replica_set.Ballot(
-                one.register, max(one.raised, mine.raised), newest.accepted, newest.value
-            )
-        self.voter_set = voter_set if voter_set.number > self.voter_set.number else self.voter_set
-        self.awake = clock.now() + LEASE + LEASE_MARGIN
-        self.voting = True
-        await self.keep(self.voter_set, *self.ballots.values())
+        await self.settle(self.state.learn(voter_set, ballots, clock.now()))
--- a/aspencroft/consensus/witness_bootstrap.py
+++ b/aspencroft/consensus/witness_bootstrap.py
@@ -6,7 +6,7 @@
 
 import logbook
 
-from aspencroft.consensus import proposer, replica_set, witness
+from aspencroft.consensus import proposer, replica_set, witness, witness_state
 from aspencroft.errors import result
 from aspencroft.replication import group_state, messages
 from aspencroft.runtime import clock, supervision
@@ -114,7 +114,7 @@
 
         Example: ``await seat.try_to_vote()``
         """
-        if clock.now() < self.witness.awake:
+        if self.witness.waits_out_leases():
             self.why = "waiting out claims"
             return
         voter_set = self.proposer.voter_set
@@ -125,9 +125,8 @@
             self.proposer.learn(one.voter_set)
         if self.proposer.voter_set.number > voter_set.number:
             return
-        source = [one for one in voter_set.present if one != self.address]
         ballots = tuple(ballot for one in voting.values() for ballot in one.ballots)
-        if 2 * len([one for one in source if one in voting]) > len(source):
+        if witness_state.taught(voter_set, self.address, voting):
             await self.witness.learn(self.proposer.voter_set, ballots)
             LOG.info("votes again, taught by {}", sorted(voting))
             return
--- /dev/null
+++ b/aspencroft/consensus/witness_state.py
@@ -0,0 +1,261 @@
+"""What a witness decides: a pure state machine over messages and the time, without input or output."""
+
+import dataclasses
+import datetime
+import typing
+
+from aspencroft.consensus import replica_set
+from aspencroft.errors import result
+from aspencroft.runtime import clock
+from aspencroft.transport import codec
+
+LEASE = clock.seconds(1)
+LEASE_MARGIN = clock.seconds(0.15)
+BLANK_BALLOT = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class LeaseGrant:
+    """A lease that a witness granted: until when it may be in force, by the witness's own clock with a margin."""
+
+    claimant: str
+    end: datetime.timedelta
+
+
+@dataclasses.dataclass(frozen=True)
+class Step:
+    """What came of a message: the next state, the reply, and the values to sync before the reply is sent."""
+
+    state: "WitnessState"
+    reply: replica_set.BallotReply | None
+    writes: tuple = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class WitnessState:
+    """All that a witness knows. Leases are in memory alone; ``awake`` is when those of an earlier life have run out.
+
+    Example: ``WitnessState("a:1", 7, VoterSet(1, ("a:1",), ()))``
+    """
+
+    address: str
+    incarnation: int
+    voter_set: replica_set.VoterSet
+    ballots: typing.Mapping[int, replica_set.Ballot] = dataclasses.field(default_factory=dict)
+    grants: typing.Mapping[int, LeaseGrant] = dataclasses.field(default_factory=dict)
+    voting: bool = False
+    awake: datetime.timedelta = clock.ZERO
+
+    def ballot(self, register: int) -> replica_set.Ballot:
+        """What is kept of a register.
+
+        Example: ``state.ballot(0).raised``
+        """
+        return self.ballots.get(register, replica_set.Ballot(register, BLANK_BALLOT, BLANK_BALLOT, b""))
+
+    def answer(self, granted: bool, register: int, wait: datetime.timedelta = clock.ZERO) -> replica_set.BallotReply:
+        """The reply to a prepare, an accept or a lease request.
+
+        Example: ``state.answer(False, 0)``
+        """
+        return replica_set.BallotReply(granted, self.incarnation, self.ballot(register), self.voter_set, wait)
+
+    def refused(self, register: int, wait: datetime.timedelta = clock.ZERO) -> Step:
+        """Nothing changes; the reply tells what stands in the way.
+
+        Example: ``state.refused(0).reply.granted is False``
+        """
+        return Step(self, self.answer(False, register, wait))
+
+    def uses(self, voter_set: int) -> bool:
+        """Whether the asker uses the very voter set in force here; a blank witness answers nobody.
+
+        Example: ``state.uses(message.voter_set)``
+        """
+        if not self.voting:
+            raise result.RequestError(result.ResultCode.WITNESS_BLANK)
+        return voter_set == self.voter_set.number
+
+    def lease_wait(self, register: int, asker: str, now: datetime.timedelta) -> datetime.timedelta:
+        """How long somebody else's lease on a register may still be in force.
+
+        Example: ``state.lease_wait(0, "me", now) > clock.ZERO``
+        """
+        if register == replica_set.VOTER_SET:
+            return clock.ZERO
+        grant = self.grants.get(register)
+        if grant is not None and grant.claimant == asker:
+            return clock.ZERO
+        current = self.ballot(register)
+        if grant is None and current.value and str(codec.untagged(current.value).primary) == asker:
+            return clock.ZERO
+        end = self.awake if grant is None else max(grant.end, self.awake)
+        return end - now
+
+    def started(
+        self, values: typing.Iterable, now: datetime.timedelta, founding: bool = False
+    ) -> tuple["WitnessState", tuple]:
+        """The state of a witness that starts with what its disk held, and what must be written before it votes.
+
+        Leases of an earlier life count as granted until they have run out. With ``founding`` the disk never held
+        anything, so that this witness of the first voter set votes at once: it can have forgotten nothing.
+
+        Example: ``state, writes = WitnessState("a:1", 8, first).started(values, now)``
+        """
+        voter_set, ballots, recorded = self.voter_set, {}, False
+        for value in values:
+            if isinstance(value, replica_set.VoterSet):
+                voter_set, recorded = value, True
+            elif isinstance(value, replica_set.Ballot):
+                ballots[value.register] = value
+        state = dataclasses.replace(
+            self,
+            voter_set=voter_set,
+            ballots=ballots,
+            grants={},
+            voting=recorded and self.address in voter_set.everyone(),
+            awake=now + LEASE + LEASE_MARGIN,
+        )
+        if not founding or self.address not in voter_set.present:
+            return state, ()
+        first = replica_set.VoterSet(replica_set.FOUNDING, tuple(sorted(voter_set.present)), ())
+        return dataclasses.replace(state, voter_set=first, awake=clock.ZERO, voting=True), (first,)
+
+    def prepare(self, message: replica_set.Prepare, now: datetime.timedelta) -> Step:
+        """First phase; refused while somebody else's lease may be in force.
+
+        Example: ``state.prepare(Prepare(0, 7, "me", 1), now).reply.granted``
+        """
+        if not self.uses(message.voter_set):
+            return self.refused(message.register)
+        current = self.ballot(message.register)
+        wait = self.lease_wait(message.register, message.asker, now)
+        if wait > clock.ZERO or message.ballot <= current.raised:
+            return self.refused(message.register, max(wait, clock.ZERO))
+        return self.settled(dataclasses.replace(current, raised=message.ballot))
+
+    def accept(self, message: replica_set.Accept) -> Step:
+        """Second phase; only for a ballot that this very incarnation promised.
+
+        Example: ``state.accept(Accept(0, 7, value, 8, 1)).reply.granted``
+        """
+        if not self.uses(message.voter_set):
+            return self.refused(message.register)
+        current = self.ballot(message.register)
+        if message.incarnation != self.incarnation or current.raised != message.ballot:
+            return self.refused(message.register)
+        step = self.settled(dataclasses.replace(current, accepted=message.ballot, value=message.value))
+        value = codec.untagged(message.value)
+        if message.register == replica_set.VOTER_SET:
+            adopted = step.state.adopt(value)
+            return Step(adopted.state, step.reply, (*step.writes, *adopted.writes))
+        grant = self.grants.get(message.register)
+        if grant is None or grant.claimant == str(value.primary):
+            return step
+        grants = {register: one for register, one in self.grants.items() if register != message.register}
+        return dataclasses.replace(step, state=dataclasses.replace(step.state, grants=grants))
+
+    def settled(self, ballot: replica_set.Ballot) -> Step:
+        """A register's new state, granted once it is synced.
+
+        Example: ``state.settled(ballot).writes == (ballot, ballot)``
+        """
+        state = dataclasses.replace(self, ballots={**self.ballots, ballot.register: ballot})
+        return Step(state, state.answer(True, ballot.register), lasting(ballot))
+
+    def adopt(self, voter_set: replica_set.VoterSet) -> Step:
+        """Take a newer voter set; askers with an older one are refused from then on.
+
+        A witness that the set does not name forgets its ballots: it may vote again only once others taught it.
+
+        Example: ``state.adopt(voter_set).state.voter_set``
+        """
+        if voter_set.number <= self.voter_set.number or not self.voting:
+            return Step(self, None)
+        state = dataclasses.replace(self, voter_set=voter_set)
+        if self.address not in voter_set.everyone():
+            state = dataclasses.replace(state, voting=False, ballots={})
+        return Step(state, None, lasting(voter_set))
+
+    def learn_chosen(self, message: replica_set.LeaseRequest) -> Step:
+        """Take the chosen value that a lease request carries, where this witness had no part in its ballot.
+
+        Example: ``state.learn_chosen(request).writes == ()`` where it had one.
+        """
+        current = self.ballot(message.register)
+        if not self.uses(message.voter_set) or message.ballot <= current.accepted or message.ballot < current.raised:
+            return self.refused(message.register)
+        return self.settled(replica_set.Ballot(message.register, message.ballot, message.ballot, message.value))
+
+    def renew(self, message: replica_set.LeaseRequest, now: datetime.timedelta) -> Step:
+        """Renew a primary's lease under the record that stands; nobody's while a higher ballot is raised.
+
+        Example: ``state.renew(request, now).reply.granted``
+        """
+        if not self.uses(message.voter_set):
+            return self.refused(message.register)
+        current = self.ballot(message.register)
+        standing = codec.untagged(current.value) if current.value else None
+        if (
+            standing is None
+            or current.accepted != message.ballot
+            or current.raised != message.ballot
+            or str(standing.primary) != message.claimant
+            or self.lease_wait(message.register, message.claimant, now) > clock.ZERO
+        ):
+            return self.refused(message.register)
+        end, before = now + message.length + LEASE_MARGIN, self.grants.get(message.register)
+        if before is not None and before.claimant == message.claimant:
+            end = max(end, before.end)
+        grants = {**self.grants, message.register: LeaseGrant(message.claimant, end)}
+        return Step(dataclasses.replace(self, grants=grants), self.answer(True, message.register))
+
+    def survey(self) -> replica_set.WitnessState:
+        """All that is kept, for a blank witness that wants to learn.
+
+        Example: ``state.survey().voting``
+        """
+        return replica_set.WitnessState(self.voting, self.incarnation, self.voter_set, tuple(self.ballots.values()))
+
+    def learn(
+        self, voter_set: replica_set.VoterSet, ballots: typing.Iterable[replica_set.Ballot], now: datetime.timedelta
+    ) -> Step:
+        """Take the newest of what others keep, and vote from now on; leases count as granted.
+
+        Example: ``state.learn(voter_set, ballots, now).state.voting``
+        """
+        if self.voting:
+            return Step(self, None)
+        held = dict(self.ballots)
+        for one in ballots:
+            mine = held.get(one.register, replica_set.Ballot(one.register, BLANK_BALLOT, BLANK_BALLOT, b""))
+            newest = one if one.accepted >= mine.accepted else mine
+            raised = max(one.raised, mine.raised)
+            held[one.register] = replica_set.Ballot(one.register, raised, newest.accepted, newest.value)
+        state = dataclasses.replace(
+            self,
+            voter_set=max(self.voter_set, voter_set, key=lambda one: one.number),
+            ballots=held,
+            awake=now + LEASE + LEASE_MARGIN,
+            voting=True,
+        )
+        return Step(state, None, (*held.values(), *lasting(state.voter_set)))
+
+
+def lasting(value) -> tuple:
+    """A value as it is written: twice, as a disk may lose its last value though it was synced.
+
+    Example: ``lasting(ballot) == (ballot, ballot)``
+    """
+    return value, value
+
+
+def taught(voter_set: replica_set.VoterSet, address: str, voting: typing.Collection[str]) -> bool:
+    """Whether so many others vote that a blank witness may learn from them: a majority of the present ones but itself.
+
+    Any quorum that ever counted this witness has one of them in common with those.
+
+    Example: ``taught(VoterSet(1, ("a", "b", "c"), ()), "c", {"a", "b"})``
+    """
+    others = [one for one in voter_set.present if one != address]
+    return 2 * len([one for one in others if one in voting]) > len(others)
--- a/aspencroft/consensus/witness_test.py
+++ b/aspencroft/consensus/witness_test.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from aspencroft.consensus import replica_set, witness
-from aspencroft.runtime import clock, environment
+from aspencroft.runtime import environment
 from aspencroft.transport import codec
 
 
@@ -21,15 +21,14 @@
     async def scene():
         around = environment.Environment(None, None, None, None, None)
         one = witness.Witness(around, None, "w:1", 5, replica_set.VoterSet(1, ("w:1",), ()))
-        one.awake = clock.ZERO
         await one.learn(replica_set.VoterSet(1, ("w:1",), ()), (replica_set.Ballot(0, 5, 5, value),))
         timer[0] += 10
         claim = replica_set.LeaseRequest(0, 5, value, str(member), witness.LEASE, 1)
         assert (await one.claim(claim)).granted
         timer[0] += 1
-        assert not (await one.raise_ballot(replica_set.Prepare(0, 9, "b:1", 1))).granted
+        assert not (await one.prepare(replica_set.Prepare(0, 9, "b:1", 1))).granted
         timer[0] += 10
-        assert (await one.raise_ballot(replica_set.Prepare(0, 9, "b:1", 1))).granted
+        assert (await one.prepare(replica_set.Prepare(0, 9, "b:1", 1))).granted
         assert not (await one.claim(claim)).granted
         timer[0] += 10
         fresh = codec.tagged(replica_set.ReplicaSet(0, 2, replica_set.ReplicaId("b:1", "y"), ()))
--- a/aspencroft/node/node.py
+++ b/aspencroft/node/node.py
@@ -222,7 +222,7 @@
             case replica_set.LeaseRequest():
                 return await self.witness.claim(message)
             case replica_set.Prepare():
-                return await self.witness.raise_ballot(message)
+                return await self.witness.prepare(message)
             case replica_set.Accept():
                 return await self.witness.accept(message)
             case replica_set.WitnessStateRequest():
--- a/aspencroft/simulation/mutations.py
+++ b/aspencroft/simulation/mutations.py
@@ -142,16 +142,16 @@
     ),
     Mutation(
         "claims are granted below a raised ballot",
-        "consensus/witness.py",
+        "consensus/witness_state.py",
         "            or current.raised != message.ballot\n",
         "",
         ("consensus/witness_test.py::test_no_claim_is_granted_below_a_raised_ballot",),
     ),
     Mutation(
         "a blank witness votes at once",
-        "consensus/witness.py",
+        "consensus/witness_state.py",
         "            raise result.RequestError(result.ResultCode.WITNESS_BLANK)\n",
-        "            self.voting = True\n",
+        "            pass\n",
         (
             "simulation/guarantees_test.py::test_all_witnesses_losing_their_memory_at_once_neither_stops_nor_splits_the_fleet",
         ),
