Voter sets: in force once chosen, laggards told, newcomers taught under their own set

Cause: a witness took a voter set into force as soon as it accepted it. One that a single witness accepted kept that witness, and every proposer that heard of it, from all quorums. A witness that missed the news of a set was never told of it, so the next loss could leave no majority that votes under one set. A newcomer was taught by witnesses that still voted under the former set, which could choose more there afterwards; a quorum of the next set may then not know it. The wait for leases of the former set ran from when one node heard of the joint set, not from when a majority had left the former one.

Change: a set is adopted by the news that it was chosen; a proposer tells witnesses whose answers are behind; a newcomer learns from a majority that holds its very set, and does not start from disks while a majority votes; the wait runs from when a majority of the present votes under the joint set. Witnesses are asked at once instead of one after the other.

Seen to fail before: all four tests of witness_changes_test.py (a second loss at every step, a set accepted by one, witnesses not told, a newcomer's teachers).

--- a/aspencroft/consensus/proposer.py
+++ b/aspencroft/consensus/proposer.py
@@ -36,13 +36,16 @@
         return self.highest
 
     def heed(self, answers: dict) -> None:
-        """Learn higher ballots and newer voter sets from answers.
+        """Learn higher ballots and newer voter sets from answers; tell witnesses that are behind of the newest set.
 
         Example: ``proposer.heed(answers)``
         """
         for one in answers.values():
             self.highest = max(self.highest, one.ballot.raised)
             self.learn(one.voter_set)
+        for address, one in answers.items():
+            if one.voter_set.number < self.voter_set.number:
+                self.link.tell(address, replica_set.VoterSetChosen(self.voter_set))
 
     def learn(self, voter_set: replica_set.VoterSet) -> None:
         """Take a newer voter set.
--- a/aspencroft/consensus/witness_bootstrap.py
+++ b/aspencroft/consensus/witness_bootstrap.py
@@ -130,6 +130,9 @@
             await self.witness.learn(self.proposer.voter_set, ballots)
             LOG.info("votes again, taught by {}", sorted(voting))
             return
+        if witness_state.majority_votes(voter_set, self.address, voting):
+            self.why = "blank; witnesses that vote have not heard of this voter set"
+            return
         if len(answers) < len(others):
             self.why = f"blank; witnesses that do not answer: {sorted(set(others) - set(answers))}"
             return
--- a/aspencroft/consensus/witness_changes.py
+++ b/aspencroft/consensus/witness_changes.py
@@ -1,6 +1,7 @@
 """Changing the witnesses while the fleet runs: through a joint roster, recorded with both majorities."""
 
 import collections.abc
+import contextlib
 import datetime
 
 import logbook
@@ -12,7 +13,39 @@
 
 LOG = logbook.Logger("reseat")
 STEP = clock.seconds(0.5)
-ASK = clock.seconds(1)
+ASK = clock.seconds(0.4)
+JOINT_LEAST = witness.LEASE + 2 * witness.LEASE_MARGIN
+
+
+def following(value: bytes, voter_set: replica_set.VoterSet, fresh: replica_set.VoterSet) -> bytes:
+    """What a ballot on the voter set records: the fresh one, unless one newer than the one it follows may be chosen.
+
+    Example: ``codec.untagged(following(b"", voter_set, fresh)) == fresh``
+    """
+    standing = codec.untagged(value) if value else voter_set
+    return value if standing.number > voter_set.number else codec.tagged(fresh)
+
+
+def may_end(
+    voter_set: replica_set.VoterSet, ready: collections.abc.Collection[str], waited: datetime.timedelta
+) -> bool:
+    """Whether a joint voter set may give way to the coming one.
+
+    Leases of before it must have run out, and a majority of the coming voters must vote under it.
+
+    Example: ``may_end(joint, joint.coming, JOINT_LEAST + clock.seconds(1))``
+    """
+    return waited > JOINT_LEAST and 2 * len(set(voter_set.coming) & set(ready)) > len(set(voter_set.coming))
+
+
+def in_force(voter_set: replica_set.VoterSet, ready: collections.abc.Collection[str]) -> bool:
+    """Whether a majority of the present voters votes under a joint set, so that no quorum of the former one is left.
+
+    Leases that the former set granted run from before that moment.
+
+    Example: ``in_force(joint, joint.present)``
+    """
+    return 2 * len(set(voter_set.present) & set(ready)) > len(set(voter_set.present))
 
 
 class WitnessChanges:
@@ -53,40 +86,50 @@
     async def step(self) -> None:
         """Begin a change that is wished for, or end one that is under way.
 
-        A joint roster is ended only once claims of before it ran out, and a majority of the coming
+        A joint voter set is ended only once leases of before it ran out, and a majority of the coming
         witnesses vote under it.
 
-        Example: ``await reseat.step()``
+        Example: ``await changes.step()``
         """
-        voter_set, now = self.proposer.voter_set, clock.now()
+        voter_set = self.proposer.voter_set
         if voter_set.coming:
-            if self.joint_since[0] != voter_set.number:
-                self.joint_since = (voter_set.number, now)
-                await self.tell(voter_set)
-            waited = now - self.joint_since[1] > witness.LEASE + 2 * witness.LEASE_MARGIN
-            if waited and await self.voting(voter_set):
-                await self.record(voter_set, voter_set.coming, ())
-            elif waited:
-                await self.tell(voter_set)
+            await self.step_joint(voter_set)
             return
         wished = self.wished()
         if wished and set(wished) != set(voter_set.present):
             await self.record(voter_set, voter_set.present, wished)
 
-    async def voting(self, voter_set: replica_set.VoterSet) -> bool:
-        """Whether a majority of the coming witnesses vote under this roster.
+    async def step_joint(self, voter_set: replica_set.VoterSet) -> None:
+        """End a joint voter set if it may end; else tell those who do not vote under it yet.
 
-        Example: ``await reseat.voting(roster)``
+        Example: ``await changes.step_joint(voter_set)``
+        """
+        ready = await self.ready(voter_set)
+        if in_force(voter_set, ready) and self.joint_since[0] != voter_set.number:
+            self.joint_since = (voter_set.number, clock.now())
+        known = self.joint_since[0] == voter_set.number
+        if known and may_end(voter_set, ready, clock.now() - self.joint_since[1]):
+            await self.record(voter_set, voter_set.coming, ())
+        else:
+            await self.tell(voter_set, (), frozenset(ready))
+
+    async def ready(self, voter_set: replica_set.VoterSet) -> list[str]:
+        """The present and coming witnesses that vote under this voter set.
+
+        Example: ``await changes.ready(voter_set)``
         """
         ready = []
-        for address in voter_set.coming:
-            try:
+
+        async def ask(address: str) -> None:
+            with contextlib.suppress(result.RequestError):
                 reply = await self.link.ask(address, replica_set.WitnessStateRequest(self.address), ASK)
                 if reply.voting and reply.voter_set.number == voter_set.number:
                     ready.append(address)
-            except result.RequestError:
-                continue
-        return 2 * len(ready) > len(voter_set.coming)
+
+        async with supervision.Group() as group:
+            for address in voter_set.everyone():
+                group.create_task(ask(address))
+        return ready
 
     async def record(self, voter_set: replica_set.VoterSet, present: tuple[str, ...], coming: tuple[str, ...]) -> None:
         """Have the next roster chosen by those who vote under this one, and tell everybody concerned.
@@ -98,29 +141,31 @@
             witness_bootstrap.numbered(counter, self.proposer.environment.randomness), present, coming
         )
 
-        def change(value: bytes) -> bytes:
-            standing = codec.untagged(value) if value else voter_set
-            return value if standing.number > voter_set.number else codec.tagged(fresh)
-
-        chosen = await self.proposer.change(replica_set.VOTER_SET, self.address, change)
+        chosen = await self.proposer.change(
+            replica_set.VOTER_SET, self.address, lambda value: following(value, voter_set, fresh)
+        )
         self.counts["rosters"] += 1
         settled = codec.untagged(chosen.value)
         LOG.info("witnesses: {}", settled)
         self.proposer.learn(settled)
         await self.tell(settled, voter_set.everyone())
 
-    async def tell(self, voter_set: replica_set.VoterSet, others: tuple[str, ...] = ()) -> None:
-        """Tell present, coming and former witnesses of a chosen roster.
+    async def tell(
+        self,
+        voter_set: replica_set.VoterSet,
+        others: tuple[str, ...] = (),
+        informed: frozenset[str] = frozenset(),
+    ) -> None:
+        """Tell present, coming and former witnesses of a chosen voter set, but for those that know it.
 
-        Example: ``await reseat.tell(roster)``
+        Example: ``await changes.tell(voter_set)``
         """
 
         async def one(address: str) -> None:
-            try:
+            with contextlib.suppress(result.RequestError):
                 await self.link.ask(address, replica_set.VoterSetChosen(voter_set), ASK)
-            except result.RequestError:
-                return
 
         async with supervision.Group() as group:
             for address in dict.fromkeys((*voter_set.everyone(), *others)):
-                group.create_task(one(address))
+                if address not in informed:
+                    group.create_task(one(address))
--- a/aspencroft/consensus/witness_state.py
+++ b/aspencroft/consensus/witness_state.py
@@ -137,6 +137,9 @@
     def accept(self, message: replica_set.Accept) -> Step:
         """Second phase; only for a ballot that this very incarnation promised.
 
+        A voter set is not in force here before it was chosen: one that few accepted would keep this witness and all who
+        hear of it from every quorum.
+
         Example: ``state.accept(Accept(0, 7, value, 8, 1)).reply.granted``
         """
         if not self.uses(message.voter_set):
@@ -145,10 +148,9 @@
         if message.incarnation != self.incarnation or current.raised != message.ballot:
             return self.refused(message.register)
         step = self.settled(dataclasses.replace(current, accepted=message.ballot, value=message.value))
-        value = codec.untagged(message.value)
         if message.register == replica_set.VOTER_SET:
-            adopted = step.state.adopt(value)
-            return Step(adopted.state, step.reply, (*step.writes, *adopted.writes))
+            return step
+        value = codec.untagged(message.value)
         grant = self.grants.get(message.register)
         if grant is None or grant.claimant == str(value.primary):
             return step
@@ -250,12 +252,25 @@
     return value, value
 
 
-def taught(voter_set: replica_set.VoterSet, address: str, voting: typing.Collection[str]) -> bool:
+def taught(
+    voter_set: replica_set.VoterSet, address: str, voting: typing.Mapping[str, replica_set.WitnessState]
+) -> bool:
     """Whether so many others vote that a blank witness may learn from them: a majority of the present ones but itself.
 
-    Any quorum that ever counted this witness has one of them in common with those.
+    Any quorum that ever counted this witness has one of them in common with those. They must hold the very voter set
+    under which it is to vote: one that still votes under the former set may accept more there afterwards, which a quorum
+    of the next set that counts this witness would not know.
+
+    Example: ``taught(VoterSet(1, ("a", "b", "c"), ()), "c", {"a": survey, "b": survey})``
+    """
+    sources = {one for one, survey in voting.items() if survey.voter_set.number == voter_set.number}
+    return majority_votes(voter_set, address, sources)
+
+
+def majority_votes(voter_set: replica_set.VoterSet, address: str, voting: typing.Collection[str]) -> bool:
+    """Whether a majority of the present witnesses but this one votes, under whatever voter set.
 
-    Example: ``taught(VoterSet(1, ("a", "b", "c"), ()), "c", {"a", "b"})``
+    Example: ``majority_votes(VoterSet(1, ("a", "b", "c"), ()), "c", {"a", "b"})``
     """
     others = [one for one in voter_set.present if one != address]
     return 2 * len([one for one in others if one in voting]) > len(others)
--- a/aspencroft/simulation/mutations.py
+++ b/aspencroft/simulation/mutations.py
@@ -470,6 +470,28 @@
         "beyond is not None",
         (POWER_LOSS_TEST,),
     ),
+    Mutation(
+        "a newcomer learns from witnesses that still vote under the former voter set",
+        "consensus/witness_state.py",
+        "{one for one, survey in voting.items() if survey.voter_set.number == voter_set.number}",
+        "set(voting)",
+        ("consensus/witness_changes_test.py",),
+    ),
+    Mutation(
+        "witnesses that missed a voter set are not told of it",
+        "consensus/proposer.py",
+        "if one.voter_set.number < self.voter_set.number:",
+        "if False:",
+        ("consensus/witness_changes_test.py",),
+    ),
+    Mutation(
+        "a voter set is in force where it was accepted, chosen or not",
+        "consensus/witness_state.py",
+        "        if message.register == replica_set.VOTER_SET:\n            return step\n",
+        "        if message.register == replica_set.VOTER_SET:\n"
+        "            return dataclasses.replace(step, state=step.state.adopt(codec.untagged(message.value)).state)\n",
+        ("consensus/witness_changes_test.py",),
+    ),
 )
 
 
