Replica sets: a record nobody was told of is settled; serving only under the chosen one

Cause: a primary that lost its disk between a ballot and the news of it left a record whose new member had not heard of it. Witnesses told of accepted records only while none at all was known, so nobody led that group any more (found by losing a second machine at every message of a replacement). Telling all that was accepted is no way out: a record that few accepted and that leaves out a backup could be served under, while the chosen one lets that backup take over; after a restart of a witness this could happen already.

A primary serves only while the newest record that it knows is the one under which it asks for its lease; else it has the standing one chosen again, with an epoch above all that it knows.

--- a/aspencroft/node/node.py
+++ b/aspencroft/node/node.py
@@ -13,7 +13,15 @@
 import aspencroft.residency.messages as residency_messages
 from aspencroft.alerts import sample
 from aspencroft.configuration import control_state, operator_configuration
-from aspencroft.consensus import proposer, replica_set, witness, witness_bootstrap, witness_changes, witness_placement
+from aspencroft.consensus import (
+    proposer,
+    record_recovery,
+    replica_set,
+    witness,
+    witness_bootstrap,
+    witness_changes,
+    witness_placement,
+)
 from aspencroft.distribution import relay, updates
 from aspencroft.errors import result
 from aspencroft.gateway import trace
@@ -81,6 +89,9 @@
             place.witnesses == settings.CORE,
         )
         self.relay = relay.Relay(self.link, self.ring, place.currency)
+        self.record_recovery = record_recovery.RecordRecovery(
+            self.witness, self.proposer, place.address, self.ring.holdings, self.ring.hold
+        )
         self.reseat = witness_changes.WitnessChanges(
             self.link, self.proposer, place.address, self.rooted, self.wished_seeds
         )
@@ -615,6 +626,7 @@
                 "seat": self.seat.run,
                 "relay": self.relay.run,
                 "holdings": self.share_holdings,
+                "records": self.record_recovery.run,
             }
             works.update({f"pair {pair}": held.run for pair, held in self.hosts.items()})
             works.update({f"pictures {pair}": held.copy.draw_pictures for pair, held in self.hosts.items()})
--- a/aspencroft/replication/group_replica_test.py
+++ b/aspencroft/replication/group_replica_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from aspencroft.replication import messages
 from aspencroft.simulation import groups, simulated_cluster
 
 THREE = simulated_cluster.Size(2, 3, 5, apart=True)
@@ -193,3 +194,34 @@
             await one.until(stage.whole, 3, "whole")
 
     groups.play(14, acts, THREE, {"losses": 2})
+
+
+def test_a_new_member_leads_though_the_primary_lost_its_disk_before_it_told_of_the_record():
+    async def acts(stage: groups.Stage) -> None:
+        one = stage.scene
+        assert (await stage.ask("edge-0", "supervisor", "p first", program="p")).ran == "done"
+        for pair in (1, 2):
+            primary, backup = stage.members(pair)
+            third = next(name for name in one.storages if name not in (primary, backup))
+            link = one.nodes[primary].hosts[pair].link
+            ask = link.ask
+
+            async def cut_before_telling(address, message, *rest, ask=ask, pair=pair, primary=primary, third=third):
+                told = message.holding if isinstance(message, messages.Appoint) else None
+                if told is not None and told.pair == pair and third in str(told.backups):
+                    one.power_off(primary)
+                    one.disks[primary].wipe()
+                    one.lost.add(primary)
+                return await ask(address, message, *rest)
+
+            link.ask = cut_before_telling
+            one.power_off(backup)
+            await one.until(lambda primary=primary: not one.alive(primary), 6, "lost before telling")
+            await asyncio.sleep(0.5)
+            one.start(primary)
+            await one.until(lambda pair=pair, third=third: one.leader(pair) == third, 6, "led by the new member")
+            one.start(backup)
+            await one.until(stage.whole, 10, "whole")
+        assert (await stage.ask("edge-1", "supervisor", "second", program="p", after=1)).ran == "done"
+
+    groups.play(15, acts)
--- a/aspencroft/replication/group_state.py
+++ b/aspencroft/replication/group_state.py
@@ -77,6 +77,7 @@
         self.around = around
         self.known: replica_set.ReplicaSet | None = None
         self.chosen: proposer.Chosen | None = None
+        self.chosen_record: replica_set.ReplicaSet | None = None
         self.lease_end = clock.ZERO
         self.leading = False
         self.heard = clock.ZERO
@@ -113,9 +114,23 @@
         Example: ``if not part.claimed(): raise ...``
         """
         return (
-            self.leading and clock.now() < self.lease_end and self.known is not None and self.known.primary == self.me()
+            self.leading
+            and clock.now() < self.lease_end
+            and self.known is not None
+            and self.known.primary == self.me()
+            and self.knows_chosen()
         )
 
+    def knows_chosen(self) -> bool:
+        """Whether the newest record known here is the very one under which this node asks for its lease.
+
+        A witness may tell of a record that few accepted. Who served under it would leave out a backup that the chosen
+        record names, and that may take over.
+
+        Example: ``part.knows_chosen()``
+        """
+        return self.chosen is not None and self.chosen_record == self.known
+
     def check_tenure(self) -> None:
         """Stop at once when the newest record names another primary.
 
@@ -150,8 +165,8 @@
     ) -> proposer.Chosen:
         """One ballot on the record of holders; what it chose is known from then on.
 
-        Witnesses may have told of a record that was accepted by few and never chosen. Where the chosen one bears the same epoch,
-        it is given the next one, so that it is the newer one for everybody.
+        Witnesses may have told of a record that was accepted by few and never chosen. Where the chosen one bears no
+        higher epoch, it is given the next one, so that it is the newer one for everybody.
 
         Example: ``await part.ballot(lambda standing: standing)``
         """
@@ -161,8 +176,8 @@
             if standing is None:
                 raise result.RequestError(result.ResultCode.WITNESS_BLANK, detail="no record of holders yet")
             fresh = function(standing)
-            if fresh == standing and self.known is not None and self.known.epoch == fresh.epoch and self.known != fresh:
-                fresh = dataclasses.replace(fresh, epoch=fresh.epoch + 1)
+            if self.known is not None and fresh.epoch <= self.known.epoch and fresh != self.known:
+                fresh = dataclasses.replace(fresh, epoch=self.known.epoch + 1)
             return codec.tagged(fresh)
 
         async with self.balloting:
@@ -171,6 +186,6 @@
             if self.me() in fresh.members():
                 await self.copy.hold(fresh)
             if fresh.primary == self.me():
-                self.chosen = chosen
+                self.chosen, self.chosen_record = chosen, fresh
             self.learn(fresh)
             return chosen
--- a/aspencroft/replication/primary.py
+++ b/aspencroft/replication/primary.py
@@ -139,15 +139,34 @@
             failed = end is None
             if end is not None:
                 own.lease_end = max(own.lease_end, end)
-            elif own.chosen is used and not own.balloting.locked() and (newest or (not own.claimed() and answered)):
-                own.why = "no majority of witnesses grants the claim"
-                try:
-                    await own.ballot(lambda standing: standing)
-                except result.RequestError as refusal:
-                    LOG.info("pair {}: {}", own.pair, refusal)
+            if not own.knows_chosen() and not own.balloting.locked() and own.known.primary == own.me():
+                await self.settle_record("a record was told of that this node did not have chosen")
+            elif end is None and self.outdated(used, newest, answered):
+                await self.settle_record("no majority of witnesses grants the lease")
             own.check_tenure()
             await clock.sleep(RENEW if end is not None else group_state.RETRY)
 
+    def outdated(self, used: proposer.Chosen, newest: bytes, answered: bool) -> bool:
+        """Whether a refused lease calls for a ballot: a newer record was seen, or a majority answered and the lease is over.
+
+        Example: ``serving.outdated(own.chosen, b"", True)``
+        """
+        own = self.own
+        unchanged = own.chosen is used and not own.balloting.locked()
+        return unchanged and bool(newest or (not own.claimed() and answered))
+
+    async def settle_record(self, why: str) -> None:
+        """Have the record that stands chosen once more, and know it then.
+
+        Example: ``await serving.settle_record("no majority of witnesses grants the lease")``
+        """
+        own = self.own
+        own.why = why
+        try:
+            await own.ballot(lambda standing: standing)
+        except result.RequestError as refusal:
+            LOG.info("pair {}: {}", own.pair, refusal)
+
     async def tick(self) -> None:
         """Clock events of the view, decided like any command.
 
--- a/aspencroft/replication/primary_test.py
+++ b/aspencroft/replication/primary_test.py
@@ -1,6 +1,7 @@
 """Tests of what a primary answers, and when."""
 
 import asyncio
+import dataclasses
 
 from aspencroft.consensus import replica_set
 from aspencroft.errors import result
@@ -115,3 +116,29 @@
             assert refusal.result is result.ResultCode.NO_BACKUP and refusal.ran is result.Ran.NOT_RUN
 
     members.play(tmp_path, 2, acts)
+
+
+def test_nothing_is_answered_under_a_record_that_was_told_of_and_never_chosen(tmp_path):
+    async def acts(those: members.Members) -> None:
+        those.run(*those.names)
+        own = those.hosts["n0:1"]
+        await those.until(lambda: own.why == "serving")
+        chosen = those.register.standing()
+        left_out = chosen.backups[0]
+        those.silent.add(left_out.address)
+        those.register.refusing = True
+        own.learn(dataclasses.replace(chosen, epoch=chosen.epoch + 1, backups=chosen.backups[1:]))
+        answered = False
+        try:
+            await those.write("a")
+            answered = True
+        except result.RequestError:
+            pass
+        assert not answered
+        those.register.refusing = False
+        those.silent.clear()
+        await those.until(lambda: own.claimed() and own.why == "serving")
+        assert own.known == those.register.standing() and own.known.epoch > chosen.epoch + 1
+        await those.write("b")
+
+    members.play(tmp_path, 3, acts, members=3, copies=2, goal=3)
--- a/aspencroft/simulation/members.py
+++ b/aspencroft/simulation/members.py
@@ -6,7 +6,7 @@
 import random
 
 from aspencroft.configuration import control_state
-from aspencroft.consensus import proposer, replica_set
+from aspencroft.consensus import proposer, record_recovery, replica_set
 from aspencroft.errors import result
 from aspencroft.replication import group_replica, group_state, messages, replica
 from aspencroft.runtime import clock, environment
@@ -82,6 +82,7 @@
     def __init__(self, folder: pathlib.Path, count: int, copies: int, goal: int):
         self.folder = folder
         self.names = [f"n{number}:1" for number in range(count)]
+        self.folders = {name: folder / name for name in self.names}
         self.copies = copies
         self.goal = goal
         self.hosts: dict[str, group_replica.GroupReplica] = {}
@@ -91,48 +92,104 @@
         self.heard: list[tuple[str, object]] = []
         self.register: Register | None = None
         self.tasks: list[asyncio.Task] = []
+        self.runs: dict[str, asyncio.Task] = {}
+        self.starts = 0
+        self.before_step: collections.abc.Callable[[], None] = lambda: None
 
     async def begin(self, members: int) -> None:
         """Open all copies and put the first ones into the first record.
 
         Example: ``await those.begin(2)``
         """
-        for place, name in enumerate(self.names):
-            held = replica.Replica(
-                environment.Environment(
-                    None,
-                    disk.SimDisk(self.folder / name, random.Random(place)),
-                    None,
-                    random.Random(place + 7),
-                    None,
-                ),
-                self.folder / name,
-                0,
-                control_state.ControlState,
-            )
-            await held.open()
-            around = group_state.GroupPolicy(
-                self.candidates,
-                self.emptied.__contains__,
-                lambda _: None,
-                lambda _: False,
-                self.copies,
-                lambda: self.goal,
-            )
-            self.hosts[name] = group_replica.GroupReplica(held, self, None, name, AREAS[place % 3], around)
+        for name in self.names:
+            await self.open_host(name)
         first = [self.hosts[name].me() for name in self.names[:members]]
         self.register = Register(replica_set.ReplicaSet(0, 1, first[0], tuple(first[1:])))
         for one in self.hosts.values():
             one.proposer = self.register
             one.learn(self.register.standing())
 
+    async def open_host(self, name: str) -> None:
+        """Open a node's copy, as at the start of its process.
+
+        Example: ``await those.open_host("n0:1")``
+        """
+        place = self.names.index(name)
+        self.starts += 1
+        held = replica.Replica(
+            environment.Environment(
+                None,
+                disk.SimDisk(self.folders[name], random.Random(place)),
+                None,
+                random.Random(place + 7 * self.starts),
+                None,
+            ),
+            self.folders[name],
+            0,
+            control_state.ControlState,
+        )
+        await held.open()
+        around = group_state.GroupPolicy(
+            self.candidates,
+            self.emptied.__contains__,
+            lambda _: None,
+            lambda _: False,
+            self.copies,
+            lambda: self.goal,
+        )
+        host = group_replica.GroupReplica(held, self, None, name, AREAS[place % 3], around)
+        host.proposer = self.register
+        self.hosts[name] = host
+
+    def stop(self, name: str) -> None:
+        """A node's process ends at once; its disk stays.
+
+        Example: ``those.stop("n1:1")``
+        """
+        self.silent.add(name)
+        self.hosts[name].leading = False
+        self.runs.pop(name).cancel()
+
+    async def wipe(self, name: str, back_after: float) -> None:
+        """A machine loses its disk and its process, and is back empty at the same address.
+
+        Example: ``await those.wipe("n1:1", 0.3)``
+        """
+        self.stop(name)
+        self.folders[name] = self.folder / f"{name} {self.starts}"
+        await clock.sleep(clock.seconds(back_after))
+        await self.open_host(name)
+        self.hosts[name].learn(self.register.standing())
+        self.silent.discard(name)
+        self.run(name)
+
+    async def tell_records(self) -> None:
+        """Tell all nodes of the record that stands, a while after it was chosen, as witnesses do.
+
+        Example: ``those.tasks.append(asyncio.ensure_future(those.tell_records()))``
+        """
+        while True:
+            standing = self.register.standing()
+            await clock.sleep(record_recovery.UNHEARD)
+            for name, host in self.hosts.items():
+                if name not in self.silent:
+                    host.learn(standing)
+
+    def leader(self) -> str:
+        """The node that serves the group, or nothing.
+
+        Example: ``those.leader() == "n0:1"``
+        """
+        return next((name for name, one in self.hosts.items() if one.claimed() and one.why == "serving"), "")
+
     def run(self, *names: str) -> None:
         """Let nodes be what the record says.
 
         Example: ``those.run("n0:1", "n1:1")``
         """
         for name in names:
-            self.tasks.append(asyncio.ensure_future(self.hosts[name].run()))
+            self.runs[name] = asyncio.ensure_future(self.hosts[name].run())
+            self.tasks.append(self.runs[name])
 
     def candidates(self) -> tuple[group_state.Candidate, ...]:
         """All nodes but those that membership knows to be gone.
@@ -151,11 +208,22 @@
         Example: ``await those.ask("n1:1", exchange.Compare(0, 1), within)``
         """
         self.heard.append((address, message))
+        self.before_step()
         await clock.sleep(clock.seconds(0.001))
         if address in self.silent:
             await clock.sleep(within)
             raise result.RequestError(result.ResultCode.UNREACHABLE, result.Ran.UNKNOWN, address)
         one = self.hosts[address]
+        reply = await self.deliver(one, message)
+        if address in self.silent or self.hosts[address] is not one:
+            raise result.RequestError(result.ResultCode.UNREACHABLE, result.Ran.UNKNOWN, address)
+        return reply
+
+    async def deliver(self, one: group_replica.GroupReplica, message):
+        """What a node does with a message of another member.
+
+        Example: ``await those.deliver(those.hosts["n1:1"], message)``
+        """
         match message:
             case messages.Append():
                 return await one.append(message)
--- a/aspencroft/simulation/mutations.py
+++ b/aspencroft/simulation/mutations.py
@@ -492,6 +492,37 @@
         "            return dataclasses.replace(step, state=step.state.adopt(codec.untagged(message.value)).state)\n",
         ("consensus/witness_changes_test.py",),
     ),
+    Mutation(
+        "a primary serves under a record that was told of and never chosen",
+        "replication/group_state.py",
+        "            and self.knows_chosen()\n",
+        "",
+        ("replication/primary_test.py::test_nothing_is_answered_under_a_record_that_was_told_of_and_never_chosen",),
+    ),
+    Mutation(
+        "records whose proposer died are settled by nobody",
+        "node/node.py",
+        '                "records": self.record_recovery.run,\n',
+        "",
+        (
+            "replication/group_replica_test.py"
+            "::test_a_new_member_leads_though_the_primary_lost_its_disk_before_it_told_of_the_record",
+        ),
+    ),
+    Mutation(
+        "a member is recorded that lacks what was answered",
+        "replication/replica_changes.py",
+        "            return same and await self.enlist(peer)",
+        "            return await self.enlist(peer)",
+        ("replication/second_loss_test.py", "replication/replica_changes_test.py"),
+    ),
+    Mutation(
+        "a member that is drained leaves before another one holds the copy",
+        "replication/replica_changes.py",
+        "elif len(staying) >= own.around.copies and len(staying)",
+        "elif len(staying)",
+        ("replication/second_loss_test.py", "replication/replica_changes_test.py"),
+    ),
 )
 
 
