--- a/aspencroft/consensus/witness_changes_test.py
+++ b/aspencroft/consensus/witness_changes_test.py
@@ -56,6 +56,10 @@
         await voters.until(lambda: any(one.voter_set.coming for one in voters.network.voters.values()), 4)
         for number in range(2, 30):
             await voters.written(number, 2)
+            await simulated_voters.clock.sleep(simulated_voters.clock.seconds(0.1))
+        accepted = voters.network.voters["d:1"]
+        assert not codec.untagged(accepted.ballot(replica_set.VOTER_SET).value).coming
+        assert accepted.voter_set.coming, "in force before it was chosen"
         voters.network.lost = lambda address, message: False
         voters.leader = "b:1"
         await voters.until(voters.settled, 5)
