Status says what a lost majority of voters does; a started member waits 1.15 s, not 3 s

Cause: /status showed who votes, not what is lost with a majority. A member that started waited up to 3 s for another one, though each member of the record synced all that was answered and leases are waited out for 1.15 s only.

Change: status has a quorum part: live and missing voters, how many more may be lost, and what the loss of a majority means. PATIENCE is the time for which leases of before a start are waited out anyway.

--- a/aspencroft/consensus/replica_set.py
+++ b/aspencroft/consensus/replica_set.py
@@ -1,5 +1,6 @@
 """Who holds a group: the one record that witnesses agree on, and the family of records around it."""
 
+import collections.abc
 import dataclasses
 import datetime
 
@@ -82,6 +83,20 @@
             2 * len(set(group) & set(answered)) > len(set(group)) for group in (self.present, self.coming) if group
         )
 
+    def losses_left(self, live: collections.abc.Collection[str]) -> int:
+        """How many of the live witnesses may be lost before no quorum is left; below zero, how many lack for one.
+
+        Example: ``VoterSet(1, ("a", "b", "c"), ()).losses_left({"a", "b"}) == 0``
+        """
+        return min(
+            (
+                len(set(group) & set(live)) - (len(set(group)) // 2 + 1)
+                for group in (self.present, self.coming)
+                if group
+            ),
+            default=0,
+        )
+
 
 @codec.kind(23)
 @dataclasses.dataclass(frozen=True)
--- a/aspencroft/node/node.py
+++ b/aspencroft/node/node.py
@@ -43,6 +43,10 @@
 APPLY = clock.seconds(0.85)
 APPLY_ITEM = clock.seconds(0.002)
 LAST_LEG = clock.seconds(0.1)
+MAJORITY_LOST = (
+    "no majority of voters: leases run out within a second, then no group acknowledges anything and no primary, replica set or"
+    " voter set changes, until {} more voters are back with their disks; all that was acknowledged is kept"
+)
 IN_SERVICE, EMPTIED = "in service", "emptied"
 
 
@@ -718,6 +722,21 @@
         known = self.relay.topics.get("alerts")
         return json.loads(known.body).get(name, otherwise) if known is not None else otherwise
 
+    def quorum_status(self) -> dict:
+        """Which voters are live as far as this node knows, how many more may be lost, and what the loss of a majority does.
+
+        Example: ``node.quorum_status()["losses_left"] == 2``
+        """
+        voter_set = self.proposer.voter_set
+        live = [one for one in voter_set.everyone() if self.ring.state(one) == cluster_member.LIVE]
+        left = voter_set.losses_left(live)
+        return {
+            "live": live,
+            "missing": sorted(set(voter_set.everyone()) - set(live)),
+            "losses_left": left,
+            "means": MAJORITY_LOST.format(-left) if left < 0 else "",
+        }
+
     def status(self) -> dict:
         """What an operator should see of this node.
 
@@ -742,6 +761,7 @@
                 "roster": list(self.proposer.voter_set.everyone()),
                 "roster_number": self.proposer.voter_set.number,
             },
+            "quorum": self.quorum_status(),
             "fellows": [
                 {
                     "address": one.address,
--- a/aspencroft/node/node_test.py
+++ b/aspencroft/node/node_test.py
@@ -72,3 +72,26 @@
         assert one.loop.time() - began < 1.6
 
     groups.play(5, acts, more={"currency": clock.seconds(1.5)})
+
+
+def test_status_says_that_a_majority_of_voters_is_lost_and_nothing_is_acknowledged_meanwhile():
+    async def acts(stage: groups.Stage) -> None:
+        one = stage.scene
+        await one.until(lambda: len(one.nodes["core-0"].proposer.voter_set.present) == 5, 8, "five voters")
+        assert await stage.write("before")
+        shown = one.nodes["edge-0"].status()["quorum"]
+        assert (shown["losses_left"], shown["missing"], shown["means"]) == (2, [], "")
+        lost = one.cores[-3:]
+        for name in lost:
+            one.power_off(name)
+        await asyncio.sleep(6)
+        shown = one.nodes["edge-0"].status()["quorum"]
+        assert shown["losses_left"] == -1 and "until 1 more voters" in shown["means"]
+        assert shown["missing"] == sorted(f"{name}:1" for name in lost)
+        assert not any(one.leader(pair) for pair in range(3))
+        one.start(lost[0])
+        await one.until(one.formed, 8, "formed")
+        assert await stage.write("after")
+        assert {"before", "after"} <= await stage.written()
+
+    groups.play(21, acts)
--- a/aspencroft/replication/group_replica.py
+++ b/aspencroft/replication/group_replica.py
@@ -4,14 +4,19 @@
 
 import logbook
 
-from aspencroft.consensus import proposer, replica_set
+from aspencroft.consensus import proposer, replica_set, witness
 from aspencroft.errors import result
 from aspencroft.replication import backup, group_state, log_shipping, messages, primary, replica, replica_changes
 from aspencroft.runtime import clock, supervision
 from aspencroft.transport import connections
 
 LOG = logbook.Logger("pair")
-PATIENCE = clock.seconds(3)
+PATIENCE = witness.LEASE + witness.LEASE_MARGIN
+"""How long a member that started waits for another one before it goes on with what it holds.
+
+Each member of the record synced all that was answered, so its own copy is enough: the wait is for a disk that breaks its promise
+and loses what was synced last. It is no longer than leases of before the start are waited out in any case.
+"""
 
 
 class GroupReplica(group_state.GroupState):
