--- a/aspencroft/consensus/witness_changes.py
+++ b/aspencroft/consensus/witness_changes.py
@@ -13,6 +13,7 @@
 
 LOG = logbook.Logger("reseat")
 STEP = clock.seconds(0.5)
+JOINT_STEP = clock.seconds(0.2)
 ASK = clock.seconds(0.4)
 JOINT_LEAST = witness.LEASE + 2 * witness.LEASE_MARGIN
 
@@ -76,7 +77,7 @@
         Example: ``group.create_task(reseat.run())``
         """
         while True:
-            await clock.sleep(STEP)
+            await clock.sleep(JOINT_STEP if self.proposer.voter_set.coming else STEP)
             if self.leads() and self.proposer.voter_set.number > 0:
                 try:
                     await self.step()
--- a/aspencroft/replication/replica_changes_test.py
+++ b/aspencroft/replication/replica_changes_test.py
@@ -72,6 +72,24 @@
     members.play(tmp_path, 3, acts)
 
 
+def test_a_prepared_node_that_fell_silent_is_not_recorded(tmp_path):
+    async def acts(those: members.Members) -> None:
+        own = those.hosts["n0:1"]
+        those.run(*those.names)
+        await those.until(lambda: own.why == "serving")
+        await those.write("a")
+        peer = await own.replica_changes.prepare(group_state.Candidate("n2:1", "south"))
+        await those.write("b")
+        those.silent.add("n2:1")
+        own.replica_changes.ready = peer
+        await those.until(lambda: own.replica_changes.ready is None)
+        await members.clock.sleep(members.clock.seconds(2))
+        assert peer not in those.register.standing().backups
+        await those.write("c")
+
+    members.play(tmp_path, 3, acts)
+
+
 def test_an_emptied_member_goes_only_once_enough_others_hold_the_copy(tmp_path):
     async def acts(those: members.Members) -> None:
         those.run(*those.names)
