--- a/aspencroft/alerts/alerts.py
+++ b/aspencroft/alerts/alerts.py
@@ -6,7 +6,8 @@
 
 import logbook
 
-from aspencroft.alerts import expression, rule, sample
+from aspencroft.alerts import sample
+from aspencroft.configuration import alert_expression, alert_rule
 from aspencroft.leadership import duty
 from aspencroft.node import node
 from aspencroft.residency import residency
@@ -99,7 +100,9 @@
             rules = self.node.relay.plan.rules
             fresh = State(INACTIVE, now, now)
             self.states = {
-                name: step(self.states.get(name, fresh), expression.holds(one.tree, samples), one.wait, one.keep, now)
+                name: step(
+                    self.states.get(name, fresh), alert_expression.holds(one.tree, samples), one.wait, one.keep, now
+                )
                 for name, one in rules.items()
             }
             body = json.dumps(
@@ -125,14 +128,14 @@
         self.heard, self.held = {}, True
 
 
-def controls(rules: dict[str, rule.Rule], states: dict[str, State]) -> dict:
+def controls(rules: dict[str, alert_rule.Rule], states: dict[str, State]) -> dict:
     """What firing rules ask of the rest duty, the residency duty and the edges.
 
     Example: ``controls(rules, states)["shed"] == 5``
     """
     firing = [one for name, one in rules.items() if states[name].state == FIRING]
     return {
-        "keep_awake": any(one.control == rule.KEEP_AWAKE for one in firing),
-        "hold_moves": any(one.control == rule.HOLD_MOVES for one in firing),
-        "shed": min((one.urgency for one in firing if one.control == rule.SHED), default=10),
+        "keep_awake": any(one.control == alert_rule.KEEP_AWAKE for one in firing),
+        "hold_moves": any(one.control == alert_rule.HOLD_MOVES for one in firing),
+        "shed": min((one.urgency for one in firing if one.control == alert_rule.SHED), default=10),
     }
--- a/aspencroft/configuration/measure_test.py
+++ b/aspencroft/benchmarks/configuration_changes_test.py
@@ -1,6 +1,6 @@
-"""Tests of ``aspencroft.configuration.measure``."""
+"""Tests of ``aspencroft.benchmarks.configuration_changes``."""
 
-import aspencroft.configuration.measure as measure_module
+import aspencroft.benchmarks.configuration_changes as measure_module
 from aspencroft.configuration import resources
 
 
--- a/aspencroft/alerts/expression_test.py
+++ b/aspencroft/configuration/alert_expression_test.py
@@ -1,6 +1,7 @@
-"""Tests of ``aspencroft.alerts.expression``."""
+"""Tests of ``aspencroft.configuration.alert_expression``."""
 
-from aspencroft.alerts import expression, sample
+from aspencroft.alerts import sample
+from aspencroft.configuration import alert_expression
 
 
 def test_only_the_supported_part_is_taken_and_missing_samples_hold_nothing():
@@ -18,7 +19,7 @@
         ("(a > 9 or b > 9) or b > -1", True),
         ("sum(c) == 0", False),
     ):
-        assert expression.holds(expression.parsed(text), samples) is expected, text
+        assert alert_expression.holds(alert_expression.parsed(text), samples) is expected, text
     for text in (
         "a",
         "rate(a[5m]) > 1",
@@ -38,8 +39,8 @@
         "a > 1 and b",
     ):
         try:
-            expression.parsed(text)
-        except expression.Unusable as error:
+            alert_expression.parsed(text)
+        except alert_expression.Unusable as error:
             assert str(error)
             continue
         raise AssertionError(text)
--- a/aspencroft/alerts/rule.py
+++ b/aspencroft/configuration/alert_rule.py
@@ -7,7 +7,7 @@
 import promql_parser
 import voluptuous
 
-from aspencroft.alerts import expression
+from aspencroft.configuration import alert_expression
 
 KEEP_AWAKE, HOLD_MOVES, SHED = "keep_awake", "hold_moves", "shed"
 NAME = voluptuous.Match(re.compile(r"^[a-zA-Z_][a-zA-Z0-9_]{0,63}\Z"))
@@ -22,8 +22,8 @@
     if not isinstance(text, str):
         raise voluptuous.Invalid("expected an expression")
     try:
-        expression.parsed(text)
-    except expression.Unusable as error:
+        alert_expression.parsed(text)
+    except alert_expression.Unusable as error:
         raise voluptuous.Invalid(str(error)) from None
     return text
 
@@ -98,7 +98,7 @@
     control = labels.get("control", "")
     return Rule(
         name,
-        expression.parsed(spec["expr"]),
+        alert_expression.parsed(spec["expr"]),
         promql_parser.parse_duration(spec.get("for", "0s")),
         promql_parser.parse_duration(spec.get("keep_firing_for", "15s")),
         control,
--- a/aspencroft/alerts/rule_test.py
+++ b/aspencroft/configuration/alert_rule_test.py
@@ -1,10 +1,10 @@
-"""Tests of ``aspencroft.alerts.rule``."""
+"""Tests of ``aspencroft.configuration.alert_rule``."""
 
 import datetime
 
 import voluptuous
 
-from aspencroft.alerts import rule
+from aspencroft.configuration import alert_rule
 
 
 def test_rules_are_checked_with_paths():
@@ -15,8 +15,10 @@
         "labels": {"control": "shed", "urgency": "5"},
         "annotations": {"summary": "many wait"},
     }
-    rule.SCHEMA(good)
-    assert rule.of("crowd", good).urgency == 5 and rule.of("crowd", good).wait == datetime.timedelta(seconds=10)
+    alert_rule.SCHEMA(good)
+    assert alert_rule.of("crowd", good).urgency == 5 and alert_rule.of("crowd", good).wait == datetime.timedelta(
+        seconds=10
+    )
     for change, path in (
         ({"expr": "rate(a[5m]) > 1"}, ["expr"]),
         ({"for": "soon"}, ["for"]),
@@ -28,7 +30,7 @@
         ({"labels": {"control": "shed", "urgency": "0"}}, ["labels", "urgency"]),
     ):
         try:
-            rule.SCHEMA({**good, **change})
+            alert_rule.SCHEMA({**good, **change})
         except voluptuous.MultipleInvalid as error:
             assert error.errors[0].path == path, (change, error.errors[0].path)
             continue
--- a/aspencroft/configuration/resources.py
+++ b/aspencroft/configuration/resources.py
@@ -7,8 +7,7 @@
 
 import voluptuous
 
-from aspencroft.alerts import rule
-from aspencroft.configuration import http_route, lane, lane_route, limits, route_table, service
+from aspencroft.configuration import alert_rule, http_route, lane, lane_route, limits, route_table, service
 
 LARGEST = 8 << 20
 MOST_RESOURCES = 200_000
@@ -27,7 +26,7 @@
     "workers": WORKER,
     "machines": MACHINE,
     "seeds": SEEDS,
-    "rules": rule.SCHEMA,
+    "rules": alert_rule.SCHEMA,
     "limits": limits.SCHEMA,
     HTTP_ROUTES: None,
 }
@@ -58,7 +57,7 @@
     leaving: frozenset[str]
     emptied: frozenset[str]
     seeds: tuple[str, ...]
-    rules: dict[str, rule.Rule]
+    rules: dict[str, alert_rule.Rule]
     http_routes: dict[str, http_route.HttpRoute]
     route_table: route_table.RouteTable
     limits: limits.Limits
@@ -216,7 +215,7 @@
     if "seeds" in patch:
         fresh["seeds"] = tuple(document.get("seeds", {}).get("control", {}).get("addresses", []))
     if "rules" in patch:
-        fresh["rules"] = named("rules", rule.of)
+        fresh["rules"] = named("rules", alert_rule.of)
     if "limits" in patch:
         fresh["limits"] = limits.of(document.get("limits", {}).get(limits.EDGE, {}))
     if HTTP_ROUTES in patch:
--- a/aspencroft/gateway/path.py
+++ b/aspencroft/gateway/path.py
@@ -12,12 +12,13 @@
 from aspencroft.alerts import sample
 from aspencroft.configuration import lane
 from aspencroft.errors import result
-from aspencroft.gateway import call, closing, priority_queue, selection, trace, wait_queue, worker_view
+from aspencroft.gateway import call, closing, priority_queue, selection, wait_queue, worker_view
 from aspencroft.membership import cluster_member
 from aspencroft.node import node
 from aspencroft.replication import replica_changes
 from aspencroft.residency import tap
 from aspencroft.runtime import clock, supervision
+from aspencroft.tracing import trace
 from aspencroft.workers import adapter
 
 LOG = logbook.Logger("path")
--- a/aspencroft/node/node.py
+++ b/aspencroft/node/node.py
@@ -16,13 +16,13 @@
 from aspencroft.consensus import proposer, replica_set, witness, witness_bootstrap, witness_changes, witness_placement
 from aspencroft.distribution import relay, updates
 from aspencroft.errors import result
-from aspencroft.gateway import trace
 from aspencroft.leadership import duty
 from aspencroft.membership import cluster_member, failure_detector
 from aspencroft.node import settings
 from aspencroft.replication import group_replica, group_state, replica
 from aspencroft.runtime import clock, environment, supervision
 from aspencroft.sessions import lane_sessions
+from aspencroft.tracing import trace
 from aspencroft.transport import codec, connections
 
 LOG = logbook.Logger("node")
--- a/aspencroft/node/operator.py
+++ b/aspencroft/node/operator.py
@@ -15,10 +15,10 @@
 from aspencroft.configuration import control_state, resources
 from aspencroft.distribution import updates
 from aspencroft.errors import result
-from aspencroft.gateway import trace
 from aspencroft.membership import cluster_member
 from aspencroft.node import node
 from aspencroft.runtime import clock, json_input, supervision
+from aspencroft.tracing import trace
 
 LOG = logbook.Logger("operator")
 OBSERVED = ("keeps", "quiet", "alerts")
--- a/aspencroft/proxy/forwarder.py
+++ b/aspencroft/proxy/forwarder.py
@@ -14,11 +14,12 @@
 from aspencroft.alerts import sample
 from aspencroft.configuration import http_route
 from aspencroft.errors import result
-from aspencroft.gateway import path, trace
+from aspencroft.gateway import path
 from aspencroft.node import node
 from aspencroft.proxy import call, chains, choose, endings, events, instance, instances, judgement
 from aspencroft.runtime import clock
 from aspencroft.sessions import entry, messages
+from aspencroft.tracing import trace
 from aspencroft.workers import pool
 
 LOG = logbook.Logger("forward")
--- a/aspencroft/sessions/ledger.py
+++ b/aspencroft/sessions/ledger.py
@@ -104,12 +104,9 @@
             raise result.RequestError(result.ResultCode.MALFORMED, detail="no attempt, or tokens below zero")
         budget = self.allowed(command, now)
         base, size, worker = self.predecessor(command)
-        if (
-            (command.program
-            and command.program not in self.accounts
-            and len(self.accounts) >= MOST_PROGRAMS)
-            or len(self.turns) + len(self.under_way) + len(self.ended) + len(base) >= MOST_TURNS
-        ):
+        if (command.program and command.program not in self.accounts and len(self.accounts) >= MOST_PROGRAMS) or len(
+            self.turns
+        ) + len(self.under_way) + len(self.ended) + len(base) >= MOST_TURNS:
             raise result.RequestError(result.ResultCode.OVERLOADED, detail="too many programs or turns", retry=LATER)
         if command.retained and self.bytes + sum(len(one.input) + len(one.output) for one in base) >= MOST_BYTES:
             raise result.RequestError(result.ResultCode.OVERLOADED, detail="no room for more history", retry=LATER)
--- a/aspencroft/simulation/mutations.py
+++ b/aspencroft/simulation/mutations.py
@@ -273,10 +273,10 @@
     ),
     Mutation(
         "missing samples fire rules",
-        "alerts/expression.py",
+        "configuration/alert_expression.py",
         "        return False\n",
         "        return True\n",
-        ("alerts/expression_test.py",),
+        ("configuration/alert_expression_test.py",),
     ),
     Mutation(
         "a flapping rule flaps the fleet",
--- a/aspencroft/gateway/trace_test.py
+++ b/aspencroft/tracing/trace_test.py
@@ -1,8 +1,8 @@
-"""Tests of ``aspencroft.gateway.trace``."""
+"""Tests of ``aspencroft.tracing.trace``."""
 
 import datetime
 
-from aspencroft.gateway import trace
+from aspencroft.tracing import trace
 
 
 def test_stories_are_bounded():
