SIGHUP and a changed settings file are taken while running; signals count from the first line

Cause: no program handled SIGHUP, so it ended every kind of process with code 129; a SIGTERM before the event loop ran did the same with code 143. Change: handlers stand before anything large is imported (cli/process_signals, cli/entry, platform/main.py) and are never taken away; a wake-up socket hands them to the loop. SIGHUP, or a file whose time, size or inode changed (looked at every 2 s), reads the settings anew: seeds, the list's address and rate and the confirmation time are taken, the names of what needs a restart are logged, settings that cannot be used are logged and the old ones stay. The failure detector knocks at the newest seeds. A stop while a program starts ends it with code 0 without waiting for its disk. Ruled out: loop.add_signal_handler, as closing a loop puts the default action back before the process has ended; ignoring SIGHUP. Not covered: a signal before the interpreter runs the first line, which no program in Python can take. Tests: platform/signals_test.py plays real processes of all three kinds (signals while starting, 60 calls on one kept connection through 360 signals and a broken file), settings_reload_test.py a node that joins by newer seeds.

--- a/aspencroft/cli/daemon.py
+++ b/aspencroft/cli/daemon.py
@@ -5,11 +5,13 @@
 import contextlib
 import os
 import signal
+import socket
 import sys
 
 import logbook
 import uvicorn
 
+from aspencroft.cli import process_signals, settings_reload
 from aspencroft.node import node, operator, settings
 from aspencroft.runtime import boottime, clock, environment, supervision
 
@@ -19,6 +21,7 @@
 SERVED = clock.seconds(2)
 ENDING = clock.seconds(3)
 STUCK = 70
+WAKE_BYTES = 4096
 LOG = logbook.Logger("daemon")
 
 
@@ -55,36 +58,100 @@
     )
 
 
+@contextlib.contextmanager
+def signals_handled(
+    received: process_signals.ProcessSignals,
+    on_stop: collections.abc.Callable[[], None],
+    on_reload: collections.abc.Callable[[], None],
+) -> collections.abc.Iterator[None]:
+    """Have the event loop act on signals, those that came before it ran included.
+
+    The handlers themselves are never taken away, as ``loop.add_signal_handler`` does when a loop is closed: a signal
+    between that and the end of the process would end it with a code of its own.
+
+    Example: ``with signals_handled(process_signals.RECEIVED, stop.set, reload.reload): ...``
+    """
+
+    def act() -> None:
+        with contextlib.suppress(BlockingIOError):
+            waking.recv(WAKE_BYTES)
+        if received.stop:
+            on_stop()
+        if received.take_reload():
+            on_reload()
+
+    loop = asyncio.get_running_loop()
+    waking, woken = socket.socketpair()
+    waking.setblocking(False)
+    woken.setblocking(False)
+    loop.add_reader(waking, act)
+    before = signal.set_wakeup_fd(woken.fileno(), warn_on_full_buffer=False)
+    try:
+        act()
+        yield
+    finally:
+        signal.set_wakeup_fd(before)
+        loop.remove_reader(waking)
+        waking.close()
+        woken.close()
+
+
+async def started(own: node.Node, stop: asyncio.Event) -> bool:
+    """Wait until a node has started; false when it is to stop before.
+
+    Example: ``if not await started(own, stop): return``
+    """
+    waits = [asyncio.ensure_future(own.started.wait()), asyncio.ensure_future(stop.wait())]
+    try:
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for one in waits:
+            one.cancel()
+    return not stop.is_set()
+
+
 async def live(
-    own: node.Node, more: list, works: list[collections.abc.Callable], drain: collections.abc.Callable
+    own: node.Node,
+    more: list,
+    works: list[collections.abc.Callable],
+    drain: collections.abc.Callable,
+    reload: settings_reload.SettingsReload,
 ) -> None:
     """Run a node, its HTTP server and its program's own work until a signal comes, then stop gracefully.
 
-    Example: ``await live(own, [], [duty.run], drain)``
+    Example: ``await live(own, [], [duty.run], drain, reload)``
     """
     stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    server = server_of(own, more)
-    async with supervision.Group() as group:
-        tasks = [group.create_task(own.run())]
-        await own.started.wait()
-        serving = group.create_task(server.serve())
-        tasks.extend(group.create_task(work()) for work in works)
-        await stop.wait()
-        own.stopping.set()
-        own.ring.leave()
-        async with supervision.Group() as ending:
-            ending.create_task(drain())
-            ending.create_task(transfer_leadership(own))
-        await clock.sleep(LAST_WORDS)
-        server.should_exit = True
-        await asyncio.wait([serving], timeout=SERVED.total_seconds())
-        left = await end([task for task in asyncio.all_tasks() if task is not asyncio.current_task()])
-        if left:
-            LOG.error("did not end: {}", [task.get_stack() for task in left])
-            leave(left)
+    with signals_handled(process_signals.RECEIVED, stop.set, reload.reload):
+        async with supervision.Group() as group:
+            group.create_task(own.run())
+            group.create_task(reload.watch())
+            if await started(own, stop):
+                server = server_of(own, more)
+                serving = group.create_task(server.serve())
+                for work in works:
+                    group.create_task(work())
+                await stop.wait()
+                await hand_over_work(own, drain)
+                server.should_exit = True
+                await asyncio.wait([serving], timeout=SERVED.total_seconds())
+            left = await end([task for task in asyncio.all_tasks() if task is not asyncio.current_task()])
+            if left:
+                LOG.error("did not end: {}", [task.get_stack() for task in left])
+                leave(left)
+
+
+async def hand_over_work(own: node.Node, drain: collections.abc.Callable) -> None:
+    """Tell the others that this node leaves, let what is under way end and others take its groups.
+
+    Example: ``await hand_over_work(own, drain)``
+    """
+    own.stopping.set()
+    own.ring.leave()
+    async with supervision.Group() as ending:
+        ending.create_task(drain())
+        ending.create_task(transfer_leadership(own))
+    await clock.sleep(LAST_WORDS)
 
 
 def leave(left: list[asyncio.Task]) -> None:
@@ -150,33 +217,38 @@
 
     Example: ``start("node.toml", {}, build)``
     """
-    try:
-        place = settings.read(place_file, {name: value for name, value in flags.items() if value})
-    except settings.BadSettings as error:
-        sys.exit(f"bad settings: {error}")
-    begin(place, build)
+    given = {name: value for name, value in flags.items() if value}
+    begin(settings_reload.SettingsSource(place_file, lambda: settings.read(place_file, given)), build)
 
 
 def begin(
-    place: settings.Settings,
+    source: settings_reload.SettingsSource,
     build: collections.abc.Callable[[node.Node], tuple[list, list, collections.abc.Callable]],
 ) -> None:
-    """Live in a place whose settings were checked.
+    """Live with the settings that a source gives; bad ones end the program with a clear line.
+
+    A stop that was asked for while the program was loaded ends it before anything is begun.
 
-    Example: ``begin(settings.read("node.toml"), build)``
+    Example: ``begin(SettingsSource("node.toml", lambda: settings.read("node.toml")), build)``
     """
+    process_signals.RECEIVED.install()
+    try:
+        place = source.read()
+    except settings.BadSettings as error:
+        sys.exit(f"bad settings: {error}")
+    if process_signals.RECEIVED.stop:
+        return
 
     async def whole() -> None:
         own = node.Node(place, environment.machine())
+        reload = settings_reload.SettingsReload(own, source)
         more, works, drain = build(own)
-        await live(own, more, works, drain)
+        await live(own, more, works, drain, reload)
 
     with log_ring(place).applicationbound():
         try:
             with asyncio.Runner(loop_factory=boottime.BoottimeLoop) as runner:
                 runner.run(whole())
         except BaseException as error:
-            if isinstance(error, KeyboardInterrupt):
-                return
             LOG.exception("the program ends")
             sys.exit(f"ended by a fault: {error!r}")
--- a/aspencroft/cli/local_cluster.py
+++ b/aspencroft/cli/local_cluster.py
@@ -115,7 +115,7 @@
                 [
                     sys.executable,
                     "-c",
-                    f"import aspencroft.cli.{program} as program; program.main()",
+                    f"from aspencroft.cli import entry; entry.{program}()",
                     str(self.place(number) / "node.toml"),
                 ],
                 stdout=output,
--- /dev/null
+++ b/aspencroft/cli/process_signals.py
@@ -0,0 +1,49 @@
+"""The daemons' signals, taken from a program's first line on: before that they would end the process.
+
+Nothing large is imported here, since this module is loaded before all others.
+"""
+
+import signal
+
+STOPS = (signal.SIGTERM, signal.SIGINT)
+RELOAD = signal.SIGHUP
+
+
+class ProcessSignals:
+    """What the platform asked of this process by signals, until somebody takes it up.
+
+    Example: ``received = process_signals.install()``
+    """
+
+    def __init__(self) -> None:
+        self.stop = False
+        self.reload = False
+
+    def install(self) -> None:
+        """Note signals from now on, for as long as the process lives.
+
+        Example: ``received.install()``
+        """
+        for number in (*STOPS, RELOAD):
+            signal.signal(number, self.note)
+
+    def note(self, number: int, _frame) -> None:
+        """Note one signal; the handler that the interpreter calls.
+
+        Example: ``received.note(signal.SIGHUP, None)``
+        """
+        if number == RELOAD:
+            self.reload = True
+        else:
+            self.stop = True
+
+    def take_reload(self) -> bool:
+        """Whether the settings are to be read again; asking clears it.
+
+        Example: ``if received.take_reload(): reader.reload()``
+        """
+        asked, self.reload = self.reload, False
+        return asked
+
+
+RECEIVED = ProcessSignals()
--- a/aspencroft/node/settings.py
+++ b/aspencroft/node/settings.py
@@ -13,6 +13,8 @@
 
 EDGE, STORAGE, CORE = "edge", "storage", "core"
 SEEDS = "seeds"
+CHANGEABLE = frozenset(("seeds", "confirm"))
+START_ONLY = frozenset(("first_start",))
 SCHEMA = voluptuous.Schema(
     {
         voluptuous.Required("address"): resources.ADDRESS,
@@ -111,6 +113,16 @@
         """
         return 1 + self.talk_pairs
 
+    def reloaded(self, fresh: "Settings") -> tuple["Settings", tuple[str, ...]]:
+        """These settings with what of newer ones may change while a node runs, and the names of what may not.
+
+        Example: ``merged, fixed = settings.reloaded(settings.read("node.toml"))``
+        """
+        changed = [one.name for one in dataclasses.fields(self) if getattr(self, one.name) != getattr(fresh, one.name)]
+        taken = {name: getattr(fresh, name) for name in changed if name in CHANGEABLE}
+        fixed = tuple(name for name in changed if name not in CHANGEABLE and name not in START_ONLY)
+        return dataclasses.replace(self, **taken), fixed
+
 
 def check(raw: dict) -> Settings:
     """Checked settings, or BadSettings that lists every fault.
--- a/aspencroft/workers/list_reader.py
+++ b/aspencroft/workers/list_reader.py
@@ -194,12 +194,18 @@
 class Watch:
     """An edge's way to the list: the relay tree's word, or a read of its own when that stays away too long.
 
-    ``rate`` is the platform's bound on reads a second from all nodes together.
+    ``rate`` gives the platform's bound on reads a second from all nodes together, which may change while it runs.
 
-    Example: ``group.create_task(Watch(own, known, lister, rate=44.0).run())``
+    Example: ``group.create_task(Watch(own, known, lister, rate=lambda: 44.0).run())``
     """
 
-    def __init__(self, own: node.Node, known: instances.Instances, lister: Lister, rate: float = RATE):
+    def __init__(
+        self,
+        own: node.Node,
+        known: instances.Instances,
+        lister: Lister,
+        rate: collections.abc.Callable[[], float] = lambda: RATE,
+    ):
         self.node = own
         self.instances = known
         self.lister = lister
@@ -276,6 +282,6 @@
             except result.RequestError as refusal:
                 self.refused += 1
                 LOG.info("{}", refusal)
-            span = max(CALM_PERIOD, clock.seconds(nodes / (self.rate * SHARE)))
+            span = max(CALM_PERIOD, clock.seconds(nodes / (self.rate() * SHARE)))
             span *= self.node.environment.randomness.uniform(0.7, 1.3) * 2 ** min(self.refused, 3)
             self.next_read = clock.now() + span
--- a/aspencroft/workers/list_reader_test.py
+++ b/aspencroft/workers/list_reader_test.py
@@ -52,7 +52,7 @@
         """
         own = self.scene.nodes[name]
         if name.startswith("edge"):
-            self.watches[name] = part = list_reader.Watch(own, instances.Instances(), self.lister(name), 44.0)
+            self.watches[name] = part = list_reader.Watch(own, instances.Instances(), self.lister(name), lambda: 44.0)
         else:
             self.readers[name] = part = list_reader.ListReader(own, self.lister(name))
         self.scene.loop.create_task(part.run(), context=self.scene.loop.context_of(name))
