Drain orders and refusals are decided by what the control group holds, never by a lagging node

Cause: a node answered a drain order from its own plan and table of members. One that lags or just started could refuse (404, 409) an order that had been taken; two orders at once through different nodes could both be taken though together they left too few disks; a machine that was drained, removed and forgotten was unknown when its order came again. A version beyond 64 bits written as a float (1e300) was refused by other nodes but raised in the primary's own batch. The bound on an order's size followed the plan, so that a taken order could get 413 when sent again. Change: node/drain_order.py waits for the control group's newest plan, writes on top of the revision that it checked, keeps the machine's name with the order, and says 404 or 409 only where the table of members had time to be whole and no disk is away for a moment. The operator's interface maps only refusals that surely were not taken to 4xx, all others to 503. Orders are told apart by method, condition and content instead of by raw bytes. Ruled out: forwarding drain orders whole to the primary (its table of members may be as young).

--- a/aspencroft/configuration/resources.py
+++ b/aspencroft/configuration/resources.py
@@ -15,7 +15,7 @@
 CHECKS_KEPT = 20_000
 HTTP_ROUTES = "http_routes"
 WORKER = voluptuous.Schema({voluptuous.Optional("leaving", default=False): bool})
-MACHINE = voluptuous.Schema({voluptuous.Optional("emptied", default=False): bool})
+MACHINE = voluptuous.Schema({voluptuous.Optional("emptied", default=False): bool, voluptuous.Optional("name"): str})
 ADDRESS = voluptuous.All(str, voluptuous.Match(r"^[0-9A-Za-z.:\[\]-]+:[0-9]{1,5}\Z"))
 SEEDS = voluptuous.Schema(
     {voluptuous.Required("addresses"): voluptuous.All([ADDRESS], voluptuous.Length(min=3, max=7), voluptuous.Unique())}
--- a/aspencroft/node/node.py
+++ b/aspencroft/node/node.py
@@ -19,7 +19,7 @@
 from aspencroft.gateway import trace
 from aspencroft.leadership import duty
 from aspencroft.membership import cluster_member, failure_detector
-from aspencroft.node import settings
+from aspencroft.node import drain_order, settings
 from aspencroft.replication import group_replica, group_state, replica
 from aspencroft.runtime import clock, environment, supervision
 from aspencroft.sessions import lane_sessions
@@ -35,7 +35,6 @@
 APPLY = clock.seconds(0.85)
 APPLY_ITEM = clock.seconds(0.002)
 LAST_LEG = clock.seconds(0.1)
-IN_SERVICE, EMPTIED = "in service", "emptied"
 
 
 class Node:
@@ -104,6 +103,7 @@
                 self.hosts[pair] = group_replica.GroupReplica(
                     held, self.link, self.proposer, place.address, place.area, around_it
                 )
+        self.drain_orders = drain_order.DrainOrders(self)
         self.missed: dict[str, datetime.timedelta] = {}
         self.looked = clock.ZERO
         self.started = asyncio.Event()
@@ -523,60 +523,7 @@
         """
         return await self.submit(0, operator_configuration.ReadConfiguration(), within)
 
-    # -- emptying a machine ----------------------------------------------------------------------
-
-    def named(self, name: str) -> cluster_member.ClusterMember:
-        """The node of a name, the newest run of it where several are known; refused when there is none.
-
-        Example: ``node.named("storage-1").address``
-        """
-        found = [one for one in self.ring.peers.values() if name in (one.name, one.address)]
-        if not found:
-            raise result.RequestError(result.ResultCode.UNKNOWN_RESOURCE, detail=f"no machine {name}")
-        return max(found, key=lambda one: (one.state != cluster_member.DOWN, one.incarnation))
-
-    async def empty(self, name: str, within: datetime.timedelta) -> None:
-        """Have a machine's groups moved to others, so that it may be taken away; saying it twice does no harm.
-
-        Refused when no machine bears the name (UNKNOWN_RESOURCE), when too few disks would be left for the groups that it
-        may hold (TOO_FEW_LEFT); OUTCOME_UNKNOWN when the order is not known to be kept after ``within``.
-
-        Example: ``await node.empty("storage-1", moment.seconds(3))``
-        """
-        one = self.named(name)
-        if one.address in self.relay.plan.emptied:
-            return
-        for sort in one.holds:
-            left = [
-                other
-                for other in self.holders(sort)
-                if other.address != one.address and not self.emptied(other.address)
-            ]
-            if len(left) < self.settings.copies:
-                raise result.RequestError(result.ResultCode.TOO_FEW_LEFT, detail=f"{len(left)} disks for {sort}")
-        body = json.dumps({"machines": {one.address: {"emptied": True}}})
-        try:
-            async with clock.limit(within):
-                await self.write_plan(control_state.WritePlan("merge", "", "", body, None))
-        except TimeoutError:
-            raise result.RequestError(
-                result.ResultCode.OUTCOME_UNKNOWN, result.Ran.UNKNOWN, f"emptying {name}"
-            ) from None
-
-    async def emptying(self, name: str) -> str:
-        """How far a machine is: IN_SERVICE, or EMPTIED once it holds no group and each that it could hold is whole elsewhere.
-
-        What stands is asked of the groups' primaries, as this node may not have heard of the newest records.
-
-        Example: ``await node.emptying("storage-1") == node.EMPTIED``
-        """
-        one = self.named(name)
-        if one.address not in self.relay.plan.emptied:
-            return IN_SERVICE
-        pairs = [pair for pair in range(self.settings.pairs) if replica_set.sort_of(pair) in one.holds]
-        async with supervision.Group() as group:
-            asked = [group.create_task(self.stands(pair, one.address)) for pair in pairs]
-        return EMPTIED if all(task.result() for task in asked) else IN_SERVICE
+    # -- draining a machine ----------------------------------------------------------------------
 
     async def stands(self, pair: int, address: str) -> bool:
         """Whether a group's primary says that the group is whole without a node, and stays so; false while it does not say.
@@ -601,6 +548,7 @@
         Example: ``await node.run()``
         """
         ready = asyncio.Event()
+        self.drain_orders.began = clock.now()
         async with supervision.Group() as group:
             group.create_task(self.link.run(ready))
             await ready.wait()
--- a/aspencroft/platform_check/operator_api_test.py
+++ b/aspencroft/platform_check/operator_api_test.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import collections
+import json
 import random
 
 import pytest
 
 import aspencroft.platform_check.configuration_test as documents
+from aspencroft.errors import result
 from aspencroft.platform_check import operators
 from aspencroft.runtime import clock
 from aspencroft.simulation import simulated_cluster, wire
@@ -82,7 +84,7 @@
         assert documents.canonical(shown) == documents.canonical(
             documents.sample(9, **{"route-list": [documents.TURNS]})
         )
-        large = documents.raw(documents.sample(11, note="x" * (4 << 20)))
+        large = documents.raw(documents.sample(11, note="x" * operator_api.MOST_BODY_BYTES))
         assert await status("PUT", large, "9") == 413
         assert await status("GET", way="/api/nothing") == 404 and await status("DELETE") == 405
         assert await status("GET", way="/api/readiness") == 200
@@ -300,3 +302,43 @@
     assert judged(good, [operators.Read(3.0, 3.1, {**good[1].document, "note": 1})])
     assert judged([*good, order(8, 3, 200)], [])
     assert judged([*good, order(9, 7, 200, valid=False)], [])
+
+
+def test_a_version_that_no_record_can_hold_is_invalid_on_every_node_also_the_primary():
+    async def acts(one: simulated_cluster.SimulatedCluster, asking: operators.Operators) -> None:
+        for number in (b"1e300", b"1e19", b"9223372036854775808"):
+            for name in one.cores:
+                body = b'{"config-revision": ' + number + b', "route-list": []}'
+                response = await asking.call("PUT", operator_api.WAY, body, {"If-Match": "0"}, name)
+                assert response is not None and response.status_code == 400, (name, number, response)
+        assert (await asking.send(operators.Order(True, 0, 3, documents.sample(3), one.loop.time()))).status == 200
+
+    play(340, acts)
+
+
+def test_an_order_that_was_taken_is_known_again_when_newer_limits_are_below_its_size_and_however_it_is_spaced():
+    async def acts(one: simulated_cluster.SimulatedCluster, asking: operators.Operators) -> None:
+        wide = {"config-revision": 5, "note": "x" * (5 << 20), "limits": {"max-body-bytes": 6 << 20}}
+        narrow = {"config-revision": 7, "limits": {"max-body-bytes": 1 << 10}}
+        for body, condition in ((wide, "0"), (narrow, "5")):
+            response = await asking.call("PUT", operator_api.WAY, documents.raw(body), {"If-Match": condition})
+            assert response.status_code == 200, response.text
+        for name in one.cores:
+            for sort_keys, indent in ((False, None), (True, 1)):
+                body = json.dumps(wide, sort_keys=sort_keys, indent=indent).encode()
+                response = await asking.call("PUT", operator_api.WAY, body, {"If-Match": "0"}, name)
+                assert response.status_code == 200, (name, response.text)
+                response = await asking.call("PATCH", operator_api.WAY, body, {"If-Match": "0"}, name)
+                assert response.status_code == 412, "another method makes another order"
+
+    play(341, acts)
+
+
+def test_only_what_surely_was_not_taken_is_called_refused():
+    for code in result.ResultCode:
+        detail = "[]" if code is result.ResultCode.PLAN_INVALID else ""
+        unclear = operator_api.refused(None, result.RequestError(code, result.Ran.UNKNOWN, detail))
+        assert unclear.status_code == 503 and float(unclear.headers["Retry-After"]) > 0
+        clear = operator_api.refused(None, result.RequestError(code, result.Ran.NOT_RUN, detail))
+        assert clear.status_code in (400, 404, 409, 412, 413, 503)
+        assert (clear.status_code == 503) == (code not in operator_api.REFUSALS)
--- a/aspencroft/platform_check/operators.py
+++ b/aspencroft/platform_check/operators.py
@@ -30,6 +30,21 @@
     status: int = 0
     answered: float = 0.0
     valid: bool = True
+    answers: list[int] = dataclasses.field(default_factory=list)
+
+    def taken(self) -> bool:
+        """Whether any node acknowledged it, heard or not.
+
+        Example: ``order.taken()``
+        """
+        return self.status == 200 or 200 in self.answers
+
+    def refused(self) -> bool:
+        """Whether any node refused it, heard or not.
+
+        Example: ``order.refused()``
+        """
+        return any(400 <= status < 500 for status in (self.status, *self.answers))
 
 
 @dataclasses.dataclass(frozen=True)
@@ -81,14 +96,22 @@
     """Operators that call any control point and move on after a second of silence.
 
     ``hurt`` names nodes that are not held to answering in time, ``spans`` are the times of all other answers.
+    ``loss`` is the share of answers to orders that are lost on their way.
 
     Example: ``await Operators(one, random.Random(1), points).operate()``
     """
 
-    def __init__(self, one: simulated_cluster.SimulatedCluster, chance: random.Random, points: ControlPoints):
+    def __init__(
+        self,
+        one: simulated_cluster.SimulatedCluster,
+        chance: random.Random,
+        points: ControlPoints,
+        loss: float = 0.0,
+    ):
         self.scene = one
         self.chance = chance
         self.points = points
+        self.loss = loss
         self.client = httpx.AsyncClient(transport=wire.SimTransport(one.wire, simulated_cluster.OUTSIDE))
         self.orders: list[Order] = []
         self.reads: list[Read] = []
@@ -130,6 +153,10 @@
             response = await self.call(
                 "PUT" if order.whole else "PATCH", operator_api.WAY, body, {"If-Match": str(order.condition)}
             )
+            if response is not None:
+                order.answers.append(response.status_code)
+                if self.chance.random() < self.loss:
+                    response = None
             if response is not None and response.status_code in CLEAR:
                 order.status, order.answered = response.status_code, self.scene.loop.time()
                 return order
@@ -235,12 +262,38 @@
     return {**document, "config-revision": order.version, "route-list": rows}
 
 
+def order_faults(orders: list[Order]) -> list[str]:
+    """What broke the rules of single orders, by all answers that any node gave, those that were lost included.
+
+    Example: ``order_faults(operators.orders) == []``
+    """
+    found = []
+    bases: dict[int, Order] = {}
+    numbers: dict[int, Order] = {}
+    for one in orders:
+        if not one.taken():
+            continue
+        if one.refused():
+            found.append(f"{one.version} on {one.condition} was both acknowledged and refused: {one.answers}")
+        if bases.setdefault(one.condition, one).document != one.document:
+            found.append(f"two were acknowledged on top of {one.condition}")
+        if numbers.setdefault(one.version, one).document != one.document:
+            found.append(f"two were acknowledged under {one.version}")
+    for one in orders:
+        if not one.valid or not one.refused():
+            continue
+        rivals = [other for other in orders if other is not one and other.condition == one.condition]
+        if not any(other.valid and (other.taken() or not other.refused()) for other in rivals):
+            found.append(f"{one.version} on {one.condition} was refused and nothing else was taken there")
+    return found
+
+
 def faults(operators: Operators) -> list[str]:
     """What broke the operators' rules: a won race that was lost, two winners, something invalid in force, an old read.
 
     Example: ``faults(operators) == []``
     """
-    found = list(operators.steps_back)
+    found = [*operators.steps_back, *order_faults(operators.orders)]
     orders, reads = operators.orders, operators.reads
     won = [one for one in orders if one.status == 200]
     for one in won:
--- a/aspencroft/simulation/forwarding.py
+++ b/aspencroft/simulation/forwarding.py
@@ -22,7 +22,7 @@
 from aspencroft.consensus import witness
 from aspencroft.emulator import agent, engine, shape, worker_server
 from aspencroft.errors import result
-from aspencroft.node import node, settings
+from aspencroft.node import drain_order, node, settings
 from aspencroft.proxy import call, forwarder, instance, instances
 from aspencroft.replication import replica
 from aspencroft.runtime import clock, environment
@@ -39,6 +39,7 @@
 READY_EVERY = 1.0
 GROUPS = 3
 SHOWN = 6
+DRAIN_CALL = clock.seconds(0.9)
 ROUTES, SERVICES = "routes", "services"
 EDGE_FAULTS = ("edge kill", "edge power", "edge freeze", "edge stop")
 DISK_FAULTS = (
@@ -1160,9 +1161,10 @@
             name = self.chance.choice(world.cores)
             try:
                 if not asked:
-                    await world.at_node(name, lambda own: own.empty(victim, clock.seconds(0.9)), 1.0)
+                    await world.at_node(name, lambda own: own.drain_orders.order(victim, DRAIN_CALL), 1.0)
                     asked = True
-                done = await world.at_node(name, lambda own: own.emptying(victim), 1.0) == node.EMPTIED
+                state = await world.at_node(name, lambda own: own.drain_orders.state(victim, DRAIN_CALL), 1.0)
+                done = state is drain_order.DrainState.DRAINED
             except (result.RequestError, agent.Gone, TimeoutError):
                 pass
             await asyncio.sleep(0.3)
--- a/aspencroft/simulation/groups.py
+++ b/aspencroft/simulation/groups.py
@@ -69,7 +69,7 @@
     async def ask_node(self, name: str, work: collections.abc.Coroutine):
         """Do something as a node does it; its result, or the exception that it raised.
 
-        Example: ``await stage.ask_node("core-0", scene.nodes["core-0"].empty("storage-1", within))``
+        Example: ``await stage.ask_node("core-0", scene.nodes["core-0"].drain_orders.order("storage-1", within))``
         """
         task = self.scene.loop.create_task(work, context=self.scene.loop.context_of(name))
         try:
