--- a/aspencroft/simulation/mutations.py
+++ b/aspencroft/simulation/mutations.py
@@ -13,6 +13,9 @@
 
 ROOT = pathlib.Path(__file__).parents[2]
 LONGEST = 240
+POWER_LOSS_TEST = (
+    "storage/store_test.py::test_power_lost_at_any_sync_with_names_and_blocks_kept_singly_loses_nothing_acknowledged"
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -534,6 +537,87 @@
         "        self.answer(held_back)\n        if not entries and",
         ("platform_check/order_races_test.py",),
     ),
+    Mutation(
+        "a store's folder is made without a sync of the one above",
+        "storage/store.py",
+        "    disk.synchronise(folder.parent)\n",
+        "",
+        (POWER_LOSS_TEST,),
+    ),
+    Mutation(
+        "unsynced values that a killed process wrote are acted on",
+        "storage/store.py",
+        "    disk.synchronise(data_file)\n    with",
+        "    with",
+        (POWER_LOSS_TEST,),
+    ),
+    Mutation(
+        "older generations go before the pointer's rename lasts",
+        "storage/store.py",
+        "    disk.synchronise(folder)\n    for number in generations:\n",
+        "    for number in generations:\n",
+        (POWER_LOSS_TEST,),
+    ),
+    Mutation(
+        "a hole in an unsynced batch counts as damage",
+        "storage/store.py",
+        "beyond is not None and beyond.synced > len(items)",
+        "beyond is not None",
+        (POWER_LOSS_TEST,),
+    ),
+    Mutation(
+        "a newcomer learns from witnesses that still vote under the former voter set",
+        "consensus/witness_state.py",
+        "{one for one, survey in voting.items() if survey.voter_set.number == voter_set.number}",
+        "set(voting)",
+        ("consensus/witness_changes_test.py",),
+    ),
+    Mutation(
+        "witnesses that missed a voter set are not told of it",
+        "consensus/proposer.py",
+        "if one.voter_set.number < self.voter_set.number:",
+        "if False:",
+        ("consensus/witness_changes_test.py",),
+    ),
+    Mutation(
+        "a voter set is in force where it was accepted, chosen or not",
+        "consensus/witness_state.py",
+        "        if message.register == replica_set.VOTER_SET:\n            return step\n",
+        "        if message.register == replica_set.VOTER_SET:\n"
+        "            return dataclasses.replace(step, state=step.state.adopt(codec.untagged(message.value)).state)\n",
+        ("consensus/witness_changes_test.py",),
+    ),
+    Mutation(
+        "a primary serves under a record that was told of and never chosen",
+        "replication/group_state.py",
+        "            and self.knows_chosen()\n",
+        "",
+        ("replication/primary_test.py::test_nothing_is_answered_under_a_record_that_was_told_of_and_never_chosen",),
+    ),
+    Mutation(
+        "records whose proposer died are settled by nobody",
+        "node/node.py",
+        '                "records": self.record_recovery.run,\n',
+        "",
+        (
+            "replication/group_replica_test.py"
+            "::test_a_new_member_leads_though_the_primary_lost_its_disk_before_it_told_of_the_record",
+        ),
+    ),
+    Mutation(
+        "a member is recorded that lacks what was answered",
+        "replication/replica_changes.py",
+        "            return same and await self.enlist(peer)",
+        "            return await self.enlist(peer)",
+        ("replication/second_loss_test.py", "replication/replica_changes_test.py"),
+    ),
+    Mutation(
+        "a member that is drained leaves before another one holds the copy",
+        "replication/replica_changes.py",
+        "elif len(staying) >= own.around.copies and len(staying)",
+        "elif len(staying)",
+        ("replication/second_loss_test.py", "replication/replica_changes_test.py"),
+    ),
 )
 
 
