Failed, cancelled or hung disk writes leave disk and memory alike; the primary steps aside

Cause: an append cut off by a full disk left a torn value, and the next append was written behind it: at the next start the whole store read as damaged and the member began empty. A failed sync or a cancelled handler (the primary's connection breaks while the backup's disk writes) left entries on the disk that memory did not hold; the next entries took the same sequences, so that a restarted member held two entries under one number. Store.replace that failed went on in a generation that nothing points to: a witness forgot all later votes at its next start. A repair changed memory before the disk. A primary that lost its place with an undecided batch confirmed it while its lease still stood, though its own disk had refused the entries. A primary with a hanging disk renewed its lease for ever.

Change: Store.append lasts whole or is cut off before the next one; replace and point leave the older generation in force on any failure; data found at a start is synced before it counts, the pointer before the older generation goes. Writes finish once begun (runtime/uninterrupted.py), with the memory's part in the same step; repair writes first. OSError or a write of over 1.5 s ends the tenure for 4 s, longer than lease and silence; what was undecided is left unclear.

Ruled out: syncing each append's torn bytes as a marker (needs space on a full disk); handing leadership over by a ballot (writes to the failing disk).

--- a/aspencroft/replication/group_replica.py
+++ b/aspencroft/replication/group_replica.py
@@ -12,6 +12,7 @@
 
 LOG = logbook.Logger("pair")
 PATIENCE = clock.seconds(3)
+STEP_ASIDE = clock.seconds(4)
 
 
 class GroupReplica(group_state.GroupState):
@@ -38,6 +39,9 @@
     async def run(self) -> None:
         """Be whatever the newest record says, for ever.
 
+        A member whose disk refuses or hangs neither leads nor renews its lease for ``STEP_ASIDE``, which is longer than the
+        lease and the silence after which a backup takes over.
+
         Example: ``group.create_task(host.run())``
         """
         self.patience_end = clock.now() + PATIENCE
@@ -58,6 +62,12 @@
                 LOG.info("pair {}: {}", self.pair, group.exceptions)
                 supervision.heed()
                 await clock.sleep(group_state.RETRY)
+            except* OSError as group:
+                LOG.warning("group {}: the disk failed: {}", self.pair, group.exceptions)
+                supervision.heed()
+                self.why = "the disk failed"
+                self.counts["disk failures"] += 1
+                await clock.sleep(STEP_ASIDE)
 
     async def submit(self, command, within: datetime.timedelta):
         """Have a command decided, if this node is the primary; the reply comes once it is synced on all copies.
--- a/aspencroft/replication/group_state.py
+++ b/aspencroft/replication/group_state.py
@@ -25,6 +25,10 @@
     """This node is no longer what it was in the group."""
 
 
+class DiskStalled(OSError):
+    """A write to this node's disk has not come back for long."""
+
+
 @dataclasses.dataclass(frozen=True)
 class Candidate:
     """A node with a disk that could hold a copy.
@@ -85,7 +89,14 @@
         self.balloting = asyncio.Lock()
         self.committed = asyncio.Event()
         self.doubted: dict[str, datetime.timedelta] = {}
-        self.counts = {"takeovers": 0, "recruits": 0, "batches": 0, "entries": 0, "taken at start": 0}
+        self.counts = {
+            "takeovers": 0,
+            "recruits": 0,
+            "batches": 0,
+            "entries": 0,
+            "taken at start": 0,
+            "disk failures": 0,
+        }
         self.why = "starting"
         self.unsure = True
         self.patience_end = clock.ZERO
@@ -124,6 +135,14 @@
         if self.known.primary != self.me():
             raise Deposed(f"epoch {self.known.epoch}")
 
+    def check_disk(self) -> None:
+        """Stop at once when this disk has held a write up for long: a backup whose disk works can serve instead.
+
+        Example: ``part.check_disk()``
+        """
+        if self.copy.stalled():
+            raise DiskStalled(f"group {self.pair}: a write has not come back for long")
+
     def staying(self) -> tuple[replica_set.ReplicaId, ...]:
         """The members that are neither emptied nor about to stop.
 
--- /dev/null
+++ b/aspencroft/replication/interrupted_write_test.py
@@ -0,0 +1,210 @@
+"""A replica whose writes are cancelled, refused or hang: its disk and its memory never differ."""
+
+import asyncio
+import errno
+import random
+
+import pytest
+
+from aspencroft.configuration import control_state
+from aspencroft.consensus import replica_set
+from aspencroft.replication import replica
+from aspencroft.runtime import clock, environment
+from aspencroft.simulation import disk, loop, members
+from aspencroft.transport import codec
+
+
+def made(machine: disk.SimDisk) -> replica.Replica:
+    """The control group's replica on a disk."""
+    around = environment.Environment(None, machine, None, machine.chance, None)
+    return replica.Replica(around, machine.folder / "a", 0, control_state.ControlState)
+
+
+def entries(one: replica.Replica, count: int, holder: str, epoch: int = 1) -> tuple[replica.Entry, ...]:
+    """Entries that follow the last one."""
+    return tuple(
+        replica.Entry(
+            epoch,
+            one.last().sequence + number,
+            codec.tagged(control_state.DutyTaken("duty", number, holder, 1)),
+        )
+        for number in range(1, count + 1)
+    )
+
+
+async def same_after_start(one: replica.Replica) -> bool:
+    """Whether a process that starts on this disk holds what this one holds."""
+    again = made(one.environment.disk)
+    await again.open()
+    return (again.last(), again.view.snapshot(), again.entries) == (one.last(), one.view.snapshot(), one.entries)
+
+
+def run(scene) -> None:
+    """Run a coroutine in simulated time."""
+    with asyncio.Runner(loop_factory=loop.SimLoop) as runner:
+        runner.run(scene)
+
+
+def test_an_append_that_is_cancelled_at_any_moment_is_whole_in_memory_or_not_on_the_disk(tmp_path):
+    async def scene(after: float) -> bool:
+        machine = disk.SimDisk(tmp_path / str(after), random.Random(1))
+        one = made(machine)
+        await one.open()
+        await one.append(entries(one, 2, "a:1"))
+        machine.delay = 0.02
+        task = asyncio.ensure_future(one.append(entries(one, 2, "b:1")))
+        await asyncio.sleep(after)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        first = one.last().sequence
+        await one.append(entries(one, 1, "c:1", epoch=2))
+        assert await same_after_start(one), after
+        return first == 4
+
+    taken = []
+
+    async def scenes() -> None:
+        taken.extend([await scene(after / 1000) for after in range(0, 40, 2)])
+
+    run(scenes())
+    assert any(taken)
+
+
+def test_a_repair_that_the_disk_refuses_leaves_the_copy_as_it_was(tmp_path):
+    async def scene(space: int) -> bool:
+        machine = disk.SimDisk(tmp_path / str(space), random.Random(1))
+        one, other = made(machine), made(disk.SimDisk(tmp_path / f"{space} other", random.Random(2)))
+        await one.open()
+        await other.open()
+        await one.append(entries(one, 3, "a:1"))
+        await other.append(entries(other, 8, "b:1"))
+        before = one.last(), one.view.snapshot()
+        machine.space = space
+        refused = False
+        try:
+            await one.repair(0, None, tuple(other.entries))
+        except OSError as error:
+            refused = True
+            assert error.errno == errno.ENOSPC and (one.last(), one.view.snapshot()) == before
+        machine.space = None
+        assert await same_after_start(one)
+        await one.repair(0, None, tuple(other.entries))
+        assert one.last() == other.last() and await same_after_start(one)
+        return refused
+
+    async def scenes() -> None:
+        refused = [await scene(space) for space in range(0, 5200, 150)]
+        assert refused[0] and not refused[-1]
+
+    run(scenes())
+
+
+def test_a_snapshot_that_the_disk_refuses_is_tried_again_later_and_loses_nothing(tmp_path, monkeypatch):
+    monkeypatch.setattr(replica, "COMPACT_ENTRIES", 10)
+
+    async def scene(space: int) -> None:
+        machine = disk.SimDisk(tmp_path / str(space), random.Random(1))
+        one = made(machine)
+        await one.open()
+        drawing = asyncio.ensure_future(one.draw_pictures())
+        await one.append(entries(one, 12, "a:1"))
+        machine.space = space
+        assert one.begin_snapshot()
+        await asyncio.sleep(1)
+        assert not one.begin_snapshot() or one.snapshot.sequence
+        machine.space = None
+        await one.append(entries(one, 3, "b:1"))
+        await asyncio.sleep(2)
+        one.begin_snapshot()
+        await asyncio.sleep(1)
+        assert one.snapshot.sequence and await same_after_start(one)
+        assert len(list((machine.folder / "a").glob("generation-*"))) == 1
+        drawing.cancel()
+
+    async def scenes() -> None:
+        for space in range(0, 1600, 100):
+            await scene(space)
+
+    run(scenes())
+
+
+def test_a_record_that_the_disk_refuses_is_not_held(tmp_path):
+    async def scene() -> None:
+        machine = disk.SimDisk(tmp_path, random.Random(1))
+        one = made(machine)
+        await one.open()
+        machine.failing_sync = True
+        record = replica_set.ReplicaSet(0, 3, replica_set.ReplicaId("a:1", one.identity), ())
+        with pytest.raises(OSError, match="error"):
+            await one.hold(record)
+        assert one.holding is None
+        machine.failing_sync = False
+        again = made(machine)
+        await again.open()
+        await one.hold(record)
+        again = made(machine)
+        await again.open()
+        assert again.holding == record
+
+    run(scene())
+
+
+def test_a_backup_whose_handler_is_cancelled_mid_write_never_holds_an_entry_twice(tmp_path):
+    """The connection of a primary breaks while the backup's disk writes; the next primary sends other entries."""
+
+    async def acts(those: members.Members) -> None:
+        those.run(*those.names)
+        await those.until(lambda: those.hosts["n0:1"].why == "serving")
+        machine = those.hosts["n1:1"].copy.environment.disk
+        for number in range(20):
+            machine.delay = 0.05
+            writing = asyncio.ensure_future(those.write(f"s{number}"))
+            await clock.sleep(clock.seconds(0.004 * number))
+            for task in list(those.handlers):
+                task.cancel()
+            await asyncio.gather(writing, return_exceptions=True)
+            machine.delay = 0.002
+        await those.until(lambda: those.hosts["n0:1"].why == "serving")
+        await those.write("last")
+        assert those.same("n0:1", "n1:1")
+        for name in ("n0:1", "n1:1"):
+            assert await same_copy_after_start(those, name)
+
+    members.play(tmp_path, 2, acts)
+
+
+async def same_copy_after_start(those: members.Members, name: str) -> bool:
+    """Whether a process that starts on a member's disk holds what that member holds."""
+    held = those.hosts[name].copy
+    again = replica.Replica(held.environment, held.folder, held.pair, control_state.ControlState)
+    await again.open()
+    return (again.last(), again.entries) == (held.last(), held.entries)
+
+
+@pytest.mark.parametrize("trouble", ["full", "stalled"])
+def test_a_primary_whose_disk_fails_steps_aside_and_comes_back_as_a_backup(tmp_path, trouble):
+    async def acts(those: members.Members) -> None:
+        those.run(*those.names)
+        await those.until(lambda: those.hosts["n0:1"].why == "serving")
+        await those.write("a")
+        machine = those.hosts["n0:1"].copy.environment.disk
+        if trouble == "full":
+            machine.space = 0
+        else:
+            machine.stall()
+        refused = asyncio.ensure_future(those.write("b", within=2))
+        took = await those.until(
+            lambda: any(those.hosts[name].why == "serving" and those.hosts[name].claimed() for name in ("n1:1", "n2:1"))
+        )
+        assert took < 6, took
+        leader = next(name for name in ("n1:1", "n2:1") if those.hosts[name].claimed())
+        await those.write("c", leader)
+        assert isinstance((await asyncio.gather(refused, return_exceptions=True))[0], Exception)
+        machine.space = None
+        machine.resume()
+        await those.until(lambda: "n0:1" in {one.address for one in those.register.standing().backups}, 20)
+        await those.write("d", leader)
+        assert those.same(*those.names)
+        assert await same_copy_after_start(those, "n0:1")
+
+    members.play(tmp_path, 3, acts, members=3, copies=2, goal=3)
--- a/aspencroft/replication/log_shipping.py
+++ b/aspencroft/replication/log_shipping.py
@@ -33,10 +33,8 @@
         message = messages.Append(standing, last, entries)
         async with supervision.Group() as group:
             if entries:
-                group.create_task(self.own.copy.write(*entries))
+                group.create_task(self.own.copy.write_entries(entries))
             sent = {one: group.create_task(self.send(one, message)) for one in standing.backups}
-        for entry in entries:
-            self.own.copy.remember(entry)
         return tuple(one for one, task in sent.items() if task.result() != self.own.copy.last())
 
     async def send(self, backup: replica_set.ReplicaId, message: messages.Append) -> replica.Mark | None:
--- a/aspencroft/replication/primary.py
+++ b/aspencroft/replication/primary.py
@@ -129,6 +129,7 @@
         own = self.own
         failed = False
         while True:
+            own.check_disk()
             used = own.chosen
             end, newest, answered = await own.proposer.claim(
                 used, own.pair, str(own.me()), clock.ZERO if failed else witness.LEASE
@@ -213,7 +214,7 @@
                     elif own.known == standing:
                         await self.one_batch(held_back)
         finally:
-            self.answer(held_back)
+            self.leave_unclear(held_back)
 
     async def agree(self, standing: replica_set.ReplicaSet) -> None:
         """Make the copies of all backups the same; those that fail are recorded out.
@@ -244,15 +245,17 @@
             elif standing:
                 one.submission.reply.set_result(one.reply)
             else:
-                fail(
-                    one.submission.reply,
-                    result.RequestError(
-                        result.ResultCode.OUTCOME_UNKNOWN,
-                        result.Ran.UNKNOWN,
-                        "the claim ran out",
-                        group_state.COME_BACK,
-                    ),
-                )
+                fail(one.submission.reply, unclear())
+        decided.clear()
+
+    def leave_unclear(self, decided: list[Decided]) -> None:
+        """At the end of a tenure: what not all copies are known to hold is neither confirmed nor refused.
+
+        Example: ``serving.leave_unclear(decided)``
+        """
+        for one in decided:
+            if not one.submission.reply.done():
+                fail(one.submission.reply, unclear())
         decided.clear()
 
     def refuse_waiting(self, why: result.ResultCode) -> None:
@@ -380,6 +383,16 @@
         own.check_tenure()
 
 
+def unclear() -> result.RequestError:
+    """The answer to a command that was decided and may or may not last.
+
+    Example: ``raise unclear()``
+    """
+    return result.RequestError(
+        result.ResultCode.OUTCOME_UNKNOWN, result.Ran.UNKNOWN, "the lease ran out", group_state.COME_BACK
+    )
+
+
 def fail(reply: asyncio.Future, refusal: result.RequestError) -> None:
     """Refuse a submission; nobody need await the reply, as with clock events.
 
--- a/aspencroft/replication/replica.py
+++ b/aspencroft/replication/replica.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import datetime
 import hashlib
 import itertools
 import pathlib
@@ -13,7 +14,7 @@
 
 from aspencroft.consensus import replica_set
 from aspencroft.errors import result
-from aspencroft.runtime import clock, environment
+from aspencroft.runtime import clock, environment, uninterrupted
 from aspencroft.storage import store
 from aspencroft.transport import codec
 
@@ -24,6 +25,8 @@
 COMPACT_BYTES = 2 << 20
 OF_AN_ENTRY = 250
 PART, BREATH = 1 << 20, 64
+STALLED = clock.seconds(1.5)
+DISK_PAUSE = clock.seconds(2)
 
 
 @codec.kind(40)
@@ -187,7 +190,8 @@
         self.drawing = False
         self.newest = 0
         self.meanwhile: list[store.Item] | None = None
-        self.under_pen: tuple[store.Item, ...] = ()
+        self.write_began: datetime.timedelta | None = None
+        self.next_snapshot = clock.ZERO
         self.begun: tuple[Mark, int, collections.abc.Iterator[bytes]] | None = None
         self.wanted = asyncio.Event()
         self.view_at = 0
@@ -197,9 +201,7 @@
 
         Example: ``await copy.open()``
         """
-        self.kept, items, self.condition = await self.environment.disk.perform(
-            store.load, self.folder, self.environment.disk
-        )
+        self.kept, items, self.condition = await self.load()
         if self.condition is store.Condition.DAMAGED:
             LOG.warning("pair {}: the copy in {} is damaged; it starts empty and is mended", self.pair, self.folder)
         self.identity, self.holding = "", None
@@ -227,16 +229,25 @@
             await self.write(Identity(self.identity))
         self.refold()
 
+    async def load(self) -> tuple[store.Store, tuple[store.Item, ...], store.Condition]:
+        """What the disk holds; tried again while the disk refuses, as there is nothing to be done without it.
+
+        Example: ``kept, items, condition = await copy.load()``
+        """
+        while True:
+            try:
+                return await self.environment.disk.perform(store.load, self.folder, self.environment.disk)
+            except OSError as error:
+                LOG.warning("group {}: {} can't be opened: {}", self.pair, self.folder, error)
+            await clock.sleep(DISK_PAUSE)
+
     def replace_all(self, snapshot: Picture | Drawn) -> None:
         """Hold a picture and nothing else.
 
         Example: ``copy.replace_all(picture)``
         """
-        if isinstance(snapshot, Picture):
-            snapshot = Drawn(
-                snapshot.epoch, snapshot.sequence, snapshot.digest, (snapshot.body,) if snapshot.body else ()
-            )
-        self.snapshot, self.picture_size = snapshot, snapshot.size()
+        self.snapshot = as_drawn(snapshot)
+        self.picture_size = self.snapshot.size()
         self.entries, self.digests, self.held = [], [], 0
 
     def cut(self, places: slice) -> None:
@@ -347,31 +358,66 @@
         return snapshot, tuple(chosen)
 
     async def write(self, *values) -> None:
-        """Make values last on this disk.
+        """Make values last on this disk, all or none; a cancellation waits until that is done.
 
         Example: ``await copy.write(entry)``
         """
-        items = tuple(map(stored, values))
+        await uninterrupted.finish(self.write_items(tuple(map(stored, values))))
+
+    async def write_items(self, items: tuple[store.Item, ...]) -> None:
+        """Append items to the generation in force, and to the one that is being written beside it.
+
+        Example: ``await copy.write_items(items)``
+        """
         async with self.writing:
-            if self.meanwhile is not None:
-                self.meanwhile.extend(items)
-            self.under_pen = items
+            self.write_began = clock.now()
             try:
                 await self.environment.disk.perform(self.kept.append, items)
             finally:
-                self.under_pen = ()
+                self.write_began = None
+            if self.meanwhile is not None:
+                self.meanwhile.extend(items)
 
-    async def rewrite(self) -> None:
-        """Write a new generation of what is in memory; a picture being drawn is drawn in vain.
+    def stalled(self) -> bool:
+        """Whether a write has not come back for so long that another member had better be the primary.
 
-        Example: ``await copy.rewrite()``
+        Example: ``if copy.stalled(): ...``
         """
-        async with self.writing:
-            self.meanwhile = None
-            fresh = self.successor()
-            await self.fill(fresh, self.snapshot, self.entries)
+        return self.write_began is not None and clock.now() - self.write_began > STALLED
+
+    async def write_entries(self, entries: tuple[Entry, ...]) -> None:
+        """Make entries that follow the last one last, and remember them in the same step: what the disk holds and what
+        memory holds never differ, also when the caller is cancelled.
+
+        Example: ``await copy.write_entries(entries)``
+        """
+        await uninterrupted.finish(self.write_and_remember(entries))
+
+    async def write_and_remember(self, entries: tuple[Entry, ...]) -> None:
+        """The two steps of ``write_entries``.
+
+        Example: ``await copy.write_and_remember(entries)``
+        """
+        await self.write_items(tuple(map(stored, entries)))
+        for entry in entries:
+            self.remember(entry)
+
+    async def rewrite(self, snapshot: Drawn, entries: list[Entry]) -> None:
+        """Write and use a generation of a snapshot and entries, while the caller holds ``writing``.
+
+        The older one stays in force if that fails. A snapshot that is being drawn is drawn in vain.
+
+        Example: ``await copy.rewrite(copy.snapshot, copy.entries)``
+        """
+        self.meanwhile = None
+        fresh = self.successor()
+        try:
+            await self.fill(fresh, snapshot, entries)
             await self.environment.disk.perform(fresh.point, self.kept.home())
-            self.kept = fresh
+        except OSError:
+            await self.environment.disk.perform(fresh.discard)
+            raise
+        self.kept = fresh
 
     def successor(self) -> store.Store:
         """The store of a new generation, whose number no other has.
@@ -408,7 +454,15 @@
         Example: ``await copy.hold(record)``
         """
         if self.holding is None or fresh.epoch > self.holding.epoch:
-            await self.write(fresh, fresh)
+            await uninterrupted.finish(self.write_record(fresh))
+
+    async def write_record(self, fresh: replica_set.ReplicaSet) -> None:
+        """The two steps of ``hold``.
+
+        Example: ``await copy.write_record(record)``
+        """
+        await self.write_items((stored(fresh), stored(fresh)))
+        if self.holding is None or fresh.epoch > self.holding.epoch:
             self.holding = fresh
 
     async def append(self, entries: tuple[Entry, ...]) -> None:
@@ -416,14 +470,21 @@
 
         Example: ``await copy.append(entries)``
         """
-        await self.write(*entries)
+        await uninterrupted.finish(self.write_and_fold(entries))
+
+    async def write_and_fold(self, entries: tuple[Entry, ...]) -> None:
+        """The steps of ``append``.
+
+        Example: ``await copy.write_and_fold(entries)``
+        """
+        await self.write_and_remember(entries)
         for entry in entries:
-            self.remember(entry)
             self.fold(entry, codec.untagged(entry.body))
 
     def grown(self) -> bool:
-        """Whether the entries are many, or many bytes: as much as half of what the picture holds, so that the cost of a picture
-        stays in proportion.
+        """Whether the entries are many, or many bytes.
+
+        As much as half of what the snapshot holds, so that the cost of a snapshot stays in proportion.
 
         Example: ``if copy.grown(): ...``
         """
@@ -440,7 +501,9 @@
         end = self.last()
         if self.drawing or not self.grown() or not self.entries or self.view_at != end.sequence:
             return False
-        self.drawing, self.meanwhile = True, list(self.under_pen)
+        if clock.now() < self.next_snapshot:
+            return False
+        self.drawing, self.meanwhile = True, []
         self.begun = end, self.entries[-1].epoch, self.view.snapshot_parts()
         self.wanted.set()
         return True
@@ -475,6 +538,9 @@
         try:
             if meanwhile is not None:
                 await self.use(Drawn(epoch, end.sequence, end.digest, await drawn(parts)), meanwhile)
+        except OSError as error:
+            self.next_snapshot = clock.now() + DISK_PAUSE
+            LOG.warning("group {}: no snapshot could be written: {}", self.pair, error)
         finally:
             self.drawing = False
             if self.meanwhile is meanwhile:
@@ -487,47 +553,70 @@
         Example: ``await copy.use(picture, copy.meanwhile)``
         """
         fresh = self.successor()
-        await self.fill(fresh, snapshot, [])
-        async with self.writing:
-            if self.meanwhile is not meanwhile:
-                await self.environment.disk.perform(fresh.discard)
-                return
-            if meanwhile:
-                await self.environment.disk.perform(fresh.append, meanwhile)
-            await self.environment.disk.perform(fresh.point, self.kept.home())
-            self.kept = fresh
-            if self.meanwhile is meanwhile:
+        try:
+            await self.fill(fresh, snapshot, [])
+            async with self.writing:
+                if self.meanwhile is not meanwhile:
+                    await self.environment.disk.perform(fresh.discard)
+                    return
+                if meanwhile:
+                    await self.environment.disk.perform(fresh.append, tuple(meanwhile))
+                await self.environment.disk.perform(fresh.point, self.kept.home())
+                self.kept = fresh
                 self.cut(slice(0, snapshot.sequence - self.snapshot.sequence))
                 self.snapshot, self.picture_size = snapshot, snapshot.size()
+        except OSError:
+            if self.kept is not fresh:
+                await self.environment.disk.perform(fresh.discard)
+            raise
 
     async def repair(self, through: int, snapshot: Picture | None, entries: tuple[Entry, ...]) -> Mark:
         """Become like the primary: keep what agrees, drop what does not, add what is missing.
 
         Example: ``mark = await copy.mend(120, None, entries)``
         """
-        if snapshot is not None:
-            self.replace_all(snapshot)
-        cut = through - self.snapshot.sequence
-        if not 0 <= cut <= len(self.entries):
-            raise result.RequestError(
-                result.ResultCode.NOT_PRIMARY, detail="the copy has moved on since it was compared"
-            )
-        dropped = snapshot is not None or len(self.entries) > cut
-        if dropped:
-            self.meanwhile = None
+        await uninterrupted.finish(self.replace_behind(through, snapshot, entries))
+        return self.last()
+
+    async def replace_behind(self, through: int, snapshot: Picture | Drawn | None, entries: tuple[Entry, ...]) -> None:
+        """The steps of ``repair``: the disk first, then memory, so that a failed write leaves both as they were.
+
+        Example: ``await copy.replace_behind(120, None, entries)``
+        """
+        if snapshot is None and through == self.last().sequence:
+            await self.write_and_remember(entries)
+            if self.view_at == through:
+                for entry in entries:
+                    self.fold(entry, codec.untagged(entry.body))
+            else:
+                self.refold()
+            return
+        async with self.writing:
+            base = self.snapshot if snapshot is None else as_drawn(snapshot)
+            held = self.entries if snapshot is None else []
+            cut = through - base.sequence
+            if not 0 <= cut <= len(held):
+                raise result.RequestError(
+                    result.ResultCode.NOT_PRIMARY, detail="the copy has moved on since it was compared"
+                )
+            await self.rewrite(base, [*held[:cut], *entries])
+            if snapshot is not None:
+                self.replace_all(base)
             self.cut(slice(cut, None))
-        for entry in entries:
-            self.remember(entry)
-        if dropped:
-            await self.rewrite()
-        else:
-            await self.write(*entries)
-        if dropped or self.view_at != self.last().sequence - len(entries):
-            self.refold()
-        else:
             for entry in entries:
-                self.fold(entry, codec.untagged(entry.body))
-        return self.last()
+                self.remember(entry)
+        self.refold()
+
+
+def as_drawn(snapshot: Picture | Drawn) -> Drawn:
+    """A snapshot in pieces.
+
+    Example: ``as_drawn(picture).size() == len(picture.body)``
+    """
+    if isinstance(snapshot, Drawn):
+        return snapshot
+    pieces = (snapshot.body,) if snapshot.body else ()
+    return Drawn(snapshot.epoch, snapshot.sequence, snapshot.digest, pieces)
 
 
 def stored(value) -> store.Item:
--- a/aspencroft/runtime/environment.py
+++ b/aspencroft/runtime/environment.py
@@ -13,6 +13,8 @@
 
 import httpx
 
+from aspencroft.runtime import uninterrupted
+
 CHUNK_LIMIT = 1 << 20
 
 
@@ -163,10 +165,18 @@
         self.threads = concurrent.futures.ThreadPoolExecutor(8, "disk")
 
     async def perform(self, function: typing.Callable, *arguments):
-        """Run file work off the loop and hand back its result.
+        """Run file work off the loop and hand back its result; a cancellation waits for the thread, which can't be called
+        back: whoever holds a lock around the work keeps it until nothing is written any more.
 
         Example: ``await disk.perform(path.read_bytes)``
         """
+        return await uninterrupted.finish(self.in_thread(function, arguments))
+
+    async def in_thread(self, function: typing.Callable, arguments: tuple):
+        """Have one of the threads do file work.
+
+        Example: ``await disk.in_thread(path.read_bytes, ())``
+        """
         return await asyncio.get_running_loop().run_in_executor(self.threads, function, *arguments)
 
     def synchronise(self, path: pathlib.Path) -> None:
--- a/aspencroft/simulation/members.py
+++ b/aspencroft/simulation/members.py
@@ -9,7 +9,7 @@
 from aspencroft.consensus import proposer, replica_set
 from aspencroft.errors import result
 from aspencroft.replication import group_replica, group_state, messages, replica
-from aspencroft.runtime import clock, environment
+from aspencroft.runtime import clock, environment, supervision
 from aspencroft.simulation import disk, loop
 from aspencroft.transport import codec
 
@@ -91,6 +91,7 @@
         self.heard: list[tuple[str, object]] = []
         self.register: Register | None = None
         self.tasks: list[asyncio.Task] = []
+        self.handlers: set[asyncio.Task] = set()
 
     async def begin(self, members: int) -> None:
         """Open all copies and put the first ones into the first record.
@@ -155,7 +156,24 @@
         if address in self.silent:
             await clock.sleep(within)
             raise result.RequestError(result.ResultCode.UNREACHABLE, result.Ran.UNKNOWN, address)
-        one = self.hosts[address]
+        handler = asyncio.ensure_future(self.handle(self.hosts[address], message))
+        self.handlers.add(handler)
+        try:
+            async with clock.limit(within):
+                return await handler
+        except (TimeoutError, asyncio.CancelledError):
+            supervision.heed()
+            raise result.RequestError(result.ResultCode.UNREACHABLE, result.Ran.UNKNOWN, address) from None
+        except OSError as error:
+            raise result.RequestError(result.ResultCode.INTERNAL, result.Ran.UNKNOWN, repr(error)) from None
+        finally:
+            self.handlers.discard(handler)
+
+    async def handle(self, one: group_replica.GroupReplica, message):
+        """What the asked node does; cancelled, it is as if the connection broke meanwhile.
+
+        Example: ``await those.handle(those.hosts["n1:1"], exchange.Compare(0, 1))``
+        """
         match message:
             case messages.Append():
                 return await one.append(message)
--- a/aspencroft/storage/store.py
+++ b/aspencroft/storage/store.py
@@ -1,9 +1,11 @@
 """A crash-safe store over dbm.dumb: only new keys, every value checked, the index rebuilt by scan."""
 
 import collections.abc
+import contextlib
 import dataclasses
 import dbm.dumb
 import enum
+import errno
 import os
 import pathlib
 import struct
@@ -94,6 +96,18 @@
     return index, Item(epoch, payload), end
 
 
+def first_places(data: bytes | FileBytes, count: int) -> list[tuple[int, int]]:
+    """Where the first values are, at most so many.
+
+    Example: ``first_places(b"", 3) == []``
+    """
+    places, place = [], 0
+    while len(places) < count and (found := value_at(data, place)) is not None and found[0] == len(places):
+        places.append((place, found[2] - place))
+        place = (found[2] + BLOCK - 1) // BLOCK * BLOCK
+    return places
+
+
 def scan(data: bytes | FileBytes) -> Scan:
     """Read a data file front to back; a torn tail is dropped, damage before it is told.
 
@@ -114,6 +128,9 @@
 class Store:
     """An append-only list of items in generations of dbm.dumb files.
 
+    Either all items of an append last or none: after a failed one (no space, an input or output error) its bytes are cut
+    off before anything is written behind them, since a torn value amid sound ones would read as damage.
+
     Example: ``kept, items, condition = store.load(folder, disk)``, then ``kept.append(items)``
     inside ``disk.perform``.
     """
@@ -123,6 +140,9 @@
         self.disk = disk
         self.generation = generation
         self.count = 0
+        self.lasting = 0
+        self.torn = False
+        self.replaced: pathlib.Path | None = None
         self.database = None
 
     def home(self) -> pathlib.Path:
@@ -135,12 +155,15 @@
     def open(self, found: Scan) -> None:
         """Make index and data agree with the scan, then open the files.
 
+        The data is synced whatever it holds: a process that was killed may have written values that it never synced, and
+        who finds them counts on them from now on.
+
         Example: ``store.open(scan(data))``
         """
         data_file, index_file = self.home() / "journal.dat", self.home() / "journal.dir"
         if data_file.stat().st_size != found.end:
             os.truncate(data_file, found.end)
-            self.disk.synchronise(data_file)
+        self.disk.synchronise(data_file)
         index = "".join(f"{format(number, '016x')!r}, {place!r}\n" for number, place in enumerate(found.places))
         if not index_file.exists() or index_file.read_text("latin-1", errors="replace") != index:
             fresh = self.home() / "journal.fresh"
@@ -149,37 +172,70 @@
             os.replace(fresh, index_file)
             self.disk.synchronise(self.home())
         self.database = dbm.dumb.open(str(self.home() / "journal"), "c")
-        self.count = len(found.items)
+        self.count = self.lasting = len(found.places)
+        self.torn = False
 
     def append(self, items: tuple[Item, ...]) -> None:
-        """Add items and make them last.
+        """Add items and make them last, all or none.
 
         Example: ``await disk.perform(kept.append, (Item(1, b"x"),))``
         """
+        self.prepare()
+        self.torn = True
         self.add(items)
         for name in ("journal.dat", "journal.dir"):
             self.disk.synchronise(self.home() / name)
+        self.torn, self.lasting = False, self.count
+
+    def prepare(self) -> None:
+        """Finish what an earlier failure left: a pointer that was not made to last, the bytes of a failed append.
+
+        Example: ``kept.prepare()``
+        """
+        if self.replaced is not None:
+            self.finish_point()
+        if self.torn:
+            self.undo()
+
+    def undo(self) -> None:
+        """Cut off all that was added since the last append that succeeded.
+
+        Example: ``kept.undo()``
+        """
+        with (self.home() / "journal.dat").open("rb") as file:
+            places = first_places(FileBytes(file), self.lasting)
+        if len(places) < self.lasting:
+            raise OSError(errno.EIO, f"{self.lasting - len(places)} lasting values of {self.home()} are gone")
+        end = places[-1][0] + places[-1][1] if places else 0
+        self.open(Scan((), tuple(places), end, Condition.SOUND))
 
     def add(self, items: collections.abc.Iterable[Item]) -> None:
         """Write items under new keys; the index that dbm.dumb would rewrite at its end stays unused.
 
         Example: ``kept.add((Item(1, b"x"),))``
         """
-        for item in items:
-            self.database[format(self.count, "016x")] = value(self.count, item)
-            self.count += 1
-        self.database._modified = False
+        try:
+            for item in items:
+                self.database[format(self.count, "016x")] = value(self.count, item)
+                self.count += 1
+        finally:
+            self.database._modified = False
 
     def replace(self, items: tuple[Item, ...]) -> None:
-        """Write a new generation that holds just these items, then point to it.
+        """Write a new generation that holds just these items, then point to it; this one stays in force if that fails.
 
-        Example: ``await disk.perform(kept.replace, (picture, *tail))``
+        Example: ``await disk.perform(kept.replace, (snapshot, *tail))``
         """
-        old = self.home()
-        self.generation += 1
-        self.blank()
-        self.append(items)
-        self.point(old)
+        fresh = self.successor(self.generation + 1)
+        try:
+            fresh.blank()
+            fresh.append(items)
+            fresh.point(self.home())
+        except OSError:
+            fresh.discard()
+            raise
+        self.generation, self.database, self.replaced = fresh.generation, fresh.database, fresh.replaced
+        self.count, self.lasting, self.torn = fresh.count, fresh.lasting, fresh.torn
 
     def successor(self, generation: int) -> "Store":
         """A store for a later generation of the same folder; it counts only once it is pointed to.
@@ -201,6 +257,9 @@
     def point(self, old: pathlib.Path) -> None:
         """Point to this generation, whose items were synced, and remove an older one.
 
+        An error means that the older one is in force. Where just the last sync fails, either may be after a loss of power:
+        they hold the same then, and ``append`` adds nothing before that sync succeeded.
+
         Example: ``fresh.point(kept.home())``
         """
         self.disk.synchronise(self.home())
@@ -209,8 +268,18 @@
         fresh.write_text(str(self.generation))
         self.disk.synchronise(fresh)
         os.replace(fresh, self.folder / CURRENT)
+        self.replaced = old
+        with contextlib.suppress(OSError):
+            self.finish_point()
+
+    def finish_point(self) -> None:
+        """Make the pointer last, then remove the generation that it replaced.
+
+        Example: ``kept.finish_point()``
+        """
         self.disk.synchronise(self.folder)
-        remove(old)
+        remove(self.replaced)
+        self.replaced = None
 
     def discard(self) -> None:
         """Remove a generation that was never pointed to.
@@ -238,7 +307,9 @@
 
     Example: ``kept, items, condition = await disk.perform(store.load, folder, disk)``
     """
-    folder.mkdir(parents=True, exist_ok=True)
+    if not folder.exists():
+        folder.mkdir(parents=True, exist_ok=True)
+        disk.synchronise(folder.parent)
     pointer = folder / CURRENT
     generations = [int(path.name.rsplit("-", 1)[1]) for path in folder.glob("generation-*")]
     if not pointer.exists():
@@ -257,6 +328,7 @@
         return kept, (), Condition.DAMAGED
     kept = Store(folder, disk, int(text))
     kept.open(found)
+    disk.synchronise(folder)
     for number in generations:
         if number != kept.generation:
             remove(folder / f"generation-{number}")
