--- a/aspencroft/node/node.py
+++ b/aspencroft/node/node.py
@@ -242,6 +242,12 @@
                 return self.host(message.pair).compare(message)
             case replication_messages.Repair():
                 return await self.host(message.holding.pair).repair(message)
+            case replication_messages.BeginRepair():
+                return await self.host(message.holding.pair).begin_repair(message)
+            case replication_messages.SnapshotPart():
+                return self.host(message.holding.pair).take_snapshot_part(message)
+            case replication_messages.InstallSnapshot():
+                return await self.host(message.holding.pair).install_snapshot(message)
             case replication_messages.Ask():
                 return self.host(message.pair).stands(message)
             case replication_messages.Appoint():
--- a/aspencroft/replication/group_replica.py
+++ b/aspencroft/replication/group_replica.py
@@ -6,7 +6,16 @@
 
 from aspencroft.consensus import proposer, replica_set
 from aspencroft.errors import result
-from aspencroft.replication import backup, group_state, log_shipping, messages, primary, replica, replica_changes
+from aspencroft.replication import (
+    backup,
+    group_state,
+    log_shipping,
+    messages,
+    primary,
+    replica,
+    replica_changes,
+    snapshot_transfer,
+)
 from aspencroft.runtime import clock, supervision
 from aspencroft.transport import connections
 
@@ -15,6 +24,9 @@
 STEP_ASIDE = clock.seconds(4)
 
 
+RepairStep = messages.Repair | messages.BeginRepair | messages.SnapshotPart | messages.InstallSnapshot
+
+
 class GroupReplica(group_state.GroupState):
     """One group on one node.
 
@@ -35,6 +47,7 @@
         self.replica_changes = replica_changes.ReplicaChanges(self, self.log_shipping)
         self.serving = primary.Primary(self, self.log_shipping, self.replica_changes)
         self.following = backup.Backup(self, self.log_shipping)
+        self.incoming = snapshot_transfer.IncomingSnapshot()
 
     async def run(self) -> None:
         """Be whatever the newest record says, for ever.
@@ -93,6 +106,8 @@
         async with self.lock:
             if message.identity != self.copy.identity:
                 return messages.Fetched(None, (), True)
+            if self.copy.incomplete():
+                raise result.RequestError(result.ResultCode.NOT_PRIMARY, detail="this copy is being repaired")
             if self.known is None or message.holding.epoch != self.known.epoch or self.me() not in self.known.members():
                 raise result.RequestError(result.ResultCode.LOWER_EPOCH, detail="not a member of that record")
             return messages.Fetched(*self.copy.ahead_of(message.last, log_shipping.MEND_BYTES), False)
@@ -128,13 +143,55 @@
         Example: ``await host.mend(message)``
         """
         async with self.lock:
-            self.learn(message.holding)
-            if self.leading or message.identity != self.copy.identity or message.holding.epoch < self.known.epoch:
-                raise result.RequestError(result.ResultCode.LOWER_EPOCH, detail="not to be mended by that")
+            self.check_repair(message)
             await self.copy.hold(message.holding)
             self.heard, self.unsure = clock.now(), False
             return messages.Appended(await self.copy.repair(message.through, message.snapshot, message.entries))
 
+    def check_repair(self, message: RepairStep) -> None:
+        """Refuse what is not from the primary of the newest record, or meant for another copy.
+
+        Example: ``host.check_repair(message)``
+        """
+        self.learn(message.holding)
+        if self.leading or message.identity != self.copy.identity or message.holding.epoch < self.known.epoch:
+            raise result.RequestError(result.ResultCode.LOWER_EPOCH, detail="not to be mended by that")
+
+    async def begin_repair(self, message: messages.BeginRepair) -> replica_set.Acknowledged:
+        """As candidate or backup: from now on this copy is not whole before it holds the goal.
+
+        Example: ``await host.begin_repair(message)``
+        """
+        async with self.lock:
+            self.check_repair(message)
+            await self.copy.hold(message.holding)
+            await self.copy.begin_repair(replica.RepairGoal(message.goal.sequence, message.goal.digest))
+            return replica_set.Acknowledged()
+
+    def take_snapshot_part(self, message: messages.SnapshotPart) -> messages.SnapshotHeld:
+        """As candidate or backup: hold a part of a snapshot; the copy is what it was until all of it is installed.
+
+        Example: ``host.take_snapshot_part(message).held``
+        """
+        self.check_repair(message)
+        self.heard = clock.now()
+        return messages.SnapshotHeld(self.incoming.take(message))
+
+    async def install_snapshot(self, message: messages.InstallSnapshot) -> messages.Appended:
+        """As candidate or backup: become what the parts of a snapshot show; asked again, say that it was done.
+
+        Example: ``await host.install_snapshot(message)``
+        """
+        async with self.lock:
+            self.check_repair(message)
+            if self.copy.digest_at(message.sequence) != message.digest:
+                snapshot = self.incoming.whole(message)
+                await self.copy.hold(message.holding)
+                await self.copy.repair(message.sequence, snapshot, ())
+            self.heard, self.unsure = clock.now(), False
+            self.incoming.forget()
+            return messages.Appended(self.copy.last())
+
     async def appoint(self, message: messages.Appoint) -> replica_set.Acknowledged:
         """Hear at once of a record that names this node.
 
--- a/aspencroft/replication/log_shipping.py
+++ b/aspencroft/replication/log_shipping.py
@@ -4,14 +4,14 @@
 
 from aspencroft.consensus import replica_set
 from aspencroft.errors import result
-from aspencroft.replication import group_state, messages, replica
+from aspencroft.replication import group_state, messages, replica, snapshot_transfer
 from aspencroft.runtime import clock, supervision
 
 LOG = logbook.Logger("copying")
 APPEND = clock.seconds(0.7)
 ANSWER = clock.seconds(0.5)
 MEND = clock.seconds(5)
-MEND_BYTES = 4 << 20
+MEND_BYTES = 1 << 20
 
 
 class LogShipping:
@@ -22,6 +22,7 @@
 
     def __init__(self, own: group_state.GroupState):
         self.own = own
+        self.snapshots = snapshot_transfer.SnapshotSender(own)
 
     async def append(
         self, standing: replica_set.ReplicaSet, last: replica.Mark, entries: tuple[replica.Entry, ...]
@@ -88,9 +89,17 @@
         snapshot = None if agreeing else held.snapshot
         through = max(agreeing, default=held.snapshot.sequence)
         goal = held.last()
+        if not compared.marks or compared.marks[-1] != goal:
+            begin = messages.BeginRepair(self.own.known, peer.identity, goal)
+            await self.own.link.ask(peer.address, begin, group_state.REPLY)
         while True:
             if through < held.snapshot.sequence:
                 snapshot, through = held.snapshot, held.snapshot.sequence
+            if snapshot is not None and snapshot.size() > MEND_BYTES:
+                through = snapshot.sequence
+                await self.snapshots.send(peer, snapshot)
+                snapshot = None
+                continue
             entries, size = [], 0
             for entry in held.entries[through - held.snapshot.sequence :]:
                 if entries and size + len(entry.body) > MEND_BYTES:
@@ -112,12 +121,15 @@
         Example: ``if not await copying.made_sure(): return``
         """
         own = self.own
-        if not own.unsure:
+        if not own.unsure and not own.copy.incomplete():
             return True
         others = [one for one in own.known.members() if one != own.me()]
         async with supervision.Group() as group:
             asked = [group.create_task(self.take_from(one)) for one in others]
         told = [task.result() for task in asked]
+        if own.copy.incomplete():
+            own.why = "waits for a member that holds what this copy lacks since a repair broke off"
+            return False
         if True in told or told.count(None) == len(told) or clock.now() >= own.patience_end:
             own.unsure = False
             return True
--- a/aspencroft/replication/messages.py
+++ b/aspencroft/replication/messages.py
@@ -56,6 +56,50 @@
     entries: tuple[replica.Entry, ...]
 
 
+@codec.kind(183)
+@dataclasses.dataclass(frozen=True)
+class BeginRepair:
+    """A repair of several messages begins: until the copy holds the goal, it may lack what was acknowledged."""
+
+    holding: replica_set.ReplicaSet
+    identity: str
+    goal: replica.Mark
+
+
+@codec.kind(180)
+@dataclasses.dataclass(frozen=True)
+class SnapshotPart:
+    """Bytes of a snapshot from an offset on; none of them just asks how many of the transfer are held."""
+
+    holding: replica_set.ReplicaSet
+    identity: str
+    transfer: int
+    offset: int
+    body: bytes
+
+
+@codec.kind(181)
+@dataclasses.dataclass(frozen=True)
+class SnapshotHeld:
+    """How many bytes of a transfer a member holds: the next part starts there."""
+
+    held: int
+
+
+@codec.kind(182)
+@dataclasses.dataclass(frozen=True)
+class InstallSnapshot:
+    """All parts were sent: become what they show; the record fences off older primaries."""
+
+    holding: replica_set.ReplicaSet
+    identity: str
+    transfer: int
+    epoch: int
+    sequence: int
+    digest: bytes
+    size: int
+
+
 @codec.kind(55)
 @dataclasses.dataclass(frozen=True)
 class Appoint:
--- a/aspencroft/replication/replica.py
+++ b/aspencroft/replication/replica.py
@@ -27,6 +27,7 @@
 PART, BREATH = 1 << 20, 64
 STALLED = clock.seconds(1.5)
 DISK_PAUSE = clock.seconds(2)
+WHILE_SENDING = 4
 
 
 @codec.kind(40)
@@ -135,6 +136,15 @@
     digest: bytes
 
 
+@codec.kind(184)
+@dataclasses.dataclass(frozen=True)
+class RepairGoal:
+    """The copy is being replaced by another's in several steps; it lacks entries until it holds this mark."""
+
+    sequence: int
+    digest: bytes
+
+
 class View(typing.Protocol):
     """What a journal means: decides commands, folds events, draws pictures of itself."""
 
@@ -180,6 +190,7 @@
         self.condition = store.Condition.EMPTY
         self.identity = ""
         self.holding: replica_set.ReplicaSet | None = None
+        self.goal: RepairGoal | None = None
         self.snapshot = NOTHING
         self.picture_size = 0
         self.entries: list[Entry] = []
@@ -192,6 +203,7 @@
         self.meanwhile: list[store.Item] | None = None
         self.write_began: datetime.timedelta | None = None
         self.next_snapshot = clock.ZERO
+        self.sending = 0
         self.begun: tuple[Mark, int, collections.abc.Iterator[bytes]] | None = None
         self.wanted = asyncio.Event()
         self.view_at = 0
@@ -204,7 +216,7 @@
         self.kept, items, self.condition = await self.load()
         if self.condition is store.Condition.DAMAGED:
             LOG.warning("pair {}: the copy in {} is damaged; it starts empty and is mended", self.pair, self.folder)
-        self.identity, self.holding = "", None
+        self.identity, self.holding, self.goal = "", None, None
         self.newest = self.kept.generation
         self.replace_all(NOTHING)
         parts: list[bytes] = []
@@ -214,6 +226,8 @@
                 self.identity = value.identity
             elif isinstance(value, replica_set.ReplicaSet):
                 self.holding = value
+            elif isinstance(value, RepairGoal):
+                self.goal = value
             elif isinstance(value, Picture):
                 self.replace_all(value)
             elif isinstance(value, PicturePart):
@@ -437,6 +451,7 @@
         for value in itertools.chain(
             [Identity(self.identity)],
             [self.holding] if self.holding else [],
+            [self.goal] if self.incomplete() else [],
             snapshot.values(),
             tuple(entries),
         ):
@@ -481,14 +496,38 @@
         for entry in entries:
             self.fold(entry, codec.untagged(entry.body))
 
+    async def begin_repair(self, goal: RepairGoal) -> None:
+        """Make it last that this copy is not whole before it holds a mark, unless it holds that already.
+
+        Example: ``await copy.begin_repair(RepairGoal(mark.sequence, mark.digest))``
+        """
+        if self.digest_at(goal.sequence) == goal.digest:
+            self.goal = None
+        elif goal != self.goal:
+            await self.write(goal)
+            self.goal = goal
+
+    def incomplete(self) -> bool:
+        """Whether a repair of this copy was begun and is not finished: it may lack what was acknowledged.
+
+        Example: ``if copy.incomplete(): ...``
+        """
+        if self.goal is not None:
+            past = self.goal.sequence < self.snapshot.sequence
+            if past or self.digest_at(self.goal.sequence) == self.goal.digest:
+                self.goal = None
+        return self.goal is not None
+
     def grown(self) -> bool:
         """Whether the entries are many, or many bytes.
 
-        As much as half of what the snapshot holds, so that the cost of a snapshot stays in proportion.
+        As much as half of what the snapshot holds, so that the cost of a snapshot stays in proportion; more while a snapshot
+        is being sent, as its receiver needs the entries behind it.
 
         Example: ``if copy.grown(): ...``
         """
-        return len(self.entries) >= max(COMPACT_ENTRIES, self.view.size() // 2) or self.held >= max(
+        times = WHILE_SENDING if self.sending else 1
+        return len(self.entries) >= times * max(COMPACT_ENTRIES, self.view.size() // 2) or self.held >= times * max(
             COMPACT_BYTES, self.picture_size // 2
         )
 
--- a/aspencroft/simulation/members.py
+++ b/aspencroft/simulation/members.py
@@ -181,6 +181,12 @@
                 return one.compare(message)
             case messages.Repair():
                 return await one.repair(message)
+            case messages.BeginRepair():
+                return await one.begin_repair(message)
+            case messages.SnapshotPart():
+                return one.take_snapshot_part(message)
+            case messages.InstallSnapshot():
+                return await one.install_snapshot(message)
             case messages.Fetch():
                 return await one.fetch(message)
         return await one.appoint(message)
