A plan beyond the kept steps goes to children in bounded parts; rows of steps are bounded too

Cause: a child more than 64 changes behind got the whole plan as one message with 0.8 s to come; on a slow link the pull failed, the parent was left out for 2 s and the next parent began anew: such a child never caught up. 64 large steps in a row had no bound either.

A row of steps ends at 256 KiB; the child pulls the rest at once.

Tests: distribution/plan_transfer_test.py, children away for 1 to 2,000 changes, 40 to 10,000 routes.

--- /dev/null
+++ b/aspencroft/distribution/plan_transfer_test.py
@@ -0,0 +1,161 @@
+"""Nodes that were away: any number of changes later they hold the newest plan, by bounded messages and without a gap."""
+
+import json
+import types
+
+import pytest
+
+from aspencroft.configuration import control_state
+from aspencroft.distribution import plan_transfer, relay, updates
+from aspencroft.errors import result
+from aspencroft.runtime import clock
+from aspencroft.simulation import loop
+from aspencroft.transport import codec
+
+LARGEST_MESSAGE = 400 << 10
+
+
+class Link:
+    """Hands questions to relays, and notes how large what passes is."""
+
+    def __init__(self):
+        self.relays: dict[str, relay.Relay] = {}
+        self.sizes: list[int] = []
+        self.parts = 0
+        self.broken_at = -1
+        self.between = lambda: None
+
+    def tell(self, address, message, epoch=0):
+        pass
+
+    async def ask(self, address, message, within, epoch=0):
+        await clock.sleep(clock.seconds(0.01))
+        parent = self.relays[address]
+        if isinstance(message, updates.FetchPlan):
+            self.parts += 1
+            if self.parts == self.broken_at:
+                raise result.RequestError(result.ResultCode.UNREACHABLE)
+            reply = parent.answer_fetch(message)
+            self.between()
+        else:
+            reply = parent.answer_pull(message, True)
+        self.sizes.append(len(codec.pack(reply)))
+        return reply
+
+
+def relay_of(link: Link, address: str) -> relay.Relay:
+    members = types.SimpleNamespace(me=types.SimpleNamespace(address=address), holdings={}, peers={})
+    link.relays[address] = relay.Relay(link, members, clock.seconds(4))
+    return link.relays[address]
+
+
+def plan_of(count: int, mark: str = "") -> dict:
+    return {"services": {f"service-{number}{mark}": {"kind": "plain"} for number in range(count)}}
+
+
+def whole(number: int, plan: dict) -> updates.News:
+    body = json.dumps({"plan": plan, "revisions": {}, "version": number})
+    return updates.News(updates.PLAN, control_state.Revision(1, number), None, body)
+
+
+def change(one: relay.Relay, size: int = 1) -> None:
+    """The next change at a relay, which adds a number of services."""
+    number = one.revision.number + 1
+    patch = json.dumps({"plan": plan_of(size, f"-{number}"), "revisions": {}, "version": number})
+    one.learn(updates.News(updates.PLAN, control_state.Revision(1, number), one.revision, patch))
+
+
+def run(scene) -> None:
+    loop.SimLoop().run_until_complete(scene())
+
+
+async def caught_up(child: relay.Relay, parent: str, most: int = 200) -> int:
+    """Pulls until the child holds what the parent holds; how many it took."""
+    for count in range(most):
+        if child.revision == child.link.relays[parent].revision:
+            assert child.document == child.link.relays[parent].document
+            return count
+        await child.pull(parent)
+    raise AssertionError(f"still at {child.revision} after {most} pulls")
+
+
+@pytest.mark.parametrize(
+    ("away", "routes"),
+    [(1, 40), (63, 40), (64, 40), (65, 40), (66, 40), (500, 40), (2000, 40), (64, 10_000), (66, 10_000)],
+)
+def test_a_child_that_was_away_for_any_number_of_changes_catches_up(away, routes):
+    async def scene():
+        link = Link()
+        parent, child = relay_of(link, "a:1"), relay_of(link, "b:1")
+        for one in (parent, child):
+            one.learn(whole(1, plan_of(routes)))
+        for _ in range(away):
+            change(parent)
+        assert await caught_up(child, "a:1") <= 3
+        assert child.counts["whole plans"] == (1 if away <= relay.DELTAS else 2)
+        assert max(link.sizes) < LARGEST_MESSAGE
+
+    run(scene)
+
+
+def test_large_steps_go_in_several_messages():
+    async def scene():
+        link = Link()
+        parent, child = relay_of(link, "a:1"), relay_of(link, "b:1")
+        for one in (parent, child):
+            one.learn(whole(1, plan_of(10)))
+        for _ in range(60):
+            change(parent, 500)
+        assert 3 < await caught_up(child, "a:1") < 20
+        assert child.counts["whole plans"] == 1 and max(link.sizes) < LARGEST_MESSAGE
+
+    run(scene)
+
+
+def test_a_plan_that_changes_while_it_is_fetched_is_fetched_to_its_end():
+    async def scene():
+        link = Link()
+        parent, child = relay_of(link, "a:1"), relay_of(link, "b:1")
+        parent.learn(whole(1, plan_of(20_000)))
+        size = len(json.dumps(parent.shown()))
+        link.between = lambda: change(parent)
+        await child.pull("a:1")
+        assert child.revision == control_state.Revision(1, 1)
+        assert link.parts == -(-size // plan_transfer.PART_BYTES) > 4
+        link.between = lambda: None
+        await caught_up(child, "a:1")
+        assert child.counts["whole plans"] == 1
+
+    run(scene)
+
+
+@pytest.mark.parametrize("broken", range(1, 7))
+def test_a_broken_fetch_goes_on_with_another_parent(broken):
+    async def scene():
+        link = Link()
+        first, second, child = relay_of(link, "a:1"), relay_of(link, "c:1"), relay_of(link, "b:1")
+        for one in (first, second):
+            one.learn(whole(1, plan_of(20_000)))
+        size = len(json.dumps(first.shown()))
+        link.broken_at = broken
+        await child.pull("a:1")
+        assert child.revision == control_state.NEVER and "a:1" in child.shunned
+        await child.pull("c:1")
+        assert child.revision == first.revision and child.document == first.document
+        assert link.parts == -(-size // plan_transfer.PART_BYTES) + 1
+
+    run(scene)
+
+
+def test_parts_of_two_plans_are_not_mixed():
+    async def scene():
+        link = Link()
+        first, second, child = relay_of(link, "a:1"), relay_of(link, "c:1"), relay_of(link, "b:1")
+        first.learn(whole(1, plan_of(20_000)))
+        second.learn(whole(2, plan_of(20_000, "-other")))
+        link.broken_at = 4
+        await child.pull("a:1")
+        await child.pull("c:1")
+        assert child.revision == second.revision and child.document == second.document
+
+    run(scene)
--- a/aspencroft/distribution/relay.py
+++ b/aspencroft/distribution/relay.py
@@ -9,7 +9,7 @@
 import logbook
 
 from aspencroft.configuration import control_state, resources
-from aspencroft.distribution import updates
+from aspencroft.distribution import plan_transfer, updates
 from aspencroft.errors import result
 from aspencroft.membership import failure_detector
 from aspencroft.runtime import clock
@@ -23,6 +23,7 @@
 STALE = clock.seconds(0.8)
 CHILD = clock.seconds(2)
 DELTAS = 64
+STEP_BYTES = 256 << 10
 
 
 def parent_of(address: str, root: str, order: tuple[str, ...]) -> str:
@@ -106,6 +107,8 @@
         self.address = members.me.address
         self.topics: dict[str, updates.News] = {}
         self.deltas: dict[control_state.Revision, updates.News] = {}
+        self.wholes = plan_transfer.WholePlans()
+        self.partial = plan_transfer.PartialPlan()
         self.document: dict = {}
         self.revisions: dict[str, str] = {}
         self.plan = resources.of({})
@@ -170,6 +173,8 @@
         known = self.revision if one.topic == updates.PLAN else held.revision if held else control_state.NEVER
         if not known < one.revision or (one.base is not None and one.base != known):
             return False
+        if one.topic == updates.PLAN and not one.body:
+            return False
         if one.topic == updates.PLAN:
             shown = json.loads(one.body)
             if one.base is not None:
@@ -217,20 +222,56 @@
                 self.link.tell(address, updates.Push())
 
     def plan_news(self, known: control_state.Revision) -> tuple[updates.News, ...]:
-        """What brings a node from the revision it knows to ours: patches in a row, or the whole.
+        """What brings a node from the revision it knows to ours: patches in a row, as many as one message may hold, or the whole.
+
+        A whole plan that is too large for one message is only named, and fetched in parts.
 
-        Example: ``relay.plan_news(control.NEVER)``
+        Example: ``relay.plan_news(control_state.NEVER)``
         """
         if not known < self.revision:
             return ()
-        row, place = [], known
+        row, place, size = [], known, 0
         while place != self.revision and place in self.deltas:
             row.append(self.deltas[place])
             place = self.deltas[place].revision
-        if place == self.revision:
-            return tuple(row)
-        body = json.dumps({"plan": self.document, "revisions": self.revisions, "version": self.plan.version})
-        return (updates.News(updates.PLAN, self.revision, None, body),)
+        if place != self.revision:
+            whole = self.wholes.newest(self.revision, self.shown())
+            body = whole.body.decode() if len(whole.body) <= plan_transfer.PART_BYTES else ""
+            return (updates.News(updates.PLAN, self.revision, None, body),)
+        for count, one in enumerate(row):
+            size += len(one.body)
+            if count and size > STEP_BYTES:
+                return tuple(row[:count])
+        return tuple(row)
+
+    def shown(self) -> dict:
+        """The whole plan as it is told to others.
+
+        Example: ``relay.shown()["version"]``
+        """
+        return {"plan": self.document, "revisions": self.revisions, "version": self.plan.version}
+
+    def answer_fetch(self, message: updates.FetchPlan) -> updates.PlanPart:
+        """Give a child the next part of a whole plan.
+
+        Example: ``relay.answer_fetch(updates.FetchPlan(b"", 0))``
+        """
+        if self.revision == control_state.NEVER:
+            raise result.RequestError(result.ResultCode.NO_CLAIM, detail="no plan is held here yet")
+        return self.wholes.part(message, self.revision, self.shown())
+
+    async def fetch_plan(self, parent: str) -> None:
+        """Fetch a whole plan from a parent, part by part; what came before it failed is kept.
+
+        Example: ``await relay.fetch_plan("a:1")``
+        """
+        while True:
+            part = await self.link.ask(parent, self.partial.next_part(), ASK)
+            whole = self.partial.take(part)
+            if whole is not None:
+                self.learn(whole)
+            if whole is not None or not part.body:
+                return
 
     def subtree(self) -> Subtree:
         """This node and all below it, each with the plan revision it confirmed.
@@ -378,6 +419,8 @@
         self.taken_by = ("", own)
         try:
             reply = await self.link.ask(parent, message, ASK)
+            if any(one.topic == updates.PLAN and not one.body for one in reply.news):
+                await self.fetch_plan(parent)
         except result.RequestError as refusal:
             if refusal.result is result.ResultCode.UNREACHABLE:
                 self.shunned[parent] = clock.now() + SHUN
--- a/aspencroft/distribution/updates.py
+++ b/aspencroft/distribution/updates.py
@@ -12,7 +12,10 @@
 @codec.kind(130)
 @dataclasses.dataclass(frozen=True)
 class News:
-    """A topic's state under a revision; with a base it is a merge patch upon that revision."""
+    """A topic's state under a revision; with a base it is a merge patch upon that revision.
+
+    A plan with neither base nor body is too large for one message: it is to be fetched in parts.
+    """
 
     topic: str
     revision: control_state.Revision
@@ -73,6 +76,27 @@
     lost: bool
 
 
+@codec.kind(185)
+@dataclasses.dataclass(frozen=True)
+class FetchPlan:
+    """A child asks for a plan that is too large for one message, from an offset on; no digest asks for the newest."""
+
+    digest: bytes
+    offset: int
+
+
+@codec.kind(186)
+@dataclasses.dataclass(frozen=True)
+class PlanPart:
+    """Bytes of a whole plan; all parts of one plan bear its digest."""
+
+    revision: control_state.Revision
+    digest: bytes
+    offset: int
+    size: int
+    body: bytes
+
+
 @codec.kind(135)
 @dataclasses.dataclass(frozen=True)
 class Push:
--- a/aspencroft/node/node.py
+++ b/aspencroft/node/node.py
@@ -208,6 +208,8 @@
                 return await self.ring.beat(message)
             case updates.Pull():
                 return self.relay.answer_pull(message, self.rooted())
+            case updates.FetchPlan():
+                return self.relay.answer_fetch(message)
             case cluster_member.Join():
                 return self.ring.join(message)
             case updates.Push():
