--- a/aspencroft/replication/interrupted_write_test.py
+++ b/aspencroft/replication/interrupted_write_test.py
@@ -208,3 +208,46 @@
         assert await same_copy_after_start(those, "n0:1")
 
     members.play(tmp_path, 3, acts, members=3, copies=2, goal=3)
+
+
+def test_a_primary_with_a_hanging_disk_stops_renewing_its_lease(tmp_path):
+    """No ballot takes its place while its lease stands: it has to let the lease run out by itself."""
+
+    async def acts(those: members.Members) -> None:
+        those.run(*those.names)
+        own = those.hosts["n0:1"]
+        await those.until(lambda: own.why == "serving")
+        own.copy.environment.disk.stall()
+        those.register.refusing = True
+        hanging = asyncio.ensure_future(those.write("b", within=1))
+        await those.until(lambda: own.claimed() and own.copy.write_began is not None)
+        assert await those.until(lambda: not own.claimed()) < 4
+        await clock.sleep(clock.seconds(5))
+        assert not own.claimed()
+        own.copy.environment.disk.resume()
+        those.register.refusing = False
+        await asyncio.gather(hanging, return_exceptions=True)
+        await those.until(lambda: any(one.claimed() and one.why == "serving" for one in those.hosts.values()), 20)
+
+    members.play(tmp_path, 2, acts)
+
+
+@pytest.mark.parametrize("delay", [0.002, 0.3])
+def test_disk_and_start_follow_the_state_and_not_the_number_of_changes(tmp_path, delay):
+    async def scene() -> None:
+        machine = disk.SimDisk(tmp_path, random.Random(1))
+        one, most = made(machine), 0
+        await one.open()
+        drawing = asyncio.ensure_future(one.draw_pictures())
+        machine.delay = delay
+        for number in range(2000):
+            await one.append(entries(one, 1, f"holder {number}"))
+            one.begin_snapshot()
+            await asyncio.sleep(1)
+            used = sum(path.stat().st_size for path in tmp_path.rglob("*") if path.is_file())
+            most = max(most, used)
+        assert len(one.view.snapshot()) < 500
+        assert most < 700_000 and len(one.entries) < 2 * replica.RESTED_ENTRIES
+        drawing.cancel()
+
+    run(scene())
--- a/aspencroft/replication/replica.py
+++ b/aspencroft/replication/replica.py
@@ -23,6 +23,9 @@
 RANGE = 32
 COMPACT_ENTRIES = 4000
 COMPACT_BYTES = 2 << 20
+RESTED_ENTRIES = 512
+RESTED_BYTES = 256 << 10
+SNAPSHOT_REST = clock.seconds(10)
 OF_AN_ENTRY = 250
 PART, BREATH = 1 << 20, 64
 STALLED = clock.seconds(1.5)
@@ -203,6 +206,7 @@
         self.meanwhile: list[store.Item] | None = None
         self.write_began: datetime.timedelta | None = None
         self.next_snapshot = clock.ZERO
+        self.rest_end = clock.ZERO
         self.sending = 0
         self.begun: tuple[Mark, int, collections.abc.Iterator[bytes]] | None = None
         self.wanted = asyncio.Event()
@@ -522,14 +526,23 @@
         """Whether the entries are many, or many bytes.
 
         As much as half of what the snapshot holds, so that the cost of a snapshot stays in proportion; more while a snapshot
-        is being sent, as its receiver needs the entries behind it.
+        is being sent, as its receiver needs the entries behind it. Where the last snapshot is a while ago, fewer are enough:
+        disk, start and catching up follow the state then, and not the changes of a whole day.
 
         Example: ``if copy.grown(): ...``
         """
+        if self.longer_than(COMPACT_ENTRIES, COMPACT_BYTES):
+            return True
+        return clock.now() >= self.rest_end and self.longer_than(RESTED_ENTRIES, RESTED_BYTES)
+
+    def longer_than(self, entries: int, size: int) -> bool:
+        """Whether the entries are more than so many or so many bytes, and than half of the state.
+
+        Example: ``copy.longer_than(4000, 2 << 20)``
+        """
         times = WHILE_SENDING if self.sending else 1
-        return len(self.entries) >= times * max(COMPACT_ENTRIES, self.view.size() // 2) or self.held >= times * max(
-            COMPACT_BYTES, self.picture_size // 2
-        )
+        many = len(self.entries) >= times * max(entries, self.view.size() // 2)
+        return many or self.held >= times * max(size, self.picture_size // 2)
 
     def begin_snapshot(self) -> bool:
         """Take hold of what the view shows now, if the entries are many and the view shows just them; it is drawn behind the
@@ -604,6 +617,7 @@
                 self.kept = fresh
                 self.cut(slice(0, snapshot.sequence - self.snapshot.sequence))
                 self.snapshot, self.picture_size = snapshot, snapshot.size()
+                self.rest_end = clock.now() + SNAPSHOT_REST
         except OSError:
             if self.kept is not fresh:
                 await self.environment.disk.perform(fresh.discard)
--- a/aspencroft/simulation/mutations.py
+++ b/aspencroft/simulation/mutations.py
@@ -439,6 +439,136 @@
         "    if False:\n",
         ("simulation/guarantees_test.py::test_broken_frames_close_the_connection_and_are_counted",),
     ),
+    Mutation(
+        "a torn append is left in the journal",
+        "storage/store.py",
+        "        if self.torn:\n            self.undo()\n",
+        "",
+        (
+            "storage/failing_disk_test.py::test_an_append_cut_off_at_any_byte_by_a_full_disk_leaves_nothing_behind",
+            "storage/failing_disk_test.py::test_a_failed_sync_is_no_append",
+        ),
+    ),
+    Mutation(
+        "an append goes on behind a pointer that was not made to last",
+        "storage/store.py",
+        "        if self.replaced is not None:\n            self.finish_point()\n",
+        "",
+        ("storage/failing_disk_test.py::test_a_pointer_that_was_not_made_to_last_holds_appends_back",),
+    ),
+    Mutation(
+        "what a start finds is not synced",
+        "storage/store.py",
+        "        self.disk.synchronise(data_file)\n        index =",
+        "        index =",
+        ("storage/failing_disk_test.py::test_what_a_killed_process_wrote_and_never_synced_lasts_once_it_was_found",),
+    ),
+    Mutation(
+        "a pointer is not synced before the older generation goes",
+        "storage/store.py",
+        "    disk.synchronise(folder)\n    for number",
+        "    for number",
+        (
+            "storage/failing_disk_test.py::test_a_pointer_renamed_by_a_killed_process_lasts_before_the_older_generation_goes",
+        ),
+    ),
+    Mutation(
+        "a cancelled append is written but not remembered",
+        "replication/replica.py",
+        "        await uninterrupted.finish(self.write_and_fold(entries))\n",
+        "        await self.write_and_fold(entries)\n",
+        (
+            "replication/interrupted_write_test.py::test_an_append_that_is_cancelled_at_any_moment_is_whole_in_memory_or_not_on_the_disk",
+            "replication/interrupted_write_test.py::test_a_backup_whose_handler_is_cancelled_mid_write_never_holds_an_entry_twice",
+        ),
+    ),
+    Mutation(
+        "a tenure that ends confirms what is undecided",
+        "replication/primary.py",
+        "            self.leave_unclear(held_back)\n",
+        "            self.answer(held_back)\n",
+        (
+            "replication/interrupted_write_test.py::test_a_primary_whose_disk_fails_steps_aside_and_comes_back_as_a_backup",
+        ),
+    ),
+    Mutation(
+        "a primary with a hanging disk goes on renewing its lease",
+        "replication/primary.py",
+        "            own.check_disk()\n",
+        "",
+        ("replication/interrupted_write_test.py::test_a_primary_with_a_hanging_disk_stops_renewing_its_lease",),
+    ),
+    Mutation(
+        "half a snapshot is installed",
+        "replication/snapshot_transfer.py",
+        "        if end.transfer != self.transfer or end.size != self.size:\n",
+        "        if end.transfer != self.transfer:\n",
+        ("replication/snapshot_transfer_test.py::test_half_a_snapshot_is_not_installed_and_two_are_not_mixed",),
+    ),
+    Mutation(
+        "a broken transfer begins anew",
+        "replication/snapshot_transfer.py",
+        "        if self.current is None or self.current.snapshot is not snapshot:\n",
+        "        if True:\n",
+        (
+            "replication/snapshot_transfer_test.py::test_a_transfer_that_breaks_goes_on_where_it_was_and_is_not_used_before",
+        ),
+    ),
+    Mutation(
+        "a copy whose repair broke off may lead",
+        "replication/log_shipping.py",
+        "        if not own.unsure and not own.copy.incomplete():\n            return True\n",
+        "        if not own.unsure:\n            return True\n",
+        (
+            "replication/snapshot_transfer_test.py::test_a_backup_whose_repair_broke_off_never_leads_without_what_was_acknowledged",
+        ),
+    ),
+    Mutation(
+        "patience ends also for a copy whose repair broke off",
+        "replication/log_shipping.py",
+        "        if own.copy.incomplete():\n            own.why",
+        "        if False:\n            own.why",
+        (
+            "replication/snapshot_transfer_test.py::test_a_backup_whose_repair_broke_off_never_leads_without_what_was_acknowledged",
+        ),
+    ),
+    Mutation(
+        "a repair's goal does not last",
+        "replication/replica.py",
+        "            await self.write(goal)\n",
+        "",
+        (
+            "replication/snapshot_transfer_test.py::test_a_transfer_that_breaks_goes_on_where_it_was_and_is_not_used_before",
+        ),
+    ),
+    Mutation(
+        "snapshots wait for the changes of a whole day",
+        "replication/replica.py",
+        "        return clock.now() >= self.rest_end and self.longer_than(RESTED_ENTRIES, RESTED_BYTES)\n",
+        "        return False\n",
+        ("replication/interrupted_write_test.py::test_disk_and_start_follow_the_state_and_not_the_number_of_changes",),
+    ),
+    Mutation(
+        "a large plan goes to a child as one message",
+        "distribution/relay.py",
+        ' if len(whole.body) <= plan_transfer.PART_BYTES else ""\n',
+        "\n",
+        ("distribution/plan_transfer_test.py::test_a_child_that_was_away_for_any_number_of_changes_catches_up",),
+    ),
+    Mutation(
+        "a row of steps is sent though a step is missing",
+        "distribution/relay.py",
+        "        if place != self.revision:\n            whole",
+        "        if not row:\n            whole",
+        ("distribution/plan_transfer_test.py::test_a_child_that_was_away_for_any_number_of_changes_catches_up",),
+    ),
+    Mutation(
+        "parts of two plans are mixed",
+        "distribution/plan_transfer.py",
+        "        if part.digest != self.digest:\n",
+        "        if self.digest == NO_DIGEST:\n",
+        ("distribution/plan_transfer_test.py::test_parts_of_two_plans_are_not_mixed",),
+    ),
 )
 
 
