--- a/aspencroft/node/node.py
+++ b/aspencroft/node/node.py
@@ -219,6 +219,8 @@
                 return await self.ring.beat(message)
             case updates.Pull():
                 return self.relay.answer_pull(message, self.rooted())
+            case updates.FetchPlan():
+                return self.relay.answer_fetch(message)
             case cluster_member.Join():
                 return self.ring.join(message)
             case updates.Push():
@@ -253,6 +255,12 @@
                 return self.host(message.pair).compare(message)
             case replication_messages.Repair():
                 return await self.host(message.holding.pair).repair(message)
+            case replication_messages.BeginRepair():
+                return await self.host(message.holding.pair).begin_repair(message)
+            case replication_messages.SnapshotPart():
+                return self.host(message.holding.pair).take_snapshot_part(message)
+            case replication_messages.InstallSnapshot():
+                return await self.host(message.holding.pair).install_snapshot(message)
             case replication_messages.Ask():
                 return self.host(message.pair).stands(message)
             case replication_messages.Appoint():
