Hedges share the route's attempts; no 404 by a configuration that is absent or unconfirmed

Cause: a call's hedge counted its attempts by itself, so that a safe call ran on one worker more than its route's max-attempts when its first attempt had failed and waited for a place at that moment. A route that changed its kind on the way let a call be sent without the key claim or the turn that the new kind asks for. An edge without a configuration, or one that had heard nothing of the control plane for up to 12 s, said 404 to routes that it did not know. A call waited for the configuration beyond its route's time. A connection that came up after the end of the time (a process that was frozen meanwhile) still carried the request. A worker's 503 without its word that nothing ran was passed on as if it were a promise. Change: Attempts is shared by a call and its hedge and checked before each send; the kind of the route is fixed at admission; 404 only by a configuration confirmed within 2 s, else 503; the wait ends with the time of the route that an older plan knows; the pool looks at the time once more before it sends; 408, 421, 429 and 503 without the worker's word become an unknown outcome where a call is not repeatable. Ruled out: counting a hedge's attempts at the instances (workers are shared by calls); longer leases of configuration on edges.

--- a/aspencroft/proxy/forwarder.py
+++ b/aspencroft/proxy/forwarder.py
@@ -35,6 +35,8 @@
 MOST_CHOICES = 12
 MOST_CONNECTIONS = 64
 FULL = 1.25
+CONFIRMED = clock.seconds(2)
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 NOT_HERE = (
     result.ResultCode.UNREACHABLE,
     result.ResultCode.NOT_PRIMARY,
@@ -53,6 +55,20 @@
     def answer_headers(self, headers: call.Headers) -> call.Headers: ...
 
 
+@dataclasses.dataclass
+class Attempts:
+    """What was sent to workers for one call; a hedge shares it with the attempts that it races.
+
+    ``possibly_run`` counts requests whose worker did not say that it did not run them, ``in_flight`` those without a whole answer so far.
+
+    Example: ``Attempts().sent == 0``
+    """
+
+    sent: int = 0
+    possibly_run: int = 0
+    in_flight: int = 0
+
+
 @dataclasses.dataclass
 class Passage:
     """One call on its way: its route, its time, what was begun for it and whether a worker was sent it."""
@@ -65,8 +81,7 @@
     begun: bool = False
     claimed: bool = False
     last_worker: str = ""
-    sent: int = 0
-    ran: bool = False
+    attempts: Attempts = dataclasses.field(default_factory=Attempts)
     tried: frozenset[str] = frozenset()
     at: str = ""
     hedged: bool = False
@@ -85,6 +100,13 @@
         """
         return self.route.kind == http_route.SAFE
 
+    def exhausted(self) -> bool:
+        """Whether the call was sent to as many workers as its route allows.
+
+        Example: ``if passage.exhausted(): raise refusal``
+        """
+        return self.attempts.sent >= max(1, self.route.attempts)
+
 
 class Forwarder:
     """The stages of one edge for opaque calls; each call is walked through them by the task of its connection.
@@ -138,18 +160,35 @@
             raise result.RequestError(result.ResultCode.OVERLOADED, retry=LATER)
         route = self.node.relay.plan.route_table.match(one.host, one.path())
         if route is None:
+            if not self.knows_all_routes():
+                raise result.RequestError(result.ResultCode.NO_PLAN, detail="no route here, but one may be", retry=SOON)
             raise result.RequestError(result.ResultCode.UNKNOWN_ROUTE, detail=one.path()[:200])
         end = min(one.end(), one.arrived + route.timeout)
         if end <= clock.now():
             raise result.RequestError(result.ResultCode.DEADLINE, retry=SOON)
         return Passage(one, route, end, one.body, program=one.program or one.session or one.attempt)
 
+    def knows_all_routes(self) -> bool:
+        """Whether a route that this edge does not know surely is not there.
+
+        An edge without any configuration cannot tell, nor one whose configuration was not confirmed lately: a newer one may have
+        been acknowledged meanwhile.
+
+        Example: ``forwarder.knows_all_routes()``
+        """
+        relay = self.node.relay
+        configured = bool(relay.plan.version or relay.plan.http_routes)
+        return configured and (relay.root or clock.now() <= relay.currency_end - relay.currency + CONFIRMED)
+
     async def wait_for_plan(self, one: call.Call) -> None:
         """Hold a call for a part of its time while this edge, just started, learns the plan and the workers.
 
+        The time is that of the route, as far as an older plan tells it.
+
         Example: ``await forwarder.wait_for_plan(call)``
         """
-        limit = clock.now() + one.within * PART
+        route = self.node.relay.plan.route_table.match(one.host, one.path())
+        limit = clock.now() + (one.within if route is None else min(one.within, route.timeout)) * PART
         while not (self.node.relay.current() and self.instances.listed) and clock.now() < limit and not self.closed:
             if self.waiting >= MOST_CALLS:
                 return
@@ -182,7 +221,7 @@
             self.tell(passage, "refused", str(refusal))
             self.counts[f"refused {refusal.result.number}"] += 1
             self.give_up(passage)
-            if passage.ran and refusal.ran is result.Ran.NOT_RUN:
+            if passage.attempts.possibly_run and refusal.ran is result.Ran.NOT_RUN:
                 raise result.RequestError(refusal.result, result.Ran.UNKNOWN, refusal.detail, refusal.retry) from None
             raise
         except BaseException:
@@ -341,6 +380,8 @@
         route = self.node.relay.plan.http_routes.get(passage.route.name)
         if route is None or (route.host, route.prefix) != (passage.route.host, passage.route.prefix):
             raise result.RequestError(result.ResultCode.UNKNOWN_ROUTE, detail=passage.route.name)
+        if (route.kind, route.retained) != (passage.route.kind, passage.route.retained):
+            raise result.RequestError(result.ResultCode.PUT_BACK, detail="the route changed its kind", retry=SOON)
         passage.route = route
         service = draw_service(route, self.node.environment.randomness)
         candidates = self.instances.candidates(service, passage.tried, passage.repeatable())
@@ -390,7 +431,7 @@
         first = asyncio.ensure_future(self.in_turn(passage))
         try:
             await asyncio.wait((first,), timeout=passage.route.aim.total_seconds())
-            if first.done() or passage.sent != 1 or not passage.at:
+            if first.done() or passage.attempts.in_flight != 1 or passage.exhausted():
                 return await first
             return await self.hedge(passage, first)
         finally:
@@ -424,7 +465,6 @@
 
         Example: ``answer = await forwarder.in_turn(passage)``
         """
-        attempts = max(1, passage.route.attempts)
         for _ in range(MOST_CHOICES):
             chosen = await self.place(passage)
             passage.at = chosen.name
@@ -435,7 +475,7 @@
                 passage.tried |= {chosen.name}
                 if refusal.ran is not result.Ran.NOT_RUN and not passage.repeatable():
                     raise
-                if passage.hedged or passage.sent >= attempts or clock.now() >= passage.end:
+                if passage.hedged or passage.exhausted() or clock.now() >= passage.end:
                     raise
         raise result.RequestError(result.ResultCode.PUT_BACK, retry=SOON)
 
@@ -446,6 +486,7 @@
         """
         one = passage.call
         self.instances.begin(chosen.name)
+        passage.attempts.in_flight += 1
         ended = False
         try:
             if self.instances.barred(chosen.name):
@@ -456,45 +497,70 @@
             service = self.node.relay.plan.services.get(chosen.service)
             most = service.max_connections if service is not None and service.max_connections else MOST_CONNECTIONS
             headers = self.dialect.request_headers(one, chosen.name, remaining)
-            passage.sent += 1
-            before, passage.ran = passage.ran, True
-            try:
-                response = await self.pool.request(
-                    chosen.address,
-                    one.method,
-                    one.target,
-                    headers,
-                    passage.body,
-                    passage.end,
-                    most,
-                    self.dialect.accepts(one.attempt),
-                )
-            except result.RequestError as refusal:
-                if refusal.ran is result.Ran.NOT_RUN:
-                    passage.sent -= 1
-                    passage.ran = before
-                self.instances.failed(chosen.name, judgement.kind_of(refusal))
-                raise
+            response = await self.send(passage, chosen, headers, most)
             head = self.dialect.head(response.status, response.headers, one.attempt)
             self.heed(chosen, head)
-            if head.misdirected or head.not_run:
-                await self.dismiss(response)
-                passage.ran = before
-                raise result.RequestError(result.ResultCode.PUT_BACK, detail=str(head.status), retry=SOON)
-            if not head.stamped and 200 <= head.status < 300:
-                await response.close(False)
-                raise result.RequestError(
-                    result.ResultCode.WORKER_BROKE, result.Ran.UNKNOWN, "an answer without its stamp"
-                )
+            await self.check_head(passage, response, head)
             if passage.route.kind == http_route.STREAM and 200 <= head.status < 300:
                 answer = await self.begin_stream(passage, chosen, response, head)
                 ended = True
                 return answer
             return await self.whole(passage, chosen, response, head)
         finally:
+            passage.attempts.in_flight -= 1
             if not ended:
                 self.release(chosen)
 
+    async def send(
+        self, passage: Passage, chosen: instance.Instance, headers: call.Headers, most_connections: int
+    ) -> pool.Response:
+        """Send the call to a worker once, and wait for the head of the answer.
+
+        The call counts as sent and as possibly run from before its first byte until the pool or the worker says otherwise.
+
+        Example: ``response = await forwarder.send(passage, chosen, headers, 64)``
+        """
+        one, attempts = passage.call, passage.attempts
+        if passage.exhausted():
+            raise result.RequestError(result.ResultCode.PUT_BACK, detail="the route allows no more attempts")
+        attempts.sent += 1
+        attempts.possibly_run += 1
+        try:
+            return await self.pool.request(
+                chosen.address,
+                one.method,
+                one.target,
+                headers,
+                passage.body,
+                passage.end,
+                most_connections,
+                self.dialect.accepts(one.attempt),
+            )
+        except result.RequestError as refusal:
+            if refusal.ran is result.Ran.NOT_RUN:
+                attempts.sent -= 1
+                attempts.possibly_run -= 1
+            self.instances.failed(chosen.name, judgement.kind_of(refusal))
+            raise
+
+    async def check_head(self, passage: Passage, response: pool.Response, head: call.Head) -> None:
+        """Raise unless the answer may go on to the caller: a worker declined the call, or it is unclear whether it ran.
+
+        Example: ``await forwarder.check_head(passage, response, head)``
+        """
+        if head.misdirected or head.not_run:
+            passage.attempts.possibly_run -= 1
+            await self.dismiss(response)
+            raise result.RequestError(result.ResultCode.PUT_BACK, detail=str(head.status), retry=SOON)
+        unclear = ""
+        if not head.stamped and 200 <= head.status < 300:
+            unclear = "an answer without its stamp"
+        elif head.status in NOT_RUN_STATUSES and not passage.repeatable():
+            unclear = f"status {head.status} from a worker that does not say that nothing ran"
+        if unclear:
+            await response.close(False)
+            raise result.RequestError(result.ResultCode.WORKER_BROKE, result.Ran.UNKNOWN, unclear)
+
     def release(self, chosen: instance.Instance) -> None:
         """Give a worker's place back, and wake whoever waits for one.
 
@@ -676,7 +742,7 @@
 
         Example: ``forwarder.give_up(passage)``
         """
-        outcome = messages.UNKNOWN if passage.ran else messages.NOT_RUN
+        outcome = messages.UNKNOWN if passage.attempts.possibly_run else messages.NOT_RUN
         if passage.begun:
             self.end_turn_later(passage, outcome)
         if passage.claimed:
--- a/aspencroft/proxy/forwarder_test.py
+++ b/aspencroft/proxy/forwarder_test.py
@@ -28,14 +28,16 @@
     """Of a node just what the forwarding of plain calls asks for."""
     around = environment.Environment(wire.SimNetwork(simulated_wire, "edge"), None, None, random.Random(3), None)
     table = route_table.EMPTY.changed((), (route,))
-    plan = types.SimpleNamespace(http_routes={route.name: route}, services={}, route_table=table)
+    plan = types.SimpleNamespace(http_routes={route.name: route}, services={}, route_table=table, version=1)
     return types.SimpleNamespace(
         address="edge:1",
         environment=around,
         sampled=[],
         stopping=asyncio.Event(),
         settings=types.SimpleNamespace(pairs=2, talk_pairs=1, area="north", address="edge:1"),
-        relay=types.SimpleNamespace(plan=plan, current=lambda: True),
+        relay=types.SimpleNamespace(
+            plan=plan, current=lambda: True, currency=clock.seconds(12), currency_end=clock.seconds(12), root=False
+        ),
     )
 
 
@@ -156,3 +158,84 @@
         1,
         0,
     )
+
+
+async def refusal_for(forwarding, one):
+    """The refusal that a call ends in."""
+    try:
+        answer = await forwarding.take(one)
+    except result.RequestError as refusal:
+        return refusal
+    raise AssertionError(answer)
+
+
+def test_a_hedge_and_a_retry_of_the_first_attempt_share_the_attempts_of_the_route():
+    async def story(forwarding, lives):
+        forwarding.instances.full("i-1")
+        forwarding.instances.full("i-2")
+        held = forwarding.place
+        placed = 0
+
+        async def place(passage):
+            nonlocal placed
+            placed += 1
+            if placed == 2:
+                await clock.sleep(clock.seconds(0.2))
+            return await held(passage)
+
+        forwarding.place = place
+        refusal = await refusal_of(forwarding)
+        return refusal.ran, sum(len(life.runs) for life in lives), forwarding.active
+
+    silent = {"silent": 1.0}
+    seen = played(story, {"lost": 1.0}, silent, silent, attempts=2, aim=0.1)
+    assert seen == (result.Ran.UNKNOWN, 2, 0)
+
+
+def test_a_call_whose_route_changes_its_kind_on_the_way_is_not_sent_under_the_new_one():
+    async def story(forwarding, lives):
+        plan = forwarding.node.relay.plan
+        admit = forwarding.admit
+
+        def change(one):
+            passage = admit(one)
+            plan.http_routes["route"] = http_route.of("route", {**ROUTE, "kind": "keyed"})
+            return passage
+
+        forwarding.admit = change
+        refusal = await refusal_of(forwarding)
+        return refusal.result, refusal.ran, len(lives[0].runs)
+
+    assert played(story, {}, kind="non_idempotent") == (result.ResultCode.PUT_BACK, result.Ran.NOT_RUN, 0)
+
+
+def test_an_edge_without_any_configuration_does_not_say_that_there_is_no_route():
+    async def story(forwarding, lives):
+        plan = forwarding.node.relay.plan
+        plan.route_table, plan.http_routes, plan.version = route_table.EMPTY, {}, 0
+        return (await refusal_of(forwarding)).result
+
+    assert played(story, {}) is result.ResultCode.NO_PLAN
+
+
+def test_an_edge_that_heard_nothing_of_the_control_plane_lately_does_not_say_that_there_is_no_route():
+    async def story(forwarding, lives):
+        plan, relay = forwarding.node.relay.plan, forwarding.node.relay
+        plan.route_table, plan.http_routes = route_table.EMPTY, {}
+        first = (await refusal_of(forwarding)).result
+        await clock.sleep(clock.seconds(5))
+        second = await refusal_of(forwarding)
+        relay.currency_end = clock.now() + relay.currency
+        return first, second.result, second.ran, (await refusal_of(forwarding)).result
+
+    unknown = result.ResultCode.UNKNOWN_ROUTE
+    assert played(story, {}) == (unknown, result.ResultCode.NO_PLAN, result.Ran.NOT_RUN, unknown)
+
+
+def test_waiting_for_the_configuration_ends_with_the_time_of_the_route_that_is_known():
+    async def story(forwarding, lives):
+        forwarding.node.relay.current = lambda: False
+        refusal = await refusal_for(forwarding, asked(within=30.0))
+        return refusal.result, clock.now() <= clock.seconds(2.2)
+
+    assert played(story, {}) == (result.ResultCode.NO_PLAN, True)
--- a/aspencroft/workers/pool.py
+++ b/aspencroft/workers/pool.py
@@ -424,6 +424,10 @@
                 refused = result.ResultCode.DEADLINE if clock.now() >= end else result.ResultCode.UNREACHABLE
                 raise result.RequestError(refused, detail=f"{address}: {error!r}"[:200]) from None
             raise
+        if clock.now() >= end:
+            channel.abort()
+            self.forget(address)
+            raise result.RequestError(result.ResultCode.DEADLINE)
         return Connection(address, channel)
 
     async def send(self, connection: Connection, raw: bytes) -> None:
--- a/aspencroft/workers/pool_test.py
+++ b/aspencroft/workers/pool_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import collections.abc
+import contextlib
 import random
 import socket
 import struct
@@ -618,6 +619,24 @@
         assert len(sent) == len(set(sent)), "a request was sent twice"
 
 
+def test_a_connection_that_comes_up_after_the_end_of_the_time_carries_nothing():
+    async def acts(stage):
+        held = stage.pool.environment.network.connect
+
+        async def connect(address):
+            channel = await held(address)
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.sleep(1.0)
+            return channel
+
+        stage.pool.environment.network.connect = connect
+        assert await stage.refused(within=0.4) == (result.ResultCode.DEADLINE, result.Ran.NOT_RUN)
+        await asyncio.sleep(1)
+        assert stage.pool.total == 0
+
+    assert not any(play(lambda connection, number: [OK % b"1"], acts).came)
+
+
 # -- on loopback -----------------------------------------------------------------------------------
 
 
