Scenes of calls in trouble, byte by byte, with the table of what callers are told

Cause: silence, resets at each byte, answers in excess or to another request, reused addresses, killed edges and takeovers of a group were tested apart from each other, by draw; nothing said for each kind of call and each moment what its caller is told. A refusal without an id that came late, in the place of an answer, was taken for the word of the worker that nothing ran. Ruled out: trusting no refusal without an id at all (workers give one to a request without an id).

--- a/aspencroft/proxy/forwarder.py
+++ b/aspencroft/proxy/forwarder.py
@@ -59,7 +59,8 @@
 class Attempts:
     """What was sent to workers for one call; a hedge shares it with the attempts that it races.
 
-    ``possibly_run`` counts requests whose worker did not say that it did not run them, ``in_flight`` those without a whole answer so far.
+    ``possibly_run`` counts requests whose worker did not say that it did not run them, ``in_flight`` those without a
+    whole answer so far.
 
     Example: ``Attempts().sent == 0``
     """
@@ -171,7 +172,8 @@
     def knows_all_routes(self) -> bool:
         """Whether a route that this edge does not know surely is not there.
 
-        An edge without any configuration cannot tell, nor one whose configuration was not confirmed lately: a newer one may have
+        An edge without any configuration cannot tell, nor one whose configuration was not confirmed lately: a newer
+        one may have
         been acknowledged meanwhile.
 
         Example: ``forwarder.knows_all_routes()``
@@ -244,7 +246,8 @@
     def patience(self, passage: Passage) -> datetime.timedelta:
         """How long a call waits for the group that it needs: its primary may be changing, which takes a second or so.
 
-        A call that waits is tried all the time and goes on the moment the group serves; it leaves the caller time to come again.
+        A call that waits is tried all the time and goes on the moment the group serves; it leaves the caller time to
+        come again.
 
         Example: ``forwarder.patience(passage)``
         """
@@ -438,7 +441,8 @@
             await ended(first)
 
     async def hedge(self, passage: Passage, first: asyncio.Task) -> call.Answer:
-        """Another attempt beside one that is silent beyond its aim, as its answer may be lost; the first to answer counts.
+        """Another attempt beside one that is silent beyond its aim, as its answer may be lost; the first to answer
+        counts.
 
         Only work that may be repeated comes here, and the attempts that the route allows are shared.
 
@@ -516,7 +520,8 @@
     ) -> pool.Response:
         """Send the call to a worker once, and wait for the head of the answer.
 
-        The call counts as sent and as possibly run from before its first byte until the pool or the worker says otherwise.
+        The call counts as sent and as possibly run from before its first byte until the pool or the worker says
+        otherwise.
 
         Example: ``response = await forwarder.send(passage, chosen, headers, 64)``
         """
@@ -548,12 +553,15 @@
 
         Example: ``await forwarder.check_head(passage, response, head)``
         """
-        if head.misdirected or head.not_run:
+        declined = head.misdirected or head.not_run
+        if declined and (head.attempt or not response.reused or passage.repeatable()):
             passage.attempts.possibly_run -= 1
-            await self.dismiss(response)
+            await self.dismiss(response, reuse=bool(head.attempt))
             raise result.RequestError(result.ResultCode.PUT_BACK, detail=str(head.status), retry=SOON)
         unclear = ""
-        if not head.stamped and 200 <= head.status < 300:
+        if declined:
+            unclear = "an answer without an id on a connection that carried another request"
+        elif not head.stamped and 200 <= head.status < 300:
             unclear = "an answer without its stamp"
         elif head.status in NOT_RUN_STATUSES and not passage.repeatable():
             unclear = f"status {head.status} from a worker that does not say that nothing ran"
@@ -569,17 +577,17 @@
         self.instances.end(chosen.name)
         self.freed.set()
 
-    async def dismiss(self, response: pool.Response) -> None:
-        """Read the rest of an answer that is not handed on, so that its connection serves again.
+    async def dismiss(self, response: pool.Response, reuse: bool) -> None:
+        """Read the rest of an answer that is not handed on, so that its connection serves again if that is wanted.
 
-        Example: ``await forwarder.dismiss(response)``
+        Example: ``await forwarder.dismiss(response, reuse=True)``
         """
         try:
             await response.read()
         except result.RequestError:
             return
         finally:
-            await response.close(True)
+            await response.close(reuse)
 
     def heed(self, chosen: instance.Instance, head: call.Head) -> None:
         """Take in what a worker's head tells of it.
--- /dev/null
+++ b/aspencroft/simulation/call_troubles_test.py
@@ -0,0 +1,36 @@
+"""Each kind of call in each trouble: what must hold for all scenes, and the table in the docs."""
+
+import pathlib
+
+import pytest
+
+from aspencroft.simulation import call_troubles
+
+DOCS = pathlib.Path(__file__).parents[2] / "docs" / "control-under-trouble-calls.md"
+
+
+CASES = pytest.mark.parametrize("kind", call_troubles.KINDS, ids=lambda one: one.name.replace(" ", "-"))
+
+
+@CASES
+def test_each_trouble_leaves_every_rule_whole_and_the_table_as_it_is_kept(kind):
+    kept = DOCS.read_text()
+    for moment in call_troubles.MOMENTS:
+        scenes = [call_troubles.play(kind, trouble) for trouble in moment.troubles(kind)]
+        row = call_troubles.Row(kind, moment.name, scenes)
+        for seen in row.seen:
+            place = (kind.name, moment.name, seen)
+            assert not seen.wrong, place
+            assert seen.workers <= call_troubles.ROUTE["attempts"], place
+            if not kind.repeatable:
+                assert seen.runs <= 1 and seen.runs_of_key <= 1, place
+            if seen.not_run:
+                assert not seen.runs, place
+        assert f"| {' | '.join(row.cells())} |\n" in kept, (
+            "make the table anew: python -m aspencroft.simulation.call_troubles"
+        )
+
+
+def test_the_table_in_the_docs_has_no_other_rows():
+    rows = [line for line in DOCS.read_text().splitlines() if line.startswith("| ")]
+    assert len(rows) == 2 + len(call_troubles.KINDS) * len(call_troubles.MOMENTS)
--- a/aspencroft/workers/pool.py
+++ b/aspencroft/workers/pool.py
@@ -190,7 +190,8 @@
 class Response:
     """A worker's answer, whose head was read; it must be closed.
 
-    ``status`` and ``headers`` are the worker's own.
+    ``status`` and ``headers`` are the worker's own; ``reused`` says that the connection carried another request
+    before.
 
     Example: ``try: body = await response.read() finally: await response.close(True)``
     """
@@ -200,6 +201,7 @@
         self.connection = connection
         self.status = head.status
         self.headers = head.headers
+        self.reused = connection.uses > 0
         self.head = head
         self.whole = False
         self.closed = False
