--- a/aspencroft/node/settings.py
+++ b/aspencroft/node/settings.py
@@ -40,6 +40,9 @@
             None, voluptuous.All(voluptuous.Any(int, float), voluptuous.Range(min=0, max=60))
         ),
         voluptuous.Optional("first_start", default=True): bool,
+        voluptuous.Optional("key_window", default=60.0): voluptuous.All(
+            voluptuous.Any(int, float), voluptuous.Range(min=1, max=86400)
+        ),
     }
 )
 
@@ -64,7 +67,8 @@
     ``losses`` is how many machines may be lost at once; ``holds`` which groups this disk may hold; ``witnesses`` who keeps the
     record of holders, the seeds or the live core nodes; ``currency`` how long a node may act on a plan without renewal;
     ``confirm`` how long an operator's write waits at most until all nodes confirmed it, none for as long as they may act on
-    an older plan; ``first_start`` that this node's empty disk is a new one, not a lost one.
+    an older plan; ``first_start`` that this node's empty disk is a new one, not a lost one; ``key_window`` how long an
+    operation key is held behind the last moment in which its work could run.
 
     Example: ``settings.read("node.toml")``
     """
@@ -86,6 +90,7 @@
     currency: datetime.timedelta = clock.seconds(4)
     confirm: datetime.timedelta | None = None
     first_start: bool = True
+    key_window: datetime.timedelta = clock.seconds(60)
 
     @property
     def copies(self) -> int:
@@ -141,6 +146,7 @@
         clock.seconds(full["currency"]),
         None if full["confirm"] is None else clock.seconds(full["confirm"]),
         full["first_start"],
+        key_window=clock.seconds(full["key_window"]),
     )
 
 
--- a/aspencroft/proxy/forwarder.py
+++ b/aspencroft/proxy/forwarder.py
@@ -353,8 +353,9 @@
             digest_size=16,
         ).digest()
         passage.claimed = True
+        window = self.node.settings.key_window
         command = entry.ClaimKey(
-            self.key_of(one), one.attempt, digest, passage.end - clock.now(), WINDOW, self.node.life()
+            self.key_of(one), one.attempt, digest, passage.end - clock.now(), window, self.node.life()
         )
         held = await self.ask_group(passage, self.key_of(one), command)
         if held.mine:
--- a/aspencroft/proxy/forwarder_test.py
+++ b/aspencroft/proxy/forwarder_test.py
@@ -6,7 +6,7 @@
 import types
 
 from aspencroft.configuration import http_route, route_table
-from aspencroft.emulator import worker_server
+from aspencroft.emulator import engine, worker_server
 from aspencroft.errors import result
 from aspencroft.proxy import call, forwarder, instance, instances
 from aspencroft.runtime import clock, environment
@@ -239,3 +239,17 @@
         return refusal.result, clock.now() <= clock.seconds(2.2)
 
     assert played(story, {}) == (result.ResultCode.NO_PLAN, True)
+
+
+def test_what_may_have_run_at_a_hedge_is_not_promised_away_by_the_first_attempt():
+    async def story(forwarding, lives):
+        async def turned_away_late(end):
+            await clock.sleep(clock.seconds(0.3))
+            raise engine.Full
+
+        lives[0].slots.enter = turned_away_late
+        forwarding.instances.full("i-1")
+        refusal = await refusal_of(forwarding)
+        return refusal.ran, [len(life.runs) for life in lives], forwarding.counts["hedged"]
+
+    assert played(story, {}, {"lost": 1.0}, attempts=2, aim=0.1) == (result.Ran.UNKNOWN, [0, 1], 1)
--- a/aspencroft/simulation/call_troubles.py
+++ b/aspencroft/simulation/call_troubles.py
@@ -27,6 +27,7 @@
 NOBODY = ("nobody is there to be told", False, "")
 WITHIN = 1.0
 SETTLED = clock.seconds(6)
+KEY_WINDOW = clock.seconds(90)
 DELIVERED = clock.seconds(0.02)
 WORK = worker_server.Work(
     shape=engine.Shape(stride=10, step=clock.seconds(0.001)), answer_bytes=24, event_bytes=24, tells_load=False
@@ -236,9 +237,16 @@
         fresh = ledger.Ledger()
         fresh.restore(b"".join(self.ledger.snapshot_parts()), 0)
         self.ledger = fresh
-        for command in fresh.due(clock.now(), lambda edge: edge == gone):
-            for event in fresh.decide(command, clock.now())[0]:
-                fresh.fold(event)
+        self.tick(gone)
+
+    def tick(self, gone: str = "") -> None:
+        """Decide what the clock asks for.
+
+        Example: ``group.tick()``
+        """
+        for command in self.ledger.due(clock.now(), lambda edge: edge == gone):
+            for event in self.ledger.decide(command, clock.now())[0]:
+                self.ledger.fold(event)
 
 
 class Scene:
@@ -275,7 +283,7 @@
             sampled=[],
             stopping=asyncio.Event(),
             standing=None,
-            settings=types.SimpleNamespace(pairs=2, talk_pairs=1, area="north", address=name),
+            settings=types.SimpleNamespace(pairs=2, talk_pairs=1, area="north", address=name, key_window=KEY_WINDOW),
             relay=types.SimpleNamespace(
                 plan=plan, current=lambda: True, root=False, currency=SETTLED * 10, currency_end=SETTLED * 10
             ),
--- a/aspencroft/simulation/call_troubles_test.py
+++ b/aspencroft/simulation/call_troubles_test.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from aspencroft.runtime import clock
 from aspencroft.simulation import call_troubles
 
 DOCS = pathlib.Path(__file__).parents[2] / "docs" / "control-under-trouble-calls.md"
@@ -34,3 +35,24 @@
 def test_the_table_in_the_docs_has_no_other_rows():
     rows = [line for line in DOCS.read_text().splitlines() if line.startswith("| ")]
     assert len(rows) == 2 + len(call_troubles.KINDS) * len(call_troubles.MOMENTS)
+
+
+def test_a_key_is_held_for_the_window_of_the_settings():
+    keyed = next(one for one in call_troubles.KINDS if one.key)
+    scene = call_troubles.Scene(keyed, call_troubles.Trouble())
+
+    async def story():
+        await scene.start()
+        edge = scene.edge("edge-1")
+        scene.loop.create_task(call_troubles.drain_endings(edge, scene.group))
+        first = await scene.ask(edge, scene.call_of("a1", "k"))
+        for _ in range(int(call_troubles.KEY_WINDOW.total_seconds()) - 1):
+            scene.group.tick()
+            await clock.sleep(clock.seconds(1))
+        repeat = await scene.ask(edge, scene.call_of("a3", "k"))
+        return first == repeat, len(scene.runs_of("a1")), len(scene.runs_of("a3"))
+
+    try:
+        assert scene.loop.run_until_complete(story()) == (True, 1, 0)
+    finally:
+        scene.loop.bury()
