A primary that fails midway says unknown instead of acknowledging what nobody wrote

Cause: when serving ended with an exception (a full disk, a ballot that failed) while the lease still stood, the replies that waited for the members were handed out as done: an order or plan write was acknowledged though no copy held it. Change: whatever ends serving leaves what it held back as unknown; replies are given only after all members agreed. Ruled out: answering by what the own copy holds (the backups may lack it). Seen failing: the test, with a disk that refuses one write, was answered before the change; the mutation that puts the old line back is seen.

--- a/aspencroft/replication/primary.py
+++ b/aspencroft/replication/primary.py
@@ -213,7 +213,7 @@
                     elif own.known == standing:
                         await self.one_batch(held_back)
         finally:
-            self.answer(held_back)
+            self.answer_unknown(held_back)
 
     async def agree(self, standing: replica_set.ReplicaSet) -> None:
         """Make the copies of all backups the same; those that fail are recorded out.
@@ -235,21 +235,31 @@
 
         Example: ``serving.answer(decided)``
         """
-        standing = self.own.claimed()
+        if not self.own.claimed():
+            self.answer_unknown(decided)
+            return
         for one in decided:
             if one.submission.reply.done():
                 continue
-            if isinstance(one.reply, result.RequestError) and standing:
+            if isinstance(one.reply, result.RequestError):
                 fail(one.submission.reply, one.reply)
-            elif standing:
-                one.submission.reply.set_result(one.reply)
             else:
+                one.submission.reply.set_result(one.reply)
+        decided.clear()
+
+    def answer_unknown(self, decided: list[Decided]) -> None:
+        """Say that the outcome is unknown: serving ends, or the lease did, before all members are known to hold it.
+
+        Example: ``serving.answer_unknown(decided)``
+        """
+        for one in decided:
+            if not one.submission.reply.done():
                 fail(
                     one.submission.reply,
                     result.RequestError(
                         result.ResultCode.OUTCOME_UNKNOWN,
                         result.Ran.UNKNOWN,
-                        "the claim ran out",
+                        "serving ended before all members were known to hold it",
                         group_state.COME_BACK,
                     ),
                 )
--- a/aspencroft/replication/primary_test.py
+++ b/aspencroft/replication/primary_test.py
@@ -115,3 +115,27 @@
             assert refusal.result is result.ResultCode.NO_BACKUP and refusal.ran is result.Ran.NOT_RUN
 
     members.play(tmp_path, 2, acts)
+
+
+def test_an_order_that_the_primary_could_not_write_is_not_answered_though_its_lease_stands(tmp_path):
+    async def acts(those: members.Members) -> None:
+        those.run(*those.names)
+        await those.until(lambda: those.hosts["n0:1"].why == "serving")
+        await those.write("a")
+        own = those.hosts["n0:1"]
+        writes = own.copy.write
+
+        async def failing(*values) -> None:
+            await clock.sleep(clock.seconds(0.01))
+            own.copy.write = writes
+            raise OSError("no space left on the device")
+
+        own.copy.write = failing
+        try:
+            await those.write("b")
+            raise AssertionError("answered")
+        except result.RequestError as refusal:
+            assert refusal.ran is result.Ran.UNKNOWN
+        assert own.lease_end > clock.now() or not own.leading
+
+    members.play(tmp_path, 3, acts, members=3)
--- a/aspencroft/simulation/mutations.py
+++ b/aspencroft/simulation/mutations.py
@@ -581,6 +581,15 @@
             "platform_check/operator_api_test.py::test_a_version_that_no_record_can_hold_is_invalid_on_every_node_also_the_primary",
         ),
     ),
+    Mutation(
+        "a primary that fails acknowledges what it could not write",
+        "replication/primary.py",
+        "        finally:\n            self.answer_unknown(held_back)\n",
+        "        finally:\n            self.answer(held_back)\n",
+        (
+            "replication/primary_test.py::test_an_order_that_the_primary_could_not_write_is_not_answered_though_its_lease_stands",
+        ),
+    ),
 )
 
 
