Drain orders raced: more than may go, all at once, with lost answers and a hurt control primary

Tests: five machines are ordered to drain at once where two must stay; 70 % of the answers are lost, the control primary is killed, without power, frozen or cut off. Each machine's clear answers are all 200 or all 409, as many are taken as may go, each completes, and after its removal the order and the question are still answered.

--- a/aspencroft/platform_check/order_races.py
+++ b/aspencroft/platform_check/order_races.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import random
 
 import defopt
@@ -92,6 +93,99 @@
     return total, found
 
 
+class DrainOperator:
+    """Orders one machine to be drained until it hears a clear answer, and remembers all answers that nodes gave.
+
+    Example: ``await DrainOperator(asking, "storage-1", 0.7).order(12.0)``
+    """
+
+    def __init__(self, asking: operators.Operators, machine: str, loss: float):
+        self.asking = asking
+        self.machine = machine
+        self.loss = loss
+        self.answers: list[int] = []
+
+    async def order(self, within: float) -> int:
+        """Send the order until a clear answer is heard; 0 when none was.
+
+        Example: ``await one.order(12.0)``
+        """
+        loop = self.asking.scene.loop
+        end = loop.time() + within
+        while loop.time() < end:
+            response = await self.asking.call("POST", f"/api/retire/{self.machine}", b'{"deadline-s": 10}')
+            if response is not None:
+                self.answers.append(response.status_code)
+                if response.status_code != 503 and self.asking.chance.random() >= self.loss:
+                    return response.status_code
+            await asyncio.sleep(0.1 + 0.2 * self.asking.chance.random())
+        return 0
+
+    async def completed(self, within: float) -> bool:
+        """Ask how far the machine is until it may be taken away.
+
+        Example: ``await one.completed(20.0)``
+        """
+        loop = self.asking.scene.loop
+        end = loop.time() + within
+        while loop.time() < end:
+            response = await self.asking.call("GET", f"/api/retire/{self.machine}")
+            if response is not None and response.status_code == 200 and response.json()["state"] == "completed":
+                return True
+            assert response is None or response.status_code in (200, 503), (self.machine, response.text)
+            await asyncio.sleep(0.2)
+        return False
+
+
+def drain_race(seed: int) -> list[str]:
+    """Orders to drain more machines than may go, all at once, while the control primary is hurt; what broke the rules.
+
+    Example: ``drain_race(1) == []``
+    """
+    found: list[str] = []
+    size = dataclasses.replace(SIZE, storages=5)
+
+    async def story(one: simulated_cluster.SimulatedCluster) -> None:
+        await one.until(one.formed, 30, "formed")
+        points = operators.ControlPoints(one, one.cores)
+        points.serve()
+        await asyncio.sleep(5)
+        copies = one.nodes[one.cores[0]].settings.copies
+        asking = operators.Operators(one, random.Random(seed), points)
+        draining = [DrainOperator(asking, name, LOSS) for name in one.storages]
+        chance = random.Random(seed)
+        async with asyncio.TaskGroup() as group:
+            for each in draining:
+                group.create_task(each.order(operators.PATIENCE))
+            await asyncio.sleep(chance.random() * 0.2)
+            await hurt(one, asking, chance)
+        await one.until(one.formed, 30, "formed")
+        await asyncio.sleep(5)
+        for each in draining:
+            each.loss = 0.0
+            await each.order(operators.PATIENCE)
+        taken = [each for each in draining if 200 in each.answers]
+        for each in draining:
+            clear = set(each.answers) - {503}
+            if clear not in ({200}, {409}):
+                found.append(f"{each.machine} got {each.answers}")
+        if len(taken) != size.storages - copies:
+            found.append(f"{len(taken)} of {size.storages} machines are drained where {copies} must stay")
+        for each in taken:
+            if not await each.completed(20.0):
+                found.append(f"{each.machine} is not drained: {one.show()}")
+                continue
+            one.power_off(each.machine)
+            one.storages.remove(each.machine)
+            if await each.order(operators.PATIENCE) != 200 or not await each.completed(1.0):
+                found.append(f"{each.machine} was removed and is not known any more: {each.answers}")
+
+    weather = wire.Weather(jitter=0.002)
+    played = simulated_cluster.play(seed, story, size=size, weather=weather, more=AS_DEPLOYED)
+    found.extend(played.ended)
+    return found
+
+
 def races(*, first: int = 1, count: int = 20) -> None:
     """Run races over many seeds and print what came of each.
 
@@ -101,6 +195,7 @@
     broken = 0
     for seed in range(first, first + count):
         total, found = race(seed)
+        found = found + drain_race(seed)
         broken += bool(found)
         print(seed, dict(total), found or "whole", flush=True)
     print(f"{count} races, {broken} broken")
--- a/aspencroft/platform_check/order_races_test.py
+++ b/aspencroft/platform_check/order_races_test.py
@@ -12,6 +12,11 @@
     assert total["taken"] > 15 and total["412 True"] > 10 and total["unclear True"] > 0, total
 
 
+@pytest.mark.parametrize("seed", (411, 412, 413, 414))
+def test_of_drain_orders_at_once_as_many_are_taken_as_may_go_and_each_is_known_for_good(seed):
+    assert order_races.drain_race(seed) == []
+
+
 def test_the_judge_of_single_orders_sees_each_fault():
     def order(version: int, condition: int, answers: list[int], mark: int = 0, valid: bool = True) -> operators.Order:
         return operators.Order(True, condition, version, {"mark": mark}, 1.0, 0, 0.0, valid, answers)
