Repeats of a key at work, from two edges and across takeovers, get 409 or the first answer

Cause: the scenes repeated a key only once its first run had ended. Change: 30 repeats within the first run's 30 ms at two edges, a takeover of the group at each millisecond; one mutation; doc comments. Conclusion: a key runs once in its window whatever the order of repeats and takeovers in these scenes.

--- a/aspencroft/proxy/forwarder.py
+++ b/aspencroft/proxy/forwarder.py
@@ -50,10 +50,17 @@
 class Dialect(typing.Protocol):
     """How a worker's wire says what the product means; given by whoever translates."""
 
-    def request_headers(self, one: call.Call, instance_name: str, remaining: datetime.timedelta) -> call.Headers: ...
-    def head(self, status: int, headers: call.Headers, attempt: str) -> call.Head: ...
-    def accepts(self, attempt: str) -> pool.Accepts: ...
-    def answer_headers(self, headers: call.Headers) -> call.Headers: ...
+    def request_headers(self, one: call.Call, instance_name: str, remaining: datetime.timedelta) -> call.Headers:
+        """The headers of a request to a worker."""
+
+    def head(self, status: int, headers: call.Headers, attempt: str) -> call.Head:
+        """What the head of an answer says."""
+
+    def accepts(self, attempt: str) -> pool.Accepts:
+        """Whether an answer may be one to the request with this id."""
+
+    def answer_headers(self, headers: call.Headers) -> call.Headers:
+        """The headers of an answer that go on to the caller."""
 
 
 @dataclasses.dataclass
@@ -174,8 +181,7 @@
         """Whether a route that this edge does not know surely is not there.
 
         An edge without any configuration cannot tell, nor one whose configuration was not confirmed lately: a newer
-        one may have
-        been acknowledged meanwhile.
+        one may have been acknowledged meanwhile.
 
         Example: ``forwarder.knows_all_routes()``
         """
@@ -443,8 +449,9 @@
             await ended(first)
 
     async def hedge(self, passage: Passage, first: asyncio.Task) -> call.Answer:
-        """Another attempt beside one that is silent beyond its aim, as its answer may be lost; the first to answer
-        counts.
+        """Another attempt beside one that is silent beyond its aim, as its answer may be lost.
+
+        The first to answer counts.
 
         Only work that may be repeated comes here, and the attempts that the route allows are shared.
 
--- a/aspencroft/simulation/call_troubles.py
+++ b/aspencroft/simulation/call_troubles.py
@@ -69,8 +69,8 @@
 
     The connection ends in the way of ``ending`` once the worker read ``request_bytes``, or wrote ``answer_bytes``;
     ``unasked`` is written before anything is asked, ``in_place`` instead of the answer to the second request.
-    ``status`` stands in the place of the worker's own 500. The group decides ``group_commands`` commands and then nothing for a
-    while. ``caller_leaves`` and ``edge_ends`` are milliseconds after the call began.
+    ``status`` stands in the place of the worker's own 500. The group decides ``group_commands`` commands and then
+    nothing for a while. ``caller_leaves`` and ``edge_ends`` are milliseconds after the call began.
     """
 
     request_bytes: int | None = None
--- a/aspencroft/simulation/call_troubles_test.py
+++ b/aspencroft/simulation/call_troubles_test.py
@@ -1,5 +1,6 @@
 """Each kind of call in each trouble: what must hold for all scenes, and the table in the docs."""
 
+import asyncio
 import pathlib
 
 import pytest
@@ -77,3 +78,32 @@
         scene.loop.bury()
     assert told == "stream broken off, OUTCOME_UNKNOWN, may have run"
     assert call_troubles.TIMEOUT < held <= call_troubles.TIMEOUT + HELD_BEYOND
+
+
+def test_repeats_of_a_key_at_work_never_run_whatever_takeovers_come_between():
+    keyed = next(one for one in call_troubles.KINDS if one.key)
+    for takeover in range(0, 30):
+        scene = call_troubles.Scene(keyed, call_troubles.Trouble())
+
+        async def story(scene=scene, takeover=takeover):
+            await scene.start()
+            edges = [scene.edge("edge-1"), scene.edge("edge-2")]
+            for edge in edges:
+                scene.loop.create_task(call_troubles.drain_endings(edge, scene.group))
+            first = asyncio.ensure_future(scene.ask(edges[0], scene.call_of("a1", "k")))
+            repeats = []
+            for at in range(30):
+                await clock.sleep(clock.seconds(0.001))
+                repeats.append(asyncio.ensure_future(scene.ask(edges[at % 2], scene.call_of(f"r{at}", "k"))))
+                if at == takeover:
+                    scene.group.take_over()
+            told = {(await one)[0] for one in repeats}
+            bodies = {(await one)[2] for one in (first, *repeats)} - {""}
+            return (await first)[0], told, bodies, sum(len(life.runs) for life in scene.lives)
+
+        try:
+            first, told, bodies, runs = scene.loop.run_until_complete(story())
+        finally:
+            scene.loop.bury()
+        assert (first, runs, len(bodies)) == ("answer 200", 1, 1)
+        assert told == {"answer 200", "OPERATION_IN_PROGRESS, may have run"}
--- a/aspencroft/simulation/mutations.py
+++ b/aspencroft/simulation/mutations.py
@@ -537,6 +537,13 @@
         "        window = WINDOW\n",
         ("simulation/call_troubles_test.py",),
     ),
+    Mutation(
+        "an operation key at work is granted again",
+        "sessions/ledger.py",
+        "        if known is not None:\n            mine = not known.outcome",
+        "        if known is not None and known.outcome:\n            mine = not known.outcome",
+        ("simulation/call_troubles_test.py::test_repeats_of_a_key_at_work_never_run_whatever_takeovers_come_between",),
+    ),
 )
 
 
