--- a/aspencroft/replication/interrupted_write_test.py
+++ b/aspencroft/replication/interrupted_write_test.py
@@ -11,6 +11,7 @@
 from aspencroft.replication import replica
 from aspencroft.runtime import clock, environment
 from aspencroft.simulation import disk, loop, members
+from aspencroft.storage import store
 from aspencroft.transport import codec
 
 
@@ -251,3 +252,100 @@
         drawing.cancel()
 
     run(scene())
+
+
+class Ended(Exception):
+    """The process or the machine is gone."""
+
+
+class EndingDisk(disk.SimDisk):
+    """A disk whose machine goes off at a sync, before or behind it."""
+
+    def __init__(self, folder, chance: random.Random, end_at: int, before: bool):
+        super().__init__(folder, chance)
+        self.end_at = end_at
+        self.before = before
+
+    def synchronise(self, path) -> None:
+        """As on any disk, until the end.
+
+        Example: ``machine.synchronise(path)``
+        """
+        ending = self.end_at and self.counts["syncs"] + 1 >= self.end_at
+        if ending and self.before:
+            raise Ended
+        super().synchronise(path)
+        if ending:
+            raise Ended
+
+
+@pytest.mark.parametrize("power", [False, True])
+@pytest.mark.parametrize("before", [False, True])
+def test_an_end_at_any_sync_of_appends_snapshots_and_repairs_keeps_what_was_acknowledged(
+    tmp_path, monkeypatch, power, before
+):
+    monkeypatch.setattr(replica, "COMPACT_ENTRIES", 4)
+
+    async def life(one: replica.Replica, other: replica.Replica, acknowledged: list[replica.Mark]) -> None:
+        """Steps of a member's day; each acknowledged mark is noted once the step that ends with it came back."""
+        await one.hold(replica_set.ReplicaSet(0, 1, replica_set.ReplicaId("a:1", one.identity), ()))
+        for count in (1, 3, 2):
+            await one.append(entries(one, count, "a:1"))
+            acknowledged.append(one.last())
+        await one.compact()
+        await one.append(entries(one, 2, "b:1"))
+        acknowledged.append(one.last())
+        await one.append(entries(one, 1, "never acknowledged"))
+        goal = other.last()
+        await one.begin_repair(replica.RepairGoal(goal.sequence, goal.digest))
+        await one.repair(other.snapshot.sequence, other.snapshot, ())
+        for sent in other.entries:
+            await one.repair(one.last().sequence, None, (sent,))
+        acknowledged.append(one.last())
+        await one.append(entries(one, 2, "c:1"))
+        acknowledged.append(one.last())
+        await one.compact()
+
+    async def scene(end_at: int) -> bool:
+        folder = tmp_path / str(end_at)
+        other = made(disk.SimDisk(folder / "other", random.Random(2)))
+        await other.open()
+        for count, holder in ((1, "a:1"), (3, "a:1"), (2, "a:1"), (2, "b:1")):
+            await other.append(entries(other, count, holder))
+            if count == 3:
+                await other.compact()
+        await other.append(entries(other, 3, "other", epoch=2))
+        machine = EndingDisk(folder / "one", random.Random(end_at), 0, before)
+        one, acknowledged = made(machine), []
+        await one.open()
+        machine.end_at = machine.counts["syncs"] + end_at
+        ended = False
+        try:
+            await life(one, other, acknowledged)
+        except Ended:
+            ended = True
+        machine.end_at = 0
+        if power:
+            machine.power_loss()
+        again = made(machine)
+        await again.open()
+        assert again.identity == one.identity and again.condition is not store.Condition.DAMAGED
+        if not again.incomplete():
+            floor = acknowledged[-1] if acknowledged else replica.Mark(0, replica.NO_DIGEST)
+            assert again.last().sequence >= floor.sequence, (end_at, again.last(), floor)
+            assert again.digest_at(floor.sequence) in (floor.digest, None), end_at
+            if again.snapshot.sequence <= floor.sequence:
+                assert again.digest_at(floor.sequence) == floor.digest, end_at
+        fresh = made(disk.SimDisk(folder / "fresh", random.Random(3)))
+        await fresh.open()
+        await fresh.repair(again.snapshot.sequence, again.snapshot, tuple(again.entries))
+        assert fresh.view.snapshot() == again.view.snapshot()
+        return ended
+
+    async def scenes() -> None:
+        count = 1
+        while await scene(count):
+            count += 1
+        assert count > 50, count
+
+    run(scenes())
