--- a/aspencroft/distribution/plan_transfer_test.py
+++ b/aspencroft/distribution/plan_transfer_test.py
@@ -12,7 +12,7 @@
 from aspencroft.simulation import loop
 from aspencroft.transport import codec
 
-LARGEST_MESSAGE = 400 << 10
+LARGEST_MESSAGE = 300 << 10
 
 
 class Link:
--- a/aspencroft/simulation/mutations.py
+++ b/aspencroft/simulation/mutations.py
@@ -548,6 +548,33 @@
         "        return False\n",
         ("replication/interrupted_write_test.py::test_disk_and_start_follow_the_state_and_not_the_number_of_changes",),
     ),
+    Mutation(
+        "a repair that cuts a copy back leaves no mark",
+        "replication/replica.py",
+        "            await self.write(goal)\n            self.goal = goal\n",
+        "            self.goal = None\n",
+        (
+            "replication/interrupted_write_test.py::test_an_end_at_any_sync_of_appends_snapshots_and_repairs_keeps_what_was_acknowledged",
+        ),
+    ),
+    Mutation(
+        "an append is confirmed before its sync",
+        "storage/store.py",
+        '        for name in ("journal.dat", "journal.dir"):\n            self.disk.synchronise(self.home() / name)\n',
+        "",
+        (
+            "replication/interrupted_write_test.py::test_an_end_at_any_sync_of_appends_snapshots_and_repairs_keeps_what_was_acknowledged",
+        ),
+    ),
+    Mutation(
+        "a rewritten generation forgets that a repair is under way",
+        "replication/replica.py",
+        "            [self.goal] if self.incomplete() else [],\n",
+        "",
+        (
+            "replication/interrupted_write_test.py::test_an_end_at_any_sync_of_appends_snapshots_and_repairs_keeps_what_was_acknowledged",
+        ),
+    ),
     Mutation(
         "a large plan goes to a child as one message",
         "distribution/relay.py",
