--- a/aspencroft/simulation/members.py
+++ b/aspencroft/simulation/members.py
@@ -9,7 +9,7 @@
 from aspencroft.consensus import proposer, record_recovery, replica_set
 from aspencroft.errors import result
 from aspencroft.replication import group_replica, group_state, messages, replica
-from aspencroft.runtime import clock, environment
+from aspencroft.runtime import clock, environment, supervision
 from aspencroft.simulation import disk, loop
 from aspencroft.transport import codec
 
@@ -17,7 +17,9 @@
 
 
 class Register:
-    """What the witnesses chose; ``unknown`` makes the next ballot end without word of its outcome, ``refusing`` all of them fail.
+    """What the witnesses chose; ``unknown`` makes the next ballot end without word of its outcome.
+
+    ``refusing`` all of them fail.
 
     Example: ``register.standing().epoch``
     """
@@ -95,6 +97,7 @@
         self.runs: dict[str, asyncio.Task] = {}
         self.starts = 0
         self.before_step: collections.abc.Callable[[], None] = lambda: None
+        self.handlers: set[asyncio.Task] = set()
 
     async def begin(self, members: int) -> None:
         """Open all copies and put the first ones into the first record.
@@ -214,13 +217,24 @@
             await clock.sleep(within)
             raise result.RequestError(result.ResultCode.UNREACHABLE, result.Ran.UNKNOWN, address)
         one = self.hosts[address]
-        reply = await self.deliver(one, message)
+        handler = asyncio.ensure_future(self.deliver(one, message))
+        self.handlers.add(handler)
+        try:
+            async with clock.limit(within):
+                reply = await handler
+        except (TimeoutError, asyncio.CancelledError):
+            supervision.heed()
+            raise result.RequestError(result.ResultCode.UNREACHABLE, result.Ran.UNKNOWN, address) from None
+        except OSError as error:
+            raise result.RequestError(result.ResultCode.INTERNAL, result.Ran.UNKNOWN, repr(error)) from None
+        finally:
+            self.handlers.discard(handler)
         if address in self.silent or self.hosts[address] is not one:
             raise result.RequestError(result.ResultCode.UNREACHABLE, result.Ran.UNKNOWN, address)
         return reply
 
     async def deliver(self, one: group_replica.GroupReplica, message):
-        """What a node does with a message of another member.
+        """What the asked node does with a message; cancelled, it is as if the connection broke meanwhile.
 
         Example: ``await those.deliver(those.hosts["n1:1"], message)``
         """
@@ -231,6 +245,12 @@
                 return one.compare(message)
             case messages.Repair():
                 return await one.repair(message)
+            case messages.BeginRepair():
+                return await one.begin_repair(message)
+            case messages.SnapshotPart():
+                return one.take_snapshot_part(message)
+            case messages.InstallSnapshot():
+                return await one.install_snapshot(message)
             case messages.Fetch():
                 return await one.fetch(message)
         return await one.appoint(message)
--- a/aspencroft/workers/pool.py
+++ b/aspencroft/workers/pool.py
@@ -190,7 +190,8 @@
 class Response:
     """A worker's answer, whose head was read; it must be closed.
 
-    ``status`` and ``headers`` are the worker's own.
+    ``status`` and ``headers`` are the worker's own; ``reused`` says that the connection carried another request
+    before.
 
     Example: ``try: body = await response.read() finally: await response.close(True)``
     """
@@ -200,6 +201,7 @@
         self.connection = connection
         self.status = head.status
         self.headers = head.headers
+        self.reused = connection.uses > 0
         self.head = head
         self.whole = False
         self.closed = False
@@ -424,6 +426,10 @@
                 refused = result.ResultCode.DEADLINE if clock.now() >= end else result.ResultCode.UNREACHABLE
                 raise result.RequestError(refused, detail=f"{address}: {error!r}"[:200]) from None
             raise
+        if clock.now() >= end:
+            channel.abort()
+            self.forget(address)
+            raise result.RequestError(result.ResultCode.DEADLINE)
         return Connection(address, channel)
 
     async def send(self, connection: Connection, raw: bytes) -> None:
--- a/aspencroft/workers/pool_test.py
+++ b/aspencroft/workers/pool_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import collections.abc
+import contextlib
 import random
 import socket
 import struct
@@ -13,8 +14,8 @@
 from aspencroft.simulation import loop, wire
 
 WORKER = "worker:80"
-OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nAttempt-Id: %s\r\n\r\nok"
-HEADERS = ((b"Host", b"h.example"), (b"Attempt-Id", b"1"))
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Test-Call: %s\r\n\r\nok"
+HEADERS = ((b"Host", b"h.example"), (b"X-Test-Call", b"1"))
 
 
 async def taken(channel) -> bytes:
@@ -131,7 +132,7 @@
         assert await stage.ask("POST") == (200, b"ok")
 
     stage = play(lambda connection, number: [OK % b"1"], acts)
-    start = b" /a?b=1 HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: 1\r\n"
+    start = b" /a?b=1 HTTP/1.1\r\nHost: h.example\r\nX-Test-Call: 1\r\n"
     assert stage.came == [
         [
             b"GET" + start + b"\r\n",
@@ -316,7 +317,7 @@
 
 def test_an_answer_in_the_place_of_the_next_is_told_apart_and_closes_the_connection():
     def accepts(status, headers):
-        return dict(headers).get(b"Attempt-Id") == b"1"
+        return dict(headers).get(b"X-Test-Call") == b"1"
 
     async def acts(stage):
         assert await stage.ask(accepts=accepts) == (200, b"ok")
@@ -545,9 +546,9 @@
         chance = random.Random(seed)
 
         def script(connection, number):
-            wanted = stage.came[connection][number].split(b"Attempt-Id: ")[1].split(b"\r\n")[0]
+            wanted = stage.came[connection][number].split(b"X-Test-Call: ")[1].split(b"\r\n")[0]
             whole = (
-                b"HTTP/1.1 200 OK\r\nAttempt-Id: " + wanted + b"\r\nContent-Length: %d\r\n\r\n" % len(wanted) + wanted
+                b"HTTP/1.1 200 OK\r\nX-Test-Call: " + wanted + b"\r\nContent-Length: %d\r\n\r\n" % len(wanted) + wanted
             )
             lot = chance.random()
             if lot < 0.1:
@@ -565,7 +566,7 @@
 
         async def one(number):
             wanted = b"%d" % number
-            headers = ((b"Host", b"h"), (b"Attempt-Id", wanted))
+            headers = ((b"Host", b"h"), (b"X-Test-Call", wanted))
             try:
                 response = await stage.pool.request(
                     WORKER,
@@ -575,7 +576,7 @@
                     b"",
                     clock.now() + clock.seconds(1),
                     6,
-                    lambda status, found: dict(found)[b"Attempt-Id"] == wanted,
+                    lambda status, found: dict(found)[b"X-Test-Call"] == wanted,
                 )
             except result.RequestError as refusal:
                 outcomes[refusal.result] += 1
@@ -618,6 +619,24 @@
         assert len(sent) == len(set(sent)), "a request was sent twice"
 
 
+def test_a_connection_that_comes_up_after_the_end_of_the_time_carries_nothing():
+    async def acts(stage):
+        held = stage.pool.environment.network.connect
+
+        async def connect(address):
+            channel = await held(address)
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.sleep(1.0)
+            return channel
+
+        stage.pool.environment.network.connect = connect
+        assert await stage.refused(within=0.4) == (result.ResultCode.DEADLINE, result.Ran.NOT_RUN)
+        await asyncio.sleep(1)
+        assert stage.pool.total == 0
+
+    assert not any(play(lambda connection, number: [OK % b"1"], acts).came)
+
+
 # -- on loopback -----------------------------------------------------------------------------------
 
 
