--- a/aspencroft/node/node_test.py
+++ b/aspencroft/node/node_test.py
@@ -6,7 +6,7 @@
 from aspencroft.membership import cluster_member
 from aspencroft.node import drain_order
 from aspencroft.runtime import clock
-from aspencroft.simulation import groups
+from aspencroft.simulation import groups, simulated_cluster
 
 WITHIN = clock.seconds(8)
 CALL = clock.seconds(0.85)
@@ -211,3 +211,35 @@
         assert seen[-1] and not seen[0]
 
     groups.play(16, acts)
+
+
+def test_others_that_lose_their_disks_right_after_a_drain_take_nothing_with_them():
+    def acts_with(losses: int):
+        async def acts(stage: groups.Stage) -> None:
+            one = stage.scene
+            victim = one.leader(1)
+            asked = next(name for name in one.cores if name != one.leader(0))
+            programs = [f"p{number}" for number in range(6)]
+            for program in programs:
+                assert (await stage.ask("edge-0", "supervisor", f"{program} first", program=program)).ran == "done"
+            assert await stage.ask_node(asked, one.nodes[asked].drain_orders.order(victim, WITHIN)) is None
+            await until_drained(stage, asked, victim)
+            lost = [name for name in stage.members(1) if name != victim][:losses]
+            one.storages.remove(victim)
+            for name in (victim, *lost):
+                one.power_off(name)
+                one.disks[name].wipe()
+            one.lost.update(lost)
+            await asyncio.sleep(1)
+            for name in lost:
+                one.start(name)
+            await one.until(stage.whole, 12, "whole")
+            for program in programs:
+                assert (await stage.ask("edge-1", "supervisor", "second", program=program, after=1)).ran == "done"
+            turns = [body for body in one.world.seen() if body.get("turn") == 2]
+            assert sorted(body["history"][0][0] for body in turns) == [f"{program} first" for program in programs]
+
+        return acts
+
+    groups.play(31, acts_with(1), simulated_cluster.Size(2, 4, 5, apart=True))
+    groups.play(32, acts_with(2), simulated_cluster.Size(2, 5, 5, apart=True), {"losses": 2})
