--- a/aspencroft/simulation/forwarding.py
+++ b/aspencroft/simulation/forwarding.py
@@ -339,7 +339,7 @@
             forwarding = forwarder.Forwarder(own, worker_server.StandDialect(), known, connections)
             own.stories = forwarding.stories
             self.forwarders[name] = forwarding
-            return [connections.run, list_reader.Watch(own, known, lister, lambda: LIST_RATE).run, forwarding.run]
+            return [connections.run, list_reader.Watch(own, known, lister).run, forwarding.run]
         if own.settings.role == settings.CORE:
             return [list_reader.ListReader(own, lister).run]
         return []
--- a/aspencroft/simulation/mutations.py
+++ b/aspencroft/simulation/mutations.py
@@ -702,6 +702,34 @@
         "elif len(staying)",
         ("replication/second_loss_test.py", "replication/replica_changes_test.py"),
     ),
+    Mutation(
+        "seeds of newer settings are not used to join",
+        "cli/settings_reload.py",
+        "        self.node.ring.seeds = merged.seeds\n",
+        "",
+        ("cli/settings_reload_test.py",),
+    ),
+    Mutation(
+        "settings that need a restart are taken while running",
+        "node/settings.py",
+        "for name in changed if name in CHANGEABLE}",
+        "for name in changed}",
+        ("node/settings_test.py",),
+    ),
+    Mutation(
+        "a reader of the list waits long after the platform was out of reach",
+        "workers/list_reader.py",
+        "MOST_PAUSE_UNREACHED = clock.seconds(1.2)\n",
+        "MOST_PAUSE_UNREACHED = MOST_PAUSE\n",
+        ("workers/list_reader_test.py",),
+    ),
+    Mutation(
+        "a list of many pages is read as often as one of a single page",
+        "workers/list_reader.py",
+        "return max(pause, self.cost() / SHARE)",
+        "return pause",
+        ("workers/list_reader_test.py",),
+    ),
 )
 
 
--- a/aspencroft/workers/list_reader.py
+++ b/aspencroft/workers/list_reader.py
@@ -21,13 +21,24 @@
 CALM = clock.seconds(4)
 BEAT = clock.seconds(1.2)
 MOST_PAUSE = clock.seconds(5)
+MOST_PAUSE_UNREACHED = clock.seconds(1.2)
 STALE = clock.seconds(2.5)
 FIRST = clock.seconds(0.2)
-RATE = 20.0
+READ_COST = clock.seconds(0.05)
 SHARE = 0.5
+MOST_DOUBLINGS, MOST_DOUBLINGS_UNREACHED = 3, 1
 EPOCH_UNIT = 1 << 32
 
 Lister = collections.abc.Callable[[], collections.abc.Awaitable[list[instance.Instance]]]
+ReadCost = collections.abc.Callable[[], datetime.timedelta]
+
+
+def read_cost() -> datetime.timedelta:
+    """For how long one whole read takes up the rate at which the platform answers all nodes, when nothing is known of it.
+
+    Example: ``read_cost() == READ_COST``
+    """
+    return READ_COST
 
 
 def told(found: collections.abc.Iterable[instance.Instance]) -> str:
@@ -84,24 +95,35 @@
     )
 
 
+def rate_spent(refusal: result.RequestError) -> bool:
+    """Whether a read was refused because all nodes together read too often.
+
+    Example: ``rate_spent(result.RequestError(result.ResultCode.OVERLOADED))``
+    """
+    return refusal.result is result.ResultCode.OVERLOADED
+
+
 class ListReader:
     """The duty's work: read the list again and again, tell it when it changed, and now and then that it did not.
 
     Each read is priced: a list that did not change for a while is read a little more seldom. A reader that
-    is refused waits longer each time.
+    is refused for its rate waits longer each time; one that does not reach the platform looks again soon, as workers may
+    have begun to leave once it is back.
 
-    Example: ``group.create_task(ListReader(own, lambda: instance_list.read(pool, address)).run())``
+    Example: ``group.create_task(ListReader(own, platform_list.read, platform_list.cost).run())``
     """
 
     def __init__(
         self,
         own: node.Node,
         lister: Lister,
+        cost: ReadCost = read_cost,
         period: datetime.timedelta = PERIOD,
         calm_period: datetime.timedelta = CALM_PERIOD,
     ):
         self.node = own
         self.lister = lister
+        self.cost = cost
         self.period = period
         self.calm_period = max(period, calm_period)
         self.duty = duty.Duty(
@@ -113,6 +135,7 @@
         self.revision = control_state.NEVER
         self.beaten = clock.ZERO
         self.refused = 0
+        self.most_pause = MOST_PAUSE
         self.counts = {"list reads": 0, "list refusals": 0, "list changes": 0}
 
     async def run(self) -> None:
@@ -141,11 +164,13 @@
     def wait(self) -> datetime.timedelta:
         """The time from one read to the next.
 
-        Example: ``await moment.pause(reader.wait())``
+        Example: ``await clock.sleep(reader.wait())``
         """
         if self.refused:
-            return min(MOST_PAUSE, self.period * 2 ** min(self.refused, 8))
-        return self.calm_period if clock.now() - self.changed > CALM else self.period
+            pause = min(self.most_pause, self.period * 2 ** min(self.refused, 8))
+        else:
+            pause = self.calm_period if clock.now() - self.changed > CALM else self.period
+        return max(pause, self.cost() / SHARE)
 
     async def step(self, now: datetime.timedelta) -> None:
         """Read once, and tell what is to be told.
@@ -157,6 +182,7 @@
             found = await self.lister()
         except result.RequestError as refusal:
             self.refused += 1
+            self.most_pause = MOST_PAUSE if rate_spent(refusal) else MOST_PAUSE_UNREACHED
             self.counts["list refusals"] += 1
             LOG.info("{}", refusal)
             return
@@ -194,9 +220,9 @@
 class Watch:
     """An edge's way to the list: the relay tree's word, or a read of its own when that stays away too long.
 
-    ``rate`` gives the platform's bound on reads a second from all nodes together, which may change while it runs.
+    ``cost`` says for how long one read takes up the rate that the platform grants all nodes together.
 
-    Example: ``group.create_task(Watch(own, known, lister, rate=lambda: 44.0).run())``
+    Example: ``group.create_task(Watch(own, known, platform_list.read, platform_list.cost).run())``
     """
 
     def __init__(
@@ -204,12 +230,12 @@
         own: node.Node,
         known: instances.Instances,
         lister: Lister,
-        rate: collections.abc.Callable[[], float] = lambda: RATE,
+        cost: ReadCost = read_cost,
     ):
         self.node = own
         self.instances = known
         self.lister = lister
-        self.rate = rate
+        self.cost = cost
         self.taken: updates.News | None = None
         self.counted: updates.News | None = None
         self.next_read = clock.ZERO
@@ -280,8 +306,9 @@
                 self.refused = 0
                 self.instances.take(found, now)
             except result.RequestError as refusal:
-                self.refused += 1
+                most = MOST_DOUBLINGS if rate_spent(refusal) else MOST_DOUBLINGS_UNREACHED
+                self.refused = min(self.refused + 1, most)
                 LOG.info("{}", refusal)
-            span = max(CALM_PERIOD, clock.seconds(nodes / (self.rate() * SHARE)))
-            span *= self.node.environment.randomness.uniform(0.7, 1.3) * 2 ** min(self.refused, 3)
+            span = max(CALM_PERIOD, nodes * self.cost() / SHARE)
+            span *= self.node.environment.randomness.uniform(0.7, 1.3) * 2**self.refused
             self.next_read = clock.now() + span
--- a/aspencroft/workers/list_reader_test.py
+++ b/aspencroft/workers/list_reader_test.py
@@ -27,6 +27,8 @@
         self.listed: dict[str, instance.Instance] = {"a": worker("a"), "b": worker("b")}
         self.reads: list[tuple[float, str]] = []
         self.refuses = False
+        self.refusal = result.ResultCode.OVERLOADED
+        self.cost = clock.seconds(1 / 44)
         self.readers: dict[str, list_reader.ListReader] = {}
         self.watches: dict[str, list_reader.Watch] = {}
 
@@ -40,7 +42,7 @@
             self.reads.append((self.scene.loop.time(), name))
             await asyncio.sleep(0.02)
             if self.refuses:
-                raise result.RequestError(result.ResultCode.OVERLOADED)
+                raise result.RequestError(self.refusal)
             return list(self.listed.values())
 
         return read
@@ -52,9 +54,11 @@
         """
         own = self.scene.nodes[name]
         if name.startswith("edge"):
-            self.watches[name] = part = list_reader.Watch(own, instances.Instances(), self.lister(name), lambda: 44.0)
+            self.watches[name] = part = list_reader.Watch(
+                own, instances.Instances(), self.lister(name), lambda: self.cost
+            )
         else:
-            self.readers[name] = part = list_reader.ListReader(own, self.lister(name))
+            self.readers[name] = part = list_reader.ListReader(own, self.lister(name), lambda: self.cost)
         self.scene.loop.create_task(part.run(), context=self.scene.loop.context_of(name))
 
     def holder(self) -> str:
@@ -183,6 +187,39 @@
     play(7, acts)
 
 
+def test_a_worker_that_leaves_as_the_platform_comes_back_is_known_as_soon_as_ever():
+    for seed in range(20, 26):
+
+        async def acts(platform):
+            platform.refuses, platform.refusal = True, result.ResultCode.LIST_BROKEN
+            await asyncio.sleep(30 + platform.scene.chance.random() * 5)
+            platform.refuses = False
+            platform.listed["b"] = worker("b", True)
+            platform.reads.clear()
+            assert await platform.everywhere("a", 2) < 2
+            await asyncio.sleep(1.3)
+            assert platform.holder() in {name for _, name in platform.reads}
+
+        play(seed, acts)
+
+
+def test_a_list_that_takes_many_pages_is_read_no_more_often_than_half_of_the_rate():
+    async def acts(platform):
+        platform.cost = clock.seconds(2)
+        await asyncio.sleep(6)
+        platform.reads.clear()
+        await asyncio.sleep(20)
+        assert len(platform.reads) <= 6
+        for name in platform.scene.cores:
+            platform.scene.loop.freeze(name)
+        await asyncio.sleep(10)
+        platform.reads.clear()
+        await asyncio.sleep(60)
+        assert len(platform.reads) <= 60 / 4 * 1.3
+
+    play(8, acts)
+
+
 def test_a_frozen_holder_tells_nothing_old_when_it_wakes():
     async def acts(platform):
         holder = platform.holder()
