--- a/aspencroft/simulation/mutations.py
+++ b/aspencroft/simulation/mutations.py
@@ -137,7 +137,7 @@
     Mutation(
         "a started member does not ask the other one",
         "replication/log_shipping.py",
-        "        if not own.unsure:\n            return True\n",
+        "        if not own.unsure and not own.copy.incomplete():\n            return True\n",
         "        return True\n",
         (
             "simulation/guarantees_test.py::test_a_disk_that_lost_just_its_last_synced_value_loses_nothing_that_was_acknowledged",
@@ -162,8 +162,8 @@
     Mutation(
         "a woken primary looks neither at its claim nor for its backup",
         "replication/group_state.py",
-        "        return (\n            self.leading and clock.now() < self.lease_end and self.known is not None and self.known.primary == self.me()\n        )\n",
-        "        return self.leading and self.known is not None and self.known.primary == self.me()\n",
+        "            self.leading\n            and clock.now() < self.lease_end\n            and self.known",
+        "            self.leading\n            and self.known",
         ("simulation/guarantees_test.py::test_a_primary_that_wakes_up_answers_nothing_before_it_claimed_anew",),
         (
             (
@@ -527,6 +527,25 @@
         ("workers/pool_test.py",),
     ),
     Mutation(
+        "a turn that cannot be kept is held beyond its route's time",
+        "proxy/forwarder.py",
+        "        within = max(passage.end - clock.now(), OVERTIME)\n",
+        "        within = max(passage.end - clock.now(), LATER)\n",
+        ("simulation/call_troubles_test.py",),
+    ),
+    Mutation(
+        "the window of keys is not that of the settings",
+        "proxy/forwarder.py",
+        "        window = self.node.settings.key_window\n",
+        "        window = WINDOW\n",
+        ("simulation/call_troubles_test.py",),
+    ),
+    Mutation(
+        "an operation key at work is granted again",
+        "sessions/ledger.py",
+        "        if known is not None:\n            mine = not known.outcome",
+        "        if known is not None and known.outcome:\n            mine = not known.outcome",
+        ("simulation/call_troubles_test.py::test_repeats_of_a_key_at_work_never_run_whatever_takeovers_come_between",),
         "only the last 256 taken orders are known again",
         "configuration/taken_orders.py",
         "MOST_RECORDS = 1 << 16\n",
@@ -582,7 +601,7 @@
         "node/drain_order.py",
         "            await self.newest_plan(end)\n            if self.ordered",
         "            if self.ordered",
-        ("node/node_test.py",),
+        ("node/drain_order_test.py",),
     ),
     Mutation(
         "a drain order does not name the plan that it was checked against",
@@ -730,6 +749,219 @@
         "return pause",
         ("workers/list_reader_test.py",),
     ),
+    Mutation(
+        "a torn append is left in the journal",
+        "storage/store.py",
+        "        if self.torn:\n            self.undo()\n",
+        "",
+        (
+            "storage/failing_disk_test.py::test_an_append_cut_off_at_any_byte_by_a_full_disk_leaves_nothing_behind",
+            "storage/failing_disk_test.py::test_a_failed_sync_is_no_append",
+        ),
+    ),
+    Mutation(
+        "an append goes on behind a pointer that was not made to last",
+        "storage/store.py",
+        "        if self.replaced is not None:\n            self.finish_point()\n",
+        "",
+        ("storage/failing_disk_test.py::test_a_pointer_that_was_not_made_to_last_holds_appends_back",),
+    ),
+    Mutation(
+        "what a start finds is not synced",
+        "storage/store.py",
+        "        self.disk.synchronise(data_file)\n        index =",
+        "        index =",
+        ("storage/failing_disk_test.py::test_what_a_killed_process_wrote_and_never_synced_lasts_once_it_was_found",),
+    ),
+    Mutation(
+        "a pointer is not synced before the older generation goes",
+        "storage/store.py",
+        "    disk.synchronise(folder)\n    for number",
+        "    for number",
+        (
+            "storage/failing_disk_test.py::test_a_pointer_renamed_by_a_killed_process_lasts_before_the_older_generation_goes",
+        ),
+    ),
+    Mutation(
+        "a cancelled append is written but not remembered",
+        "replication/replica.py",
+        "        await uninterrupted.finish(self.write_and_fold(entries))\n",
+        "        await self.write_and_fold(entries)\n",
+        (
+            "replication/interrupted_write_test.py::test_an_append_that_is_cancelled_at_any_moment_is_whole_in_memory_or_not_on_the_disk",
+            "replication/interrupted_write_test.py::test_a_backup_whose_handler_is_cancelled_mid_write_never_holds_an_entry_twice",
+        ),
+    ),
+    Mutation(
+        "a tenure that ends confirms what is undecided",
+        "replication/primary.py",
+        "            self.leave_unclear(held_back)\n",
+        "            self.answer(held_back)\n",
+        (
+            "replication/interrupted_write_test.py::test_a_primary_whose_disk_fails_steps_aside_and_comes_back_as_a_backup",
+        ),
+    ),
+    Mutation(
+        "a primary with a hanging disk goes on renewing its lease",
+        "replication/primary.py",
+        "            own.check_disk()\n",
+        "",
+        ("replication/interrupted_write_test.py::test_a_primary_with_a_hanging_disk_stops_renewing_its_lease",),
+    ),
+    Mutation(
+        "half a snapshot is installed",
+        "replication/snapshot_transfer.py",
+        "        if end.transfer != self.transfer or end.size != self.size:\n",
+        "        if end.transfer != self.transfer:\n",
+        ("replication/snapshot_transfer_test.py::test_half_a_snapshot_is_not_installed_and_two_are_not_mixed",),
+    ),
+    Mutation(
+        "a broken transfer begins anew",
+        "replication/snapshot_transfer.py",
+        "        if self.current is None or self.current.snapshot is not snapshot:\n",
+        "        if True:\n",
+        (
+            "replication/snapshot_transfer_test.py::test_a_transfer_that_breaks_goes_on_where_it_was_and_is_not_used_before",
+        ),
+    ),
+    Mutation(
+        "a copy whose repair broke off may lead",
+        "replication/log_shipping.py",
+        "        if not own.unsure and not own.copy.incomplete():\n            return True\n",
+        "        if not own.unsure:\n            return True\n",
+        (
+            "replication/snapshot_transfer_test.py::test_a_backup_whose_repair_broke_off_never_leads_without_what_was_acknowledged",
+        ),
+    ),
+    Mutation(
+        "patience ends also for a copy whose repair broke off",
+        "replication/log_shipping.py",
+        "        if own.copy.incomplete():\n            own.why",
+        "        if False:\n            own.why",
+        (
+            "replication/snapshot_transfer_test.py::test_a_backup_whose_repair_broke_off_never_leads_without_what_was_acknowledged",
+        ),
+    ),
+    Mutation(
+        "a repair's goal does not last",
+        "replication/replica.py",
+        "            await self.write(goal)\n",
+        "",
+        (
+            "replication/snapshot_transfer_test.py::test_a_transfer_that_breaks_goes_on_where_it_was_and_is_not_used_before",
+        ),
+    ),
+    Mutation(
+        "snapshots wait for the changes of a whole day",
+        "replication/replica.py",
+        "        return clock.now() >= self.rest_end and self.longer_than(RESTED_ENTRIES, RESTED_BYTES)\n",
+        "        return False\n",
+        ("replication/interrupted_write_test.py::test_disk_and_start_follow_the_state_and_not_the_number_of_changes",),
+    ),
+    Mutation(
+        "a repair that cuts a copy back leaves no mark",
+        "replication/replica.py",
+        "            await self.write(goal)\n            self.goal = goal\n",
+        "            self.goal = None\n",
+        (
+            "replication/interrupted_write_test.py::test_an_end_at_any_sync_of_appends_snapshots_and_repairs_keeps_what_was_acknowledged",
+        ),
+    ),
+    Mutation(
+        "an append is confirmed before its sync",
+        "storage/store.py",
+        '        for name in ("journal.dat", "journal.dir"):\n            self.disk.synchronise(self.home() / name)\n',
+        "",
+        (
+            "replication/interrupted_write_test.py::test_an_end_at_any_sync_of_appends_snapshots_and_repairs_keeps_what_was_acknowledged",
+        ),
+    ),
+    Mutation(
+        "a rewritten generation forgets that a repair is under way",
+        "replication/replica.py",
+        "            [self.goal] if self.incomplete() else [],\n",
+        "",
+        (
+            "replication/interrupted_write_test.py::test_an_end_at_any_sync_of_appends_snapshots_and_repairs_keeps_what_was_acknowledged",
+        ),
+    ),
+    Mutation(
+        "a large plan goes to a child as one message",
+        "distribution/relay.py",
+        ' if len(whole.body) <= plan_transfer.PART_BYTES else ""\n',
+        "\n",
+        ("distribution/plan_transfer_test.py::test_a_child_that_was_away_for_any_number_of_changes_catches_up",),
+    ),
+    Mutation(
+        "a row of steps is sent though a step is missing",
+        "distribution/relay.py",
+        "        if place != self.revision:\n            whole",
+        "        if not row:\n            whole",
+        ("distribution/plan_transfer_test.py::test_a_child_that_was_away_for_any_number_of_changes_catches_up",),
+    ),
+    Mutation(
+        "parts of two plans are mixed",
+        "distribution/plan_transfer.py",
+        "        if part.digest != self.digest:\n",
+        "        if self.digest == NO_DIGEST:\n",
+        ("distribution/plan_transfer_test.py::test_parts_of_two_plans_are_not_mixed",),
+    ),
+    Mutation(
+        "a repeat under another condition is known again",
+        "../platform/configuration.py",
+        'f"{method} {condition} {content}"',
+        'f"{method} {content}"',
+        ("platform_check/operator_api_test.py", "platform_check/configuration_test.py"),
+    ),
+    Mutation(
+        "PUT and PATCH of one content are one order",
+        "../platform/configuration.py",
+        'f"{method} {condition} {content}"',
+        'f"{condition} {content}"',
+        ("platform_check/operator_api_test.py",),
+    ),
+    Mutation(
+        "an order is told apart by how it is spaced",
+        "../platform/configuration.py",
+        "    content = json.dumps(document, sort_keys=True, ",
+        "    content = json.dumps(document, sort_keys=False, ",
+        ("platform_check/operator_api_test.py",),
+    ),
+    Mutation(
+        "the bound on a body follows the plan",
+        "../platform/operator_api.py",
+        "        condition = condition_of(request)\n        return await take(configuration.whole(condition, await body_of(request)))",
+        "        condition, body = condition_of(request), await body_of(request)\n"
+        "        if len(body) > own.relay.plan.limits.body_bytes:\n"
+        "            raise result.RequestError(result.ResultCode.TOO_LARGE)\n"
+        "        return await take(configuration.whole(condition, body))",
+        ("platform_check/operator_api_test.py",),
+    ),
+    Mutation(
+        "a refusal whose outcome is unknown is called clear",
+        "../platform/operator_api.py",
+        "    clear = refusal.ran is result.Ran.NOT_RUN\n",
+        "    clear = True\n",
+        ("platform_check/operator_api_test.py::test_only_what_surely_was_not_taken_is_called_refused",),
+    ),
+    Mutation(
+        "a version beyond 64 bits is taken for a number",
+        "../platform/configuration.py",
+        " or abs(version) > json_input.LARGEST_WHOLE:",
+        ":",
+        (
+            "platform_check/operator_api_test.py::test_a_version_that_no_record_can_hold_is_invalid_on_every_node_also_the_primary",
+        ),
+    ),
+    Mutation(
+        "a primary that fails acknowledges what it could not write",
+        "replication/primary.py",
+        "        finally:\n            self.leave_unclear(held_back)\n",
+        "        finally:\n            self.answer(held_back)\n",
+        (
+            "replication/primary_test.py::test_an_order_that_the_primary_could_not_write_is_not_answered_though_its_lease_stands",
+        ),
+    ),
 )
 
 
