--- a/aspencroft/simulation/mutations.py
+++ b/aspencroft/simulation/mutations.py
@@ -546,6 +546,8 @@
         "        if known is not None:\n            mine = not known.outcome",
         "        if known is not None and known.outcome:\n            mine = not known.outcome",
         ("simulation/call_troubles_test.py::test_repeats_of_a_key_at_work_never_run_whatever_takeovers_come_between",),
+    ),
+    Mutation(
         "only the last 256 taken orders are known again",
         "configuration/taken_orders.py",
         "MOST_RECORDS = 1 << 16\n",
@@ -962,6 +964,13 @@
             "replication/primary_test.py::test_an_order_that_the_primary_could_not_write_is_not_answered_though_its_lease_stands",
         ),
     ),
+    Mutation(
+        "nodes do not knock at seeds that they do not know to be live",
+        "membership/failure_detector.py",
+        "for address in (*self.seeds, *self.proposer.voter_set.everyone())\n",
+        "for address in ()\n",
+        ("membership/seeds_test.py",),
+    ),
 )
 
 
