The window of operation keys is taken from newer settings while running

Cause: the forwarder reads it from the settings for each call; a longer window that needs a restart would let a key run twice. Test: settings_test (the window of the newer settings is in force after reloaded).

--- a/aspencroft/node/settings.py
+++ b/aspencroft/node/settings.py
@@ -13,7 +13,7 @@
 
 EDGE, STORAGE, CORE = "edge", "storage", "core"
 SEEDS = "seeds"
-CHANGEABLE = frozenset(("seeds", "confirm"))
+CHANGEABLE = frozenset(("seeds", "confirm", "key_window"))
 START_ONLY = frozenset(("first_start",))
 SCHEMA = voluptuous.Schema(
     {
--- a/aspencroft/node/settings_test.py
+++ b/aspencroft/node/settings_test.py
@@ -22,9 +22,8 @@
 
 def test_of_newer_settings_only_what_may_change_is_taken_and_the_rest_is_named():
     before = settings.check(PLACE)
-    fresh = settings.check(
-        {**PLACE, "seeds": ["127.0.0.1:7", "127.0.0.1:8", "127.0.0.1:9"], "area": "south", "first_start": False}
-    )
+    seeds = ["127.0.0.1:7", "127.0.0.1:8", "127.0.0.1:9"]
+    fresh = settings.check({**PLACE, "seeds": seeds, "key_window": 90, "area": "south", "first_start": False})
     merged, fixed = before.reloaded(fresh)
     assert (merged.seeds, merged.area, merged.first_start) == (fresh.seeds, "north", True)
-    assert fixed == ("area",)
+    assert fixed == ("area",) and merged.key_window == fresh.key_window != before.key_window
