--- a/aspencroft/simulation/mutations.py
+++ b/aspencroft/simulation/mutations.py
@@ -546,6 +546,8 @@
         "        if known is not None:\n            mine = not known.outcome",
         "        if known is not None and known.outcome:\n            mine = not known.outcome",
         ("simulation/call_troubles_test.py::test_repeats_of_a_key_at_work_never_run_whatever_takeovers_come_between",),
+    ),
+    Mutation(
         "only the last 256 taken orders are known again",
         "configuration/taken_orders.py",
         "MOST_RECORDS = 1 << 16\n",
@@ -723,6 +725,34 @@
         "elif len(staying)",
         ("replication/second_loss_test.py", "replication/replica_changes_test.py"),
     ),
+    Mutation(
+        "seeds of newer settings are not used to join",
+        "cli/settings_reload.py",
+        "        self.node.ring.seeds = merged.seeds\n",
+        "",
+        ("cli/settings_reload_test.py",),
+    ),
+    Mutation(
+        "settings that need a restart are taken while running",
+        "node/settings.py",
+        "for name in changed if name in CHANGEABLE}",
+        "for name in changed}",
+        ("node/settings_test.py",),
+    ),
+    Mutation(
+        "a reader of the list waits long after the platform was out of reach",
+        "workers/list_reader.py",
+        "MOST_PAUSE_UNREACHED = clock.seconds(1.2)\n",
+        "MOST_PAUSE_UNREACHED = MOST_PAUSE\n",
+        ("workers/list_reader_test.py",),
+    ),
+    Mutation(
+        "a list of many pages is read as often as one of a single page",
+        "workers/list_reader.py",
+        "return max(pause, self.cost() / SHARE)",
+        "return pause",
+        ("workers/list_reader_test.py",),
+    ),
     Mutation(
         "a torn append is left in the journal",
         "storage/store.py",
@@ -936,6 +966,13 @@
             "replication/primary_test.py::test_an_order_that_the_primary_could_not_write_is_not_answered_though_its_lease_stands",
         ),
     ),
+    Mutation(
+        "nodes do not knock at seeds that they do not know to be live",
+        "membership/failure_detector.py",
+        "for address in (*self.seeds, *self.proposer.voter_set.everyone())\n",
+        "for address in ()\n",
+        ("membership/seeds_test.py",),
+    ),
 )
 
 
