--- a/aspencroft/benchmarks/catchup.py
+++ b/aspencroft/benchmarks/catchup.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import hashlib
 import json
 import pathlib
 import tempfile
@@ -43,7 +44,7 @@
     service = operator_configuration.Item("services", "service", "{}", "services", "service", '{"kind": "plain"}')
     upserts = (service, *map(route, range(routes))) if number == 1 else (route(number % routes),)
     return operator_configuration.ApplyConfiguration(
-        number, number - 1, number == 1, upserts, (), f"order {number}".encode()
+        number, number - 1, number == 1, upserts, (), hashlib.blake2b(b"order %d" % number, digest_size=16).digest()
     )
 
 
--- a/aspencroft/replication/snapshot_transfer_test.py
+++ b/aspencroft/replication/snapshot_transfer_test.py
@@ -198,7 +198,9 @@
 
 
 @pytest.mark.parametrize("differing", [1, 5, 30])
-def test_a_repair_never_cuts_a_backup_back_below_what_was_acknowledged(tmp_path, small, differing):
+def test_a_repair_never_cuts_a_backup_back_below_what_was_acknowledged(tmp_path, small, monkeypatch, differing):
+    monkeypatch.setattr(log_shipping, "MEND_BYTES", 800)
+
     async def acts(those: members.Members) -> None:
         held = await begun(those, more=70)
         peer = those.hosts["n1:1"]
