--- a/aspencroft/benchmarks/catchup.py
+++ b/aspencroft/benchmarks/catchup.py
@@ -1,10 +1,12 @@
 """Catching up: what a member that was away takes to hold the newest state, against the number of changes meanwhile.
 
-One change a second. The members run in simulated time (1 ms for each message on its way, disks that take 1 to 3 ms for each piece of work), so that
-times here count round trips and disk work but no bandwidth; bytes are those of the messages and of the files.
+One change a second. The members run in simulated time (1 ms for each message on its way, disks that take 1 to 3 ms for
+each piece of work), so that times here count round trips and disk work but no bandwidth; bytes are those of the
+messages and of the files.
 """
 
 import asyncio
+import hashlib
 import json
 import pathlib
 import tempfile
@@ -42,7 +44,7 @@
     service = operator_configuration.Item("services", "service", "{}", "services", "service", '{"kind": "plain"}')
     upserts = (service, *map(route, range(routes))) if number == 1 else (route(number % routes),)
     return operator_configuration.ApplyConfiguration(
-        number, number - 1, number == 1, upserts, (), f"order {number}".encode()
+        number, number - 1, number == 1, upserts, (), hashlib.blake2b(b"order %d" % number, digest_size=16).digest()
     )
 
 
