--- a/aspencroft/simulation/mutations.py
+++ b/aspencroft/simulation/mutations.py
@@ -527,25 +527,6 @@
         ("workers/pool_test.py",),
     ),
     Mutation(
-        "a turn that cannot be kept is held beyond its route's time",
-        "proxy/forwarder.py",
-        "        within = max(passage.end - clock.now(), OVERTIME)\n",
-        "        within = max(passage.end - clock.now(), LATER)\n",
-        ("simulation/call_troubles_test.py",),
-    ),
-    Mutation(
-        "the window of keys is not that of the settings",
-        "proxy/forwarder.py",
-        "        window = self.node.settings.key_window\n",
-        "        window = WINDOW\n",
-        ("simulation/call_troubles_test.py",),
-    ),
-    Mutation(
-        "an operation key at work is granted again",
-        "sessions/ledger.py",
-        "        if known is not None:\n            mine = not known.outcome",
-        "        if known is not None and known.outcome:\n            mine = not known.outcome",
-        ("simulation/call_troubles_test.py::test_repeats_of_a_key_at_work_never_run_whatever_takeovers_come_between",),
         "only the last 256 taken orders are known again",
         "configuration/taken_orders.py",
         "MOST_RECORDS = 1 << 16\n",
@@ -851,6 +832,27 @@
         "        if self.digest == NO_DIGEST:\n",
         ("distribution/plan_transfer_test.py::test_parts_of_two_plans_are_not_mixed",),
     ),
+    Mutation(
+        "a turn that cannot be kept is held beyond its route's time",
+        "proxy/forwarder.py",
+        "        within = max(passage.end - clock.now(), OVERTIME)\n",
+        "        within = max(passage.end - clock.now(), LATER)\n",
+        ("simulation/call_troubles_test.py",),
+    ),
+    Mutation(
+        "the window of keys is not that of the settings",
+        "proxy/forwarder.py",
+        "        window = self.node.settings.key_window\n",
+        "        window = WINDOW\n",
+        ("simulation/call_troubles_test.py",),
+    ),
+    Mutation(
+        "an operation key at work is granted again",
+        "sessions/ledger.py",
+        "        if known is not None:\n            mine = not known.outcome",
+        "        if known is not None and known.outcome:\n            mine = not known.outcome",
+        ("simulation/call_troubles_test.py::test_repeats_of_a_key_at_work_never_run_whatever_takeovers_come_between",),
+    ),
 )
 
 
