--- a/aspencroft/node/node.py
+++ b/aspencroft/node/node.py
@@ -13,16 +13,24 @@
 import aspencroft.residency.messages as residency_messages
 from aspencroft.alerts import sample
 from aspencroft.configuration import control_state, operator_configuration
-from aspencroft.consensus import proposer, replica_set, witness, witness_bootstrap, witness_changes, witness_placement
+from aspencroft.consensus import (
+    proposer,
+    record_recovery,
+    replica_set,
+    witness,
+    witness_bootstrap,
+    witness_changes,
+    witness_placement,
+)
 from aspencroft.distribution import relay, updates
 from aspencroft.errors import result
-from aspencroft.gateway import trace
 from aspencroft.leadership import duty
 from aspencroft.membership import cluster_member, failure_detector
 from aspencroft.node import drain_order, settings
 from aspencroft.replication import group_replica, group_state, replica
 from aspencroft.runtime import clock, environment, supervision
 from aspencroft.sessions import lane_sessions
+from aspencroft.tracing import trace
 from aspencroft.transport import codec, connections
 
 LOG = logbook.Logger("node")
@@ -80,6 +88,9 @@
             place.witnesses == settings.CORE,
         )
         self.relay = relay.Relay(self.link, self.ring, place.currency)
+        self.record_recovery = record_recovery.RecordRecovery(
+            self.witness, self.proposer, place.address, self.ring.holdings, self.ring.hold
+        )
         self.reseat = witness_changes.WitnessChanges(
             self.link, self.proposer, place.address, self.rooted, self.wished_seeds
         )
@@ -208,6 +219,8 @@
                 return await self.ring.beat(message)
             case updates.Pull():
                 return self.relay.answer_pull(message, self.rooted())
+            case updates.FetchPlan():
+                return self.relay.answer_fetch(message)
             case cluster_member.Join():
                 return self.ring.join(message)
             case updates.Push():
@@ -222,7 +235,7 @@
             case replica_set.LeaseRequest():
                 return await self.witness.claim(message)
             case replica_set.Prepare():
-                return await self.witness.raise_ballot(message)
+                return await self.witness.prepare(message)
             case replica_set.Accept():
                 return await self.witness.accept(message)
             case replica_set.WitnessStateRequest():
@@ -242,6 +255,12 @@
                 return self.host(message.pair).compare(message)
             case replication_messages.Repair():
                 return await self.host(message.holding.pair).repair(message)
+            case replication_messages.BeginRepair():
+                return await self.host(message.holding.pair).begin_repair(message)
+            case replication_messages.SnapshotPart():
+                return self.host(message.holding.pair).take_snapshot_part(message)
+            case replication_messages.InstallSnapshot():
+                return await self.host(message.holding.pair).install_snapshot(message)
             case replication_messages.Ask():
                 return self.host(message.pair).stands(message)
             case replication_messages.Appoint():
@@ -563,6 +582,7 @@
                 "seat": self.seat.run,
                 "relay": self.relay.run,
                 "holdings": self.share_holdings,
+                "records": self.record_recovery.run,
             }
             works.update({f"pair {pair}": held.run for pair, held in self.hosts.items()})
             works.update({f"pictures {pair}": held.copy.draw_pictures for pair, held in self.hosts.items()})
--- a/aspencroft/storage/store.py
+++ b/aspencroft/storage/store.py
@@ -1,9 +1,11 @@
 """A crash-safe store over dbm.dumb: only new keys, every value checked, the index rebuilt by scan."""
 
 import collections.abc
+import contextlib
 import dataclasses
 import dbm.dumb
 import enum
+import errno
 import os
 import pathlib
 import struct
@@ -12,12 +14,15 @@
 
 from aspencroft.runtime import environment
 
-HEADER = struct.Struct(">4sQIQ")
+HEADER = struct.Struct(">4sQIQQ")
 CHECK = struct.Struct(">I")
 OVERHEAD = HEADER.size + CHECK.size
-MAGIC = b"acv1"
+MAGIC = b"acv2"
+FORMER_HEADER = struct.Struct(">4sQIQ")
+FORMER_MAGIC = b"acv1"
 BLOCK = 512
 CURRENT = "current"
+LOST_BY_DISK = 1
 
 
 class Condition(enum.Enum):
@@ -49,12 +54,22 @@
     condition: Condition
 
 
-def value(index: int, item: Item) -> bytes:
+@dataclasses.dataclass(frozen=True)
+class StoredValue:
+    """A whole value found in a data file; ``synced`` is how many values lasted on the disk before it was written."""
+
+    index: int
+    item: Item
+    synced: int
+    end: int
+
+
+def value(index: int, item: Item, synced: int) -> bytes:
     """The bytes stored under the key of an index.
 
-    Example: ``value(0, Item(1, b"x"))``
+    Example: ``value(0, Item(1, b"x"), 0)``
     """
-    header = HEADER.pack(MAGIC, index, len(item.payload), item.epoch)
+    header = HEADER.pack(MAGIC, index, len(item.payload), item.epoch, synced)
     return header + CHECK.pack(zlib.crc32(item.payload, zlib.crc32(header))) + item.payload
 
 
@@ -76,44 +91,98 @@
         return os.pread(self.descriptor, max(0, stop - start), start)
 
 
-def value_at(data: bytes | FileBytes, place: int) -> tuple[int, Item, int] | None:
-    """Index, item and end of the value at a place, or nothing when it is not whole.
+def value_at(data: bytes | FileBytes, place: int) -> StoredValue | None:
+    """The value at a place, or nothing when it is not whole.
+
+    Values of the former format count as written one by one, each after all before it lasted.
 
-    Example: ``value_at(value(0, item), 0) == (0, item, OVERHEAD + len(item.payload))``
+    Example: ``value_at(value(0, item, 0), 0).item == item``
     """
-    if place + OVERHEAD > len(data) or data[place : place + 4] != MAGIC:
+    magic = data[place : place + len(MAGIC)]
+    layout = {MAGIC: HEADER, FORMER_MAGIC: FORMER_HEADER}.get(magic)
+    if layout is None or place + layout.size + CHECK.size > len(data):
         return None
-    header, check = data[place : place + HEADER.size], data[place + HEADER.size : place + OVERHEAD]
-    _, index, length, epoch = HEADER.unpack(header)
-    end = place + OVERHEAD + length
+    begin = place + layout.size + CHECK.size
+    header, check = data[place : place + layout.size], data[place + layout.size : begin]
+    _, index, length, epoch, *rest = layout.unpack(header)
+    end = begin + length
     if end > len(data):
         return None
-    payload = data[place + OVERHEAD : end]
+    payload = data[begin:end]
     if zlib.crc32(payload, zlib.crc32(header)) != CHECK.unpack(check)[0]:
         return None
-    return index, Item(epoch, payload), end
+    return StoredValue(index, Item(epoch, payload), rest[0] if rest else index, end)
+
+
+def first_places(data: bytes | FileBytes, count: int) -> list[tuple[int, int]]:
+    """Where the first values are, at most so many.
+
+    Example: ``first_places(b"", 3) == []``
+    """
+    places, place = [], 0
+    while len(places) < count and (found := value_at(data, place)) is not None and found.index == len(places):
+        places.append((place, found.end - place))
+        place = (found.end + BLOCK - 1) // BLOCK * BLOCK
+    return places
 
 
 def scan(data: bytes | FileBytes) -> Scan:
-    """Read a data file front to back; a torn tail is dropped, damage before it is told.
+    """Read a data file front to back.
+
+    A value that is not whole ends the items. Where a later one was written after that value lasted, the file is damaged;
+    else the later ones are of the same batch, which was not synced when the power went: each of its values may be there
+    or missing.
 
     Example: ``scan(b"").condition is Condition.EMPTY``
     """
     items, places, end, place = [], [], 0, 0
-    while (found := value_at(data, place)) is not None and found[0] == len(items):
-        items.append(found[1])
-        places.append((place, found[2] - place))
-        end = found[2]
+    while (found := value_at(data, place)) is not None and found.index == len(items):
+        items.append(found.item)
+        places.append((place, found.end - place))
+        end = found.end
         place = (end + BLOCK - 1) // BLOCK * BLOCK
     for later in range(place, len(data), BLOCK):
-        if value_at(data, later) is not None:
+        beyond = value_at(data, later)
+        if beyond is not None and beyond.synced > len(items):
             return Scan(tuple(items), tuple(places), end, Condition.DAMAGED)
     return Scan(tuple(items), tuple(places), end, Condition.SOUND if items else Condition.EMPTY)
 
 
+@dataclasses.dataclass(frozen=True)
+class Pointer:
+    """The generation in force, and how many values lasted in it when it was pointed to.
+
+    Example: ``Pointer(3, 120).text() == "3 120"``
+    """
+
+    generation: int
+    count: int
+
+    def text(self) -> str:
+        """The pointer as its file holds it.
+
+        Example: ``Pointer(3, 120).text() == "3 120"``
+        """
+        return f"{self.generation} {self.count}"
+
+
+def read_pointer(path: pathlib.Path) -> Pointer | None:
+    """What a pointer file says; none when it says nothing of the kind. Former files name the generation alone.
+
+    Example: ``read_pointer(folder / CURRENT).generation``
+    """
+    words = path.read_text(errors="replace").split()
+    if not words or not all(word.isdigit() for word in words):
+        return None
+    return Pointer(int(words[0]), int(words[1]) if len(words) > 1 else 0)
+
+
 class Store:
     """An append-only list of items in generations of dbm.dumb files.
 
+    Either all items of an append last or none: after a failed one (no space, an input or output error) its bytes are cut
+    off before anything is written behind them, since a torn value amid sound ones would read as damage.
+
     Example: ``kept, items, condition = store.load(folder, disk)``, then ``kept.append(items)``
     inside ``disk.perform``.
     """
@@ -123,6 +192,9 @@
         self.disk = disk
         self.generation = generation
         self.count = 0
+        self.synced = 0
+        self.torn = False
+        self.replaced: pathlib.Path | None = None
         self.database = None
 
     def home(self) -> pathlib.Path:
@@ -135,12 +207,15 @@
     def open(self, found: Scan) -> None:
         """Make index and data agree with the scan, then open the files.
 
+        The data is synced whatever it holds: a process that was killed may have written values that it never synced, and
+        who finds them counts on them from now on.
+
         Example: ``store.open(scan(data))``
         """
         data_file, index_file = self.home() / "journal.dat", self.home() / "journal.dir"
         if data_file.stat().st_size != found.end:
             os.truncate(data_file, found.end)
-            self.disk.synchronise(data_file)
+        self.disk.synchronise(data_file)
         index = "".join(f"{format(number, '016x')!r}, {place!r}\n" for number, place in enumerate(found.places))
         if not index_file.exists() or index_file.read_text("latin-1", errors="replace") != index:
             fresh = self.home() / "journal.fresh"
@@ -148,38 +223,71 @@
             self.disk.synchronise(fresh)
             os.replace(fresh, index_file)
             self.disk.synchronise(self.home())
-        self.database = dbm.dumb.open(str(self.home() / "journal"), "c")
-        self.count = len(found.items)
+        self.database = dbm.dumb.open(str(self.home() / "journal"), "c")  # noqa: SIM115 - open as long as the store
+        self.count = self.synced = len(found.places)
+        self.torn = False
 
     def append(self, items: tuple[Item, ...]) -> None:
-        """Add items and make them last.
+        """Add items and make them last, all or none.
 
         Example: ``await disk.perform(kept.append, (Item(1, b"x"),))``
         """
+        self.prepare()
+        self.torn = True
         self.add(items)
         for name in ("journal.dat", "journal.dir"):
             self.disk.synchronise(self.home() / name)
+        self.torn, self.synced = False, self.count
+
+    def prepare(self) -> None:
+        """Finish what an earlier failure left: a pointer that was not made to last, the bytes of a failed append.
+
+        Example: ``kept.prepare()``
+        """
+        if self.replaced is not None:
+            self.finish_point()
+        if self.torn:
+            self.undo()
+
+    def undo(self) -> None:
+        """Cut off all that was added since the last append that succeeded.
+
+        Example: ``kept.undo()``
+        """
+        with (self.home() / "journal.dat").open("rb") as file:
+            places = first_places(FileBytes(file), self.synced)
+        if len(places) < self.synced:
+            raise OSError(errno.EIO, f"{self.synced - len(places)} lasting values of {self.home()} are gone")
+        end = places[-1][0] + places[-1][1] if places else 0
+        self.open(Scan((), tuple(places), end, Condition.SOUND))
 
     def add(self, items: collections.abc.Iterable[Item]) -> None:
         """Write items under new keys; the index that dbm.dumb would rewrite at its end stays unused.
 
         Example: ``kept.add((Item(1, b"x"),))``
         """
-        for item in items:
-            self.database[format(self.count, "016x")] = value(self.count, item)
-            self.count += 1
-        self.database._modified = False
+        try:
+            for item in items:
+                self.database[format(self.count, "016x")] = value(self.count, item, self.synced)
+                self.count += 1
+        finally:
+            self.database._modified = False
 
     def replace(self, items: tuple[Item, ...]) -> None:
-        """Write a new generation that holds just these items, then point to it.
+        """Write a new generation that holds just these items, then point to it; this one stays in force if that fails.
 
-        Example: ``await disk.perform(kept.replace, (picture, *tail))``
+        Example: ``await disk.perform(kept.replace, (snapshot, *tail))``
         """
-        old = self.home()
-        self.generation += 1
-        self.blank()
-        self.append(items)
-        self.point(old)
+        fresh = self.successor(self.generation + 1)
+        try:
+            fresh.blank()
+            fresh.append(items)
+            fresh.point(self.home())
+        except OSError:
+            fresh.discard()
+            raise
+        self.generation, self.database, self.replaced = fresh.generation, fresh.database, fresh.replaced
+        self.count, self.synced, self.torn = fresh.count, fresh.synced, fresh.torn
 
     def successor(self, generation: int) -> "Store":
         """A store for a later generation of the same folder; it counts only once it is pointed to.
@@ -201,16 +309,29 @@
     def point(self, old: pathlib.Path) -> None:
         """Point to this generation, whose items were synced, and remove an older one.
 
+        An error means that the older one is in force. Where just the last sync fails, either may be after a loss of power:
+        they hold the same then, and ``append`` adds nothing before that sync succeeded.
+
         Example: ``fresh.point(kept.home())``
         """
         self.disk.synchronise(self.home())
         self.disk.synchronise(self.folder)
         fresh = self.folder / "current.fresh"
-        fresh.write_text(str(self.generation))
+        fresh.write_text(Pointer(self.generation, self.synced).text())
         self.disk.synchronise(fresh)
         os.replace(fresh, self.folder / CURRENT)
+        self.replaced = old
+        with contextlib.suppress(OSError):
+            self.finish_point()
+
+    def finish_point(self) -> None:
+        """Make the pointer last, then remove the generation that it replaced.
+
+        Example: ``kept.finish_point()``
+        """
         self.disk.synchronise(self.folder)
-        remove(old)
+        remove(self.replaced)
+        self.replaced = None
 
     def discard(self) -> None:
         """Remove a generation that was never pointed to.
@@ -233,38 +354,61 @@
         return
 
 
+def make_durable_folder(folder: pathlib.Path, disk: environment.Disk) -> None:
+    """Make a folder whose name outlives a loss of power, also where an earlier run made it and did not sync that.
+
+    Example: ``make_durable_folder(data / "witness", disk)``
+    """
+    folder.mkdir(parents=True, exist_ok=True)
+    disk.synchronise(folder.parent)
+
+
 def load(folder: pathlib.Path, disk: environment.Disk) -> tuple[Store, tuple[Item, ...], Condition]:
     """Open the store in a folder; a damaged one is handed back with no items and starts anew.
 
     Example: ``kept, items, condition = await disk.perform(store.load, folder, disk)``
     """
-    folder.mkdir(parents=True, exist_ok=True)
     pointer = folder / CURRENT
     generations = [int(path.name.rsplit("-", 1)[1]) for path in folder.glob("generation-*")]
     if not pointer.exists():
+        make_durable_folder(folder, disk)
         kept = Store(folder, disk, max(generations, default=0))
         kept.replace(())
         return kept, (), Condition.EMPTY
-    text = pointer.read_text(errors="replace")
-    data_file = folder / f"generation-{text}" / "journal.dat"
-    found = None
-    if text.isdigit() and data_file.exists():
-        with data_file.open("rb") as file:
-            found = scan(FileBytes(file))
-    if found is None or found.condition is Condition.DAMAGED:
+    pointed = read_pointer(pointer)
+    found = scan_generation(folder, pointed, disk) if pointed is not None else None
+    if found is None:
         kept = Store(folder, disk, max(generations, default=0))
         kept.replace(())
         return kept, (), Condition.DAMAGED
-    kept = Store(folder, disk, int(text))
+    kept = Store(folder, disk, pointed.generation)
     kept.open(found)
+    disk.synchronise(folder)
     for number in generations:
         if number != kept.generation:
             remove(folder / f"generation-{number}")
     return kept, found.items, found.condition
 
 
+def scan_generation(folder: pathlib.Path, pointed: Pointer, disk: environment.Disk) -> Scan | None:
+    """Read the generation that is pointed to; none when it is missing or damaged.
+
+    What a killed process wrote and did not sync is read like all else, and is acted on: it is synced first.
+
+    Example: ``scan_generation(folder, Pointer(3, 0), disk).items``
+    """
+    data_file = folder / f"generation-{pointed.generation}" / "journal.dat"
+    if not data_file.exists():
+        return None
+    disk.synchronise(data_file)
+    with data_file.open("rb") as file:
+        found = scan(FileBytes(file))
+    missing = pointed.count - len(found.items)
+    return None if found.condition is Condition.DAMAGED or missing > LOST_BY_DISK else found
+
+
 class Inline:
-    """A disk that syncs nothing, for the tests below."""
+    """A disk that syncs nothing, for tests."""
 
     def synchronise(self, path: pathlib.Path) -> None:
         """Nothing to do.
