--- a/aspencroft/simulation/mutations.py
+++ b/aspencroft/simulation/mutations.py
@@ -942,6 +942,7 @@
         for name in ("pyproject.toml", "README.md"):
             shutil.copy(ROOT / name, folder / name)
         shutil.copytree(ROOT / "docs", folder / "docs")
+        shutil.copytree(ROOT / "platform", folder / "platform", ignore=shutil.ignore_patterns("__pycache__"))
         for file, old, new in one.places():
             path = folder / "aspencroft" / file
             text = path.read_text()
