--- a/aspencroft/consensus/witness_changes.py
+++ b/aspencroft/consensus/witness_changes.py
@@ -13,6 +13,28 @@
 LOG = logbook.Logger("reseat")
 STEP = clock.seconds(0.5)
 ASK = clock.seconds(1)
+JOINT_LEAST = witness.LEASE + 2 * witness.LEASE_MARGIN
+
+
+def following(value: bytes, voter_set: replica_set.VoterSet, fresh: replica_set.VoterSet) -> bytes:
+    """What a ballot on the voter set records: the fresh one, unless one newer than the one it follows may be chosen.
+
+    Example: ``codec.untagged(following(b"", voter_set, fresh)) == fresh``
+    """
+    standing = codec.untagged(value) if value else voter_set
+    return value if standing.number > voter_set.number else codec.tagged(fresh)
+
+
+def may_end(
+    voter_set: replica_set.VoterSet, ready: collections.abc.Collection[str], waited: datetime.timedelta
+) -> bool:
+    """Whether a joint voter set may give way to the coming one.
+
+    Leases of before it must have run out, and a majority of the coming voters must vote under it.
+
+    Example: ``may_end(joint, joint.coming, JOINT_LEAST + clock.seconds(1))``
+    """
+    return waited > JOINT_LEAST and 2 * len(set(voter_set.coming) & set(ready)) > len(set(voter_set.coming))
 
 
 class WitnessChanges:
@@ -63,20 +85,21 @@
             if self.joint_since[0] != voter_set.number:
                 self.joint_since = (voter_set.number, now)
                 await self.tell(voter_set)
-            waited = now - self.joint_since[1] > witness.LEASE + 2 * witness.LEASE_MARGIN
-            if waited and await self.voting(voter_set):
-                await self.record(voter_set, voter_set.coming, ())
-            elif waited:
-                await self.tell(voter_set)
+            waited = now - self.joint_since[1]
+            if waited > JOINT_LEAST:
+                if may_end(voter_set, await self.ready(voter_set), waited):
+                    await self.record(voter_set, voter_set.coming, ())
+                else:
+                    await self.tell(voter_set)
             return
         wished = self.wished()
         if wished and set(wished) != set(voter_set.present):
             await self.record(voter_set, voter_set.present, wished)
 
-    async def voting(self, voter_set: replica_set.VoterSet) -> bool:
-        """Whether a majority of the coming witnesses vote under this roster.
+    async def ready(self, voter_set: replica_set.VoterSet) -> list[str]:
+        """The coming witnesses that vote under this voter set.
 
-        Example: ``await reseat.voting(roster)``
+        Example: ``await changes.ready(voter_set)``
         """
         ready = []
         for address in voter_set.coming:
@@ -86,7 +109,7 @@
                     ready.append(address)
             except result.RequestError:
                 continue
-        return 2 * len(ready) > len(voter_set.coming)
+        return ready
 
     async def record(self, voter_set: replica_set.VoterSet, present: tuple[str, ...], coming: tuple[str, ...]) -> None:
         """Have the next roster chosen by those who vote under this one, and tell everybody concerned.
@@ -98,11 +121,9 @@
             witness_bootstrap.numbered(counter, self.proposer.environment.randomness), present, coming
         )
 
-        def change(value: bytes) -> bytes:
-            standing = codec.untagged(value) if value else voter_set
-            return value if standing.number > voter_set.number else codec.tagged(fresh)
-
-        chosen = await self.proposer.change(replica_set.VOTER_SET, self.address, change)
+        chosen = await self.proposer.change(
+            replica_set.VOTER_SET, self.address, lambda value: following(value, voter_set, fresh)
+        )
         self.counts["rosters"] += 1
         settled = codec.untagged(chosen.value)
         LOG.info("witnesses: {}", settled)
--- a/aspencroft/replication/backup.py
+++ b/aspencroft/replication/backup.py
@@ -1,12 +1,10 @@
 """A backup's watch over its primary, and taking over from it."""
 
-import dataclasses
-
 import logbook
 
 from aspencroft.consensus import proposer, replica_set
 from aspencroft.errors import result
-from aspencroft.replication import group_state, log_shipping
+from aspencroft.replication import group_state, log_shipping, record_changes
 from aspencroft.runtime import clock
 
 LOG = logbook.Logger("following")
@@ -63,17 +61,6 @@
         if not await self.log_shipping.made_sure():
             return
         own.doubt(standing.primary.address)
-        chosen = await own.ballot(
-            lambda newest: (
-                dataclasses.replace(
-                    newest,
-                    epoch=newest.epoch + 1,
-                    primary=own.me(),
-                    backups=tuple(one for one in newest.backups if one != own.me()),
-                )
-                if own.me() in newest.backups and newest.primary == standing.primary
-                else newest
-            )
-        )
+        chosen = await own.ballot(lambda newest: record_changes.take_over(newest, own.me(), standing.primary))
         if proposer.replica_set_of(chosen.value).primary == own.me():
             own.counts["takeovers"] += 1
--- a/aspencroft/replication/group_state.py
+++ b/aspencroft/replication/group_state.py
@@ -9,7 +9,7 @@
 
 from aspencroft.consensus import proposer, replica_set
 from aspencroft.errors import result
-from aspencroft.replication import replica
+from aspencroft.replication import record_changes, replica
 from aspencroft.runtime import clock
 from aspencroft.transport import codec, connections
 
@@ -79,6 +79,7 @@
         self.chosen: proposer.Chosen | None = None
         self.lease_end = clock.ZERO
         self.leading = False
+        self.handing_over = False
         self.heard = clock.ZERO
         self.changed = asyncio.Event()
         self.lock = asyncio.Lock()
@@ -112,9 +113,8 @@
 
         Example: ``if not part.claimed(): raise ...``
         """
-        return (
-            self.leading and clock.now() < self.lease_end and self.known is not None and self.known.primary == self.me()
-        )
+        tenure = record_changes.Tenure(self.leading, self.handing_over, self.lease_end)
+        return record_changes.may_serve(tenure, self.known, self.me(), clock.now())
 
     def check_tenure(self) -> None:
         """Stop at once when the newest record names another primary.
@@ -160,10 +160,7 @@
             standing = proposer.replica_set_of(value)
             if standing is None:
                 raise result.RequestError(result.ResultCode.WITNESS_BLANK, detail="no record of holders yet")
-            fresh = function(standing)
-            if fresh == standing and self.known is not None and self.known.epoch == fresh.epoch and self.known != fresh:
-                fresh = dataclasses.replace(fresh, epoch=fresh.epoch + 1)
-            return codec.tagged(fresh)
+            return codec.tagged(record_changes.distinct(standing, function(standing), self.known))
 
         async with self.balloting:
             chosen = await self.proposer.change(self.pair, str(self.me()), change)
--- a/aspencroft/replication/primary.py
+++ b/aspencroft/replication/primary.py
@@ -9,7 +9,7 @@
 
 from aspencroft.consensus import proposer, replica_set, witness
 from aspencroft.errors import result
-from aspencroft.replication import group_state, log_shipping, replica, replica_changes
+from aspencroft.replication import group_state, log_shipping, record_changes, replica, replica_changes
 from aspencroft.runtime import clock, supervision
 from aspencroft.transport import codec
 
@@ -105,7 +105,7 @@
                 group.create_task(self.tick())
                 group.create_task(self.replica_changes.behind())
         finally:
-            own.leading = False
+            own.leading = own.handing_over = False
             own.lease_end = clock.ZERO
             own.chosen = None
             self.abandon()
@@ -173,8 +173,7 @@
 
         Example: ``serving.enough(own.known)``
         """
-        count = len(standing.members())
-        return count >= self.own.around.copies or (count >= group_state.LEAST and self.short == standing)
+        return record_changes.enough(standing, self.own.around.copies, group_state.LEAST, self.short)
 
     async def serve(self) -> None:
         """Make the backups agree, then take batches of commands; recruit first whenever there are too few members.
@@ -363,17 +362,7 @@
         for one in gone:
             own.doubt(one.address)
         try:
-            await own.ballot(
-                lambda standing: (
-                    dataclasses.replace(
-                        standing,
-                        epoch=standing.epoch + 1,
-                        backups=tuple(one for one in standing.backups if one not in gone),
-                    )
-                    if standing.primary == own.me() and gone & set(standing.backups)
-                    else standing
-                )
-            )
+            await own.ballot(lambda standing: record_changes.without(standing, own.me(), gone))
         except result.RequestError as refusal:
             LOG.info("pair {}: {}", own.pair, refusal)
             await clock.sleep(group_state.RETRY)
--- /dev/null
+++ b/aspencroft/replication/record_changes.py
@@ -0,0 +1,125 @@
+"""The changes that members make to a group's replica set, as pure functions of the record that stands."""
+
+import collections.abc
+import dataclasses
+import datetime
+
+from aspencroft.consensus import replica_set
+
+
+def take_over(
+    standing: replica_set.ReplicaSet, me: replica_set.ReplicaId, silent: replica_set.ReplicaId
+) -> replica_set.ReplicaSet:
+    """A backup of the newest record becomes the primary, only in the place of the one that it found silent.
+
+    Example: ``take_over(standing, me, standing.primary).primary == me``
+    """
+    if me not in standing.backups or standing.primary != silent:
+        return standing
+    backups = tuple(one for one in standing.backups if one != me)
+    return dataclasses.replace(standing, epoch=standing.epoch + 1, primary=me, backups=backups)
+
+
+def without(
+    standing: replica_set.ReplicaSet,
+    me: replica_set.ReplicaId,
+    gone: collections.abc.Collection[replica_set.ReplicaId],
+) -> replica_set.ReplicaSet:
+    """The primary has some backups recorded out.
+
+    Example: ``without(standing, standing.primary, standing.backups).backups == ()``
+    """
+    if standing.primary != me or not set(gone) & set(standing.backups):
+        return standing
+    backups = tuple(one for one in standing.backups if one not in gone)
+    return dataclasses.replace(standing, epoch=standing.epoch + 1, backups=backups)
+
+
+def with_backup(
+    standing: replica_set.ReplicaSet, me: replica_set.ReplicaId, peer: replica_set.ReplicaId
+) -> replica_set.ReplicaSet:
+    """The primary has a node whose copy is the same recorded as a backup.
+
+    Example: ``peer in with_backup(standing, standing.primary, peer).backups``
+    """
+    if standing.primary != me or any(one.address == peer.address for one in standing.backups):
+        return standing
+    return dataclasses.replace(standing, epoch=standing.epoch + 1, backups=(*standing.backups, peer))
+
+
+def hand_over(
+    standing: replica_set.ReplicaSet, me: replica_set.ReplicaId, heir: replica_set.ReplicaId
+) -> replica_set.ReplicaSet:
+    """The primary makes a backup the primary and stays as a backup.
+
+    Example: ``hand_over(standing, standing.primary, heir).primary == heir``
+    """
+    if standing.primary != me or heir not in standing.backups:
+        return standing
+    backups = (*(one for one in standing.backups if one != heir), me)
+    return dataclasses.replace(standing, epoch=standing.epoch + 1, primary=heir, backups=backups)
+
+
+def distinct(
+    standing: replica_set.ReplicaSet, fresh: replica_set.ReplicaSet, known: replica_set.ReplicaSet | None
+) -> replica_set.ReplicaSet:
+    """The record to propose: with the next epoch where another one of the same epoch is known here.
+
+    Witnesses may have told of a record that was accepted by few and never chosen; a chosen one must be newer.
+
+    Example: ``distinct(standing, standing, None) == standing``
+    """
+    if fresh == standing and known is not None and known.epoch == fresh.epoch and known != fresh:
+        return dataclasses.replace(fresh, epoch=fresh.epoch + 1)
+    return fresh
+
+
+def enough(standing: replica_set.ReplicaSet, copies: int, least: int, short: replica_set.ReplicaSet | None) -> bool:
+    """Whether a record names enough members to answer.
+
+    ``copies`` must hold what is answered, or ``least`` of them when a look at all other nodes under this very record,
+    ``short``, found none that could hold a copy, as those are lost machines then.
+
+    Example: ``enough(standing, 3, 2, None)``
+    """
+    count = len(standing.members())
+    return count >= copies or (count >= least and short == standing)
+
+
+def may_leave(staying: int, members: int, copies: int) -> bool:
+    """Whether members that are being drained may be recorded out: only while enough others hold the copy.
+
+    Example: ``may_leave(2, 3, 2)``
+    """
+    return copies <= staying < members
+
+
+@dataclasses.dataclass(frozen=True)
+class Tenure:
+    """A member's time as primary: whether it leads, whether it is handing its place over, and its lease's end."""
+
+    leading: bool
+    handing_over: bool
+    lease_end: datetime.timedelta
+
+
+def may_serve(
+    tenure: Tenure,
+    known: replica_set.ReplicaSet | None,
+    me: replica_set.ReplicaId,
+    now: datetime.timedelta,
+) -> bool:
+    """Whether a member may act as the primary at this moment.
+
+    One that is handing over may not, whatever lease is granted to it meanwhile: witnesses drop that lease once they
+    accept the next primary, which may lead before this one hears of it.
+
+    Example: ``may_serve(Tenure(True, False, end), standing, standing.primary, now)``
+    """
+    return (
+        tenure.leading
+        and not tenure.handing_over
+        and now < tenure.lease_end
+        and known is not None
+        and known.primary == me
+    )
--- a/aspencroft/replication/replica_changes.py
+++ b/aspencroft/replication/replica_changes.py
@@ -1,14 +1,13 @@
 """Finding other disks for a group, and moving it off machines that are emptied or stopped."""
 
 import asyncio
-import dataclasses
 import zlib
 
 import logbook
 
 from aspencroft.consensus import proposer, replica_set
 from aspencroft.errors import result
-from aspencroft.replication import group_state, log_shipping, messages
+from aspencroft.replication import group_state, log_shipping, messages, record_changes
 from aspencroft.runtime import clock
 
 LOG = logbook.Logger("recruiting")
@@ -95,13 +94,7 @@
         if own.around.emptied(peer.address):
             return False
         try:
-            chosen = await own.ballot(
-                lambda standing: (
-                    dataclasses.replace(standing, epoch=standing.epoch + 1, backups=(*standing.backups, peer))
-                    if standing.primary == own.me() and all(one.address != peer.address for one in standing.backups)
-                    else standing
-                )
-            )
+            chosen = await own.ballot(lambda standing: record_changes.with_backup(standing, own.me(), peer))
             own.check_tenure()
             if peer not in own.known.backups:
                 return False
@@ -164,18 +157,10 @@
             heir = next((one for one in own.known.backups if one in staying), None)
             if heir is not None:
                 await self.transfer_leadership(heir)
-        elif len(staying) >= own.around.copies and len(staying) < len(own.known.members()):
+        elif record_changes.may_leave(len(staying), len(own.known.members()), own.around.copies):
             try:
                 await own.ballot(
-                    lambda standing: (
-                        dataclasses.replace(
-                            standing,
-                            epoch=standing.epoch + 1,
-                            backups=tuple(one for one in standing.backups if one in staying),
-                        )
-                        if standing.primary == own.me() and set(standing.backups) - set(staying)
-                        else standing
-                    )
+                    lambda standing: record_changes.without(standing, own.me(), set(standing.backups) - set(staying))
                 )
             except result.RequestError as refusal:
                 LOG.info("pair {}: moving away: {}", own.pair, refusal)
@@ -186,21 +171,11 @@
         Example: ``await recruiting.hand_over(own.known.backups[0])``
         """
         own = self.own
-        own.lease_end = clock.ZERO
-        await own.ballot(
-            lambda standing: (
-                dataclasses.replace(
-                    standing,
-                    epoch=standing.epoch + 1,
-                    primary=heir,
-                    backups=(*(one for one in standing.backups if one != heir), own.me()),
-                )
-                if standing.primary == own.me() and heir in standing.backups
-                else standing
-            )
-        )
+        own.handing_over = True
+        await own.ballot(lambda standing: record_changes.hand_over(standing, own.me(), heir))
         await own.link.ask(heir.address, messages.Appoint(own.known), group_state.REPLY)
         own.check_tenure()
+        own.handing_over = False
 
 
 def hash_of(text: str) -> int:
--- a/aspencroft/replication/replica_changes_test.py
+++ b/aspencroft/replication/replica_changes_test.py
@@ -1,6 +1,8 @@
 """Tests of finding members, of ballots without word of their outcome, and of leaving machines."""
 
+from aspencroft.consensus import witness
 from aspencroft.replication import group_state
+from aspencroft.runtime import clock
 from aspencroft.simulation import members
 
 
@@ -100,3 +102,26 @@
         assert "a" in those.hosts[leader].copy.view.document["services"]
 
     members.play(tmp_path, 4, acts)
+
+
+def test_a_primary_that_hands_over_serves_nothing_though_a_lease_is_granted_meanwhile(tmp_path):
+    async def acts(those: members.Members) -> None:
+        own = those.hosts["n0:1"]
+        those.run(*those.names)
+        await those.until(lambda: own.why == "serving" and own.known.backups and own.claimed())
+        ballot, served = own.ballot, []
+
+        async def while_leases_are_renewed(change):
+            own.lease_end = clock.now() + witness.LEASE
+            served.append(own.claimed())
+            return await ballot(change)
+
+        own.ballot = while_leases_are_renewed
+        try:
+            await own.replica_changes.transfer_leadership(own.known.backups[0])
+        except group_state.Deposed:
+            pass
+        assert served == [False]
+        assert those.register.standing().primary != own.me()
+
+    members.play(tmp_path, 3, acts)
--- a/aspencroft/simulation/mutations.py
+++ b/aspencroft/simulation/mutations.py
@@ -159,7 +159,7 @@
     Mutation(
         "a woken primary looks neither at its claim nor for its backup",
         "replication/group_state.py",
-        "        return (\n            self.leading and clock.now() < self.lease_end and self.known is not None and self.known.primary == self.me()\n        )\n",
+        "        return record_changes.may_serve(tenure, self.known, self.me(), clock.now())\n",
         "        return self.leading and self.known is not None and self.known.primary == self.me()\n",
         ("simulation/guarantees_test.py::test_a_primary_that_wakes_up_answers_nothing_before_it_claimed_anew",),
         (
@@ -392,9 +392,9 @@
     ),
     Mutation(
         "too few members answer without a look at other disks",
-        "replication/primary.py",
-        "        return count >= self.own.around.copies or (count >= group_state.LEAST and self.short == standing)\n",
-        "        return count >= self.own.around.copies or count >= group_state.LEAST\n",
+        "replication/record_changes.py",
+        "    return count >= copies or (count >= least and short == standing)\n",
+        "    return count >= copies or count >= least\n",
         ("replication/primary_test.py",),
     ),
     Mutation(
@@ -413,16 +413,16 @@
     ),
     Mutation(
         "emptied members go before others hold the copy",
-        "replication/replica_changes.py",
-        "        elif len(staying) >= own.around.copies and len(staying) < len(own.known.members()):\n",
-        "        elif len(staying) < len(own.known.members()):\n",
+        "replication/record_changes.py",
+        "    return copies <= staying < members\n",
+        "    return staying < members\n",
         ("replication/replica_changes_test.py",),
     ),
     Mutation(
         "whoever is primary is taken over from",
-        "replication/backup.py",
-        "                if own.me() in newest.backups and newest.primary == standing.primary\n",
-        "                if own.me() in newest.backups\n",
+        "replication/record_changes.py",
+        "    if me not in standing.backups or standing.primary != silent:\n",
+        "    if me not in standing.backups:\n",
         ("replication/backup_test.py",),
     ),
     Mutation(
