A started backup is sure only of what the primary confirmed, or as the primary itself

Cause: the replica model found a lost acknowledgement: a backup syncs an entry, loses power and its last value within the append's 0.7 s, compares with another member that has not synced the entry yet and is sure from then on; the entry is acknowledged, the primary lost, and the backup takes over without it. Also an Append that did not fit, and the first part of a repair, made a started backup sure. Change: a comparison is final only for one that leads (log_shipping.is_final); an Append counts once it fits; a repair alone does not. A witness's writes go on when their asker goes away (Proposer.ask_all cancels the local one). Ruled out: to wait in the takeover for the old lease's end, as the record's ballot already does.

--- a/aspencroft/consensus/witness.py
+++ b/aspencroft/consensus/witness.py
@@ -107,10 +107,13 @@
     async def settle(self, step: witness_state.Step) -> replica_set.BallotReply | None:
         """Take a step's state into memory, sync it, and then hand out its reply.
 
+        An asker that needs no more answers may go away in the middle; what memory holds is synced all the same.
+
         Example: ``return await witness.settle(step)``
         """
         self.state = step.state
-        await self.keep(*step.writes)
+        if step.writes:
+            await asyncio.shield(asyncio.ensure_future(self.keep(*step.writes)))
         return step.reply
 
     async def prepare(self, message: replica_set.Prepare) -> replica_set.BallotReply:
--- a/aspencroft/replication/group_replica.py
+++ b/aspencroft/replication/group_replica.py
@@ -98,8 +98,9 @@
             if message.holding.epoch < self.known.epoch or self.me() not in self.known.backups:
                 raise result.RequestError(result.ResultCode.LOWER_EPOCH, detail=f"epoch {self.known.epoch} stands")
             await self.copy.hold(self.known)
-            self.heard, self.unsure = clock.now(), False
+            self.heard = clock.now()
             fresh = self.copy.beyond(message.previous, message.entries)
+            self.unsure = False
             if fresh:
                 await self.copy.append(fresh)
                 self.copy.begin_snapshot()
@@ -122,7 +123,7 @@
             if self.leading or message.identity != self.copy.identity or message.holding.epoch < self.known.epoch:
                 raise result.RequestError(result.ResultCode.LOWER_EPOCH, detail="not to be mended by that")
             await self.copy.hold(message.holding)
-            self.heard, self.unsure = clock.now(), False
+            self.heard = clock.now()
             return messages.Appended(await self.copy.repair(message.through, message.snapshot, message.entries))
 
     async def appoint(self, message: messages.Appoint) -> replica_set.Acknowledged:
--- a/aspencroft/replication/log_shipping.py
+++ b/aspencroft/replication/log_shipping.py
@@ -121,7 +121,7 @@
             asked = [group.create_task(self.take_from(one)) for one in others]
         told = [task.result() for task in asked]
         if True in told or told.count(None) == len(told) or clock.now() >= own.patience_end:
-            own.unsure = False
+            own.unsure = not is_final(own.leading)
             return True
         own.why = "waits for another member after the start"
         return False
@@ -150,3 +150,14 @@
         except result.RequestError as refusal:
             LOG.info("pair {}: comparing with {}: {}", own.pair, peer.address, refusal)
             return False
+
+
+def is_final(leading: bool) -> bool:
+    """Whether a comparison after a start need not be made again.
+
+    As a backup it must: until its lease is over, the old primary may acknowledge an entry that this copy synced before its disk
+    lost it, and that the member asked had not synced yet. One that leads was chosen after that lease was over.
+
+    Example: ``is_final(leading=True)``
+    """
+    return leading
--- a/aspencroft/replication/log_shipping_test.py
+++ b/aspencroft/replication/log_shipping_test.py
@@ -1,6 +1,7 @@
 """Tests of comparing copies after a start, and of appending to several backups."""
 
-from aspencroft.replication import replica
+from aspencroft.errors import result
+from aspencroft.replication import messages, replica
 from aspencroft.runtime import clock
 from aspencroft.simulation import members
 
@@ -54,3 +55,36 @@
         assert (clock.now() - began).total_seconds() < 1.3
 
     members.play(tmp_path, 3, acts, members=3)
+
+
+def test_a_backup_that_compared_after_its_start_compares_again_once_it_leads(tmp_path):
+    async def acts(those: members.Members) -> None:
+        own = those.hosts["n1:1"]
+        assert await own.log_shipping.made_sure() and own.unsure
+        late = entries(own.copy, 1)
+        await those.hosts["n2:1"].copy.append(late)
+        own.leading = True
+        assert await own.log_shipping.made_sure() and not own.unsure
+        assert those.same("n1:1", "n2:1")
+
+    members.play(tmp_path, 3, acts, members=3)
+
+
+def test_a_message_that_does_not_fit_does_not_make_a_started_backup_sure(tmp_path):
+    async def acts(those: members.Members) -> None:
+        first, own = those.hosts["n0:1"], those.hosts["n1:1"]
+        before = first.copy.last()
+        lost, fresh = entries(first.copy, 2)
+        await first.copy.append((lost,))
+        try:
+            await own.append(messages.Append(own.known, first.copy.last(), (fresh,)))
+            raise AssertionError("an entry was taken that leaves out another")
+        except result.RequestError:
+            assert own.unsure
+        repair = messages.Repair(own.known, own.copy.identity, before.sequence, None, (lost,))
+        await own.repair(repair)
+        assert own.unsure
+        await own.append(messages.Append(own.known, first.copy.last(), ()))
+        assert not own.unsure
+
+    members.play(tmp_path, 2, acts)
