--- a/aspencroft/consensus/witness_changes.py
+++ b/aspencroft/consensus/witness_changes.py
@@ -1,6 +1,7 @@
 """Changing the witnesses while the fleet runs: through a joint roster, recorded with both majorities."""
 
 import collections.abc
+import contextlib
 import datetime
 
 import logbook
@@ -12,7 +13,7 @@
 
 LOG = logbook.Logger("reseat")
 STEP = clock.seconds(0.5)
-ASK = clock.seconds(1)
+ASK = clock.seconds(0.4)
 JOINT_LEAST = witness.LEASE + 2 * witness.LEASE_MARGIN
 
 
@@ -37,6 +38,16 @@
     return waited > JOINT_LEAST and 2 * len(set(voter_set.coming) & set(ready)) > len(set(voter_set.coming))
 
 
+def in_force(voter_set: replica_set.VoterSet, ready: collections.abc.Collection[str]) -> bool:
+    """Whether a majority of the present voters votes under a joint set, so that no quorum of the former one is left.
+
+    Leases that the former set granted run from before that moment.
+
+    Example: ``in_force(joint, joint.present)``
+    """
+    return 2 * len(set(voter_set.present) & set(ready)) > len(set(voter_set.present))
+
+
 class WitnessChanges:
     """The control primary's work on the roster; any later primary goes on where this one stopped.
 
@@ -75,40 +86,49 @@
     async def step(self) -> None:
         """Begin a change that is wished for, or end one that is under way.
 
-        A joint roster is ended only once claims of before it ran out, and a majority of the coming
+        A joint voter set is ended only once leases of before it ran out, and a majority of the coming
         witnesses vote under it.
 
-        Example: ``await reseat.step()``
+        Example: ``await changes.step()``
         """
-        voter_set, now = self.proposer.voter_set, clock.now()
+        voter_set = self.proposer.voter_set
         if voter_set.coming:
-            if self.joint_since[0] != voter_set.number:
-                self.joint_since = (voter_set.number, now)
-                await self.tell(voter_set)
-            waited = now - self.joint_since[1]
-            if waited > JOINT_LEAST:
-                if may_end(voter_set, await self.ready(voter_set), waited):
-                    await self.record(voter_set, voter_set.coming, ())
-                else:
-                    await self.tell(voter_set)
+            await self.step_joint(voter_set)
             return
         wished = self.wished()
         if wished and set(wished) != set(voter_set.present):
             await self.record(voter_set, voter_set.present, wished)
 
+    async def step_joint(self, voter_set: replica_set.VoterSet) -> None:
+        """End a joint voter set if it may end; else tell those who do not vote under it yet.
+
+        Example: ``await changes.step_joint(voter_set)``
+        """
+        ready = await self.ready(voter_set)
+        if in_force(voter_set, ready) and self.joint_since[0] != voter_set.number:
+            self.joint_since = (voter_set.number, clock.now())
+        known = self.joint_since[0] == voter_set.number
+        if known and may_end(voter_set, ready, clock.now() - self.joint_since[1]):
+            await self.record(voter_set, voter_set.coming, ())
+        else:
+            await self.tell(voter_set, (), frozenset(ready))
+
     async def ready(self, voter_set: replica_set.VoterSet) -> list[str]:
-        """The coming witnesses that vote under this voter set.
+        """The present and coming witnesses that vote under this voter set.
 
         Example: ``await changes.ready(voter_set)``
         """
         ready = []
-        for address in voter_set.coming:
-            try:
+
+        async def ask(address: str) -> None:
+            with contextlib.suppress(result.RequestError):
                 reply = await self.link.ask(address, replica_set.WitnessStateRequest(self.address), ASK)
                 if reply.voting and reply.voter_set.number == voter_set.number:
                     ready.append(address)
-            except result.RequestError:
-                continue
+
+        async with supervision.Group() as group:
+            for address in voter_set.everyone():
+                group.create_task(ask(address))
         return ready
 
     async def record(self, voter_set: replica_set.VoterSet, present: tuple[str, ...], coming: tuple[str, ...]) -> None:
@@ -130,18 +150,22 @@
         self.proposer.learn(settled)
         await self.tell(settled, voter_set.everyone())
 
-    async def tell(self, voter_set: replica_set.VoterSet, others: tuple[str, ...] = ()) -> None:
-        """Tell present, coming and former witnesses of a chosen roster.
+    async def tell(
+        self,
+        voter_set: replica_set.VoterSet,
+        others: tuple[str, ...] = (),
+        informed: frozenset[str] = frozenset(),
+    ) -> None:
+        """Tell present, coming and former witnesses of a chosen voter set, but for those that know it.
 
-        Example: ``await reseat.tell(roster)``
+        Example: ``await changes.tell(voter_set)``
         """
 
         async def one(address: str) -> None:
-            try:
+            with contextlib.suppress(result.RequestError):
                 await self.link.ask(address, replica_set.VoterSetChosen(voter_set), ASK)
-            except result.RequestError:
-                return
 
         async with supervision.Group() as group:
             for address in dict.fromkeys((*voter_set.everyone(), *others)):
-                group.create_task(one(address))
+                if address not in informed:
+                    group.create_task(one(address))
--- a/aspencroft/replication/group_replica.py
+++ b/aspencroft/replication/group_replica.py
@@ -124,7 +124,9 @@
                 raise result.RequestError(result.ResultCode.LOWER_EPOCH, detail="not to be mended by that")
             await self.copy.hold(message.holding)
             self.heard = clock.now()
-            return messages.Appended(await self.copy.repair(message.through, message.snapshot, message.entries))
+            last = await self.copy.repair(message.through, message.snapshot, message.entries)
+            self.unsure = False
+            return messages.Appended(last)
 
     async def appoint(self, message: messages.Appoint) -> replica_set.Acknowledged:
         """Hear at once of a record that names this node.
--- a/aspencroft/replication/group_state.py
+++ b/aspencroft/replication/group_state.py
@@ -77,6 +77,7 @@
         self.around = around
         self.known: replica_set.ReplicaSet | None = None
         self.chosen: proposer.Chosen | None = None
+        self.chosen_record: replica_set.ReplicaSet | None = None
         self.lease_end = clock.ZERO
         self.leading = False
         self.handing_over = False
@@ -113,9 +114,19 @@
 
         Example: ``if not part.claimed(): raise ...``
         """
-        tenure = record_changes.Tenure(self.leading, self.handing_over, self.lease_end)
+        tenure = record_changes.Tenure(self.leading, self.handing_over, self.lease_end, self.knows_chosen())
         return record_changes.may_serve(tenure, self.known, self.me(), clock.now())
 
+    def knows_chosen(self) -> bool:
+        """Whether the newest record known here is the very one under which this node asks for its lease.
+
+        A witness may tell of a record that few accepted. Who served under it would leave out a backup that the chosen
+        record names, and that may take over.
+
+        Example: ``part.knows_chosen()``
+        """
+        return self.chosen is not None and self.chosen_record == self.known
+
     def check_tenure(self) -> None:
         """Stop at once when the newest record names another primary.
 
@@ -150,8 +161,8 @@
     ) -> proposer.Chosen:
         """One ballot on the record of holders; what it chose is known from then on.
 
-        Witnesses may have told of a record that was accepted by few and never chosen. Where the chosen one bears the same epoch,
-        it is given the next one, so that it is the newer one for everybody.
+        Witnesses may have told of a record that was accepted by few and never chosen. Where the chosen one bears no
+        higher epoch, it is given the next one, so that it is the newer one for everybody.
 
         Example: ``await part.ballot(lambda standing: standing)``
         """
@@ -160,7 +171,7 @@
             standing = proposer.replica_set_of(value)
             if standing is None:
                 raise result.RequestError(result.ResultCode.WITNESS_BLANK, detail="no record of holders yet")
-            return codec.tagged(record_changes.distinct(standing, function(standing), self.known))
+            return codec.tagged(record_changes.distinct(function(standing), self.known))
 
         async with self.balloting:
             chosen = await self.proposer.change(self.pair, str(self.me()), change)
@@ -168,6 +179,6 @@
             if self.me() in fresh.members():
                 await self.copy.hold(fresh)
             if fresh.primary == self.me():
-                self.chosen = chosen
+                self.chosen, self.chosen_record = chosen, fresh
             self.learn(fresh)
             return chosen
--- a/aspencroft/replication/record_changes.py
+++ b/aspencroft/replication/record_changes.py
@@ -60,17 +60,15 @@
     return dataclasses.replace(standing, epoch=standing.epoch + 1, primary=heir, backups=backups)
 
 
-def distinct(
-    standing: replica_set.ReplicaSet, fresh: replica_set.ReplicaSet, known: replica_set.ReplicaSet | None
-) -> replica_set.ReplicaSet:
-    """The record to propose: with the next epoch where another one of the same epoch is known here.
+def distinct(fresh: replica_set.ReplicaSet, known: replica_set.ReplicaSet | None) -> replica_set.ReplicaSet:
+    """The record to propose: with the next epoch where another one of no lower epoch is known here.
 
     Witnesses may have told of a record that was accepted by few and never chosen; a chosen one must be newer.
 
-    Example: ``distinct(standing, standing, None) == standing``
+    Example: ``distinct(standing, None) == standing``
     """
-    if fresh == standing and known is not None and known.epoch == fresh.epoch and known != fresh:
-        return dataclasses.replace(fresh, epoch=fresh.epoch + 1)
+    if known is not None and fresh.epoch <= known.epoch and fresh != known:
+        return dataclasses.replace(fresh, epoch=known.epoch + 1)
     return fresh
 
 
@@ -96,11 +94,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Tenure:
-    """A member's time as primary: whether it leads, whether it is handing its place over, and its lease's end."""
+    """A member's time as primary: whether it leads or hands its place over, its lease's end, and whether the newest record
+    that it knows is the one that it had chosen.
+    """
 
     leading: bool
     handing_over: bool
     lease_end: datetime.timedelta
+    knows_chosen: bool
 
 
 def may_serve(
@@ -112,12 +113,14 @@
     """Whether a member may act as the primary at this moment.
 
     One that is handing over may not, whatever lease is granted to it meanwhile: witnesses drop that lease once they
-    accept the next primary, which may lead before this one hears of it.
+    accept the next primary, which may lead before this one hears of it. One that was told of a record that it did not have
+    chosen may not either: a record that few accepted can leave out a backup that may take over.
 
     Example: ``may_serve(Tenure(True, False, end), standing, standing.primary, now)``
     """
     return (
         tenure.leading
+        and tenure.knows_chosen
         and not tenure.handing_over
         and now < tenure.lease_end
         and known is not None
--- /dev/null
+++ b/aspencroft/simulation/model_check.py
@@ -0,0 +1,133 @@
+"""Model checks of the protocol: which scenarios are explored, to which bound, and a command that prints what was visited."""
+
+import collections.abc
+import dataclasses
+import sys
+
+import defopt
+
+from aspencroft.runtime import clock
+from aspencroft.simulation import consensus_model, explorer, replica_model
+
+FIVE = ("a", "b", "c", "d", "e")
+SMALL = explorer.Bound(depth=80, states=200_000)
+LARGE = 5_000_000
+Voting = consensus_model.Budget
+Copies = replica_model.Budget
+
+
+@dataclasses.dataclass(frozen=True)
+class Check:
+    """A named model, and how to build it."""
+
+    name: str
+    model: collections.abc.Callable[[], explorer.Model]
+
+
+def voting(name: str, scenario: consensus_model.Scenario) -> Check:
+    """A check of voters, ballots and leases.
+
+    Example: ``voting("takeover", consensus_model.Scenario()).name``
+    """
+    return Check(name, lambda: consensus_model.ConsensusModel(scenario))
+
+
+def copies(name: str, scenario: replica_model.Scenario) -> Check:
+    """A check of a group's copies.
+
+    Example: ``copies("takeover of copies", replica_model.Scenario()).name``
+    """
+    return Check(name, lambda: replica_model.ReplicaModel(scenario))
+
+
+def voting_checks(voters: tuple[str, ...], fine: bool = False) -> tuple[Check, ...]:
+    """The checks of voters: takeover, two ballots, hand-over, lost disks, restarts, a change of the voter set.
+
+    With ``fine`` the clock steps by half a lease.
+
+    Example: ``voting_checks(("a", "b", "c"))``
+    """
+    step = clock.seconds(0.5) if fine else clock.seconds(1)
+    more = 1 if fine else 0
+    budgets = {
+        "takeover": Voting(ballots=1, leases=2, clock_steps=2 + more),
+        "two ballots": Voting(ballots=2, leases=0, clock_steps=1, gossip=1, delays=1),
+        "hand-over": Voting(ballots=1, leases=2, clock_steps=0, hand_overs=1, gossip=1),
+        "lost disk and ballots": Voting(ballots=2, leases=0, clock_steps=2 + more, lost_disks=1),
+        "lost disk and lease": Voting(ballots=1, leases=2, clock_steps=2 + more, lost_disks=1),
+        "restart and lease": Voting(ballots=1, leases=2, clock_steps=2 + more, voter_restarts=1),
+        "power lost in a write": Voting(ballots=1, leases=0, clock_steps=2 + more, lost_disks=1, torn_writes=1),
+        "lost value": Voting(ballots=2, leases=0, clock_steps=1, lost_values=1),
+        "late and repeated requests": Voting(
+            ballots=2, leases=0, clock_steps=1, delays=1, duplicates=1, lost_replies=1
+        ),
+    }
+    size = len(voters)
+    checks = [
+        voting(f"{size} voters: {name}", consensus_model.Scenario(voters, (), 2, budget, step))
+        for name, budget in budgets.items()
+    ]
+    coming = (*voters[2:], *(f"n{number}" for number in range(2)))
+    change = Voting(ballots=1, leases=0, clock_steps=2 + 2 * more, voter_set_changes=1, lost_values=1)
+    checks.append(
+        voting(f"{size} voters: change of two", consensus_model.Scenario(voters, coming, 1, change, step)),
+    )
+    return tuple(checks)
+
+
+def copies_checks() -> tuple[Check, ...]:
+    """The checks of copies: takeover, a lost value, draining with a lost disk, unknown outcomes, short records.
+
+    Example: ``copies_checks()[0].name``
+    """
+    return (
+        copies("copies: takeover", replica_model.Scenario(3, 3, 2, Copies(restarts=1))),
+        copies("copies: lost value", replica_model.Scenario(3, 3, 2, Copies(takeovers=2, lost_values=1, drops=0))),
+        copies(
+            "copies: drained and then a lost disk",
+            replica_model.Scenario(
+                4, 2, 2, Copies(entries=1, takeovers=0, lost_disks=1, drops=0, drains=1, enlistments=2)
+            ),
+        ),
+        copies(
+            "copies: unknown outcome of an enlistment",
+            replica_model.Scenario(3, 2, 2, Copies(enlistments=1, unknown_outcomes=1)),
+        ),
+        copies(
+            "copies: two losses of three",
+            replica_model.Scenario(3, 3, 3, Copies(entries=1, lost_disks=2, failed_looks=1)),
+        ),
+    )
+
+
+def run(checks: collections.abc.Iterable[Check], bound: explorer.Bound) -> dict[str, explorer.Exploration]:
+    """Explore each check to the bound.
+
+    Example: ``run(copies_checks(), SMALL)``
+    """
+    return {one.name: explorer.explore(one.model(), bound) for one in checks}
+
+
+def model_check(*, voters: int = 3, depth: int = 200, states: int = LARGE, only: str = "", fine: bool = False) -> None:
+    """Explore all checks, print states visited and the bound; a trace where an invariant is broken.
+
+    :param voters: how many voters, three or five
+    :param depth: most steps from the first state
+    :param states: most states of each check
+    :param only: just checks whose name holds this text
+    :param fine: clock steps of half a lease
+    """
+    bound = explorer.Bound(depth, states)
+    broken = 0
+    for one in (*voting_checks(FIVE[:voters], fine), *copies_checks()):
+        if only not in one.name:
+            continue
+        found = explorer.explore(one.model(), bound)
+        broken += found.violation is not None
+        print(f"{one.name}: {found.text()}", *found.trace, sep="\n    ", flush=True)
+    print(f"bound: depth {depth}, {states} states a check; {broken} broken")
+    sys.exit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    defopt.run(model_check)
--- a/aspencroft/simulation/replica_model.py
+++ b/aspencroft/simulation/replica_model.py
@@ -113,7 +113,7 @@
         """Whether a node may act as the primary, by the product's rule."""
         node = state.nodes[place]
         lease_end = NOW + clock.seconds(1) if state.holder == place else clock.ZERO
-        tenure = record_changes.Tenure(node.leading, False, lease_end)
+        tenure = record_changes.Tenure(node.leading, False, lease_end, True)
         return record_changes.may_serve(tenure, node.known, identity(place, node), NOW)
 
     def answers(self, state: State, place: int) -> bool:
