Time bounds of a deployment checked at start against the product's own times

Cause: nothing said whether heartbeats, leases, takeover and relay times can meet a deployment's bounds. Ruled out: measuring at start, as a start is no calm moment.

--- a/aspencroft/node/node.py
+++ b/aspencroft/node/node.py
@@ -19,7 +19,7 @@
 from aspencroft.gateway import trace
 from aspencroft.leadership import duty
 from aspencroft.membership import cluster_member, failure_detector
-from aspencroft.node import settings
+from aspencroft.node import settings, timing_check
 from aspencroft.replication import group_replica, group_state, replica
 from aspencroft.runtime import clock, environment, supervision
 from aspencroft.sessions import lane_sessions
@@ -114,6 +114,23 @@
         self.sampled: list[collections.abc.Callable[[], list[sample.Sample]]] = [self.own_samples]
         self.outside: collections.Counter = collections.Counter()
         self.standing: collections.Counter = collections.Counter()
+        self.unmet_bounds = self.check_times()
+
+    def check_times(self) -> tuple[str, ...]:
+        """The time bounds of the settings that this node's own times cannot meet; each is said in the log.
+
+        Example: ``node.check_times() == ()``
+        """
+        times = timing_check.times_in_force(
+            self.settings.currency,
+            self.settings.confirm,
+            APPLY,
+            max(self.settings.copies, timing_check.CONTROL_MEMBERS),
+        )
+        unmet = timing_check.violations(times, self.settings.bounds)
+        for text in unmet:
+            LOG.error("the time bounds of this deployment cannot be met: {}", text)
+        return unmet
 
     # -- what is known of others -----------------------------------------------------------------
 
@@ -717,6 +734,7 @@
             "role": self.settings.role,
             "incarnation": self.incarnation,
             "leaving": self.stopping.is_set(),
+            "unmet_bounds": list(self.unmet_bounds),
             "plan": {
                 "revision": self.relay.revision.text(),
                 "current": self.relay.current(),
--- a/aspencroft/node/settings.py
+++ b/aspencroft/node/settings.py
@@ -9,10 +9,13 @@
 
 from aspencroft.configuration import lane, resources
 from aspencroft.consensus import replica_set
+from aspencroft.node import timing_check
 from aspencroft.runtime import clock
 
 EDGE, STORAGE, CORE = "edge", "storage", "core"
 SEEDS = "seeds"
+BOUND = voluptuous.All(voluptuous.Any(int, float), voluptuous.Range(min=0, max=3600))
+BOUNDS = tuple(field.name for field in dataclasses.fields(timing_check.Bounds))
 SCHEMA = voluptuous.Schema(
     {
         voluptuous.Required("address"): resources.ADDRESS,
@@ -40,6 +43,7 @@
             None, voluptuous.All(voluptuous.Any(int, float), voluptuous.Range(min=0, max=60))
         ),
         voluptuous.Optional("first_start", default=True): bool,
+        voluptuous.Optional("bounds", default=dict): {voluptuous.In(BOUNDS): BOUND},
     }
 )
 
@@ -64,7 +68,8 @@
     ``losses`` is how many machines may be lost at once; ``holds`` which groups this disk may hold; ``witnesses`` who keeps the
     record of holders, the seeds or the live core nodes; ``currency`` how long a node may act on a plan without renewal;
     ``confirm`` how long an operator's write waits at most until all nodes confirmed it, none for as long as they may act on
-    an older plan; ``first_start`` that this node's empty disk is a new one, not a lost one.
+    an older plan; ``first_start`` that this node's empty disk is a new one, not a lost one; ``bounds`` the time bounds of the
+    deployment, against which the product's own times are checked at the start.
 
     Example: ``settings.read("node.toml")``
     """
@@ -86,6 +91,7 @@
     currency: datetime.timedelta = clock.seconds(4)
     confirm: datetime.timedelta | None = None
     first_start: bool = True
+    bounds: timing_check.Bounds = timing_check.Bounds()
 
     @property
     def copies(self) -> int:
@@ -141,6 +147,7 @@
         clock.seconds(full["currency"]),
         None if full["confirm"] is None else clock.seconds(full["confirm"]),
         full["first_start"],
+        timing_check.Bounds(**{name: clock.seconds(value) for name, value in full["bounds"].items()}),
     )
 
 
--- a/aspencroft/workers/list_reader.py
+++ b/aspencroft/workers/list_reader.py
@@ -10,14 +10,14 @@
 from aspencroft.distribution import updates
 from aspencroft.errors import result
 from aspencroft.leadership import duty
-from aspencroft.node import node, settings
+from aspencroft.node import node, settings, timing_check
 from aspencroft.proxy import instance, instances
 from aspencroft.runtime import clock, supervision
 
 LOG = logbook.Logger("workers")
 TOPIC, READ = "workers", "workers read"
 PERIOD = clock.seconds(0.6)
-CALM_PERIOD = clock.seconds(1)
+CALM_PERIOD = timing_check.WORKER_LIST_PERIOD
 CALM = clock.seconds(4)
 BEAT = clock.seconds(1.2)
 MOST_PAUSE = clock.seconds(5)
