Orders to drain a machine are judged by the control group's primary under its lease

Cause: a core that was cut off judged them by its own view: too few machines left (409), no such machine (404), in service (200); and an answer could take 2.05 s, a caller waits 1 s. Change: DrainMachine and DrainStateRequest go to the root, asked again in one loop (ask_root) that orders of configurations share; it moves on as soon as another primary is known. Ruled out: confirming contact and judging by the own view, as a healed node's view lags by a silence of its failure detector. Seen failing: test_orders_to_empty_a_machine_are_not_refused_by_a_core_that_is_cut_off got 200 for 503 before.

--- a/aspencroft/distribution/updates.py
+++ b/aspencroft/distribution/updates.py
@@ -123,3 +123,28 @@
 
     command: operator_configuration.ApplyConfiguration
     within: datetime.timedelta
+
+
+@codec.kind(163)
+@dataclasses.dataclass(frozen=True)
+class DrainMachine:
+    """An operator's order to the root to drain a machine; answered at the latest after ``within``."""
+
+    name: str
+    within: datetime.timedelta
+
+
+@codec.kind(164)
+@dataclasses.dataclass(frozen=True)
+class DrainStateRequest:
+    """Ask the root how far a machine is drained."""
+
+    name: str
+
+
+@codec.kind(165)
+@dataclasses.dataclass(frozen=True)
+class DrainState:
+    """How far a machine is drained, as the root knows it."""
+
+    state: str
--- a/aspencroft/node/node.py
+++ b/aspencroft/node/node.py
@@ -29,6 +29,7 @@
 STEP = clock.seconds(0.25)
 SAMPLE = clock.seconds(2)
 GO = clock.seconds(1.2)
+STANDS = clock.seconds(0.4)
 AGAIN = clock.seconds(0.05)
 SLICE = clock.seconds(0.1)
 LOST = clock.seconds(3)
@@ -267,6 +268,11 @@
                 return await self.write_here(message)
             case updates.ApplyEverywhere():
                 return await self.apply_here(message)
+            case updates.DrainMachine():
+                await self.empty_here(message.name, message.within)
+                return replica_set.Acknowledged()
+            case updates.DrainStateRequest():
+                return updates.DrainState(await self.emptying_here(message.name))
             case updates.ReadEverywhere():
                 return await self.host(0).submit(control_state.ReadPlan(message.after), GO)
             case trace.TraceRequest():
@@ -372,9 +378,7 @@
                     raise unknown or refusal from None
             await clock.sleep(AGAIN)
 
-    async def ask_primary(
-        self, held: replica_set.ReplicaSet, message: replication_messages.Submit, within: datetime.timedelta
-    ):
+    async def ask_primary(self, held: replica_set.ReplicaSet, message, within: datetime.timedelta):
         """Ask a group's primary; refused as soon as another record names another one, whose answer is then to be asked for.
 
         Example: ``reply = await node.ask_primary(held, message, GO)``
@@ -510,7 +514,17 @@
         Example: ``await node.apply(configuration.ApplyConfiguration(7, 5, True, items, (), digest))``
         """
         span = within + APPLY_ITEM * len(command.upserts)
-        end, unknown = clock.now() + span, None
+        return await self.ask_root(lambda left: updates.ApplyEverywhere(command, left), span)
+
+    async def ask_root(self, message_of: collections.abc.Callable[[datetime.timedelta], object], within):
+        """Ask the control group's primary, whichever node that is, again until it answers; refused after ``within``.
+
+        The message is made of the time that is left, and has to bear being said twice. The last refusal says whether
+        anything may have been done.
+
+        Example: ``await node.ask_root(lambda left: updates.DrainMachine("storage-1", left), APPLY)``
+        """
+        end, unknown = clock.now() + within, None
         while True:
             held, left = self.ring.holdings.get(0), end - clock.now()
             try:
@@ -519,7 +533,7 @@
                         result.ResultCode.NOT_PRIMARY, detail="the control group is not known yet"
                     )
                 async with clock.limit(left):
-                    return await self.link.ask(held.primary.address, updates.ApplyEverywhere(command, left), left)
+                    return await self.ask_primary(held, message_of(left), left)
             except TimeoutError:
                 raise result.RequestError(
                     result.ResultCode.OUTCOME_UNKNOWN, result.Ran.UNKNOWN, "no answer in time"
@@ -557,13 +571,36 @@
         return max(found, key=lambda one: (one.state != cluster_member.DOWN, one.incarnation))
 
     async def empty(self, name: str, within: datetime.timedelta) -> None:
-        """Have a machine's groups moved to others, so that it may be taken away; saying it twice does no harm.
+        """Have the root drain a machine, as it alone surely knows the machines; refused as ``empty_here`` refuses.
+
+        Example: ``await node.empty("storage-1", clock.seconds(0.85))``
+        """
+        await self.ask_root(lambda left: updates.DrainMachine(name, left), within)
+
+    async def emptying(self, name: str, within: datetime.timedelta = APPLY) -> str:
+        """How far a machine is drained, as the root knows it.
+
+        Example: ``await node.emptying("storage-1") == node.EMPTIED``
+        """
+        return (await self.ask_root(lambda left: updates.DrainStateRequest(name), within)).state
+
+    def need_root(self) -> None:
+        """Refused unless this node is the root.
+
+        Example: ``node.need_root()``
+        """
+        if not self.rooted():
+            raise result.RequestError(result.ResultCode.NOT_PRIMARY, detail="not the root", retry=clock.seconds(1))
+
+    async def empty_here(self, name: str, within: datetime.timedelta) -> None:
+        """As root: have a machine's groups moved to others, so that it may be taken away; saying it twice does no harm.
 
         Refused when no machine bears the name (UNKNOWN_RESOURCE), when too few disks would be left for the groups that it
         may hold (TOO_FEW_LEFT); OUTCOME_UNKNOWN when the order is not known to be kept after ``within``.
 
-        Example: ``await node.empty("storage-1", moment.seconds(3))``
+        Example: ``await node.empty_here("storage-1", clock.seconds(3))``
         """
+        self.need_root()
         one = self.named(name)
         if one.address in self.relay.plan.emptied:
             return
@@ -584,13 +621,14 @@
                 result.ResultCode.OUTCOME_UNKNOWN, result.Ran.UNKNOWN, f"emptying {name}"
             ) from None
 
-    async def emptying(self, name: str) -> str:
-        """How far a machine is: IN_SERVICE, or EMPTIED once it holds no group and each that it could hold is whole elsewhere.
+    async def emptying_here(self, name: str) -> str:
+        """As root: how far a machine is: IN_SERVICE, or EMPTIED once it holds no group and each that it could hold is whole elsewhere.
 
         What stands is asked of the groups' primaries, as this node may not have heard of the newest records.
 
-        Example: ``await node.emptying("storage-1") == node.EMPTIED``
+        Example: ``await node.emptying_here("storage-1") == node.EMPTIED``
         """
+        self.need_root()
         one = self.named(name)
         if one.address not in self.relay.plan.emptied:
             return IN_SERVICE
@@ -608,7 +646,7 @@
         if held is None:
             return False
         try:
-            reply = await self.link.ask(held.primary.address, replication_messages.Ask(pair, address), GO)
+            reply = await self.link.ask(held.primary.address, replication_messages.Ask(pair, address), STANDS)
         except result.RequestError:
             return False
         members = reply.holding.members()
