--- a/aspencroft/distribution/relay.py
+++ b/aspencroft/distribution/relay.py
@@ -148,8 +148,8 @@
     def parent(self) -> str | None:
         """The parent at this moment; none for the root.
 
-        While the parent in the tree is left out, the root itself is asked, and while that is left out too, another core:
-        a node that reaches the root is never more than one failed parent away from it.
+        While the parent in the tree is left out, the root itself is asked, and while that is left out too, another
+        core: a node that reaches the root is never more than one failed parent away from it.
 
         Example: ``relay.parent()``
         """
@@ -415,10 +415,11 @@
         if reply.revision == self.revision and reply.currency > clock.ZERO:
             self.currency_end = max(self.currency_end, asked + reply.currency)
         self.root_heard = max(self.root_heard, asked - reply.age)
-        if self.is_stale(reply.age):
+        stale = self.is_stale(reply.age)
+        if stale:
             self.counts["stale parents"] += 1
             self.leave_out(parent)
-        if before != self.revision or self.address not in self.counted:
+        if before != self.revision or (self.address not in self.counted and not stale):
             self.hurry.set()
             await clock.sleep(PULL / 40)
 
--- a/aspencroft/distribution/updates.py
+++ b/aspencroft/distribution/updates.py
@@ -43,8 +43,9 @@
 class Pull:
     """A child asks its parent for news and for plan currency, naming its whole subtree.
 
-    With a ``base``, the digest of the subtree that the parent took last, only what differs from it is named: changed entries and
-    those that are ``gone``. ``digest`` is that of the whole subtree, ``counted`` that of the counted nodes that the child knows.
+    With a ``base``, the digest of the subtree that the parent took last, only what differs from it is named: changed
+    entries and those that are ``gone``. ``digest`` is that of the whole subtree, ``counted`` that of the counted nodes
+    that the child knows.
     """
 
     address: str
@@ -61,9 +62,9 @@
 class Pulled:
     """News that the child lacks, and how long the plan may be trusted from when the child asked.
 
-    ``same``: the counted nodes are those that the child knows. ``lost``: the parent does not hold the subtree that the child's
-    differences are upon, and took nothing from the pull. ``age``: how long ago the root was last heard of, over all relays
-    up to it; zero from the root itself.
+    ``same``: the counted nodes are those that the child knows. ``lost``: the parent does not hold the subtree that the
+    child's differences are upon, and took nothing from the pull. ``age``: how long ago the root was last heard of, over
+    all relays up to it; zero from the root itself.
     """
 
     news: tuple[News, ...]
