--- /dev/null
+++ b/aspencroft/node/root_test.py
@@ -0,0 +1,77 @@
+"""When a node is the root of the relay tree, and which core judges orders to drain a machine."""
+
+import asyncio
+import datetime
+import random
+
+from aspencroft.configuration import control_state
+from aspencroft.errors import result
+from aspencroft.node import node, settings
+from aspencroft.runtime import clock, environment
+from aspencroft.simulation import groups, loop
+
+EPOCH = datetime.datetime(2030, 1, 1, tzinfo=datetime.UTC)
+PLACE = {
+    "address": "127.0.0.1:7000",
+    "http": "127.0.0.1:7001",
+    "area": "north",
+    "seeds": ["127.0.0.1:7000"],
+    "witnesses": "core",
+    "role": "edge",
+}
+
+
+class Primary:
+    """A control group's primary that holds a lease, and reads only once it is allowed to."""
+
+    def __init__(self):
+        self.leased = True
+        self.readable = False
+        self.committed = asyncio.Event()
+        self.lease_end = clock.seconds(60)
+
+    def claimed(self) -> bool:
+        return self.leased
+
+    async def submit(self, command, within):
+        if not self.readable:
+            raise result.RequestError(result.ResultCode.NO_BACKUP)
+        return control_state.PlanRead(control_state.NEVER, "", ())
+
+
+def test_a_primary_is_no_root_before_its_first_read_and_none_after_its_lease():
+    async def acts() -> None:
+        around = environment.Environment(None, None, None, random.Random(1), lambda: EPOCH)
+        own = node.Node(settings.check(PLACE), around)
+        primary = own.hosts[0] = Primary()
+        running = asyncio.ensure_future(own.root())
+        await clock.sleep(clock.seconds(2))
+        assert not own.rooted() and own.relay.currency_end == clock.ZERO
+        primary.readable = True
+        await clock.sleep(clock.seconds(0.5))
+        assert own.rooted() and own.relay.stranger_end > clock.now()
+        primary.leased = False
+        assert not own.rooted()
+        await clock.sleep(clock.seconds(0.5))
+        primary.leased, primary.readable = True, False
+        await clock.sleep(clock.seconds(1))
+        assert not own.rooted(), "a second tenure begins with a read as well"
+        running.cancel()
+
+    loop.SimLoop().run_until_complete(acts())
+
+
+def test_a_core_that_is_cut_off_neither_refuses_nor_answers_orders_to_drain():
+    async def acts(stage: groups.Stage) -> None:
+        scene = stage.scene
+        victim = scene.leader(0)
+        scene.wire.cut([victim], [name for name in scene.names() if name != victim])
+        await asyncio.sleep(8)
+        own = scene.nodes[victim]
+        for work in (own.empty("nobody", node.APPLY), own.empty("storage-2", node.APPLY), own.emptying("storage-2")):
+            began = scene.loop.time()
+            refused = await stage.ask_node(victim, work)
+            assert isinstance(refused, result.RequestError) and refused.result.status >= 500, refused
+            assert refused.retry > clock.ZERO and scene.loop.time() - began < 0.95
+
+    groups.play(7, acts)
--- a/aspencroft/simulation/mutations.py
+++ b/aspencroft/simulation/mutations.py
@@ -439,6 +439,62 @@
         "    if False:\n",
         ("simulation/guarantees_test.py::test_broken_frames_close_the_connection_and_are_counted",),
     ),
+    Mutation(
+        "a stale relay parent is kept",
+        "distribution/relay.py",
+        "        return age > min(STALE + PULL * self.parent_depth, self.currency / 2)\n",
+        "        return False\n",
+        ("distribution/parent_test.py",),
+    ),
+    Mutation(
+        "the root is not asked while the usual parent is left out",
+        "distribution/relay.py",
+        "        candidates = (usual, root, *(",
+        "        candidates = (usual, *(",
+        ("distribution/parent_test.py",),
+        (("for address in order[:SPARE_PARENTS] if", "for address in order[1:SPARE_PARENTS] if"),),
+    ),
+    Mutation(
+        "a relay says that it just heard of the root",
+        "distribution/relay.py",
+        "            tuple(fresh), self.revision, currency, () if same else counted, same, False, now - self.root_heard\n",
+        "            tuple(fresh), self.revision, currency, () if same else counted, same, False, clock.ZERO\n",
+        ("distribution/parent_test.py", "simulation/cutoff_test.py"),
+    ),
+    Mutation(
+        "a child of a stale parent pulls without a pause",
+        "distribution/relay.py",
+        "        if before != self.revision or (self.address not in self.counted and not stale):\n",
+        "        if before != self.revision or self.address not in self.counted:\n",
+        ("distribution/parent_test.py",),
+    ),
+    Mutation(
+        "a new primary is the root before its first read",
+        "node/node.py",
+        "            except result.RequestError:\n                await clock.sleep(STEP / 5)\n            else:\n                if not self.relay.root and held.claimed():\n                    self.relay.become_root()\n",
+        "            except result.RequestError:\n                await clock.sleep(STEP / 5)\n            if not self.relay.root and held.claimed():\n                self.relay.become_root()\n",
+        ("node/root_test.py",),
+    ),
+    Mutation(
+        "any core judges orders to drain a machine",
+        "node/node.py",
+        "        await self.ask_root(lambda left: updates.DrainMachine(name, left), within)\n",
+        "        await self.empty_here(name, within)\n",
+        ("node/root_test.py",),
+        (
+            (
+                '        if not self.rooted():\n            raise result.RequestError(result.ResultCode.NOT_PRIMARY, detail="not the root", retry=clock.seconds(1))\n',
+                "        return\n",
+            ),
+        ),
+    ),
+    Mutation(
+        "time bounds that cannot be met are not said",
+        "node/timing_check.py",
+        "    return tuple(one.text() for one in checked if not one.holds())\n",
+        "    return ()\n",
+        ("node/timing_check_test.py",),
+    ),
 )
 
 
