--- a/aspencroft/simulation/cutoff_test.py
+++ b/aspencroft/simulation/cutoff_test.py
@@ -113,3 +113,29 @@
         await cutoff.random_trouble(scene, trial, rounds=2)
 
     check(cutoff.play(1, trouble, simulated_cluster.Size(12, 3, 5, apart=True)), 10, 1000)
+
+
+@pytest.mark.parametrize("role", ("edge", "core"))
+def test_a_node_that_starts_with_seeds_of_the_cut_off_side_only_finds_the_majority(role):
+    async def trouble(scene: simulated_cluster.SimulatedCluster, trial: cutoff.Trial) -> None:
+        await asyncio.sleep(2)
+        side = [scene.leader(0), next(name for name in scene.cores if name != scene.leader(0))]
+        cutoff.cut(scene, "swallow", side, [name for name in scene.cores if name not in side])
+        await asyncio.sleep(8)
+        names = scene.edges[:2] if role == "edge" else [name for name in scene.cores if name not in side][:1]
+        scene.seeds = tuple(f"{name}:1" for name in side)
+        if role == "core":
+            scene.wire.heal()
+            scene.wire.cut(side, [name for name in scene.cores if name not in [*side, *names]])
+        for name in names:
+            scene.kill(name)
+            scene.start(name)
+        await asyncio.sleep(12)
+        for name in names:
+            version = scene.nodes[name].relay.plan.version
+            if version < trial.newest(2.0):
+                trial.fault(f"{name} holds {version} twelve seconds after its start, not {trial.newest(2.0)}")
+        scene.wire.heal()
+        await asyncio.sleep(5)
+
+    check(cutoff.play(740, trouble, SMALL), 10, 1000)
