--- a/aspencroft/node/node.py
+++ b/aspencroft/node/node.py
@@ -13,16 +13,24 @@
 import aspencroft.residency.messages as residency_messages
 from aspencroft.alerts import sample
 from aspencroft.configuration import control_state, operator_configuration
-from aspencroft.consensus import proposer, replica_set, witness, witness_bootstrap, witness_changes, witness_placement
+from aspencroft.consensus import (
+    proposer,
+    record_recovery,
+    replica_set,
+    witness,
+    witness_bootstrap,
+    witness_changes,
+    witness_placement,
+)
 from aspencroft.distribution import relay, updates
 from aspencroft.errors import result
-from aspencroft.gateway import trace
 from aspencroft.leadership import duty
 from aspencroft.membership import cluster_member, failure_detector
-from aspencroft.node import settings, timing_check
+from aspencroft.node import drain_order, settings, timing_check
 from aspencroft.replication import group_replica, group_state, replica
 from aspencroft.runtime import clock, environment, supervision
 from aspencroft.sessions import lane_sessions
+from aspencroft.tracing import trace
 from aspencroft.transport import codec, connections
 
 LOG = logbook.Logger("node")
@@ -36,7 +44,6 @@
 APPLY = clock.seconds(0.85)
 APPLY_ITEM = clock.seconds(0.002)
 LAST_LEG = clock.seconds(0.1)
-IN_SERVICE, EMPTIED = "in service", "emptied"
 
 
 class Node:
@@ -82,6 +89,9 @@
             place.witnesses == settings.CORE,
         )
         self.relay = relay.Relay(self.link, self.ring, place.currency)
+        self.record_recovery = record_recovery.RecordRecovery(
+            self.witness, self.proposer, place.address, self.ring.holdings, self.ring.hold
+        )
         self.reseat = witness_changes.WitnessChanges(
             self.link, self.proposer, place.address, self.rooted, self.wished_seeds
         )
@@ -105,6 +115,7 @@
                 self.hosts[pair] = group_replica.GroupReplica(
                     held, self.link, self.proposer, place.address, place.area, around_it
                 )
+        self.drain_orders = drain_order.DrainOrders(self)
         self.missed: dict[str, datetime.timedelta] = {}
         self.looked = clock.ZERO
         self.started = asyncio.Event()
@@ -226,6 +237,8 @@
                 return await self.ring.beat(message)
             case updates.Pull():
                 return self.relay.answer_pull(message, self.rooted())
+            case updates.FetchPlan():
+                return self.relay.answer_fetch(message)
             case cluster_member.Join():
                 return self.ring.join(message)
             case updates.Push():
@@ -240,7 +253,7 @@
             case replica_set.LeaseRequest():
                 return await self.witness.claim(message)
             case replica_set.Prepare():
-                return await self.witness.raise_ballot(message)
+                return await self.witness.prepare(message)
             case replica_set.Accept():
                 return await self.witness.accept(message)
             case replica_set.WitnessStateRequest():
@@ -260,6 +273,12 @@
                 return self.host(message.pair).compare(message)
             case replication_messages.Repair():
                 return await self.host(message.holding.pair).repair(message)
+            case replication_messages.BeginRepair():
+                return await self.host(message.holding.pair).begin_repair(message)
+            case replication_messages.SnapshotPart():
+                return self.host(message.holding.pair).take_snapshot_part(message)
+            case replication_messages.InstallSnapshot():
+                return await self.host(message.holding.pair).install_snapshot(message)
             case replication_messages.Ask():
                 return self.host(message.pair).stands(message)
             case replication_messages.Appoint():
@@ -268,11 +287,6 @@
                 return await self.write_here(message)
             case updates.ApplyEverywhere():
                 return await self.apply_here(message)
-            case updates.DrainMachine():
-                await self.empty_here(message.name, message.within)
-                return replica_set.Acknowledged()
-            case updates.DrainStateRequest():
-                return updates.DrainState(await self.emptying_here(message.name))
             case updates.ReadEverywhere():
                 return await self.host(0).submit(control_state.ReadPlan(message.after), GO)
             case trace.TraceRequest():
@@ -522,7 +536,7 @@
         The message is made of the time that is left, and has to bear being said twice. The last refusal says whether
         anything may have been done.
 
-        Example: ``await node.ask_root(lambda left: updates.DrainMachine("storage-1", left), APPLY)``
+        Example: ``await node.ask_root(lambda left: updates.ApplyEverywhere(command, left), APPLY)``
         """
         end, unknown = clock.now() + within, None
         while True:
@@ -558,84 +572,7 @@
         """
         return await self.submit(0, operator_configuration.ReadConfiguration(), within)
 
-    # -- emptying a machine ----------------------------------------------------------------------
-
-    def named(self, name: str) -> cluster_member.ClusterMember:
-        """The node of a name, the newest run of it where several are known; refused when there is none.
-
-        Example: ``node.named("storage-1").address``
-        """
-        found = [one for one in self.ring.peers.values() if name in (one.name, one.address)]
-        if not found:
-            raise result.RequestError(result.ResultCode.UNKNOWN_RESOURCE, detail=f"no machine {name}")
-        return max(found, key=lambda one: (one.state != cluster_member.DOWN, one.incarnation))
-
-    async def empty(self, name: str, within: datetime.timedelta) -> None:
-        """Have the root drain a machine, as it alone surely knows the machines; refused as ``empty_here`` refuses.
-
-        Example: ``await node.empty("storage-1", clock.seconds(0.85))``
-        """
-        await self.ask_root(lambda left: updates.DrainMachine(name, left), within)
-
-    async def emptying(self, name: str, within: datetime.timedelta = APPLY) -> str:
-        """How far a machine is drained, as the root knows it.
-
-        Example: ``await node.emptying("storage-1") == node.EMPTIED``
-        """
-        return (await self.ask_root(lambda left: updates.DrainStateRequest(name), within)).state
-
-    def need_root(self) -> None:
-        """Refused unless this node is the root.
-
-        Example: ``node.need_root()``
-        """
-        if not self.rooted():
-            raise result.RequestError(result.ResultCode.NOT_PRIMARY, detail="not the root", retry=clock.seconds(1))
-
-    async def empty_here(self, name: str, within: datetime.timedelta) -> None:
-        """As root: have a machine's groups moved to others, so that it may be taken away; saying it twice does no harm.
-
-        Refused when no machine bears the name (UNKNOWN_RESOURCE), when too few disks would be left for the groups that it
-        may hold (TOO_FEW_LEFT); OUTCOME_UNKNOWN when the order is not known to be kept after ``within``.
-
-        Example: ``await node.empty_here("storage-1", clock.seconds(3))``
-        """
-        self.need_root()
-        one = self.named(name)
-        if one.address in self.relay.plan.emptied:
-            return
-        for sort in one.holds:
-            left = [
-                other
-                for other in self.holders(sort)
-                if other.address != one.address and not self.emptied(other.address)
-            ]
-            if len(left) < self.settings.copies:
-                raise result.RequestError(result.ResultCode.TOO_FEW_LEFT, detail=f"{len(left)} disks for {sort}")
-        body = json.dumps({"machines": {one.address: {"emptied": True}}})
-        try:
-            async with clock.limit(within):
-                await self.write_plan(control_state.WritePlan("merge", "", "", body, None))
-        except TimeoutError:
-            raise result.RequestError(
-                result.ResultCode.OUTCOME_UNKNOWN, result.Ran.UNKNOWN, f"emptying {name}"
-            ) from None
-
-    async def emptying_here(self, name: str) -> str:
-        """As root: how far a machine is: IN_SERVICE, or EMPTIED once it holds no group and each that it could hold is whole elsewhere.
-
-        What stands is asked of the groups' primaries, as this node may not have heard of the newest records.
-
-        Example: ``await node.emptying_here("storage-1") == node.EMPTIED``
-        """
-        self.need_root()
-        one = self.named(name)
-        if one.address not in self.relay.plan.emptied:
-            return IN_SERVICE
-        pairs = [pair for pair in range(self.settings.pairs) if replica_set.sort_of(pair) in one.holds]
-        async with supervision.Group() as group:
-            asked = [group.create_task(self.stands(pair, one.address)) for pair in pairs]
-        return EMPTIED if all(task.result() for task in asked) else IN_SERVICE
+    # -- draining a machine ----------------------------------------------------------------------
 
     async def stands(self, pair: int, address: str) -> bool:
         """Whether a group's primary says that the group is whole without a node, and stays so; false while it does not say.
@@ -660,6 +597,7 @@
         Example: ``await node.run()``
         """
         ready = asyncio.Event()
+        self.drain_orders.began = clock.now()
         async with supervision.Group() as group:
             group.create_task(self.link.run(ready))
             await ready.wait()
@@ -674,6 +612,7 @@
                 "seat": self.seat.run,
                 "relay": self.relay.run,
                 "holdings": self.share_holdings,
+                "records": self.record_recovery.run,
             }
             works.update({f"pair {pair}": held.run for pair, held in self.hosts.items()})
             works.update({f"pictures {pair}": held.copy.draw_pictures for pair, held in self.hosts.items()})
--- a/aspencroft/node/root_test.py
+++ b/aspencroft/node/root_test.py
@@ -68,7 +68,12 @@
         scene.wire.cut([victim], [name for name in scene.names() if name != victim])
         await asyncio.sleep(8)
         own = scene.nodes[victim]
-        for work in (own.empty("nobody", node.APPLY), own.empty("storage-2", node.APPLY), own.emptying("storage-2")):
+        orders = own.drain_orders
+        for work in (
+            orders.order("nobody", node.APPLY),
+            orders.order("storage-2", node.APPLY),
+            orders.state("storage-2", node.APPLY),
+        ):
             began = scene.loop.time()
             refused = await stage.ask_node(victim, work)
             assert isinstance(refused, result.RequestError) and refused.result.status >= 500, refused
--- a/aspencroft/node/settings.py
+++ b/aspencroft/node/settings.py
@@ -16,6 +16,8 @@
 SEEDS = "seeds"
 BOUND = voluptuous.All(voluptuous.Any(int, float), voluptuous.Range(min=0, max=3600))
 BOUNDS = tuple(field.name for field in dataclasses.fields(timing_check.Bounds))
+CHANGEABLE = frozenset(("seeds", "confirm"))
+START_ONLY = frozenset(("first_start",))
 SCHEMA = voluptuous.Schema(
     {
         voluptuous.Required("address"): resources.ADDRESS,
@@ -44,6 +46,9 @@
         ),
         voluptuous.Optional("first_start", default=True): bool,
         voluptuous.Optional("bounds", default=dict): {voluptuous.In(BOUNDS): BOUND},
+        voluptuous.Optional("key_window", default=60.0): voluptuous.All(
+            voluptuous.Any(int, float), voluptuous.Range(min=1, max=86400)
+        ),
     }
 )
 
@@ -68,8 +73,9 @@
     ``losses`` is how many machines may be lost at once; ``holds`` which groups this disk may hold; ``witnesses`` who keeps the
     record of holders, the seeds or the live core nodes; ``currency`` how long a node may act on a plan without renewal;
     ``confirm`` how long an operator's write waits at most until all nodes confirmed it, none for as long as they may act on
-    an older plan; ``first_start`` that this node's empty disk is a new one, not a lost one; ``bounds`` the time bounds of the
-    deployment, against which the product's own times are checked at the start.
+    an older plan; ``first_start`` that this node's empty disk is a new one, not a lost one; ``key_window`` how long an
+    operation key is held behind the last moment in which its work could run; ``bounds`` the time bounds of the deployment,
+    against which the product's own times are checked at the start.
 
     Example: ``settings.read("node.toml")``
     """
@@ -91,6 +97,7 @@
     currency: datetime.timedelta = clock.seconds(4)
     confirm: datetime.timedelta | None = None
     first_start: bool = True
+    key_window: datetime.timedelta = clock.seconds(60)
     bounds: timing_check.Bounds = timing_check.Bounds()
 
     @property
@@ -117,6 +124,16 @@
         """
         return 1 + self.talk_pairs
 
+    def reloaded(self, fresh: "Settings") -> tuple["Settings", tuple[str, ...]]:
+        """These settings with what of newer ones may change while a node runs, and the names of what may not.
+
+        Example: ``merged, fixed = settings.reloaded(settings.read("node.toml"))``
+        """
+        changed = [one.name for one in dataclasses.fields(self) if getattr(self, one.name) != getattr(fresh, one.name)]
+        taken = {name: getattr(fresh, name) for name in changed if name in CHANGEABLE}
+        fixed = tuple(name for name in changed if name not in CHANGEABLE and name not in START_ONLY)
+        return dataclasses.replace(self, **taken), fixed
+
 
 def check(raw: dict) -> Settings:
     """Checked settings, or BadSettings that lists every fault.
@@ -147,7 +164,8 @@
         clock.seconds(full["currency"]),
         None if full["confirm"] is None else clock.seconds(full["confirm"]),
         full["first_start"],
-        timing_check.Bounds(**{name: clock.seconds(value) for name, value in full["bounds"].items()}),
+        key_window=clock.seconds(full["key_window"]),
+        bounds=timing_check.Bounds(**{name: clock.seconds(value) for name, value in full["bounds"].items()}),
     )
 
 
--- a/aspencroft/replication/primary.py
+++ b/aspencroft/replication/primary.py
@@ -129,6 +129,7 @@
         own = self.own
         failed = False
         while True:
+            own.check_disk()
             used = own.chosen
             end, newest, answered = await own.proposer.claim(
                 used, own.pair, str(own.me()), clock.ZERO if failed else witness.LEASE
@@ -139,15 +140,34 @@
             failed = end is None
             if end is not None:
                 own.lease_end = max(own.lease_end, end)
-            elif own.chosen is used and not own.balloting.locked() and (newest or (not own.claimed() and answered)):
-                own.why = "no majority of witnesses grants the claim"
-                try:
-                    await own.ballot(lambda standing: standing)
-                except result.RequestError as refusal:
-                    LOG.info("pair {}: {}", own.pair, refusal)
+            if not own.knows_chosen() and not own.balloting.locked() and own.known.primary == own.me():
+                await self.settle_record("a record was told of that this node did not have chosen")
+            elif end is None and self.outdated(used, newest, answered):
+                await self.settle_record("no majority of witnesses grants the lease")
             own.check_tenure()
             await clock.sleep(RENEW if end is not None else group_state.RETRY)
 
+    def outdated(self, used: proposer.Chosen, newest: bytes, answered: bool) -> bool:
+        """Whether a refused lease calls for a ballot: a newer record was seen, or a majority answered and the lease is over.
+
+        Example: ``serving.outdated(own.chosen, b"", True)``
+        """
+        own = self.own
+        unchanged = own.chosen is used and not own.balloting.locked()
+        return unchanged and bool(newest or (not own.claimed() and answered))
+
+    async def settle_record(self, why: str) -> None:
+        """Have the record that stands chosen once more, and know it then.
+
+        Example: ``await serving.settle_record("no majority of witnesses grants the lease")``
+        """
+        own = self.own
+        own.why = why
+        try:
+            await own.ballot(lambda standing: standing)
+        except result.RequestError as refusal:
+            LOG.info("pair {}: {}", own.pair, refusal)
+
     async def tick(self) -> None:
         """Clock events of the view, decided like any command.
 
@@ -213,7 +233,7 @@
                     elif own.known == standing:
                         await self.one_batch(held_back)
         finally:
-            self.answer(held_back)
+            self.leave_unclear(held_back)
 
     async def agree(self, standing: replica_set.ReplicaSet) -> None:
         """Make the copies of all backups the same; those that fail are recorded out.
@@ -244,15 +264,17 @@
             elif standing:
                 one.submission.reply.set_result(one.reply)
             else:
-                fail(
-                    one.submission.reply,
-                    result.RequestError(
-                        result.ResultCode.OUTCOME_UNKNOWN,
-                        result.Ran.UNKNOWN,
-                        "the claim ran out",
-                        group_state.COME_BACK,
-                    ),
-                )
+                fail(one.submission.reply, unclear())
+        decided.clear()
+
+    def leave_unclear(self, decided: list[Decided]) -> None:
+        """At the end of a tenure: what not all copies are known to hold is neither confirmed nor refused.
+
+        Example: ``serving.leave_unclear(decided)``
+        """
+        for one in decided:
+            if not one.submission.reply.done():
+                fail(one.submission.reply, unclear())
         decided.clear()
 
     def refuse_waiting(self, why: result.ResultCode) -> None:
@@ -380,6 +402,16 @@
         own.check_tenure()
 
 
+def unclear() -> result.RequestError:
+    """The answer to a command that was decided and may or may not last.
+
+    Example: ``raise unclear()``
+    """
+    return result.RequestError(
+        result.ResultCode.OUTCOME_UNKNOWN, result.Ran.UNKNOWN, "the lease ran out", group_state.COME_BACK
+    )
+
+
 def fail(reply: asyncio.Future, refusal: result.RequestError) -> None:
     """Refuse a submission; nobody need await the reply, as with clock events.
 
