--- a/aspencroft/simulation/cutoff.py
+++ b/aspencroft/simulation/cutoff.py
@@ -9,7 +9,7 @@
 
 import defopt
 
-from aspencroft.configuration import operator_configuration
+from aspencroft.configuration import operator_configuration, taken_orders
 from aspencroft.errors import result
 from aspencroft.runtime import clock
 from aspencroft.simulation import simulated_cluster, wire
@@ -151,7 +151,9 @@
     Example: ``command_of(3).condition == 2``
     """
     note = operator_configuration.Item("notes", "note", f'{{"name": "note", "version": {version}}}')
-    return operator_configuration.ApplyConfiguration(version, version - 1, False, (note,), (), str(version).encode())
+    return operator_configuration.ApplyConfiguration(
+        version, version - 1, False, (note,), (), str(version).encode().ljust(taken_orders.DIGEST_BYTES)
+    )
 
 
 async def random_trouble(scene: simulated_cluster.SimulatedCluster, trial: "Trial", rounds: int = ROUNDS) -> None:
--- a/aspencroft/simulation/mutations.py
+++ b/aspencroft/simulation/mutations.py
@@ -491,6 +491,8 @@
         "    return tuple(one.text() for one in checked if not one.holds())\n",
         "    return ()\n",
         ("node/timing_check_test.py",),
+    ),
+    Mutation(
         "an answer with another id is taken",
         "workers/pool.py",
         "            if accepts is not None and not accepts(head.status, head.headers):\n",
