--- a/aspencroft/replication/primary.py
+++ b/aspencroft/replication/primary.py
@@ -251,20 +251,20 @@
             self.agreed = standing
 
     def answer(self, decided: list[Decided]) -> None:
-        """Hand out replies of what all copies hold, if the claim still stands; else say unknown.
+        """Hand out replies of what all replicas hold, if the lease still stands; else the outcome is unknown.
 
         Example: ``serving.answer(decided)``
         """
-        standing = self.own.claimed()
+        if not self.own.claimed():
+            self.leave_unclear(decided)
+            return
         for one in decided:
             if one.submission.reply.done():
                 continue
-            if isinstance(one.reply, result.RequestError) and standing:
+            if isinstance(one.reply, result.RequestError):
                 fail(one.submission.reply, one.reply)
-            elif standing:
-                one.submission.reply.set_result(one.reply)
             else:
-                fail(one.submission.reply, unclear())
+                one.submission.reply.set_result(one.reply)
         decided.clear()
 
     def leave_unclear(self, decided: list[Decided]) -> None:
--- a/aspencroft/simulation/mutations.py
+++ b/aspencroft/simulation/mutations.py
@@ -577,6 +577,25 @@
         ("workers/pool_test.py",),
     ),
     Mutation(
+        "a turn that cannot be kept is held beyond its route's time",
+        "proxy/forwarder.py",
+        "        within = max(passage.end - clock.now(), OVERTIME)\n",
+        "        within = max(passage.end - clock.now(), LATER)\n",
+        ("simulation/call_troubles_test.py",),
+    ),
+    Mutation(
+        "the window of keys is not that of the settings",
+        "proxy/forwarder.py",
+        "        window = self.node.settings.key_window\n",
+        "        window = WINDOW\n",
+        ("simulation/call_troubles_test.py",),
+    ),
+    Mutation(
+        "an operation key at work is granted again",
+        "sessions/ledger.py",
+        "        if known is not None:\n            mine = not known.outcome",
+        "        if known is not None and known.outcome:\n            mine = not known.outcome",
+        ("simulation/call_troubles_test.py::test_repeats_of_a_key_at_work_never_run_whatever_takeovers_come_between",),
         "only the last 256 taken orders are known again",
         "configuration/taken_orders.py",
         "MOST_RECORDS = 1 << 16\n",
@@ -632,7 +651,7 @@
         "node/drain_order.py",
         "            await self.newest_plan(end)\n            if self.ordered",
         "            if self.ordered",
-        ("node/node_test.py",),
+        ("node/drain_order_test.py",),
     ),
     Mutation(
         "a drain order does not name the plan that it was checked against",
@@ -861,6 +880,33 @@
         "        return False\n",
         ("replication/interrupted_write_test.py::test_disk_and_start_follow_the_state_and_not_the_number_of_changes",),
     ),
+    Mutation(
+        "a repair that cuts a copy back leaves no mark",
+        "replication/replica.py",
+        "            await self.write(goal)\n            self.goal = goal\n",
+        "            self.goal = None\n",
+        (
+            "replication/interrupted_write_test.py::test_an_end_at_any_sync_of_appends_snapshots_and_repairs_keeps_what_was_acknowledged",
+        ),
+    ),
+    Mutation(
+        "an append is confirmed before its sync",
+        "storage/store.py",
+        '        for name in ("journal.dat", "journal.dir"):\n            self.disk.synchronise(self.home() / name)\n',
+        "",
+        (
+            "replication/interrupted_write_test.py::test_an_end_at_any_sync_of_appends_snapshots_and_repairs_keeps_what_was_acknowledged",
+        ),
+    ),
+    Mutation(
+        "a rewritten generation forgets that a repair is under way",
+        "replication/replica.py",
+        "            [self.goal] if self.incomplete() else [],\n",
+        "",
+        (
+            "replication/interrupted_write_test.py::test_an_end_at_any_sync_of_appends_snapshots_and_repairs_keeps_what_was_acknowledged",
+        ),
+    ),
     Mutation(
         "a large plan goes to a child as one message",
         "distribution/relay.py",
@@ -882,6 +928,62 @@
         "        if self.digest == NO_DIGEST:\n",
         ("distribution/plan_transfer_test.py::test_parts_of_two_plans_are_not_mixed",),
     ),
+    Mutation(
+        "a repeat under another condition is known again",
+        "../platform/configuration.py",
+        'f"{method} {condition} {content}"',
+        'f"{method} {content}"',
+        ("platform_check/operator_api_test.py", "platform_check/configuration_test.py"),
+    ),
+    Mutation(
+        "PUT and PATCH of one content are one order",
+        "../platform/configuration.py",
+        'f"{method} {condition} {content}"',
+        'f"{condition} {content}"',
+        ("platform_check/operator_api_test.py",),
+    ),
+    Mutation(
+        "an order is told apart by how it is spaced",
+        "../platform/configuration.py",
+        "    content = json.dumps(document, sort_keys=True, ",
+        "    content = json.dumps(document, sort_keys=False, ",
+        ("platform_check/operator_api_test.py",),
+    ),
+    Mutation(
+        "the bound on a body follows the plan",
+        "../platform/operator_api.py",
+        "        condition = condition_of(request)\n        return await take(configuration.whole(condition, await body_of(request)))",
+        "        condition, body = condition_of(request), await body_of(request)\n"
+        "        if len(body) > own.relay.plan.limits.body_bytes:\n"
+        "            raise result.RequestError(result.ResultCode.TOO_LARGE)\n"
+        "        return await take(configuration.whole(condition, body))",
+        ("platform_check/operator_api_test.py",),
+    ),
+    Mutation(
+        "a refusal whose outcome is unknown is called clear",
+        "../platform/operator_api.py",
+        "    clear = refusal.ran is result.Ran.NOT_RUN\n",
+        "    clear = True\n",
+        ("platform_check/operator_api_test.py::test_only_what_surely_was_not_taken_is_called_refused",),
+    ),
+    Mutation(
+        "a version beyond 64 bits is taken for a number",
+        "../platform/configuration.py",
+        " or abs(version) > json_input.LARGEST_WHOLE:",
+        ":",
+        (
+            "platform_check/operator_api_test.py::test_a_version_that_no_record_can_hold_is_invalid_on_every_node_also_the_primary",
+        ),
+    ),
+    Mutation(
+        "a primary that fails acknowledges what it could not write",
+        "replication/primary.py",
+        "        finally:\n            self.leave_unclear(held_back)\n",
+        "        finally:\n            self.answer(held_back)\n",
+        (
+            "replication/primary_test.py::test_an_order_that_the_primary_could_not_write_is_not_answered_though_its_lease_stands",
+        ),
+    ),
 )
 
 
