--- a/aspencroft/simulation/mutations.py
+++ b/aspencroft/simulation/mutations.py
@@ -596,6 +596,8 @@
         "        if known is not None:\n            mine = not known.outcome",
         "        if known is not None and known.outcome:\n            mine = not known.outcome",
         ("simulation/call_troubles_test.py::test_repeats_of_a_key_at_work_never_run_whatever_takeovers_come_between",),
+    ),
+    Mutation(
         "only the last 256 taken orders are known again",
         "configuration/taken_orders.py",
         "MOST_RECORDS = 1 << 16\n",
