--- a/aspencroft/node/drain_order.py
+++ b/aspencroft/node/drain_order.py
@@ -177,7 +177,7 @@
         Example: ``await orders.state("storage-1", clock.seconds(1)) is DrainState.DRAINED``
         """
         end = clock.now() + within
-        if self.ordered(name) is None and self.find(name) is None:
+        if self.ordered(name) is None:
             await self.newest_plan(end)
         address = self.ordered(name)
         if address is None:
--- a/aspencroft/node/node.py
+++ b/aspencroft/node/node.py
@@ -26,7 +26,7 @@
 from aspencroft.errors import result
 from aspencroft.leadership import duty
 from aspencroft.membership import cluster_member, failure_detector
-from aspencroft.node import drain_order, settings
+from aspencroft.node import drain_order, settings, timing_check
 from aspencroft.replication import group_replica, group_state, replica
 from aspencroft.runtime import clock, environment, supervision
 from aspencroft.sessions import lane_sessions
@@ -37,6 +37,7 @@
 STEP = clock.seconds(0.25)
 SAMPLE = clock.seconds(2)
 GO = clock.seconds(1.2)
+STANDS = clock.seconds(0.4)
 AGAIN = clock.seconds(0.05)
 SLICE = clock.seconds(0.1)
 LOST = clock.seconds(1.5)
@@ -129,6 +130,23 @@
         self.sampled: list[collections.abc.Callable[[], list[sample.Sample]]] = [self.own_samples]
         self.outside: collections.Counter = collections.Counter()
         self.standing: collections.Counter = collections.Counter()
+        self.unmet_bounds = self.check_times()
+
+    def check_times(self) -> tuple[str, ...]:
+        """The time bounds of the settings that this node's own times cannot meet; each is said in the log.
+
+        Example: ``node.check_times() == ()``
+        """
+        times = timing_check.times_in_force(
+            self.settings.currency,
+            self.settings.confirm,
+            APPLY,
+            max(self.settings.copies, timing_check.CONTROL_MEMBERS),
+        )
+        unmet = timing_check.violations(times, self.settings.bounds)
+        for text in unmet:
+            LOG.error("the time bounds of this deployment cannot be met: {}", text)
+        return unmet
 
     # -- what is known of others -----------------------------------------------------------------
 
@@ -378,9 +396,7 @@
                     raise unknown or refusal from None
             await clock.sleep(AGAIN)
 
-    async def ask_primary(
-        self, held: replica_set.ReplicaSet, message: replication_messages.Submit, within: datetime.timedelta
-    ):
+    async def ask_primary(self, held: replica_set.ReplicaSet, message, within: datetime.timedelta):
         """Ask a group's primary; refused as soon as another record names another one, whose answer is then to be asked for.
 
         Example: ``reply = await node.ask_primary(held, message, GO)``
@@ -406,7 +422,9 @@
         return self.relay.root and 0 in self.hosts and self.hosts[0].claimed()
 
     async def root(self) -> None:
-        """While primary of the control pair, feed the relay tree with what both copies hold.
+        """While primary of the control group, feed the relay tree with what its members hold.
+
+        A new primary is no root before it read what the ones before it acknowledged: nothing older is handed out as new.
 
         Example: ``group.create_task(node.root())``
         """
@@ -416,14 +434,16 @@
                 self.relay.root = False
                 await clock.sleep(STEP / 2)
                 continue
-            if not self.relay.root:
-                self.relay.become_root()
             held.committed.clear()
             try:
                 self.relay.take_committed(await held.submit(control_state.ReadPlan(self.relay.revision), GO))
             except result.RequestError:
                 await clock.sleep(STEP / 5)
+            else:
+                if not self.relay.root and held.claimed():
+                    self.relay.become_root()
             if self.rooted():
+                self.relay.root_heard = clock.now()
                 self.relay.currency_end = max(self.relay.currency_end, held.lease_end)
             try:
                 async with clock.limit(STEP):
@@ -512,7 +532,17 @@
         Example: ``await node.apply(configuration.ApplyConfiguration(7, 5, True, items, (), digest))``
         """
         span = within + APPLY_ITEM * len(command.upserts)
-        end, unknown = clock.now() + span, None
+        return await self.ask_root(lambda left: updates.ApplyEverywhere(command, left), span)
+
+    async def ask_root(self, message_of: collections.abc.Callable[[datetime.timedelta], object], within):
+        """Ask the control group's primary, whichever node that is, again until it answers; refused after ``within``.
+
+        The message is made of the time that is left, and has to bear being said twice. The last refusal says whether
+        anything may have been done.
+
+        Example: ``await node.ask_root(lambda left: updates.ApplyEverywhere(command, left), APPLY)``
+        """
+        end, unknown = clock.now() + within, None
         while True:
             held, left = self.ring.holdings.get(0), end - clock.now()
             try:
@@ -521,7 +551,7 @@
                         result.ResultCode.NOT_PRIMARY, detail="the control group is not known yet"
                     )
                 async with clock.limit(left):
-                    return await self.link.ask(held.primary.address, updates.ApplyEverywhere(command, left), left)
+                    return await self.ask_primary(held, message_of(left), left)
             except TimeoutError:
                 raise result.RequestError(
                     result.ResultCode.OUTCOME_UNKNOWN, result.Ran.UNKNOWN, "no answer in time"
@@ -557,7 +587,7 @@
         if held is None:
             return False
         try:
-            reply = await self.link.ask(held.primary.address, replication_messages.Ask(pair, address), GO)
+            reply = await self.link.ask(held.primary.address, replication_messages.Ask(pair, address), STANDS)
         except result.RequestError:
             return False
         members = reply.holding.members()
@@ -704,6 +734,7 @@
             "role": self.settings.role,
             "incarnation": self.incarnation,
             "leaving": self.stopping.is_set(),
+            "unmet_bounds": list(self.unmet_bounds),
             "plan": {
                 "revision": self.relay.revision.text(),
                 "current": self.relay.current(),
--- a/aspencroft/node/settings.py
+++ b/aspencroft/node/settings.py
@@ -9,10 +9,13 @@
 
 from aspencroft.configuration import lane, resources
 from aspencroft.consensus import replica_set
+from aspencroft.node import timing_check
 from aspencroft.runtime import clock
 
 EDGE, STORAGE, CORE = "edge", "storage", "core"
 SEEDS = "seeds"
+BOUND = voluptuous.All(voluptuous.Any(int, float), voluptuous.Range(min=0, max=3600))
+BOUNDS = tuple(field.name for field in dataclasses.fields(timing_check.Bounds))
 CHANGEABLE = frozenset(("seeds", "confirm", "key_window"))
 START_ONLY = frozenset(("first_start",))
 SCHEMA = voluptuous.Schema(
@@ -42,6 +45,7 @@
             None, voluptuous.All(voluptuous.Any(int, float), voluptuous.Range(min=0, max=60))
         ),
         voluptuous.Optional("first_start", default=True): bool,
+        voluptuous.Optional("bounds", default=dict): {voluptuous.In(BOUNDS): BOUND},
         voluptuous.Optional("key_window", default=60.0): voluptuous.All(
             voluptuous.Any(int, float), voluptuous.Range(min=1, max=86400)
         ),
@@ -70,7 +74,8 @@
     record of holders, the seeds or the live core nodes; ``currency`` how long a node may act on a plan without renewal;
     ``confirm`` how long an operator's write waits at most until all nodes confirmed it, none for as long as they may act on
     an older plan; ``first_start`` that this node's empty disk is a new one, not a lost one; ``key_window`` how long an
-    operation key is held behind the last moment in which its work could run.
+    operation key is held behind the last moment in which its work could run; ``bounds`` the time bounds of the deployment,
+    against which the product's own times are checked at the start.
 
     Example: ``settings.read("node.toml")``
     """
@@ -93,6 +98,7 @@
     confirm: datetime.timedelta | None = None
     first_start: bool = True
     key_window: datetime.timedelta = clock.seconds(60)
+    bounds: timing_check.Bounds = timing_check.Bounds()
 
     @property
     def copies(self) -> int:
@@ -159,6 +165,7 @@
         None if full["confirm"] is None else clock.seconds(full["confirm"]),
         full["first_start"],
         key_window=clock.seconds(full["key_window"]),
+        bounds=timing_check.Bounds(**{name: clock.seconds(value) for name, value in full["bounds"].items()}),
     )
 
 
--- a/aspencroft/simulation/mutations.py
+++ b/aspencroft/simulation/mutations.py
@@ -162,13 +162,8 @@
     Mutation(
         "a woken primary looks neither at its claim nor for its backup",
         "replication/group_state.py",
-<<<<<<< HEAD
-        "            self.leading\n            and clock.now() < self.lease_end\n            and self.known",
-        "            self.leading\n            and self.known",
-=======
         "        return record_changes.may_serve(tenure, self.known, self.me(), clock.now())\n",
         "        return self.leading and self.known is not None and self.known.primary == self.me()\n",
->>>>>>> da57f8e96790ddfa9b1b554d22118762b3c20ac3
         ("simulation/guarantees_test.py::test_a_primary_that_wakes_up_answers_nothing_before_it_claimed_anew",),
         (
             (
@@ -731,7 +726,6 @@
         ("replication/second_loss_test.py", "replication/replica_changes_test.py"),
     ),
     Mutation(
-<<<<<<< HEAD
         "seeds of newer settings are not used to join",
         "cli/settings_reload.py",
         "        self.node.ring.seeds = merged.seeds\n",
@@ -760,8 +754,6 @@
         ("workers/list_reader_test.py",),
     ),
     Mutation(
-=======
->>>>>>> da57f8e96790ddfa9b1b554d22118762b3c20ac3
         "a torn append is left in the journal",
         "storage/store.py",
         "        if self.torn:\n            self.undo()\n",
@@ -967,21 +959,11 @@
         ),
     ),
     Mutation(
-<<<<<<< HEAD
         "nodes do not knock at seeds that they do not know to be live",
         "membership/failure_detector.py",
         "for address in (*self.seeds, *self.proposer.voter_set.everyone())\n",
         "for address in ()\n",
         ("membership/seeds_test.py",),
-=======
-        "a primary that fails acknowledges what it could not write",
-        "replication/primary.py",
-        "        finally:\n            self.leave_unclear(held_back)\n",
-        "        finally:\n            self.answer(held_back)\n",
-        (
-            "replication/primary_test.py::test_an_order_that_the_primary_could_not_write_is_not_answered_though_its_lease_stands",
-        ),
->>>>>>> da57f8e96790ddfa9b1b554d22118762b3c20ac3
     ),
     Mutation(
         "model: voters wait no longer than the lease",
@@ -1097,6 +1079,88 @@
             "simulation/model_check_test.py::test_copies_keep_every_invariant_to_the_small_bound[copies: drained and then a lost disk]",
         ),
     ),
+    Mutation(
+        "what a start finds is not synced",
+        "storage/store.py",
+        "        self.disk.synchronise(data_file)\n        index =",
+        "        index =",
+        ("storage/failing_disk_test.py::test_what_a_killed_process_wrote_and_never_synced_lasts_once_it_was_found",),
+    ),
+    Mutation(
+        "a pointer is not synced before the older generation goes",
+        "storage/store.py",
+        "    disk.synchronise(folder)\n    for number",
+        "    for number",
+        (
+            "storage/failing_disk_test.py::test_a_pointer_renamed_by_a_killed_process_lasts_before_the_older_generation_goes",
+        ),
+    ),
+    Mutation(
+        "a row of steps is sent though a step is missing",
+        "distribution/relay.py",
+        "        if place != self.revision:\n            whole",
+        "        if not row:\n            whole",
+        ("distribution/plan_transfer_test.py::test_a_child_that_was_away_for_any_number_of_changes_catches_up",),
+    ),
+    Mutation(
+        "a primary that fails acknowledges what it could not write",
+        "replication/primary.py",
+        "        finally:\n            self.leave_unclear(held_back)\n",
+        "        finally:\n            self.answer(held_back)\n",
+        (
+            "replication/primary_test.py::test_an_order_that_the_primary_could_not_write_is_not_answered_though_its_lease_stands",
+        ),
+    ),
+    Mutation(
+        "a stale relay parent is kept",
+        "distribution/relay.py",
+        "        return age > min(STALE + PULL * self.parent_depth, self.currency / 2)\n",
+        "        return False\n",
+        ("distribution/parent_test.py",),
+    ),
+    Mutation(
+        "the root is not asked while the usual parent is left out",
+        "distribution/relay.py",
+        "        candidates = (usual, root, *(",
+        "        candidates = (usual, *(",
+        ("distribution/parent_test.py",),
+        (("for address in order[:SPARE_PARENTS] if", "for address in order[1:SPARE_PARENTS] if"),),
+    ),
+    Mutation(
+        "a relay says that it just heard of the root",
+        "distribution/relay.py",
+        "            tuple(fresh), self.revision, currency, () if same else counted, same, False, now - self.root_heard\n",
+        "            tuple(fresh), self.revision, currency, () if same else counted, same, False, clock.ZERO\n",
+        ("distribution/parent_test.py", "simulation/cutoff_test.py"),
+    ),
+    Mutation(
+        "a child of a stale parent pulls without a pause",
+        "distribution/relay.py",
+        "        if before != self.revision or (self.address not in self.counted and not stale):\n",
+        "        if before != self.revision or self.address not in self.counted:\n",
+        ("distribution/parent_test.py",),
+    ),
+    Mutation(
+        "a new primary is the root before its first read",
+        "node/node.py",
+        "            except result.RequestError:\n                await clock.sleep(STEP / 5)\n            else:\n                if not self.relay.root and held.claimed():\n                    self.relay.become_root()\n",
+        "            except result.RequestError:\n                await clock.sleep(STEP / 5)\n            if not self.relay.root and held.claimed():\n                self.relay.become_root()\n",
+        ("node/root_test.py",),
+    ),
+    Mutation(
+        "a core says from its own view that a machine is in service",
+        "node/drain_order.py",
+        "        if self.ordered(name) is None:\n            await self.newest_plan(end)\n",
+        "",
+        ("node/root_test.py",),
+    ),
+    Mutation(
+        "time bounds that cannot be met are not said",
+        "node/timing_check.py",
+        "    return tuple(one.text() for one in checked if not one.holds())\n",
+        "    return ()\n",
+        ("node/timing_check_test.py",),
+    ),
 )
 
 
