--- a/aspencroft/consensus/record_recovery.py
+++ b/aspencroft/consensus/record_recovery.py
@@ -20,7 +20,8 @@
     """A witness's watch over records that it accepted and that nobody told of.
 
     A primary that dies between a ballot and the news of it leaves a record that may be chosen and that its new member
-    has not heard of. Nobody would ever lead the group then. The record is not passed on as it is, since it may have been
+    has not heard of. Nobody would ever lead the group then. The record is not passed on as it is,
+    since it may have been
     accepted by few: a ballot settles what stands, and that is told. A lease in force refuses that ballot.
 
     Example: ``group.create_task(recovery.run())``
--- a/aspencroft/consensus/replica_set.py
+++ b/aspencroft/consensus/replica_set.py
@@ -57,7 +57,8 @@
 class VoterSet:
     """The witnesses: the set in force and, while it changes, the set to come.
 
-    Number zero is what settings name before any roster is in force, number one what they name to witnesses that vote from their
+    Number zero is what settings name before any roster is in force,
+    number one what they name to witnesses that vote from their
     first start on; later numbers are never used twice.
 
     Example: ``Roster(1, ("a:1", "b:1", "c:1"), ())``
--- a/aspencroft/consensus/witness_bootstrap.py
+++ b/aspencroft/consensus/witness_bootstrap.py
@@ -1,6 +1,7 @@
 """How a blank witness comes to vote: from its like, from the members' disks, or at the first start."""
 
 import collections.abc
+import contextlib
 import datetime
 import random
 
@@ -99,10 +100,8 @@
         found = {}
 
         async def ask(address: str) -> None:
-            try:
+            with contextlib.suppress(result.RequestError):
                 found[address] = await self.link.ask(address, message, ASK)
-            except result.RequestError:
-                pass
 
         async with supervision.Group() as group:
             for address in addresses:
--- a/aspencroft/consensus/witness_changes_test.py
+++ b/aspencroft/consensus/witness_changes_test.py
@@ -16,7 +16,10 @@
 
 
 def lose_at(step_of_loss: int, lost: tuple[str, ...], present: int) -> None:
-    """Replace a lost voter, and lose others at one message of that: writes go on and the wished set comes into force."""
+    """Replace a lost voter, and lose others at one message of that.
+
+    Writes go on and the wished set comes into force.
+    """
 
     async def acts(voters: simulated_voters.Voters) -> None:
         await voters.written(1, 4)
--- a/aspencroft/consensus/witness_placement.py
+++ b/aspencroft/consensus/witness_placement.py
@@ -8,8 +8,10 @@
 ) -> tuple[str, ...]:
     """The witnesses wished for: the present ones that are not lost, then other live cores, an odd number.
 
-    ``cores`` are the live core nodes in ring order, ``lost`` those of the present witnesses that have been gone for long. A lost
-    one is replaced by a live core that is no witness yet; without such a one it stays, as it may come back. There are never
+    ``cores`` are the live core nodes in ring order, ``lost`` those of the present witnesses that have been gone for
+    long. A lost
+    one is replaced by a live core that is no witness yet; without such a one it stays, as it may come back.
+    There are never
     fewer witnesses than before.
 
     Example: ``witnesses(("a", "b", "c"), ("a", "b", "d"), frozenset({"c"})) == ("a", "b", "d")``
--- a/aspencroft/distribution/relay_test.py
+++ b/aspencroft/distribution/relay_test.py
@@ -122,7 +122,7 @@
 
 def test_another_parent_is_told_the_whole():
     async def scene():
-        parent, child, link = family()
+        _parent, child, link = family()
         await child.pull("a:1")
         link.parent = relay_of("d:1", Link())
         await child.pull("d:1")
@@ -144,8 +144,6 @@
 
 
 def test_patches_between_documents_lead_from_one_to_the_other():
-    import random
-
     for seed in range(200):
         chance = random.Random(seed)
         documents = [
--- a/aspencroft/membership/member_table.py
+++ b/aspencroft/membership/member_table.py
@@ -1,4 +1,7 @@
-"""The table of fellows with what is worked out from it (orders, watchers, packed entries), each kept until it changes."""
+"""The table of fellows with what is worked out from it (orders, watchers, packed entries).
+
+Each kept until it changes.
+"""
 
 import bisect
 
--- a/aspencroft/node/node.py
+++ b/aspencroft/node/node.py
@@ -45,8 +45,9 @@
 APPLY_ITEM = clock.seconds(0.002)
 LAST_LEG = clock.seconds(0.1)
 MAJORITY_LOST = (
-    "no majority of voters: leases run out within a second, then no group acknowledges anything and no primary, replica set or"
-    " voter set changes, until {} more voters are back with their disks; all that was acknowledged is kept"
+    "no majority of voters: leases run out within a second, then no group acknowledges anything and no primary, "
+    "replica set or voter set changes, until {} more voters are back with their disks; "
+    "all that was acknowledged is kept"
 )
 
 
@@ -153,7 +154,8 @@
     def goal(self, pair: int) -> int:
         """How many members a group is to have: one more than the losses to be borne.
 
-        The control group has members on more than half of the core where the core has the witnesses, so that whichever part of
+        The control group has members on more than half of the core where the core has the witnesses,
+        so that whichever part of
         it has a majority has a member too.
 
         Example: ``node.goal(1) == 2``
@@ -397,7 +399,9 @@
             await clock.sleep(AGAIN)
 
     async def ask_primary(self, held: replica_set.ReplicaSet, message, within: datetime.timedelta):
-        """Ask a group's primary; refused as soon as another record names another one, whose answer is then to be asked for.
+        """Ask a group's primary; refused as soon as another record names another one.
+
+        Whose answer is then to be asked for.
 
         Example: ``reply = await node.ask_primary(held, message, GO)``
         """
@@ -424,7 +428,8 @@
     async def root(self) -> None:
         """While primary of the control group, feed the relay tree with what its members hold.
 
-        A new primary is no root before it read what the ones before it acknowledged: nothing older is handed out as new.
+        A new primary is no root before it read what the ones before it acknowledged:
+        nothing older is handed out as new.
 
         Example: ``group.create_task(node.root())``
         """
@@ -579,7 +584,9 @@
     # -- draining a machine ----------------------------------------------------------------------
 
     async def stands(self, pair: int, address: str) -> bool:
-        """Whether a group's primary says that the group is whole without a node, and stays so; false while it does not say.
+        """Whether a group's primary says that the group is whole without a node, and stays so.
+
+        False while it does not say.
 
         Example: ``await node.stands(1, "a:1")``
         """
@@ -709,7 +716,9 @@
         return json.loads(known.body).get(name, otherwise) if known is not None else otherwise
 
     def quorum_status(self) -> dict:
-        """Which voters are live as far as this node knows, how many more may be lost, and what the loss of a majority does.
+        """Which voters are live as far as this node knows, how many more may be lost.
+
+        And what the loss of a majority does.
 
         Example: ``node.quorum_status()["losses_left"] == 2``
         """
--- a/aspencroft/node/operator.py
+++ b/aspencroft/node/operator.py
@@ -1,6 +1,7 @@
 """HTTP for operators, the same on every node: plan resources, what is observed, health and status."""
 
 import collections.abc
+import contextlib
 import json
 import math
 
@@ -155,7 +156,7 @@
 
     async def watch_plan(after: control_state.Revision) -> collections.abc.AsyncIterator[bytes]:
         end, held, known = clock.now() + LONGEST_WATCH, {}, after
-        if after == control_state.NEVER or after == own.relay.revision:
+        if after in (control_state.NEVER, own.relay.revision):
             held = {} if after == control_state.NEVER else own.relay.document
         else:
             raise result.RequestError(result.ResultCode.WATCH_GONE, detail=after.text())
@@ -267,10 +268,8 @@
         found = []
 
         async def ask(address: str) -> None:
-            try:
+            with contextlib.suppress(result.RequestError):
                 found.extend((await own.link.ask(address, trace.TraceRequest(identity), STORY_ASK)).stories)
-            except result.RequestError:
-                pass
 
         async with supervision.Group() as group:
             for one in own.ring.peers.values():
--- a/aspencroft/node/settings.py
+++ b/aspencroft/node/settings.py
@@ -70,11 +70,14 @@
 class Settings:
     """Where a node is and whom it knows at first.
 
-    ``losses`` is how many machines may be lost at once; ``holds`` which groups this disk may hold; ``witnesses`` who keeps the
+    ``losses`` is how many machines may be lost at once; ``holds`` which groups this disk may hold;
+    ``witnesses`` who keeps the
     record of holders, the seeds or the live core nodes; ``currency`` how long a node may act on a plan without renewal;
-    ``confirm`` how long an operator's write waits at most until all nodes confirmed it, none for as long as they may act on
+    ``confirm`` how long an operator's write waits at most until all nodes confirmed it,
+    none for as long as they may act on
     an older plan; ``first_start`` that this node's empty disk is a new one, not a lost one; ``key_window`` how long an
-    operation key is held behind the last moment in which its work could run; ``bounds`` the time bounds of the deployment,
+    operation key is held behind the last moment in which its work could run;
+    ``bounds`` the time bounds of the deployment,
     against which the product's own times are checked at the start.
 
     Example: ``settings.read("node.toml")``
--- a/aspencroft/platform_check/configuration_test.py
+++ b/aspencroft/platform_check/configuration_test.py
@@ -3,6 +3,7 @@
 import collections
 import json
 import pathlib
+import platform
 import random
 
 import aspencroft.configuration.operator_configuration as product
@@ -523,7 +524,5 @@
 
 
 def test_the_platforms_folder_comes_last_and_hides_no_standard_module():
-    import platform
-
     assert platform.system() and "python" in pathlib.Path(platform.__file__).parent.name
     assert aspencroft.platform_check.PLATFORM in configuration.__file__
--- a/aspencroft/proxy/call.py
+++ b/aspencroft/proxy/call.py
@@ -11,7 +11,8 @@
 class Call:
     """One attempt of a caller, read whole; headers are those that go on to the worker, end to end.
 
-    ``within`` is how long the caller waits from ``arrived`` on. Token counts are tokens; an empty text or zero means that the caller
+    ``within`` is how long the caller waits from ``arrived`` on.
+    Token counts are tokens; an empty text or zero means that the caller
     said nothing about it.
 
     Example: ``Call("GET", "/a/b", "h.example", (), b"", "id", moment.seconds(1), moment.now())``
@@ -57,7 +58,8 @@
 class Head:
     """What the head of a worker's answer says, in the product's terms.
 
-    ``not_run`` is the worker's own word that it did not run the request; ``misdirected`` that another worker has the address.
+    ``not_run`` is the worker's own word that it did not run the request;
+    ``misdirected`` that another worker has the address.
     ``load`` is (running, waiting, slots) when it was told.
 
     Example: ``Head(200, (), "id", False, False, None, False, "i-1")``
--- a/aspencroft/proxy/choose.py
+++ b/aspencroft/proxy/choose.py
@@ -111,8 +111,10 @@
 def at_home(instances: tuple[Candidate, ...], part: str, share: float, zone: str) -> Choice | None:
     """The first home of a part that has room; none when all homes are full.
 
-    A part has homes in each zone: those of the own zone come first until half of the share is taken there, as long prompts and
-    answers cross no border then and each zone's homes have fewer to serve; then those elsewhere, then all up to the share.
+    A part has homes in each zone: those of the own zone come first until half of the share is taken there,
+    as long prompts and
+    answers cross no border then and each zone's homes have fewer to serve;
+    then those elsewhere, then all up to the share.
 
     Example: ``at_home(candidates, "5c1e", 0.75, "north")``
     """
@@ -128,13 +130,16 @@
             for one in side:
                 if one.rank() == rank and one.room(limit):
                     where = "its zone's" if one.zone == zone else "a"
-                    why = f"{one.name} is {where} home {order.index(one) + 1} of part {part}, {one.load:.1f} of {one.slots} slots taken"
+                    taken = f"{one.load:.1f} of {one.slots} slots taken"
+                    why = f"{one.name} is {where} home {order.index(one) + 1} of part {part}, {taken}"
                     return Choice(one.name, HOME if one is first else SPILL, why)
     return None
 
 
 def least(instances: tuple[Candidate, ...], zone: str, randomness: random.Random) -> Choice:
-    """The less loaded of two workers drawn from each side of the zone's border; the first drawn, the zone's own, at equal loads.
+    """The less loaded of two workers drawn from each side of the zone's border.
+
+    The first drawn, the zone's own, at equal loads.
 
     Example: ``least(candidates, "north", randomness)``
     """
--- a/aspencroft/proxy/events.py
+++ b/aspencroft/proxy/events.py
@@ -2,7 +2,7 @@
 
 
 class Reader:
-    """Counts the events of a stream and gathers their data; keeps only what is not ended yet and the data.
+    r"""Counts the events of a stream and gathers their data; keeps only what is not ended yet and the data.
 
     Example: ``reader = Reader()``, ``reader.feed(b"id: 1\\ndata: a\\n\\n")``, ``reader.count == 1``
     """
@@ -43,7 +43,7 @@
             self.lines.append(value[1:] if value.startswith(b" ") else value)
 
     def output(self) -> bytes:
-        """The data of each event, each with a line feed behind.
+        r"""The data of each event, each with a line feed behind.
 
         Example: ``reader.output() == b"a\\nb\\n"``
         """
--- a/aspencroft/proxy/instance.py
+++ b/aspencroft/proxy/instance.py
@@ -8,7 +8,8 @@
 class Instance:
     """A worker's life: its name is its own, while its address may be given to another life later.
 
-    ``cold`` is how much longer the worker was to be slow when the list was read; ``slots`` the requests it works on at once.
+    ``cold`` is how much longer the worker was to be slow when the list was read;
+    ``slots`` the requests it works on at once.
 
     Example: ``Instance("i-1", "10.0.0.9:80", "chat", "north", "v1", 32, False, moment.ZERO)``
     """
--- a/aspencroft/replication/backup.py
+++ b/aspencroft/replication/backup.py
@@ -53,7 +53,9 @@
                     pause = min(group_state.RETRY if refusal.retry is None else refusal.retry, group_state.RETRY)
 
     async def take_over(self, standing: replica_set.ReplicaSet) -> None:
-        """Become the primary through the witnesses; only as a backup of the newest record, and only of the silent primary.
+        """Become the primary through the witnesses; only as a backup of the newest record.
+
+        And only of the silent primary.
 
         Example: ``await following.take_over(own.known)``
         """
--- a/aspencroft/replication/group_replica.py
+++ b/aspencroft/replication/group_replica.py
@@ -23,8 +23,9 @@
 PATIENCE = witness.LEASE + witness.LEASE_MARGIN
 """How long a member that started waits for another one before it goes on with what it holds.
 
-Each member of the record synced all that was answered, so its own copy is enough: the wait is for a disk that breaks its promise
-and loses what was synced last. It is no longer than leases of before the start are waited out in any case.
+Each member of the record synced all that was answered, so its own copy is enough: the wait is for a disk that
+breaks its promise and loses what was synced last. It is no longer than leases of before
+the start are waited out in any case.
 """
 STEP_ASIDE = clock.seconds(4)
 
@@ -57,7 +58,8 @@
     async def run(self) -> None:
         """Be whatever the newest record says, for ever.
 
-        A member whose disk refuses or hangs neither leads nor renews its lease for ``STEP_ASIDE``, which is longer than the
+        A member whose disk refuses or hangs neither leads nor renews its lease for ``STEP_ASIDE``,
+        which is longer than the
         lease and the silence after which a backup takes over.
 
         Example: ``group.create_task(host.run())``
--- a/aspencroft/replication/group_state.py
+++ b/aspencroft/replication/group_state.py
@@ -42,7 +42,9 @@
 
 @dataclasses.dataclass(frozen=True)
 class GroupPolicy:
-    """What a part is told by its node: who could hold copies, who is to hold none, who is gone, whom to tell of records.
+    """What a part is told by its node: who could hold copies, who is to hold none, who is gone.
+
+    Whom to tell of records.
 
     ``copies`` is how many disks must hold what is answered, ``goal`` how many members the group is to have.
 
--- a/aspencroft/replication/interrupted_write_test.py
+++ b/aspencroft/replication/interrupted_write_test.py
@@ -355,7 +355,10 @@
 
 
 def test_of_two_entries_with_one_number_the_later_one_counts(tmp_path):
-    """Earlier versions wrote both when the caller of the first write was cancelled; only the second was acknowledged."""
+    """Earlier versions wrote both when the caller of the first write was cancelled.
+
+    Only the second was acknowledged.
+    """
 
     async def scene() -> None:
         one = made(disk.SimDisk(tmp_path, random.Random(1)))
--- a/aspencroft/replication/log_shipping.py
+++ b/aspencroft/replication/log_shipping.py
@@ -164,7 +164,8 @@
 def is_final(leading: bool) -> bool:
     """Whether a comparison after a start need not be made again.
 
-    As a backup it must: until its lease is over, the old primary may acknowledge an entry that this copy synced before its disk
+    As a backup it must: until its lease is over, the old primary may acknowledge an entry that this copy synced
+    before its disk
     lost it, and that the member asked had not synced yet. One that leads was chosen after that lease was over.
 
     Example: ``is_final(leading=True)``
--- a/aspencroft/replication/primary.py
+++ b/aspencroft/replication/primary.py
@@ -121,7 +121,8 @@
     async def renew(self) -> None:
         """Renew the claim; a newer record ends the tenure.
 
-        Once it failed, a claim of no length asks first whether answers come back: witnesses that hear this node and are not heard
+        Once it failed, a claim of no length asks first whether answers come back:
+        witnesses that hear this node and are not heard
         by it would else go on granting claims to a primary that can't use them, and keep its backups from taking over.
 
         Example: ``group.create_task(serving.renew())``
@@ -148,7 +149,9 @@
             await clock.sleep(RENEW if end is not None else group_state.RETRY)
 
     def outdated(self, used: proposer.Chosen, newest: bytes, answered: bool) -> bool:
-        """Whether a refused lease calls for a ballot: a newer record was seen, or a majority answered and the lease is over.
+        """Whether a refused lease calls for a ballot: a newer record was seen.
+
+        Or a majority answered and the lease is over.
 
         Example: ``serving.outdated(own.chosen, b"", True)``
         """
@@ -188,7 +191,9 @@
                         )
 
     def enough(self, standing: replica_set.ReplicaSet) -> bool:
-        """Whether a record names enough members to answer: as many as must hold what is answered, or two at least when a look
+        """Whether a record names enough members to answer: as many as must hold what is answered.
+
+        Or two at least when a look
         at all other nodes under this record found none that could hold a copy, as those are lost machines then.
 
         Example: ``serving.enough(own.known)``
@@ -303,8 +308,10 @@
     async def one_batch(self, held_back: list[Decided]) -> None:
         """Decide what waits, sync the events on all copies, answer; backups that failed are recorded out.
 
-        What was decided stays in ``held_back`` until enough copies hold it. The record of holders may change meanwhile, when a
-        ballot whose outcome was not known is finished: then the backups that synced may be none any more, and the batch waits
+        What was decided stays in ``held_back`` until enough copies hold it.
+        The record of holders may change meanwhile, when a
+        ballot whose outcome was not known is finished: then the backups that synced may be none any more,
+        and the batch waits
         until the members of the next record agree.
 
         Example: ``await serving.one_batch(held_back)``
--- a/aspencroft/replication/replica.py
+++ b/aspencroft/replication/replica.py
@@ -152,14 +152,37 @@
 class View(typing.Protocol):
     """What a journal means: decides commands, folds events, draws pictures of itself."""
 
-    def decide(self, command, now, epoch: int) -> tuple[tuple, object]: ...
-    def fold(self, event) -> None: ...
-    def due(self, now, gone) -> tuple: ...
-    def snapshot(self) -> bytes: ...
-    def snapshot_parts(self) -> collections.abc.Iterator[bytes]: ...
-    def size(self) -> int: ...
-    def restore(self, body: bytes) -> None: ...
-    def rest_clocks(self) -> None: ...
+    def decide(self, command, now, epoch: int) -> tuple[tuple, object]:
+        """Events and reply for a command, or a RequestError."""
+        ...
+
+    def fold(self, event) -> None:
+        """Take an event in."""
+        ...
+
+    def due(self, now, gone) -> tuple:
+        """Commands that the clock calls for."""
+        ...
+
+    def snapshot(self) -> bytes:
+        """All of it as bytes."""
+        ...
+
+    def snapshot_parts(self) -> collections.abc.Iterator[bytes]:
+        """The snapshot in parts."""
+        ...
+
+    def size(self) -> int:
+        """How much a snapshot holds."""
+        ...
+
+    def restore(self, body: bytes) -> None:
+        """Become what a snapshot holds."""
+        ...
+
+    def rest_clocks(self) -> None:
+        """Forget times that were counted as primary."""
+        ...
 
 
 def digest_after(digest: bytes, entry: Entry) -> bytes:
@@ -355,7 +378,8 @@
     def marks(self) -> tuple[Mark, ...]:
         """Digests at the ends of the ranges, and of the newest entries one by one.
 
-        These are more than a primary has in flight, so that one of them is where two members of a record begin to differ:
+        These are more than a primary has in flight, so that one of them is where two members of a record begin to
+        differ:
         a repair never cuts a backup back below what was acknowledged.
 
         Example: ``copy.marks()[-1] == copy.last()``
@@ -534,8 +558,10 @@
     def grown(self) -> bool:
         """Whether the entries are many, or many bytes.
 
-        As much as half of what the snapshot holds, so that the cost of a snapshot stays in proportion; more while a snapshot
-        is being sent, as its receiver needs the entries behind it. Where the last snapshot is a while ago, fewer are enough:
+        As much as half of what the snapshot holds, so that the cost of a snapshot stays in proportion;
+        more while a snapshot
+        is being sent, as its receiver needs the entries behind it.
+        Where the last snapshot is a while ago, fewer are enough:
         disk, start and catching up follow the state then, and not the changes of a whole day.
 
         Example: ``if copy.grown(): ...``
@@ -554,7 +580,9 @@
         return many or self.held >= times * max(size, self.picture_size // 2)
 
     def begin_snapshot(self) -> bool:
-        """Take hold of what the view shows now, if the entries are many and the view shows just them; it is drawn behind the
+        """Take hold of what the view shows now, if the entries are many and the view shows just them.
+
+        It is drawn behind the
         entries that come next, which are written meanwhile.
 
         Example: ``copy.begin_picture()``
@@ -587,7 +615,9 @@
             await self.finish_picture()
 
     async def finish_picture(self) -> None:
-        """Replace events by the picture that was begun. It is drawn in parts, between which the loop goes on, and written beside
+        """Replace events by the picture that was begun. It is drawn in parts, between which the loop goes on.
+
+        And written beside
         the generation in force, which takes entries meanwhile; only its end holds them up.
 
         Example: ``await copy.finish_picture()``
@@ -608,7 +638,9 @@
                 self.meanwhile = None
 
     async def use(self, snapshot: Drawn, meanwhile: list[store.Item]) -> None:
-        """Write a generation that starts with a picture and goes on with what was written meanwhile, then use it; unless the copy
+        """Write a generation that starts with a picture and goes on with what was written meanwhile, then use it.
+
+        Unless the copy
         was mended, which makes a generation of its own.
 
         Example: ``await copy.use(picture, copy.meanwhile)``
--- a/aspencroft/replication/replica_changes.py
+++ b/aspencroft/replication/replica_changes.py
@@ -87,7 +87,8 @@
     async def enlist(self, peer: replica_set.ReplicaId) -> bool:
         """Have a node whose copy is the same recorded as a backup, and tell it.
 
-        Where it is not known whether the record names it, the tenure ends: the next one begins with a ballot that settles it.
+        Where it is not known whether the record names it, the tenure ends:
+        the next one begins with a ballot that settles it.
         Until then nothing more may be answered, as that node would lack it and could take over.
 
         Example: ``await recruiting.enlist(fellow)``
@@ -111,7 +112,9 @@
             return False
 
     async def behind(self) -> None:
-        """While the group is served: prepare a candidate whenever members are lacking; serving admits it between two batches.
+        """While the group is served: prepare a candidate whenever members are lacking.
+
+        Serving admits it between two batches.
 
         Example: ``group.create_task(recruiting.behind())``
         """
--- a/aspencroft/replication/replica_changes_test.py
+++ b/aspencroft/replication/replica_changes_test.py
@@ -1,5 +1,7 @@
 """Tests of finding members, of ballots without word of their outcome, and of leaving machines."""
 
+import contextlib
+
 from aspencroft.consensus import witness
 from aspencroft.replication import group_state
 from aspencroft.runtime import clock
@@ -9,7 +11,7 @@
 def test_other_areas_come_first_and_nodes_that_failed_last(tmp_path):
     async def acts(those: members.Members) -> None:
         own = those.hosts["n0:1"]
-        assert [one.address for one in own.replica_changes.order()][0] == "n2:1"
+        assert next(one.address for one in own.replica_changes.order()) == "n2:1"
         assert {one.address for one in own.replica_changes.order()} == {"n2:1", "n3:1", "n4:1"}
         own.doubt("n2:1")
         assert [one.address for one in own.replica_changes.order()][-1] == "n2:1"
@@ -135,10 +137,8 @@
             return await ballot(change)
 
         own.ballot = while_leases_are_renewed
-        try:
+        with contextlib.suppress(group_state.Deposed):
             await own.replica_changes.transfer_leadership(own.known.backups[0])
-        except group_state.Deposed:
-            pass
         assert served == [False]
         assert those.register.standing().primary != own.me()
 
--- a/aspencroft/runtime/environment.py
+++ b/aspencroft/runtime/environment.py
@@ -197,7 +197,8 @@
     async def perform(self, function: typing.Callable, *arguments):
         """Run file work off the loop and hand back its result.
 
-        A cancellation waits for the thread, which can't be called back: whoever holds a lock around the work keeps it until nothing is written any more.
+        A cancellation waits for the thread, which can't be called back:
+        whoever holds a lock around the work keeps it until nothing is written any more.
 
         Example: ``await disk.perform(path.read_bytes)``
         """
--- a/aspencroft/sessions/entry.py
+++ b/aspencroft/sessions/entry.py
@@ -32,8 +32,10 @@
 class BeginTurn:
     """Command: start the turn of an attempt behind the one named, under the program's budget (tokens).
 
-    ``most`` is the most tokens it may put out; ``budget`` zero says nothing; ``edge`` is the life of the asking edge; ``have``
-    names a turn whose chain the edge holds; ``base`` is the chain of ``previous``, found in another group, oldest first.
+    ``most`` is the most tokens it may put out; ``budget`` zero says nothing;
+    ``edge`` is the life of the asking edge; ``have``
+    names a turn whose chain the edge holds; ``base`` is the chain of ``previous``, found in another group,
+    oldest first.
     """
 
     program: str
@@ -100,7 +102,8 @@
 class ClaimKey:
     """Command: be the one attempt that runs under a key, for a time of at most ``within``.
 
-    The key is held until ``window`` beyond the last moment at which the work could run. Whatever the digest, it is the same
+    The key is held until ``window`` beyond the last moment at which the work could run.
+    Whatever the digest, it is the same
     operation.
     """
 
@@ -115,7 +118,9 @@
 @codec.kind(147)
 @dataclasses.dataclass(frozen=True)
 class KeyHeld:
-    """Reply: ``mine`` if the asking attempt is the one to run; else the outcome, empty while it is at work, and the answer.
+    """Reply: ``mine`` if the asking attempt is the one to run.
+
+    Else the outcome, empty while it is at work, and the answer.
 
     The outcome NOT_KEPT says that it is done and that its answer was too large to keep.
     """
@@ -143,7 +148,9 @@
 @codec.kind(149)
 @dataclasses.dataclass(frozen=True)
 class TurnBegan:
-    """Event: a turn is under way; with a budget (the one that stands) its most is reserved; ``base`` is kept from now on.
+    """Event: a turn is under way; with a budget (the one that stands) its most is reserved.
+
+    ``base`` is kept from now on.
 
     It also is what a ledger holds of a turn under way, then without ``base``.
     """
@@ -210,7 +217,10 @@
 @codec.kind(157)
 @dataclasses.dataclass(frozen=True)
 class Forget:
-    """Clock event, command and event alike: keep times ran out; ended turns and freed keys are named by their attempt."""
+    """Clock event, command and event alike: keep times ran out.
+
+    Ended turns and freed keys are named by their attempt.
+    """
 
     programs: tuple[str, ...]
     turns: tuple[str, ...]
@@ -221,7 +231,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class Account:
-    """A program: its budget (zero if none was said), tokens used and reserved, turns under way and kept, and its last worker."""
+    """A program: its budget (zero if none was said), tokens used and reserved, turns under way and kept.
+
+    And its last worker.
+    """
 
     program: str
     budget: int
--- a/aspencroft/sessions/ledger.py
+++ b/aspencroft/sessions/ledger.py
@@ -35,8 +35,10 @@
 class Ledger:
     """Accounts, turns and keys, folded from events; ``decide`` changes nothing but the clocks.
 
-    Clocks count from when this primary first saw a thing, so that neither a takeover nor a restart shortens a keep time. A turn
-    is kept as long as a turn that goes on from it is kept or under way. History is held once and shared by all chains through it.
+    Clocks count from when this primary first saw a thing, so that neither a takeover nor a restart shortens a keep
+    time. A turn
+    is kept as long as a turn that goes on from it is kept or under way.
+    History is held once and shared by all chains through it.
 
     Example: ``events, reply = ledger.decide(entry.BeginTurn(...), now)``
     """
@@ -158,7 +160,9 @@
         return budget
 
     def predecessor(self, command: entry.BeginTurn) -> tuple[tuple[entry.Turn, ...], int, str]:
-        """What of the given chain is to be kept here, the bytes of the whole chain, and the worker that ran its last turn.
+        """What of the given chain is to be kept here, the bytes of the whole chain.
+
+        And the worker that ran its last turn.
 
         Example: ``base, size, worker = ledger.predecessor(command)``
         """
@@ -218,7 +222,9 @@
         return (), entry.TurnFound(True, self.begun_turn(command.attempt, "", "", ()).chain)
 
     def end_turn(self, command: entry.EndTurn, now: datetime.timedelta) -> tuple[tuple, object]:
-        """A turn ends once; only an unknown outcome may become known later. An attempt that did not run never begins any more.
+        """A turn ends once; only an unknown outcome may become known later.
+
+        An attempt that did not run never begins any more.
 
         Example: ``ledger.end_turn(command, now)``
         """
@@ -545,7 +551,7 @@
                 and self.followers.get(name, 0) == gone[name]
             ):
                 found[name] = None
-                name = one.turn.previous
+                name = one.turn.previous  # noqa: PLW2901 - walks up the chain of this turn
                 gone[name] += 1
                 one = self.turns.get(name)
         return tuple(found)
@@ -599,7 +605,8 @@
     def due(self, now: datetime.timedelta, gone: collections.abc.Callable[[str], bool]) -> tuple:
         """Clock events: what is under way though its edge is gone or its time over, and what was kept long enough.
 
-        All that is under way is looked at each time; of the rest a bounded number, in rounds some seconds apart. The first look
+        All that is under way is looked at each time; of the rest a bounded number, in rounds some seconds apart.
+        The first look
         at a thing starts its clock here.
 
         Example: ``for command in ledger.due(now, lambda edge: False): ...``
@@ -645,7 +652,9 @@
     # -- pictures ------------------------------------------------------------------------------
 
     def snapshot_parts(self) -> collections.abc.Iterator[bytes]:
-        """The picture of this moment in bounded parts; history is shared, not copied; what changes meanwhile is not in it.
+        """The picture of this moment in bounded parts; history is shared, not copied.
+
+        What changes meanwhile is not in it.
 
         Example: ``Ledger().restore(b"".join(ledger.picture_parts()), 0)``
         """
--- a/aspencroft/simulation/consensus_model.py
+++ b/aspencroft/simulation/consensus_model.py
@@ -325,7 +325,8 @@
     def successors(self, state: State) -> typing.Iterator[tuple[str, State]]:
         """Every step that can follow.
 
-        What a candidate does at once, and what only it can see, comes before all else: to do it later shows nothing new,
+        What a candidate does at once, and what only it can see, comes before all else:
+        to do it later shows nothing new,
         as requests may be late and leases are counted from when they were asked for.
         """
         for place, candidate in enumerate(state.candidates):
@@ -750,7 +751,10 @@
         return () if step is None else tuple(map(self.taught_whole, self.cut_short(node, list(step.writes))))
 
     def taught_whole(self, voter: int) -> int:
-        """A voter whose disk holds a voter set and a ballot of the group was taught whole, whatever was cut off behind."""
+        """A voter whose disk holds a voter set and a ballot of the group was taught whole.
+
+        Whatever was cut off behind.
+        """
         node = self.part(voter)
         whole = node.state.voting and node.state.ballot(GROUP).accepted > 0
         return self.interner.of(dataclasses.replace(node, untaught=node.untaught and not whole))
--- a/aspencroft/simulation/model_check.py
+++ b/aspencroft/simulation/model_check.py
@@ -1,4 +1,7 @@
-"""Model checks of the protocol: which scenarios are explored, to which bound, and a command that prints what was visited."""
+"""Model checks of the protocol: which scenarios are explored, to which bound.
+
+And a command that prints what was visited.
+"""
 
 import collections.abc
 import dataclasses
--- a/aspencroft/simulation/model_check_test.py
+++ b/aspencroft/simulation/model_check_test.py
@@ -1,8 +1,8 @@
 """Model checks to the small bound, and long random walks beyond it."""
 
 import hypothesis
-import hypothesis.strategies as strategies
 import pytest
+from hypothesis import strategies
 
 from aspencroft.runtime import clock
 from aspencroft.simulation import consensus_model, explorer, model_check, replica_model
--- a/aspencroft/simulation/replica_model.py
+++ b/aspencroft/simulation/replica_model.py
@@ -1,4 +1,6 @@
-"""A model of a group's copies: appending, repairing, taking over, dropping, enlisting, draining, restarts and lost disks.
+"""A model of a group's copies: appending, repairing, taking over, dropping, enlisting, draining.
+
+Restarts and lost disks.
 
 The record of the replica set is one value here, and its lease one holder: that ballots and leases make it so is what
 ``consensus_model`` shows. A ballot may end without word of its outcome.
@@ -166,7 +168,10 @@
                 yield f"m{place} starts again ({kind})", changed(state, place, after, budget=budget)
 
     def before_takeover(self, state: State, place: int, node: Node) -> list[State]:
-        """A backup that is unsure compares first, and stays unsure: the old primary may acknowledge more until its lease ends."""
+        """A backup that is unsure compares first, and stays unsure.
+
+        The old primary may acknowledge more until its lease ends.
+        """
         if not node.unsure:
             return [state]
         return [
@@ -175,7 +180,10 @@
         ]
 
     def compares(self, state: State, place: int, node: Node) -> typing.Iterator[tuple[str, State]]:
-        """After a start: take what any other member of the record holds beyond this copy; members that lost theirs say so."""
+        """After a start: take what any other member of the record holds beyond this copy.
+
+        Members that lost theirs say so.
+        """
         others = [one for one in node.known.members() if one != identity(place, node)]
         lost = 0
         for other, peer in enumerate(state.nodes):
--- a/aspencroft/storage/store.py
+++ b/aspencroft/storage/store.py
@@ -129,7 +129,8 @@
 def scan(data: bytes | FileBytes) -> Scan:
     """Read a data file front to back.
 
-    A value that is not whole ends the items. Where a later one was written after that value lasted, the file is damaged;
+    A value that is not whole ends the items. Where a later one was written after that value lasted,
+    the file is damaged;
     else the later ones are of the same batch, which was not synced when the power went: each of its values may be there
     or missing.
 
--- a/aspencroft/workers/list_reader.py
+++ b/aspencroft/workers/list_reader.py
@@ -34,7 +34,9 @@
 
 
 def read_cost() -> datetime.timedelta:
-    """For how long one whole read takes up the rate at which the platform answers all nodes, when nothing is known of it.
+    """For how long one whole read takes up the rate at which the platform answers all nodes.
+
+    When nothing is known of it.
 
     Example: ``read_cost() == READ_COST``
     """
@@ -107,7 +109,8 @@
     """The duty's work: read the list again and again, tell it when it changed, and now and then that it did not.
 
     Each read is priced: a list that did not change for a while is read a little more seldom. A reader that
-    is refused for its rate waits longer each time; one that does not reach the platform looks again soon, as workers may
+    is refused for its rate waits longer each time; one that does not reach the platform looks again soon,
+    as workers may
     have begun to leave once it is back.
 
     Example: ``group.create_task(ListReader(own, platform_list.read, platform_list.cost).run())``
@@ -256,7 +259,8 @@
     async def begin(self) -> None:
         """Wait for the plan, and a moment more for the list, which comes with it when some node reads it already.
 
-        After a stop of all nodes who reads has to be agreed on first, and an edge cannot serve so long without the list.
+        After a stop of all nodes who reads has to be agreed on first,
+        and an edge cannot serve so long without the list.
 
         Example: ``await watch.begin()``
         """
--- a/aspencroft/workers/list_reader_test.py
+++ b/aspencroft/workers/list_reader_test.py
@@ -129,7 +129,7 @@
         platform.reads.clear()
         assert await platform.everywhere("ac", 1.5) < 1.5
         await asyncio.sleep(2)
-        gaps = [late - early for (early, _), (late, _) in zip(platform.reads, platform.reads[1:])]
+        gaps = [late - early for (early, _), (late, _) in zip(platform.reads, platform.reads[1:], strict=False)]
         assert max(gaps) < 0.65, "after a change it is read more often"
         assert began < platform.scene.loop.time()
 
--- a/aspencroft/workers/pool.py
+++ b/aspencroft/workers/pool.py
@@ -56,7 +56,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Head:
-    """The head of an answer, and how its body is bounded: a length, or none for chunks.
+    r"""The head of an answer, and how its body is bounded: a length, or none for chunks.
 
     Example: ``head_of(b"HTTP/1.1 200 OK\\r\\nContent-Length: 0").length == 0``
     """
@@ -69,7 +69,7 @@
 
 
 def head_of(raw: bytes, bodiless: bool = False) -> Head:
-    """The head that bytes hold (without the empty line); Ended when they are none or do not bound a body.
+    r"""The head that bytes hold (without the empty line); Ended when they are none or do not bound a body.
 
     Example: ``head_of(b"HTTP/1.1 200 OK\\r\\nContent-Length: 2").status == 200``
     """
--- a/aspencroft/workers/pool_test.py
+++ b/aspencroft/workers/pool_test.py
@@ -46,6 +46,7 @@
         self.loop = loop.SimLoop()
         self.wire = wire.Wire(self.loop, random.Random(seed), wire.Weather(jitter=0.0))
         self.script = script
+        self.conversations: list[asyncio.Future] = []
         self.came: list[list[bytes]] = []
         self.counts = collections.Counter()
         around = environment.Environment(wire.SimNetwork(self.wire, "edge"), None, None, random.Random(seed), None)
@@ -60,7 +61,7 @@
         while True:
             channel = await accepted.get()
             self.came.append([])
-            asyncio.ensure_future(self.converse(channel, len(self.came) - 1))
+            self.conversations.append(asyncio.ensure_future(self.converse(channel, len(self.came) - 1)))
 
     async def converse(self, channel, connection: int) -> None:
         """One connection of the worker: ``script(connection, number)`` gives bytes to send, or None to close."""
@@ -649,7 +650,7 @@
 
     async def scene():
         server = await asyncio.start_server(handler, "127.0.0.1", 0)
-        address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         pool = pools.Pool(environment.machine(), counts)
         await acts(pool, address)
         await pool.close()
