--- a/aspencroft/program/days.py
+++ b/aspencroft/cli/days.py
@@ -170,7 +170,7 @@
 def main() -> None:
     """The command's entry.
 
-    Example: ``python -m aspencroft.program.days BENCH SITE deploy/days/01-leader-cut-20s.toml``
+    Example: ``python -m aspencroft.cli.days BENCH SITE deploy/days/01-leader-cut-20s.toml``
     """
     sys.exit(defopt.run(play))
 
--- a/aspencroft/program/days_test.py
+++ b/aspencroft/cli/days_test.py
@@ -4,8 +4,9 @@
 import pathlib
 import stat
 import sys
+import tomllib
 
-from aspencroft.program import days
+from aspencroft.cli import days
 
 # Fields of a report as the bench wrote it for a calm day, some that the summary leaves unread among them.
 RECORDED = {
@@ -101,3 +102,16 @@
     played = days.play_day(bench, pathlib.Path("site.toml"), pathlib.Path("calm.toml"), 1, "trial", None)
     assert played.broken()
     assert played.line() == "calm: NOT PLAYED; the bench ended with 2: calm.toml: unknown kind"
+
+
+def test_each_day_of_the_project_says_what_it_is_for_and_bears_its_files_name():
+    files = sorted((pathlib.Path(__file__).parents[2] / "deploy" / "days").glob("*.toml"))
+    assert files
+    for file in files:
+        text = file.read_text()
+        assert text.startswith("# "), file.name
+        day = tomllib.loads(text)
+        number, _, name = file.stem.partition("-")
+        assert number.isdigit() and day["name"] == name, file.name
+        entries = day["plan"] + day["faults"]
+        assert entries and all("at" in entry and "kind" in entry for entry in entries), file.name
--- /dev/null
+++ b/aspencroft/consensus/witness.py
@@ -0,0 +1,166 @@
+"""A witness on its node: applies messages to its state one after the other, and syncs each change before it is told."""
+
+import asyncio
+import pathlib
+import typing
+
+import logbook
+
+from aspencroft.consensus import replica_set, witness_state
+from aspencroft.runtime import clock, environment
+from aspencroft.storage import store
+from aspencroft.transport import codec
+
+LOG = logbook.Logger("witness")
+LEASE = witness_state.LEASE
+LEASE_MARGIN = witness_state.LEASE_MARGIN
+COMPACT = 2000
+
+
+class Witness:
+    """One witness: its state and its store; diskless ones lose it at a restart and then do not vote at first.
+
+    Example: ``await witness.prepare(Prepare(0, 7, "me", 1))``
+    """
+
+    def __init__(
+        self,
+        around: environment.Environment,
+        folder: pathlib.Path | None,
+        address: str,
+        incarnation: int,
+        first_voter_set: replica_set.VoterSet,
+    ):
+        self.environment = around
+        self.folder = folder
+        self.state = witness_state.WitnessState(address, incarnation, first_voter_set)
+        self.known = replica_set.RememberedCluster(first_voter_set, ())
+        self.kept: store.Store | None = None
+        self.writing = asyncio.Lock()
+
+    @property
+    def voting(self) -> bool:
+        """Whether this witness answers askers."""
+        return self.state.voting
+
+    @property
+    def voter_set(self) -> replica_set.VoterSet:
+        """The voter set in force here."""
+        return self.state.voter_set
+
+    @property
+    def ballots(self) -> typing.Mapping[int, replica_set.Ballot]:
+        """What is kept of each register."""
+        return self.state.ballots
+
+    def ballot(self, register: int) -> replica_set.Ballot:
+        """What is kept of a register.
+
+        Example: ``witness.ballot(0).raised``
+        """
+        return self.state.ballot(register)
+
+    def waits_out_leases(self) -> bool:
+        """Whether leases that were granted in an earlier life may still be in force.
+
+        Example: ``if witness.waits_out_leases(): return``
+        """
+        return clock.now() < self.state.awake
+
+    async def start(self, founding: bool = False) -> None:
+        """Read what the disk holds; with ``founding`` an empty disk is one that never held anything.
+
+        Example: ``await witness.start()``
+        """
+        values, condition = [], None
+        if self.folder is not None:
+            self.kept, items, condition = await self.environment.disk.perform(
+                store.load, self.folder, self.environment.disk
+            )
+            values = [codec.untagged(item.payload) for item in items]
+        if condition is store.Condition.DAMAGED:
+            LOG.warning("the witness's store was damaged; it starts blank")
+        for value in values:
+            if isinstance(value, replica_set.RememberedCluster):
+                self.known = value
+        founds = founding and condition is store.Condition.EMPTY
+        state, writes = self.state.started(values, clock.now(), founds)
+        await self.keep(*writes)
+        self.state = state
+
+    async def keep(self, *values) -> None:
+        """Sync values before anybody is told of them.
+
+        Example: ``await witness.keep(ballot)``
+        """
+        if self.kept is None or not values:
+            return
+        async with self.writing:
+            compacts = self.kept.count > COMPACT
+            if compacts:
+                remembered = witness_state.lasting(self.known)
+                values = (*self.ballots.values(), self.voter_set, *remembered)
+            items = tuple(store.Item(0, codec.tagged(value)) for value in values)
+            work = self.kept.replace if compacts else self.kept.append
+            await self.environment.disk.perform(work, items)
+
+    async def settle(self, step: witness_state.Step) -> replica_set.BallotReply | None:
+        """Take a step's state into memory, sync it, and then hand out its reply.
+
+        Example: ``return await witness.settle(step)``
+        """
+        self.state = step.state
+        await self.keep(*step.writes)
+        return step.reply
+
+    async def prepare(self, message: replica_set.Prepare) -> replica_set.BallotReply:
+        """First phase of a ballot.
+
+        Example: ``await witness.prepare(Prepare(0, 7, "me", 1))``
+        """
+        return await self.settle(self.state.prepare(message, clock.now()))
+
+    async def accept(self, message: replica_set.Accept) -> replica_set.BallotReply:
+        """Second phase of a ballot.
+
+        Example: ``await witness.accept(Accept(0, 7, value, incarnation, 1))``
+        """
+        return await self.settle(self.state.accept(message))
+
+    async def claim(self, message: replica_set.LeaseRequest) -> replica_set.BallotReply:
+        """Renew a primary's lease; a chosen value that was missed is learnt first.
+
+        Example: ``await witness.claim(request)``
+        """
+        await self.settle(self.state.learn_chosen(message))
+        return await self.settle(self.state.renew(message, clock.now()))
+
+    async def adopt(self, voter_set: replica_set.VoterSet) -> None:
+        """Take a newer voter set that was chosen.
+
+        Example: ``await witness.adopt(voter_set)``
+        """
+        await self.settle(self.state.adopt(voter_set))
+
+    async def remember(self, known: replica_set.RememberedCluster) -> None:
+        """Keep what this node knows of the cluster, for the start after a full stop.
+
+        Example: ``await witness.remember(RememberedCluster(voter_set, disks))``
+        """
+        if known != self.known:
+            self.known = known
+            await self.keep(known)
+
+    def survey(self) -> replica_set.WitnessState:
+        """All that is kept, for a blank witness that wants to learn.
+
+        Example: ``witness.survey().voting``
+        """
+        return self.state.survey()
+
+    async def learn(self, voter_set: replica_set.VoterSet, ballots: tuple[replica_set.Ballot, ...]) -> None:
+        """Take the newest of what others keep, and vote from now on.
+
+        Example: ``await witness.learn(voter_set, ballots)``
+        """
+        await self.settle(self.state.learn(voter_set, ballots, clock.now()))
--- a/aspencroft/pair/copy.py
+++ b/aspencroft/replication/replica.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import datetime
 import hashlib
 import itertools
 import pathlib
@@ -11,23 +12,28 @@
 
 import logbook
 
-import aspencroft.code.result as result
-import aspencroft.disk.store as store
-import aspencroft.link.record as record
-import aspencroft.pair.holding as holding
-import aspencroft.seam.moment as moment
-import aspencroft.seam.surroundings as surroundings
+from aspencroft.consensus import replica_set
+from aspencroft.errors import result
+from aspencroft.runtime import clock, environment, uninterrupted
+from aspencroft.storage import store
+from aspencroft.transport import codec
 
 LOG = logbook.Logger("copy")
 NO_DIGEST = b"\0" * 8
 RANGE = 32
 COMPACT_ENTRIES = 4000
 COMPACT_BYTES = 2 << 20
+RESTED_ENTRIES = 512
+RESTED_BYTES = 256 << 10
+SNAPSHOT_REST = clock.seconds(10)
 OF_AN_ENTRY = 250
 PART, BREATH = 1 << 20, 64
+STALLED = clock.seconds(1.5)
+DISK_PAUSE = clock.seconds(2)
+WHILE_SENDING = 4
 
 
-@record.kind(40)
+@codec.kind(40)
 @dataclasses.dataclass(frozen=True)
 class Identity:
     """The name that a store was born with; a lost or damaged store gets another."""
@@ -35,7 +41,7 @@
     identity: str
 
 
-@record.kind(41)
+@codec.kind(41)
 @dataclasses.dataclass(frozen=True)
 class Entry:
     """One event of the journal: epoch and sequence tag it, the body is a tagged record."""
@@ -45,7 +51,7 @@
     body: bytes
 
 
-@record.kind(42)
+@codec.kind(42)
 @dataclasses.dataclass(frozen=True)
 class Picture:
     """A fold's result; it replaces the events up to its sequence."""
@@ -56,7 +62,7 @@
     body: bytes
 
 
-@record.kind(158)
+@codec.kind(158)
 @dataclasses.dataclass(frozen=True)
 class PicturePart:
     """A piece of a picture as a disk holds it, so that none is ever written or read as a whole."""
@@ -65,7 +71,7 @@
     body: bytes
 
 
-@record.kind(159)
+@codec.kind(159)
 @dataclasses.dataclass(frozen=True)
 class Pictured:
     """The end of a picture's parts: what they show."""
@@ -124,7 +130,7 @@
 NOTHING = Drawn(0, 0, NO_DIGEST, ())
 
 
-@record.kind(43)
+@codec.kind(43)
 @dataclasses.dataclass(frozen=True)
 class Mark:
     """The digest of all events up to a sequence: the end of one range."""
@@ -133,14 +139,23 @@
     digest: bytes
 
 
+@codec.kind(184)
+@dataclasses.dataclass(frozen=True)
+class RepairGoal:
+    """The copy is being replaced by another's in several steps; it lacks entries until it holds this mark."""
+
+    sequence: int
+    digest: bytes
+
+
 class View(typing.Protocol):
     """What a journal means: decides commands, folds events, draws pictures of itself."""
 
     def decide(self, command, now, epoch: int) -> tuple[tuple, object]: ...
     def fold(self, event) -> None: ...
     def due(self, now, gone) -> tuple: ...
-    def picture(self) -> bytes: ...
-    def picture_parts(self) -> collections.abc.Iterator[bytes]: ...
+    def snapshot(self) -> bytes: ...
+    def snapshot_parts(self) -> collections.abc.Iterator[bytes]: ...
     def size(self) -> int: ...
     def restore(self, body: bytes) -> None: ...
     def rest_clocks(self) -> None: ...
@@ -154,26 +169,32 @@
     tag = struct.pack(">QQ", entry.epoch, entry.sequence)
     found = hashlib.sha256(digest + tag)
     found.update(entry.body)
-    return found.digest()[:len(NO_DIGEST)]
+    return found.digest()[: len(NO_DIGEST)]
 
 
-class Copy:
+class Replica:
     """A pair's copy on this node's disk.
 
     Example: ``copy = Copy(around, folder, make_view)``, ``await copy.open()``
     """
 
-    def __init__(self, around: surroundings.Surroundings, folder: pathlib.Path, pair: int,
-                 make_view: collections.abc.Callable[[], View]):
-        self.surroundings = around
+    def __init__(
+        self,
+        around: environment.Environment,
+        folder: pathlib.Path,
+        pair: int,
+        make_view: collections.abc.Callable[[], View],
+    ):
+        self.environment = around
         self.folder = folder
         self.pair = pair
         self.make_view = make_view
         self.kept: store.Store | None = None
         self.condition = store.Condition.EMPTY
         self.identity = ""
-        self.holding: holding.Holding | None = None
-        self.picture = NOTHING
+        self.holding: replica_set.ReplicaSet | None = None
+        self.goal: RepairGoal | None = None
+        self.snapshot = NOTHING
         self.picture_size = 0
         self.entries: list[Entry] = []
         self.digests: list[bytes] = []
@@ -183,7 +204,10 @@
         self.drawing = False
         self.newest = 0
         self.meanwhile: list[store.Item] | None = None
-        self.under_pen: tuple[store.Item, ...] = ()
+        self.write_began: datetime.timedelta | None = None
+        self.next_snapshot = clock.ZERO
+        self.rest_end = clock.ZERO
+        self.sending = 0
         self.begun: tuple[Mark, int, collections.abc.Iterator[bytes]] | None = None
         self.wanted = asyncio.Event()
         self.view_at = 0
@@ -193,20 +217,21 @@
 
         Example: ``await copy.open()``
         """
-        self.kept, items, self.condition = await self.surroundings.disk.perform(
-            store.load, self.folder, self.surroundings.disk)
+        self.kept, items, self.condition = await self.load()
         if self.condition is store.Condition.DAMAGED:
             LOG.warning("pair {}: the copy in {} is damaged; it starts empty and is mended", self.pair, self.folder)
-        self.identity, self.holding = "", None
+        self.identity, self.holding, self.goal = "", None, None
         self.newest = self.kept.generation
         self.replace_all(NOTHING)
         parts: list[bytes] = []
         for item in items:
-            value = record.untagged(item.payload)
+            value = codec.untagged(item.payload)
             if isinstance(value, Identity):
                 self.identity = value.identity
-            elif isinstance(value, holding.Holding):
+            elif isinstance(value, replica_set.ReplicaSet):
                 self.holding = value
+            elif isinstance(value, RepairGoal):
+                self.goal = value
             elif isinstance(value, Picture):
                 self.replace_all(value)
             elif isinstance(value, PicturePart):
@@ -218,18 +243,29 @@
                 self.remember(value)
         items = ()
         if not self.identity:
-            self.identity = format(self.surroundings.randomness.getrandbits(64), "016x")
+            self.identity = format(self.environment.randomness.getrandbits(64), "016x")
             await self.write(Identity(self.identity))
         self.refold()
 
-    def replace_all(self, picture: Picture | Drawn) -> None:
+    async def load(self) -> tuple[store.Store, tuple[store.Item, ...], store.Condition]:
+        """What the disk holds; tried again while the disk refuses, as there is nothing to be done without it.
+
+        Example: ``kept, items, condition = await copy.load()``
+        """
+        while True:
+            try:
+                return await self.environment.disk.perform(store.load, self.folder, self.environment.disk)
+            except OSError as error:
+                LOG.warning("group {}: {} can't be opened: {}", self.pair, self.folder, error)
+            await clock.sleep(DISK_PAUSE)
+
+    def replace_all(self, snapshot: Picture | Drawn) -> None:
         """Hold a picture and nothing else.
 
         Example: ``copy.replace_all(picture)``
         """
-        if isinstance(picture, Picture):
-            picture = Drawn(picture.epoch, picture.sequence, picture.digest, (picture.body,) if picture.body else ())
-        self.picture, self.picture_size = picture, picture.size()
+        self.snapshot = as_drawn(snapshot)
+        self.picture_size = self.snapshot.size()
         self.entries, self.digests, self.held = [], [], 0
 
     def cut(self, places: slice) -> None:
@@ -246,12 +282,12 @@
         Example: ``copy.refold()``
         """
         self.view = self.make_view()
-        if self.picture.pieces:
-            self.view.restore(self.picture.body)
-            self.picture = dataclasses.replace(self.picture, pieces=tuple(self.view.picture_parts()))
-            self.picture_size = self.picture.size()
+        if self.snapshot.pieces:
+            self.view.restore(self.snapshot.body)
+            self.snapshot = dataclasses.replace(self.snapshot, pieces=tuple(self.view.snapshot_parts()))
+            self.picture_size = self.snapshot.size()
         for entry in self.entries:
-            self.view.fold(record.untagged(entry.body))
+            self.view.fold(codec.untagged(entry.body))
         self.view_at = self.last().sequence
 
     def fold(self, entry: Entry, event) -> None:
@@ -288,16 +324,16 @@
         """
         if self.entries:
             return Mark(self.entries[-1].sequence, self.digests[-1])
-        return Mark(self.picture.sequence, self.picture.digest)
+        return Mark(self.snapshot.sequence, self.snapshot.digest)
 
     def digest_at(self, sequence: int) -> bytes | None:
         """The digest at a sequence, when the copy still knows it.
 
         Example: ``copy.digest_at(copy.last().sequence) == copy.last().digest``
         """
-        place = sequence - self.picture.sequence
+        place = sequence - self.snapshot.sequence
         if place == 0:
-            return self.picture.digest
+            return self.snapshot.digest
         return self.digests[place - 1] if 0 < place <= len(self.digests) else None
 
     def beyond(self, previous: Mark, entries: tuple[Entry, ...]) -> tuple[Entry, ...]:
@@ -306,10 +342,9 @@
         Example: ``copy.beyond(copy.last(), entries) == entries``
         """
         ahead = self.last().sequence - previous.sequence
-        present = tuple(self.entries[len(self.entries) - ahead:]) if ahead > 0 else ()
-        if (ahead < 0 or self.digest_at(previous.sequence) != previous.digest
-                or present != entries[:ahead]):
-            raise result.Refusal(result.Result.NOT_PRIMARY, detail="the copies differ")
+        present = tuple(self.entries[len(self.entries) - ahead :]) if ahead > 0 else ()
+        if ahead < 0 or self.digest_at(previous.sequence) != previous.digest or present != entries[:ahead]:
+            raise result.RequestError(result.ResultCode.NOT_PRIMARY, detail="the copies differ")
         return entries[ahead:]
 
     def marks(self) -> tuple[Mark, ...]:
@@ -317,7 +352,7 @@
 
         Example: ``copy.marks()[-1] == copy.last()``
         """
-        ends = [Mark(self.picture.sequence, self.picture.digest)]
+        ends = [Mark(self.snapshot.sequence, self.snapshot.digest)]
         for place in range(RANGE - 1, len(self.entries), RANGE):
             ends.append(Mark(self.entries[place].sequence, self.digests[place]))
         return tuple(dict.fromkeys([*ends, self.last()]))
@@ -327,9 +362,9 @@
 
         Example: ``copy.ahead_of(copy.last(), 1 << 20) == (None, ())``
         """
-        picture, place = None, mark.sequence - self.picture.sequence
+        snapshot, place = None, mark.sequence - self.snapshot.sequence
         if place < 0:
-            picture, place = self.picture, 0
+            snapshot, place = self.snapshot, 0
         elif self.digest_at(mark.sequence) != mark.digest:
             return None, ()
         chosen, size = [], 0
@@ -338,34 +373,69 @@
                 break
             chosen.append(entry)
             size += len(entry.body)
-        return picture, tuple(chosen)
+        return snapshot, tuple(chosen)
 
     async def write(self, *values) -> None:
-        """Make values last on this disk.
+        """Make values last on this disk, all or none; a cancellation waits until that is done.
 
         Example: ``await copy.write(entry)``
         """
-        items = tuple(map(stored, values))
+        await uninterrupted.finish(self.write_items(tuple(map(stored, values))))
+
+    async def write_items(self, items: tuple[store.Item, ...]) -> None:
+        """Append items to the generation in force, and to the one that is being written beside it.
+
+        Example: ``await copy.write_items(items)``
+        """
         async with self.writing:
-            if self.meanwhile is not None:
-                self.meanwhile.extend(items)
-            self.under_pen = items
+            self.write_began = clock.now()
             try:
-                await self.surroundings.disk.perform(self.kept.append, items)
+                await self.environment.disk.perform(self.kept.append, items)
             finally:
-                self.under_pen = ()
+                self.write_began = None
+            if self.meanwhile is not None:
+                self.meanwhile.extend(items)
 
-    async def rewrite(self) -> None:
-        """Write a new generation of what is in memory; a picture being drawn is drawn in vain.
+    def stalled(self) -> bool:
+        """Whether a write has not come back for so long that another member had better be the primary.
 
-        Example: ``await copy.rewrite()``
+        Example: ``if copy.stalled(): ...``
         """
-        async with self.writing:
-            self.meanwhile = None
-            fresh = self.successor()
-            await self.fill(fresh, self.picture, self.entries)
-            await self.surroundings.disk.perform(fresh.point, self.kept.home())
-            self.kept = fresh
+        return self.write_began is not None and clock.now() - self.write_began > STALLED
+
+    async def write_entries(self, entries: tuple[Entry, ...]) -> None:
+        """Make entries that follow the last one last, and remember them in the same step: what the disk holds and what
+        memory holds never differ, also when the caller is cancelled.
+
+        Example: ``await copy.write_entries(entries)``
+        """
+        await uninterrupted.finish(self.write_and_remember(entries))
+
+    async def write_and_remember(self, entries: tuple[Entry, ...]) -> None:
+        """The two steps of ``write_entries``.
+
+        Example: ``await copy.write_and_remember(entries)``
+        """
+        await self.write_items(tuple(map(stored, entries)))
+        for entry in entries:
+            self.remember(entry)
+
+    async def rewrite(self, snapshot: Drawn, entries: list[Entry]) -> None:
+        """Write and use a generation of a snapshot and entries, while the caller holds ``writing``.
+
+        The older one stays in force if that fails. A snapshot that is being drawn is drawn in vain.
+
+        Example: ``await copy.rewrite(copy.snapshot, copy.entries)``
+        """
+        self.meanwhile = None
+        fresh = self.successor()
+        try:
+            await self.fill(fresh, snapshot, entries)
+            await self.environment.disk.perform(fresh.point, self.kept.home())
+        except OSError:
+            await self.environment.disk.perform(fresh.discard)
+            raise
+        self.kept = fresh
 
     def successor(self) -> store.Store:
         """The store of a new generation, whose number no other has.
@@ -375,30 +445,43 @@
         self.newest = max(self.newest, self.kept.generation) + 1
         return self.kept.successor(self.newest)
 
-    async def fill(self, fresh: store.Store, picture: Drawn, entries: list[Entry]) -> None:
+    async def fill(self, fresh: store.Store, snapshot: Drawn, entries: list[Entry]) -> None:
         """Write a picture and the entries behind it into a new generation, a bounded part at a time.
 
         Example: ``await copy.fill(copy.successor(), copy.picture, copy.entries)``
         """
-        await self.surroundings.disk.perform(fresh.blank)
+        await self.environment.disk.perform(fresh.blank)
         waiting, size = [], 0
-        for value in itertools.chain([Identity(self.identity)], [self.holding] if self.holding else [], picture.values(),
-                                     tuple(entries)):
+        for value in itertools.chain(
+            [Identity(self.identity)],
+            [self.holding] if self.holding else [],
+            [self.goal] if self.incomplete() else [],
+            snapshot.values(),
+            tuple(entries),
+        ):
             waiting.append(stored(value))
             size += len(waiting[-1].payload)
             if size >= PART:
-                await self.surroundings.disk.perform(fresh.add, waiting)
+                await self.environment.disk.perform(fresh.add, waiting)
                 waiting, size = [], 0
-        await self.surroundings.disk.perform(fresh.append, waiting)
+        await self.environment.disk.perform(fresh.append, waiting)
 
-    async def hold(self, fresh: holding.Holding) -> None:
+    async def hold(self, fresh: replica_set.ReplicaSet) -> None:
         """Make a newer record of holders last before acting under it; written twice, as a disk may lose its
         last synced value and no other copy need hold the same record.
 
         Example: ``await copy.hold(record)``
         """
         if self.holding is None or fresh.epoch > self.holding.epoch:
-            await self.write(fresh, fresh)
+            await uninterrupted.finish(self.write_record(fresh))
+
+    async def write_record(self, fresh: replica_set.ReplicaSet) -> None:
+        """The two steps of ``hold``.
+
+        Example: ``await copy.write_record(record)``
+        """
+        await self.write_items((stored(fresh), stored(fresh)))
+        if self.holding is None or fresh.epoch > self.holding.epoch:
             self.holding = fresh
 
     async def append(self, entries: tuple[Entry, ...]) -> None:
@@ -406,21 +489,62 @@
 
         Example: ``await copy.append(entries)``
         """
-        await self.write(*entries)
+        await uninterrupted.finish(self.write_and_fold(entries))
+
+    async def write_and_fold(self, entries: tuple[Entry, ...]) -> None:
+        """The steps of ``append``.
+
+        Example: ``await copy.write_and_fold(entries)``
+        """
+        await self.write_and_remember(entries)
         for entry in entries:
-            self.remember(entry)
-            self.fold(entry, record.untagged(entry.body))
+            self.fold(entry, codec.untagged(entry.body))
+
+    async def begin_repair(self, goal: RepairGoal) -> None:
+        """Make it last that this copy is not whole before it holds a mark, unless it holds that already.
+
+        Example: ``await copy.begin_repair(RepairGoal(mark.sequence, mark.digest))``
+        """
+        if self.digest_at(goal.sequence) == goal.digest:
+            self.goal = None
+        elif goal != self.goal:
+            await self.write(goal)
+            self.goal = goal
+
+    def incomplete(self) -> bool:
+        """Whether a repair of this copy was begun and is not finished: it may lack what was acknowledged.
+
+        Example: ``if copy.incomplete(): ...``
+        """
+        if self.goal is not None:
+            past = self.goal.sequence < self.snapshot.sequence
+            if past or self.digest_at(self.goal.sequence) == self.goal.digest:
+                self.goal = None
+        return self.goal is not None
 
     def grown(self) -> bool:
-        """Whether the entries are many, or many bytes: as much as half of what the picture holds, so that the cost of a picture
-        stays in proportion.
+        """Whether the entries are many, or many bytes.
+
+        As much as half of what the snapshot holds, so that the cost of a snapshot stays in proportion; more while a snapshot
+        is being sent, as its receiver needs the entries behind it. Where the last snapshot is a while ago, fewer are enough:
+        disk, start and catching up follow the state then, and not the changes of a whole day.
 
         Example: ``if copy.grown(): ...``
         """
-        return (len(self.entries) >= max(COMPACT_ENTRIES, self.view.size() // 2)
-                or self.held >= max(COMPACT_BYTES, self.picture_size // 2))
+        if self.longer_than(COMPACT_ENTRIES, COMPACT_BYTES):
+            return True
+        return clock.now() >= self.rest_end and self.longer_than(RESTED_ENTRIES, RESTED_BYTES)
+
+    def longer_than(self, entries: int, size: int) -> bool:
+        """Whether the entries are more than so many or so many bytes, and than half of the state.
 
-    def begin_picture(self) -> bool:
+        Example: ``copy.longer_than(4000, 2 << 20)``
+        """
+        times = WHILE_SENDING if self.sending else 1
+        many = len(self.entries) >= times * max(entries, self.view.size() // 2)
+        return many or self.held >= times * max(size, self.picture_size // 2)
+
+    def begin_snapshot(self) -> bool:
         """Take hold of what the view shows now, if the entries are many and the view shows just them; it is drawn behind the
         entries that come next, which are written meanwhile.
 
@@ -429,8 +553,10 @@
         end = self.last()
         if self.drawing or not self.grown() or not self.entries or self.view_at != end.sequence:
             return False
-        self.drawing, self.meanwhile = True, list(self.under_pen)
-        self.begun = end, self.entries[-1].epoch, self.view.picture_parts()
+        if clock.now() < self.next_snapshot:
+            return False
+        self.drawing, self.meanwhile = True, []
+        self.begun = end, self.entries[-1].epoch, self.view.snapshot_parts()
         self.wanted.set()
         return True
 
@@ -448,7 +574,7 @@
 
         Example: ``await copy.compact()``
         """
-        if self.begin_picture():
+        if self.begin_snapshot():
             await self.finish_picture()
 
     async def finish_picture(self) -> None:
@@ -464,57 +590,86 @@
         try:
             if meanwhile is not None:
                 await self.use(Drawn(epoch, end.sequence, end.digest, await drawn(parts)), meanwhile)
+        except OSError as error:
+            self.next_snapshot = clock.now() + DISK_PAUSE
+            LOG.warning("group {}: no snapshot could be written: {}", self.pair, error)
         finally:
             self.drawing = False
             if self.meanwhile is meanwhile:
                 self.meanwhile = None
 
-    async def use(self, picture: Drawn, meanwhile: list[store.Item]) -> None:
+    async def use(self, snapshot: Drawn, meanwhile: list[store.Item]) -> None:
         """Write a generation that starts with a picture and goes on with what was written meanwhile, then use it; unless the copy
         was mended, which makes a generation of its own.
 
         Example: ``await copy.use(picture, copy.meanwhile)``
         """
         fresh = self.successor()
-        await self.fill(fresh, picture, [])
-        async with self.writing:
-            if self.meanwhile is not meanwhile:
-                await self.surroundings.disk.perform(fresh.discard)
-                return
-            if meanwhile:
-                await self.surroundings.disk.perform(fresh.append, meanwhile)
-            await self.surroundings.disk.perform(fresh.point, self.kept.home())
-            self.kept = fresh
-            if self.meanwhile is meanwhile:
-                self.cut(slice(0, picture.sequence - self.picture.sequence))
-                self.picture, self.picture_size = picture, picture.size()
-
-    async def mend(self, through: int, picture: Picture | None, entries: tuple[Entry, ...]) -> Mark:
+        try:
+            await self.fill(fresh, snapshot, [])
+            async with self.writing:
+                if self.meanwhile is not meanwhile:
+                    await self.environment.disk.perform(fresh.discard)
+                    return
+                if meanwhile:
+                    await self.environment.disk.perform(fresh.append, tuple(meanwhile))
+                await self.environment.disk.perform(fresh.point, self.kept.home())
+                self.kept = fresh
+                self.cut(slice(0, snapshot.sequence - self.snapshot.sequence))
+                self.snapshot, self.picture_size = snapshot, snapshot.size()
+                self.rest_end = clock.now() + SNAPSHOT_REST
+        except OSError:
+            if self.kept is not fresh:
+                await self.environment.disk.perform(fresh.discard)
+            raise
+
+    async def repair(self, through: int, snapshot: Picture | None, entries: tuple[Entry, ...]) -> Mark:
         """Become like the primary: keep what agrees, drop what does not, add what is missing.
 
         Example: ``mark = await copy.mend(120, None, entries)``
         """
-        if picture is not None:
-            self.replace_all(picture)
-        cut = through - self.picture.sequence
-        if not 0 <= cut <= len(self.entries):
-            raise result.Refusal(result.Result.NOT_PRIMARY, detail="the copy has moved on since it was compared")
-        dropped = picture is not None or len(self.entries) > cut
-        if dropped:
-            self.meanwhile = None
+        await uninterrupted.finish(self.replace_behind(through, snapshot, entries))
+        return self.last()
+
+    async def replace_behind(self, through: int, snapshot: Picture | Drawn | None, entries: tuple[Entry, ...]) -> None:
+        """The steps of ``repair``: the disk first, then memory, so that a failed write leaves both as they were.
+
+        Example: ``await copy.replace_behind(120, None, entries)``
+        """
+        if snapshot is None and through == self.last().sequence:
+            await self.write_and_remember(entries)
+            if self.view_at == through:
+                for entry in entries:
+                    self.fold(entry, codec.untagged(entry.body))
+            else:
+                self.refold()
+            return
+        async with self.writing:
+            base = self.snapshot if snapshot is None else as_drawn(snapshot)
+            held = self.entries if snapshot is None else []
+            cut = through - base.sequence
+            if not 0 <= cut <= len(held):
+                raise result.RequestError(
+                    result.ResultCode.NOT_PRIMARY, detail="the copy has moved on since it was compared"
+                )
+            await self.rewrite(base, [*held[:cut], *entries])
+            if snapshot is not None:
+                self.replace_all(base)
             self.cut(slice(cut, None))
-        for entry in entries:
-            self.remember(entry)
-        if dropped:
-            await self.rewrite()
-        else:
-            await self.write(*entries)
-        if dropped or self.view_at != self.last().sequence - len(entries):
-            self.refold()
-        else:
             for entry in entries:
-                self.fold(entry, record.untagged(entry.body))
-        return self.last()
+                self.remember(entry)
+        self.refold()
+
+
+def as_drawn(snapshot: Picture | Drawn) -> Drawn:
+    """A snapshot in pieces.
+
+    Example: ``as_drawn(picture).size() == len(picture.body)``
+    """
+    if isinstance(snapshot, Drawn):
+        return snapshot
+    pieces = (snapshot.body,) if snapshot.body else ()
+    return Drawn(snapshot.epoch, snapshot.sequence, snapshot.digest, pieces)
 
 
 def stored(value) -> store.Item:
@@ -522,7 +677,7 @@
 
     Example: ``stored(Identity("name"))``
     """
-    return store.Item(getattr(value, "epoch", 0), record.tagged(value))
+    return store.Item(getattr(value, "epoch", 0), codec.tagged(value))
 
 
 async def drawn(parts: collections.abc.Iterator[bytes]) -> tuple[bytes, ...]:
@@ -535,6 +690,6 @@
         pieces.append(part)
         since += 1 + len(part) // 4096
         if since >= BREATH:
-            await moment.pause(moment.ZERO)
+            await clock.sleep(clock.ZERO)
             since = 0
     return tuple(pieces)
--- /dev/null
+++ b/aspencroft/simulation/mutations.py
@@ -0,0 +1,990 @@
+"""Breaks the code on purpose, guard by guard, and tells whether the tests see it: who guards the guards."""
+
+import concurrent.futures
+import dataclasses
+import os
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+
+import defopt
+
+ROOT = pathlib.Path(__file__).parents[2]
+LONGEST = 240
+POWER_LOSS_TEST = (
+    "storage/store_test.py::test_power_lost_at_any_sync_with_names_and_blocks_kept_singly_loses_nothing_acknowledged"
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Mutation:
+    """A place in the code, what it is made into, and the tests that should see it; with a second place, in the
+    same file or the one named third, where another guard would hold alone.
+
+    Example: ``Break("name", "gateway/selection.py", "old text", "new text", ("simulation/calls_test.py::test_x",))``
+    """
+
+    name: str
+    file: str
+    old: str
+    new: str
+    tests: tuple[str, ...]
+    besides: tuple[tuple[str, ...], ...] = ()
+
+    def places(self) -> tuple[tuple[str, str, str], ...]:
+        """All that is changed: file, old text and new text.
+
+        Example: ``one.places()[0] == (one.file, one.old, one.new)``
+        """
+        return (
+            (self.file, self.old, self.new),
+            *((more[2] if len(more) > 2 else self.file, *more[:2]) for more in self.besides),
+        )
+
+
+MUTATIONS = (
+    Mutation(
+        "a worker's error is taken for not run",
+        "workers/adapter.py",
+        "                result.ResultCode.WORKER_REFUSED,\n                result.Ran.UNKNOWN,\n",
+        "                result.ResultCode.WORKER_REFUSED,\n                result.Ran.NOT_RUN,\n",
+        ("simulation/guarantees_test.py::test_a_lost_answer_is_unknown_and_the_work_is_not_done_again",),
+    ),
+    Mutation(
+        "a key is granted to every asker",
+        "sessions/lane_sessions.py",
+        "        if known is not None:\n",
+        "        if known is not None and known.outcome:\n",
+        (
+            "simulation/guarantees_test.py::test_a_key_at_many_edges_runs_once_though_the_primary_dies_and_answers_are_lost",
+        ),
+    ),
+    Mutation(
+        "a key answers any request",
+        "sessions/lane_sessions.py",
+        "            if known.digest != command.digest:\n",
+        "            if False:\n",
+        ("simulation/calls_test.py::test_an_answer_from_a_keys_record_adds_up_and_is_nobody_elses",),
+    ),
+    Mutation(
+        "the record tells the first run's count of pieces",
+        "gateway/path.py",
+        '            self.last(one, call.Ended(kept["turn"], pieces, kept["used"], kept["answer"], None))\n',
+        '            self.last(one, call.Ended(kept["turn"], 7, kept["used"], kept["answer"], None))\n',
+        ("simulation/calls_test.py::test_an_answer_from_a_keys_record_adds_up_and_is_nobody_elses",),
+    ),
+    Mutation(
+        "a cut record is handed out as an answer",
+        "gateway/path.py",
+        "        if state.outcome == sessions_messages.DONE and state.answer:\n",
+        "        if state.outcome == sessions_messages.DONE:\n",
+        ("simulation/calls_test.py::test_an_answer_too_large_for_its_record_is_told_as_such_not_as_an_empty_one",),
+    ),
+    Mutation(
+        "nothing is checked at the moment of sending",
+        "gateway/path.py",
+        "        if self.over(one):\n            raise result.RequestError(result.ResultCode.DEADLINE)\n        why = self.sendable(one)\n",
+        '        why = ""\n',
+        ("simulation/guarantees_test.py::test_an_edge_frozen_between_claim_and_send_sends_nothing_late",),
+    ),
+    Mutation(
+        "reservations are not counted",
+        "sessions/lane_sessions.py",
+        "        if known.used + known.reserved() >= known.budget:\n",
+        "        if known.used >= known.budget:\n",
+        ("simulation/guarantees_test.py::test_parallel_helpers_over_edges_and_a_takeover_stay_in_budget",),
+    ),
+    Mutation(
+        "repeated work is not charged",
+        "gateway/path.py",
+        '            await self.close_turn(one, sessions_messages.UNKNOWN, "", 0)\n',
+        '            await self.close_turn(one, sessions_messages.NOT_RUN, "", 0)\n',
+        ("simulation/calls_test.py::test_work_is_repeated_only_where_the_lane_says_so_and_is_charged_each_time",),
+    ),
+    Mutation(
+        "any lane's work is repeated",
+        "gateway/path.py",
+        "            one.lane.repeatable\n            and not one.request.operation\n",
+        "            not one.request.operation\n",
+        ("simulation/calls_test.py::test_work_is_repeated_only_where_the_lane_says_so_and_is_charged_each_time",),
+    ),
+    Mutation(
+        "work is repeated behind pieces",
+        "gateway/path.py",
+        "            and not one.handed\n",
+        "",
+        ("simulation/calls_test.py::test_work_is_repeated_only_where_the_lane_says_so_and_is_charged_each_time",),
+    ),
+    Mutation(
+        "one copy is enough",
+        "replication/log_shipping.py",
+        "        return tuple(one for one, task in sent.items() if task.result() != self.own.copy.last())\n",
+        "        return tuple(one for one, task in sent.items() if False)\n",
+        (
+            "simulation/guarantees_test.py::test_nothing_is_answered_with_one_copy_when_primary_and_backup_are_cut_apart",
+            "simulation/guarantees_test.py::test_acknowledged_plans_outlive_a_primary_killed_or_frozen_at_any_step_of_a_write",
+        ),
+    ),
+    Mutation(
+        "nothing is synced",
+        "storage/store.py",
+        '        for name in ("journal.dat", "journal.dir"):\n            self.disk.synchronise(self.home() / name)\n',
+        "        pass\n",
+        ("simulation/guarantees_test.py::test_a_plan_outlives_power_lost_everywhere_just_after_its_answer",),
+    ),
+    Mutation(
+        "a started member does not ask the other one",
+        "replication/log_shipping.py",
+        "        if not own.unsure and not own.copy.incomplete():\n            return True\n",
+        "        return True\n",
+        (
+            "simulation/guarantees_test.py::test_a_disk_that_lost_just_its_last_synced_value_loses_nothing_that_was_acknowledged",
+        ),
+    ),
+    Mutation(
+        "claims are granted below a raised ballot",
+        "consensus/witness_state.py",
+        "            or current.raised != message.ballot\n",
+        "",
+        ("consensus/witness_test.py::test_no_claim_is_granted_below_a_raised_ballot",),
+    ),
+    Mutation(
+        "a blank witness votes at once",
+        "consensus/witness_state.py",
+        "            raise result.RequestError(result.ResultCode.WITNESS_BLANK)\n",
+        "            pass\n",
+        (
+            "simulation/guarantees_test.py::test_all_witnesses_losing_their_memory_at_once_neither_stops_nor_splits_the_fleet",
+        ),
+    ),
+    Mutation(
+        "a woken primary looks neither at its claim nor for its backup",
+        "replication/group_state.py",
+        "            self.leading\n            and clock.now() < self.lease_end\n            and self.known",
+        "            self.leading\n            and self.known",
+        ("simulation/guarantees_test.py::test_a_primary_that_wakes_up_answers_nothing_before_it_claimed_anew",),
+        (
+            (
+                "        if not entries and clock.now() - self.touched < BEAT:\n",
+                "        if not entries:\n",
+                "replication/primary.py",
+            ),
+        ),
+    ),
+    Mutation(
+        "operators are answered before the plan is in force",
+        "distribution/relay.py",
+        "            if not behind and wait <= clock.ZERO:\n                return\n",
+        "            return\n",
+        ("simulation/campaign_test.py",),
+    ),
+    Mutation(
+        "a plan is trusted without a claim",
+        "distribution/relay.py",
+        "        return clock.now() < self.currency_end and self.revision != control_state.NEVER\n",
+        "        return self.revision != control_state.NEVER\n",
+        ("simulation/campaign_test.py", "simulation/plans_test.py"),
+    ),
+    Mutation(
+        "leaving workers are drawn and sent to",
+        "workers/adapter.py",
+        "            one = worker.of(row)\n",
+        '            one = worker.of({**row, "leaving": False} if isinstance(row, dict) else row)\n',
+        ("simulation/guarantees_test.py::test_a_worker_marked_as_leaving_gets_nothing_new_after_three_seconds",),
+    ),
+    Mutation(
+        "the lane's services are not looked at",
+        "configuration/resources.py",
+        "        whole = self.lanes[lane_name].services\n",
+        "        whole = tuple(self.services)\n",
+        ("simulation/plans_test.py", "configuration/resources_test.py"),
+    ),
+    Mutation(
+        "a turn may follow any other",
+        "sessions/lane_sessions.py",
+        "        if command.after != last:\n",
+        "        if False:\n",
+        ("sessions/lane_sessions_test.py::test_budget_and_history_agree_with_a_plain_model",),
+    ),
+    Mutation(
+        "a cut stream looks complete",
+        "workers/adapter.py",
+        '            raise result.RequestError(\n                result.ResultCode.WORKER_LOST, result.Ran.UNKNOWN, "the stream ended without its end"\n            )\n',
+        "            yield End(count, used, None)\n",
+        ("workers/adapter_test.py",),
+    ),
+    Mutation(
+        "signals share the senders of streams",
+        "gateway/path.py",
+        "        if self.sending[one.turns()].offer(one.lane.urgency, one):\n",
+        "        if self.sending[True].offer(one.lane.urgency, one):\n",
+        (
+            "simulation/calls_test.py::test_signals_have_places_of_their_own_beside_long_streams",
+            "simulation/guarantees_test.py::test_signals_are_served_under_a_flood_and_refusals_come_at_once",
+        ),
+    ),
+    Mutation(
+        "a call that must not be sent is drawn again at once",
+        "gateway/path.py",
+        '            self.tell(one, "not sent", why)\n            self.undraw(one)\n',
+        '            self.tell(one, "not sent", why)\n            self.release(one)\n',
+        ("simulation/calls_test.py::test_an_edge_cut_off_with_calls_waiting_does_not_go_round_and_round",),
+        (("        if not self.node.relay.current():\n            return\n", ""),),
+    ),
+    Mutation(
+        "a question that comes twice is answered twice",
+        "transport/connections.py",
+        "                    if one.number and one.number <= newest:\n",
+        "                    if False:\n",
+        ("simulation/plans_test.py::test_a_conditional_write_whose_frames_come_twice_is_not_refused_for_itself",),
+    ),
+    Mutation(
+        "all pairs share acceptors",
+        "gateway/path.py",
+        "        key = (pair, one.turns())\n",
+        "        key = (1, True)\n",
+        ("simulation/calls_test.py::test_a_pair_without_a_primary_holds_up_none_but_its_own",),
+    ),
+    Mutation(
+        "a key is forgotten early",
+        "sessions/lane_sessions.py",
+        "        span = max(MINUTE, operation.keep) + BEYOND\n",
+        "        span = BEYOND\n",
+        (
+            "simulation/keeping_test.py::test_a_key_holds_a_minute_over_edges_takeovers_a_full_stop_and_jumping_clocks_then_is_free",
+        ),
+    ),
+    Mutation(
+        "a takeover does not start keep times anew",
+        "sessions/lane_sessions.py",
+        "        return now - self.touched.setdefault(program.name, now) > program.keep\n",
+        "        return now - self.touched.setdefault(program.name, now - program.keep * 0.9) > program.keep\n",
+        (
+            "simulation/keeping_test.py::test_history_is_there_until_its_keep_time_ends_also_after_takeovers_and_its_room_is_given_back",
+        ),
+    ),
+    Mutation(
+        "history is never forgotten",
+        "sessions/lane_sessions.py",
+        '            if kind == "program" and program is not None and not program.under_way and self.kept_out(program, now):\n',
+        '            if kind == "program" and program is not None and False:\n',
+        (
+            "simulation/keeping_test.py::test_history_is_there_until_its_keep_time_ends_also_after_takeovers_and_its_room_is_given_back",
+        ),
+    ),
+    Mutation(
+        "missing samples fire rules",
+        "configuration/alert_expression.py",
+        "        return False\n",
+        "        return True\n",
+        ("configuration/alert_expression_test.py",),
+    ),
+    Mutation(
+        "a flapping rule flaps the fleet",
+        "alerts/alerts.py",
+        "    if before.state == FIRING and now - before.last < keep:\n",
+        "    if False:\n",
+        ("alerts/alerts_test.py",),
+    ),
+    Mutation(
+        "all parked calls are looked at each time",
+        "gateway/path.py",
+        "                if not self.draw_one(one):\n",
+        '                if not self.draw_one(one):\n                    for other in list(self.parked.rows[key].calls)[1:]:\n                        self.counts["draws"] += 1\n',
+        (
+            "simulation/calls_test.py::test_a_flood_costs_linear_work_and_what_cannot_be_served_is_refused_when_that_is_known",
+        ),
+    ),
+    Mutation(
+        "refusals name no time",
+        "errors/result.py",
+        "        self.retry = COME_BACK.get(result.number, SOON if result.status >= 500 else None) if retry is None else retry\n",
+        "        self.retry = None if retry is None else retry\n",
+        ("simulation/calls_test.py::test_every_refusal_names_when_to_come_back",),
+    ),
+    Mutation(
+        "standing tasks end at the first odd thing",
+        "runtime/supervision.py",
+        "            heed()\n            counts[name] += 1\n",
+        "            raise\n",
+        ("runtime/supervision_test.py",),
+    ),
+    Mutation(
+        "a forgotten cancellation is not heeded",
+        "runtime/supervision.py",
+        "    if task is not None and task.cancelling():\n",
+        "    if False:\n",
+        ("runtime/supervision_test.py",),
+    ),
+    Mutation(
+        "lone surrogates pass",
+        "runtime/json_input.py",
+        "    if not text.isascii():\n",
+        "    if False:\n",
+        (
+            "runtime/json_input.py",
+            "simulation/surfaces_test.py::test_nothing_that_a_caller_or_operator_sends_ends_a_process",
+        ),
+    ),
+    Mutation(
+        "one odd row costs the list",
+        "workers/adapter.py",
+        '                self.faults["rows"] += 1\n',
+        "                raise result.RequestError(result.ResultCode.LIST_BROKEN)\n",
+        ("simulation/surfaces_test.py::test_no_page_of_the_platform_or_a_back_end_ends_a_process_or_a_standing_task",),
+    ),
+    Mutation(
+        "a failed wake order is forgotten",
+        "power/machine_power.py",
+        "            self.waking[target.name] += 1\n",
+        "            del self.waking[target.name]\n",
+        ("simulation/resting_test.py::test_a_machine_that_fails_to_wake_is_asked_again_and_another_is_woken",),
+    ),
+    Mutation(
+        "a machine is drawn while it wakes",
+        "power/machine_power.py",
+        "        if left <= clock.ZERO:\n",
+        "        if True:\n",
+        ("simulation/resting_test.py::test_a_machine_is_not_drawn_before_it_is_awake_and_wakes_with_nothing_held",),
+    ),
+    Mutation(
+        "a machine sleeps without a look at what is in flight",
+        "power/machine_power.py",
+        '        return self.marks.setdefault(name, mark) != mark and seen["busy"] == 0\n',
+        "        return self.marks.setdefault(name, mark) != mark or True\n",
+        ("simulation/resting_test.py",),
+    ),
+    Mutation(
+        "the control group has no more members than others",
+        "node/node.py",
+        "            return max(self.settings.copies, len(self.proposer.voter_set.present) // 2 + 1)\n",
+        "            return self.settings.copies\n",
+        (
+            "replication/group_replica_test.py::test_the_majority_side_of_a_core_cut_serves_and_keeps_what_was_acknowledged",
+        ),
+    ),
+    Mutation(
+        "a lost disk votes as if new",
+        "node/node.py",
+        "            await self.witness.start(self.settings.witnesses == settings.CORE and self.settings.first_start)\n",
+        "            await self.witness.start(self.settings.witnesses == settings.CORE)\n",
+        ("consensus/witness_bootstrap_test.py::test_lost_disks_are_never_taken_for_a_new_fleet",),
+    ),
+    Mutation(
+        "lost disks found holders",
+        "consensus/witness_bootstrap.py",
+        "            if lost:\n",
+        "            if False:\n",
+        ("consensus/witness_bootstrap_test.py::test_lost_disks_are_never_taken_for_a_new_fleet",),
+    ),
+    Mutation(
+        "a primary that hears nothing goes on claiming",
+        "replication/primary.py",
+        "            end, newest, answered = await own.proposer.claim(\n                used, own.pair, str(own.me()), clock.ZERO if failed else witness.LEASE\n            )\n",
+        "            end, newest, answered = await own.proposer.claim(used, own.pair, str(own.me()), witness.LEASE)\n",
+        ("replication/primary_test.py",),
+    ),
+    Mutation(
+        "a tenure goes on without word of a new member",
+        "replication/replica_changes.py",
+        "            if refusal.result is result.ResultCode.OUTCOME_UNKNOWN:\n",
+        "            if False:\n",
+        ("replication/replica_changes_test.py",),
+    ),
+    Mutation(
+        "too few members answer without a look at other disks",
+        "replication/primary.py",
+        "        return count >= self.own.around.copies or (count >= group_state.LEAST and self.short == standing)\n",
+        "        return count >= self.own.around.copies or count >= group_state.LEAST\n",
+        ("replication/primary_test.py",),
+    ),
+    Mutation(
+        "a node is taken in as it was prepared",
+        "replication/replica_changes.py",
+        "                same = await self.log_shipping.repair_member(peer)\n",
+        "                same = True\n",
+        ("replication/replica_changes_test.py",),
+    ),
+    Mutation(
+        "members that failed are answered for",
+        "replication/primary.py",
+        "        failed = await self.log_shipping.agree(standing)\n        if failed:\n",
+        "        failed = await self.log_shipping.agree(standing)\n        if False:\n",
+        ("replication/primary_test.py",),
+    ),
+    Mutation(
+        "emptied members go before others hold the copy",
+        "replication/replica_changes.py",
+        "        elif len(staying) >= own.around.copies and len(staying) < len(own.known.members()):\n",
+        "        elif len(staying) < len(own.known.members()):\n",
+        ("replication/replica_changes_test.py",),
+    ),
+    Mutation(
+        "whoever is primary is taken over from",
+        "replication/backup.py",
+        "                if own.me() in newest.backups and newest.primary == standing.primary\n",
+        "                if own.me() in newest.backups\n",
+        ("replication/backup_test.py",),
+    ),
+    Mutation(
+        "a machine counts as emptied at once",
+        "node/node.py",
+        "        return reply.emptied and len(members) >= self.settings.copies and all(one.address != address for one in members)\n",
+        "        return reply.emptied\n",
+        ("node/node_test.py::test_emptying_a_machine_completes_and_nothing_is_lost",),
+    ),
+    Mutation(
+        "the checksum of a frame is not looked at",
+        "transport/frame.py",
+        "    if checksum(header[:-4], body) != expected:\n",
+        "    if False:\n",
+        ("simulation/guarantees_test.py::test_broken_frames_close_the_connection_and_are_counted",),
+    ),
+    Mutation(
+        "an answer with another id is taken",
+        "workers/pool.py",
+        "            if accepts is not None and not accepts(head.status, head.headers):\n",
+        "            if False:\n",
+        ("simulation/call_troubles_test.py",),
+    ),
+    Mutation(
+        "a connection with bytes in excess is used again",
+        "workers/pool.py",
+        "        if reuse and not connection.expired and not connection.buffer and now < connection.retire:\n",
+        "        if reuse and not connection.expired and now < connection.retire:\n",
+        ("workers/pool_test.py",),
+    ),
+    Mutation(
+        "a refusal without an id is trusted on a connection used before",
+        "proxy/forwarder.py",
+        "        if declined and (head.attempt or not response.reused or passage.repeatable()):\n",
+        "        if declined:\n",
+        ("simulation/call_troubles_test.py",),
+    ),
+    Mutation(
+        "a worker's 503 without its word passes as a promise",
+        "proxy/forwarder.py",
+        "        elif head.status in NOT_RUN_STATUSES and not passage.repeatable():\n",
+        "        elif False:\n",
+        ("simulation/call_troubles_test.py",),
+    ),
+    Mutation(
+        "a lost request counts as not run",
+        "workers/pool.py",
+        "        super().__init__(result.ResultCode.WORKER_LOST, result.Ran.UNKNOWN, detail)\n",
+        "        super().__init__(result.ResultCode.WORKER_LOST, result.Ran.NOT_RUN, detail)\n",
+        ("simulation/call_troubles_test.py",),
+    ),
+    Mutation(
+        "a cut answer counts as not run",
+        "workers/pool.py",
+        '            result.ResultCode.WORKER_BROKE,\n            result.Ran.UNKNOWN,\n            f"{connection.address}',
+        '            result.ResultCode.WORKER_BROKE,\n            result.Ran.NOT_RUN,\n            f"{connection.address}',
+        ("simulation/call_troubles_test.py",),
+    ),
+    Mutation(
+        "a key whose edge is gone is free",
+        "sessions/ledger.py",
+        '                found.append(entry.CloseKey(key, held.attempt, messages.UNKNOWN, 0, (), b""))\n',
+        '                found.append(entry.CloseKey(key, held.attempt, messages.NOT_RUN, 0, (), b""))\n',
+        ("simulation/call_troubles_test.py",),
+    ),
+    Mutation(
+        "a snapshot leaves the keys out",
+        "sessions/ledger.py",
+        "        self.keys = {one.key: one for one in shown.keys}\n",
+        "        self.keys = {}\n",
+        ("simulation/call_troubles_test.py",),
+    ),
+    Mutation(
+        "a hedge counts its attempts by itself",
+        "proxy/forwarder.py",
+        "        other = dataclasses.replace(passage, tried=passage.tried | {passage.at}, hedged=False)\n",
+        "        other = dataclasses.replace(\n            passage, tried=passage.tried | {passage.at}, hedged=False, attempts=Attempts(1, 1)\n        )\n",
+        ("proxy/forwarder_test.py",),
+    ),
+    Mutation(
+        "an edge without a current configuration says that there is no route",
+        "proxy/forwarder.py",
+        "            if not self.knows_all_routes():\n",
+        "            if False:\n",
+        ("proxy/forwarder_test.py",),
+    ),
+    Mutation(
+        "a call is sent under a route that changed its kind",
+        "proxy/forwarder.py",
+        "        if (route.kind, route.retained) != (passage.route.kind, passage.route.retained):\n",
+        "        if False:\n",
+        ("proxy/forwarder_test.py",),
+    ),
+    Mutation(
+        "a request is sent after the end of its time",
+        "workers/pool.py",
+        "        if clock.now() >= end:\n            channel.abort()\n",
+        "        if False:\n            channel.abort()\n",
+        ("workers/pool_test.py",),
+    ),
+    Mutation(
+        "a turn that cannot be kept is held beyond its route's time",
+        "proxy/forwarder.py",
+        "        within = max(passage.end - clock.now(), OVERTIME)\n",
+        "        within = max(passage.end - clock.now(), LATER)\n",
+        ("simulation/call_troubles_test.py",),
+    ),
+    Mutation(
+        "the window of keys is not that of the settings",
+        "proxy/forwarder.py",
+        "        window = self.node.settings.key_window\n",
+        "        window = WINDOW\n",
+        ("simulation/call_troubles_test.py",),
+    ),
+    Mutation(
+        "an operation key at work is granted again",
+        "sessions/ledger.py",
+        "        if known is not None:\n            mine = not known.outcome",
+        "        if known is not None and known.outcome:\n            mine = not known.outcome",
+        ("simulation/call_troubles_test.py::test_repeats_of_a_key_at_work_never_run_whatever_takeovers_come_between",),
+        "only the last 256 taken orders are known again",
+        "configuration/taken_orders.py",
+        "MOST_RECORDS = 1 << 16\n",
+        "MOST_RECORDS = 256\n",
+        (
+            "configuration/taken_orders_test.py::test_every_order_of_a_long_day_is_known_again_also_after_a_restart_and_never_taken_twice",
+        ),
+    ),
+    Mutation(
+        "an order below the horizon of the record is called refused",
+        "configuration/operator_configuration.py",
+        "        if self.taken.forgotten(command.version) and command.condition < command.version:\n",
+        "        if False:\n",
+        ("configuration/orders_stateful_test.py",),
+    ),
+    Mutation(
+        "an order is known again by its number alone",
+        "configuration/operator_configuration.py",
+        "        if found is not None and found.digest == command.digest:\n",
+        "        if found is not None:\n",
+        ("configuration/orders_stateful_test.py",),
+    ),
+    Mutation(
+        "the condition of an order is not looked at",
+        "configuration/operator_configuration.py",
+        "        if command.condition != self.version:\n",
+        "        if False:\n",
+        ("configuration/orders_stateful_test.py",),
+    ),
+    Mutation(
+        "a number at or below the current one is taken",
+        "configuration/operator_configuration.py",
+        "        if command.version <= self.version:\n",
+        "        if False:\n",
+        ("configuration/orders_stateful_test.py",),
+    ),
+    Mutation(
+        "taken orders are not in the snapshot",
+        "configuration/operator_configuration.py",
+        '            "taken": self.taken.snapshot(),\n',
+        '            "taken": taken_orders.TakenOrders().snapshot(),\n',
+        ("configuration/orders_stateful_test.py",),
+    ),
+    Mutation(
+        "the horizon of the record is not in the snapshot",
+        "configuration/taken_orders.py",
+        '        return {"horizon": self.horizon, ',
+        '        return {"horizon": 0, ',
+        ("configuration/taken_orders_test.py", "configuration/orders_stateful_test.py"),
+    ),
+    Mutation(
+        "a drain order is checked against whatever plan the node has",
+        "node/drain_order.py",
+        "            await self.newest_plan(end)\n            if self.ordered",
+        "            if self.ordered",
+        ("node/drain_order_test.py",),
+    ),
+    Mutation(
+        "a drain order does not name the plan that it was checked against",
+        "node/drain_order.py",
+        '"", "", body, self.own.relay.revision)',
+        '"", "", body, None)',
+        (
+            "node/node_test.py::test_of_two_drain_orders_at_once_that_leave_too_few_together_one_is_taken_wherever_they_are_sent",
+        ),
+    ),
+    Mutation(
+        "a drain order is forgotten with its machine",
+        "node/drain_order.py",
+        "        return next(named, None)\n",
+        "        return None\n",
+        ("node/node_test.py::test_a_drain_order_sent_again_after_the_machine_is_gone_and_forgotten_is_done",),
+    ),
+    Mutation(
+        "a node that just started calls machines unknown",
+        "node/drain_order.py",
+        '        if not self.members_known():\n            raise result.RequestError(result.ResultCode.UNREACHABLE, detail=f"{name}',
+        '        if False:\n            raise result.RequestError(result.ResultCode.UNREACHABLE, detail=f"{name}',
+        ("node/node_test.py::test_a_node_calls_a_machine_unknown_only_once_it_had_time_to_hear_of_all",),
+    ),
+    Mutation(
+        "a disk that is away for a moment counts as lost",
+        "node/drain_order.py",
+        "            if not self.members_known() or len(left) + len(returning)",
+        "            if not self.members_known() or len(left) + 0 * len(returning)",
+        ("node/node_test.py::test_while_a_disk_is_away_for_a_moment_it_is_not_said_that_too_few_are_left",),
+    ),
+    Mutation(
+        "replies are given before all members hold the order",
+        "replication/primary.py",
+        "        if not entries:\n            self.answer(held_back)\n        if not entries and",
+        "        self.answer(held_back)\n        if not entries and",
+        ("platform_check/order_races_test.py",),
+    ),
+    Mutation(
+        "a store's folder is made without a sync of the one above",
+        "storage/store.py",
+        "    disk.synchronise(folder.parent)\n",
+        "",
+        (POWER_LOSS_TEST,),
+    ),
+    Mutation(
+        "unsynced values that a killed process wrote are acted on",
+        "storage/store.py",
+        "    disk.synchronise(data_file)\n    with",
+        "    with",
+        (POWER_LOSS_TEST,),
+    ),
+    Mutation(
+        "older generations go before the pointer's rename lasts",
+        "storage/store.py",
+        "    disk.synchronise(folder)\n    for number in generations:\n",
+        "    for number in generations:\n",
+        (POWER_LOSS_TEST,),
+    ),
+    Mutation(
+        "a hole in an unsynced batch counts as damage",
+        "storage/store.py",
+        "beyond is not None and beyond.synced > len(items)",
+        "beyond is not None",
+        (POWER_LOSS_TEST,),
+    ),
+    Mutation(
+        "a newcomer learns from witnesses that still vote under the former voter set",
+        "consensus/witness_state.py",
+        "{one for one, survey in voting.items() if survey.voter_set.number == voter_set.number}",
+        "set(voting)",
+        ("consensus/witness_changes_test.py",),
+    ),
+    Mutation(
+        "witnesses that missed a voter set are not told of it",
+        "consensus/proposer.py",
+        "if one.voter_set.number < self.voter_set.number:",
+        "if False:",
+        ("consensus/witness_changes_test.py",),
+    ),
+    Mutation(
+        "a voter set is in force where it was accepted, chosen or not",
+        "consensus/witness_state.py",
+        "        if message.register == replica_set.VOTER_SET:\n            return step\n",
+        "        if message.register == replica_set.VOTER_SET:\n"
+        "            return dataclasses.replace(step, state=step.state.adopt(codec.untagged(message.value)).state)\n",
+        ("consensus/witness_changes_test.py",),
+    ),
+    Mutation(
+        "a primary serves under a record that was told of and never chosen",
+        "replication/group_state.py",
+        "            and self.knows_chosen()\n",
+        "",
+        ("replication/primary_test.py::test_nothing_is_answered_under_a_record_that_was_told_of_and_never_chosen",),
+    ),
+    Mutation(
+        "records whose proposer died are settled by nobody",
+        "node/node.py",
+        '                "records": self.record_recovery.run,\n',
+        "",
+        (
+            "replication/group_replica_test.py"
+            "::test_a_new_member_leads_though_the_primary_lost_its_disk_before_it_told_of_the_record",
+        ),
+    ),
+    Mutation(
+        "a member is recorded that lacks what was answered",
+        "replication/replica_changes.py",
+        "            return same and await self.enlist(peer)",
+        "            return await self.enlist(peer)",
+        ("replication/second_loss_test.py", "replication/replica_changes_test.py"),
+    ),
+    Mutation(
+        "a member that is drained leaves before another one holds the copy",
+        "replication/replica_changes.py",
+        "elif len(staying) >= own.around.copies and len(staying)",
+        "elif len(staying)",
+        ("replication/second_loss_test.py", "replication/replica_changes_test.py"),
+    ),
+    Mutation(
+        "a torn append is left in the journal",
+        "storage/store.py",
+        "        if self.torn:\n            self.undo()\n",
+        "",
+        (
+            "storage/failing_disk_test.py::test_an_append_cut_off_at_any_byte_by_a_full_disk_leaves_nothing_behind",
+            "storage/failing_disk_test.py::test_a_failed_sync_is_no_append",
+        ),
+    ),
+    Mutation(
+        "an append goes on behind a pointer that was not made to last",
+        "storage/store.py",
+        "        if self.replaced is not None:\n            self.finish_point()\n",
+        "",
+        ("storage/failing_disk_test.py::test_a_pointer_that_was_not_made_to_last_holds_appends_back",),
+    ),
+    Mutation(
+        "what a start finds is not synced",
+        "storage/store.py",
+        "        self.disk.synchronise(data_file)\n        index =",
+        "        index =",
+        ("storage/failing_disk_test.py::test_what_a_killed_process_wrote_and_never_synced_lasts_once_it_was_found",),
+    ),
+    Mutation(
+        "a pointer is not synced before the older generation goes",
+        "storage/store.py",
+        "    disk.synchronise(folder)\n    for number",
+        "    for number",
+        (
+            "storage/failing_disk_test.py::test_a_pointer_renamed_by_a_killed_process_lasts_before_the_older_generation_goes",
+        ),
+    ),
+    Mutation(
+        "a cancelled append is written but not remembered",
+        "replication/replica.py",
+        "        await uninterrupted.finish(self.write_and_fold(entries))\n",
+        "        await self.write_and_fold(entries)\n",
+        (
+            "replication/interrupted_write_test.py::test_an_append_that_is_cancelled_at_any_moment_is_whole_in_memory_or_not_on_the_disk",
+            "replication/interrupted_write_test.py::test_a_backup_whose_handler_is_cancelled_mid_write_never_holds_an_entry_twice",
+        ),
+    ),
+    Mutation(
+        "a tenure that ends confirms what is undecided",
+        "replication/primary.py",
+        "            self.leave_unclear(held_back)\n",
+        "            self.answer(held_back)\n",
+        (
+            "replication/interrupted_write_test.py::test_a_primary_whose_disk_fails_steps_aside_and_comes_back_as_a_backup",
+        ),
+    ),
+    Mutation(
+        "a primary with a hanging disk goes on renewing its lease",
+        "replication/primary.py",
+        "            own.check_disk()\n",
+        "",
+        ("replication/interrupted_write_test.py::test_a_primary_with_a_hanging_disk_stops_renewing_its_lease",),
+    ),
+    Mutation(
+        "half a snapshot is installed",
+        "replication/snapshot_transfer.py",
+        "        if end.transfer != self.transfer or end.size != self.size:\n",
+        "        if end.transfer != self.transfer:\n",
+        ("replication/snapshot_transfer_test.py::test_half_a_snapshot_is_not_installed_and_two_are_not_mixed",),
+    ),
+    Mutation(
+        "a broken transfer begins anew",
+        "replication/snapshot_transfer.py",
+        "        if self.current is None or self.current.snapshot is not snapshot:\n",
+        "        if True:\n",
+        (
+            "replication/snapshot_transfer_test.py::test_a_transfer_that_breaks_goes_on_where_it_was_and_is_not_used_before",
+        ),
+    ),
+    Mutation(
+        "a copy whose repair broke off may lead",
+        "replication/log_shipping.py",
+        "        if not own.unsure and not own.copy.incomplete():\n            return True\n",
+        "        if not own.unsure:\n            return True\n",
+        (
+            "replication/snapshot_transfer_test.py::test_a_backup_whose_repair_broke_off_never_leads_without_what_was_acknowledged",
+        ),
+    ),
+    Mutation(
+        "patience ends also for a copy whose repair broke off",
+        "replication/log_shipping.py",
+        "        if own.copy.incomplete():\n            own.why",
+        "        if False:\n            own.why",
+        (
+            "replication/snapshot_transfer_test.py::test_a_backup_whose_repair_broke_off_never_leads_without_what_was_acknowledged",
+        ),
+    ),
+    Mutation(
+        "a repair's goal does not last",
+        "replication/replica.py",
+        "            await self.write(goal)\n",
+        "",
+        (
+            "replication/snapshot_transfer_test.py::test_a_transfer_that_breaks_goes_on_where_it_was_and_is_not_used_before",
+        ),
+    ),
+    Mutation(
+        "snapshots wait for the changes of a whole day",
+        "replication/replica.py",
+        "        return clock.now() >= self.rest_end and self.longer_than(RESTED_ENTRIES, RESTED_BYTES)\n",
+        "        return False\n",
+        ("replication/interrupted_write_test.py::test_disk_and_start_follow_the_state_and_not_the_number_of_changes",),
+    ),
+    Mutation(
+        "a repair that cuts a copy back leaves no mark",
+        "replication/replica.py",
+        "            await self.write(goal)\n            self.goal = goal\n",
+        "            self.goal = None\n",
+        (
+            "replication/interrupted_write_test.py::test_an_end_at_any_sync_of_appends_snapshots_and_repairs_keeps_what_was_acknowledged",
+        ),
+    ),
+    Mutation(
+        "an append is confirmed before its sync",
+        "storage/store.py",
+        '        for name in ("journal.dat", "journal.dir"):\n            self.disk.synchronise(self.home() / name)\n',
+        "",
+        (
+            "replication/interrupted_write_test.py::test_an_end_at_any_sync_of_appends_snapshots_and_repairs_keeps_what_was_acknowledged",
+        ),
+    ),
+    Mutation(
+        "a rewritten generation forgets that a repair is under way",
+        "replication/replica.py",
+        "            [self.goal] if self.incomplete() else [],\n",
+        "",
+        (
+            "replication/interrupted_write_test.py::test_an_end_at_any_sync_of_appends_snapshots_and_repairs_keeps_what_was_acknowledged",
+        ),
+    ),
+    Mutation(
+        "a large plan goes to a child as one message",
+        "distribution/relay.py",
+        ' if len(whole.body) <= plan_transfer.PART_BYTES else ""\n',
+        "\n",
+        ("distribution/plan_transfer_test.py::test_a_child_that_was_away_for_any_number_of_changes_catches_up",),
+    ),
+    Mutation(
+        "a row of steps is sent though a step is missing",
+        "distribution/relay.py",
+        "        if place != self.revision:\n            whole",
+        "        if not row:\n            whole",
+        ("distribution/plan_transfer_test.py::test_a_child_that_was_away_for_any_number_of_changes_catches_up",),
+    ),
+    Mutation(
+        "parts of two plans are mixed",
+        "distribution/plan_transfer.py",
+        "        if part.digest != self.digest:\n",
+        "        if self.digest == NO_DIGEST:\n",
+        ("distribution/plan_transfer_test.py::test_parts_of_two_plans_are_not_mixed",),
+    ),
+    Mutation(
+        "a repeat under another condition is known again",
+        "../platform/configuration.py",
+        'f"{method} {condition} {content}"',
+        'f"{method} {content}"',
+        ("platform_check/operator_api_test.py", "platform_check/configuration_test.py"),
+    ),
+    Mutation(
+        "PUT and PATCH of one content are one order",
+        "../platform/configuration.py",
+        'f"{method} {condition} {content}"',
+        'f"{condition} {content}"',
+        ("platform_check/operator_api_test.py",),
+    ),
+    Mutation(
+        "an order is told apart by how it is spaced",
+        "../platform/configuration.py",
+        "    content = json.dumps(document, sort_keys=True, ",
+        "    content = json.dumps(document, sort_keys=False, ",
+        ("platform_check/operator_api_test.py",),
+    ),
+    Mutation(
+        "the bound on a body follows the plan",
+        "../platform/operator_api.py",
+        "        condition = condition_of(request)\n        return await take(configuration.whole(condition, await body_of(request)))",
+        "        condition, body = condition_of(request), await body_of(request)\n"
+        "        if len(body) > own.relay.plan.limits.body_bytes:\n"
+        "            raise result.RequestError(result.ResultCode.TOO_LARGE)\n"
+        "        return await take(configuration.whole(condition, body))",
+        ("platform_check/operator_api_test.py",),
+    ),
+    Mutation(
+        "a refusal whose outcome is unknown is called clear",
+        "../platform/operator_api.py",
+        "    clear = refusal.ran is result.Ran.NOT_RUN\n",
+        "    clear = True\n",
+        ("platform_check/operator_api_test.py::test_only_what_surely_was_not_taken_is_called_refused",),
+    ),
+    Mutation(
+        "a version beyond 64 bits is taken for a number",
+        "../platform/configuration.py",
+        " or abs(version) > json_input.LARGEST_WHOLE:",
+        ":",
+        (
+            "platform_check/operator_api_test.py::test_a_version_that_no_record_can_hold_is_invalid_on_every_node_also_the_primary",
+        ),
+    ),
+    Mutation(
+        "a primary that fails acknowledges what it could not write",
+        "replication/primary.py",
+        "        finally:\n            self.leave_unclear(held_back)\n",
+        "        finally:\n            self.answer(held_back)\n",
+        (
+            "replication/primary_test.py::test_an_order_that_the_primary_could_not_write_is_not_answered_though_its_lease_stands",
+        ),
+    ),
+)
+
+
+def seen(one: Mutation) -> tuple[Mutation, str]:
+    """Apply a break to a copy of the code and run its tests there; what came of it.
+
+    Example: ``seen(BREAKS[0])[1] == "seen"``
+    """
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="aspencroft-break-"))
+    try:
+        shutil.copytree(ROOT / "aspencroft", folder / "aspencroft", ignore=shutil.ignore_patterns("__pycache__"))
+        for name in ("pyproject.toml", "README.md"):
+            shutil.copy(ROOT / name, folder / name)
+        shutil.copytree(ROOT / "docs", folder / "docs")
+        for file, old, new in one.places():
+            path = folder / "aspencroft" / file
+            text = path.read_text()
+            if text.count(old) != 1:
+                return one, f"does not apply: its place is there {text.count(old)} times"
+            path.write_text(text.replace(old, new))
+        run = subprocess.run(
+            [sys.executable, "-m", "pytest", "-x", "-n", "0", *(f"aspencroft/{test}" for test in one.tests)],
+            cwd=folder,
+            env={**os.environ, "PYTHONPATH": str(folder)},
+            capture_output=True,
+            text=True,
+            timeout=LONGEST,
+            check=False,
+        )
+        return one, {0: "NOT SEEN", 1: "seen"}.get(run.returncode, f"no verdict: {run.stdout[-300:]}")
+    except subprocess.TimeoutExpired:
+        return one, "seen (the run did not end)"
+    finally:
+        shutil.rmtree(folder, ignore_errors=True)
+
+
+def mutations(*, only: str = "", processes: int = 6) -> None:
+    """Apply each break to a copy of the code, run its tests, and report which were not seen.
+
+    :param only: just breaks whose name holds this text
+    :param processes: how many at once
+    """
+    chosen = [one for one in MUTATIONS if only in one.name]
+    missed = 0
+    with concurrent.futures.ThreadPoolExecutor(processes) as pool:
+        for one, verdict in pool.map(seen, chosen):
+            missed += not verdict.startswith("seen")
+            print(f"{verdict}: {one.name} ({one.file})", flush=True)
+    print(f"{len(chosen)} breaks, {missed} not seen")
+    sys.exit(1 if missed else 0)
+
+
+if __name__ == "__main__":
+    defopt.run(mutations)
--- a/aspencroft/link/record.py
+++ b/aspencroft/transport/codec.py
@@ -27,12 +27,14 @@
 
     Example: ``@record.kind(7)`` above ``@dataclasses.dataclass(frozen=True)``
     """
+
     def register(record_type: type) -> type:
         if number in KINDS:
             raise ValueError(f"kind {number} is taken by {KINDS[number].__name__}")
         KINDS[number] = record_type
         NUMBERS[record_type] = number
         return record_type
+
     return register
 
 
@@ -46,8 +48,7 @@
     """
     if record_type not in SHAPES:
         hints = typing.get_type_hints(record_type)
-        SHAPES[record_type] = tuple((field.name, hints[field.name])
-                                    for field in dataclasses.fields(record_type))
+        SHAPES[record_type] = tuple((field.name, hints[field.name]) for field in dataclasses.fields(record_type))
     return SHAPES[record_type]
 
 
@@ -86,7 +87,7 @@
         """
         text = "\n    ".join([f"def {signature}:", *self.lines])
         exec(compile(text, f"<record {signature}>", "exec"), self.names)
-        return self.names[signature.split("(")[0]]
+        return self.names[signature.split("(", maxsplit=1)[0]]
 
 
 class Writing:
@@ -230,14 +231,18 @@
 
 
 def plainly_made(record_type: type) -> bool:
-    """Whether making a record is no more than setting its many fields, so that they may be set all at once; that is faster,
-    but such a record takes 140 bytes more.
+    """Whether making a record is no more than setting its many fields, so that they may be set all at once.
+
+    That is faster, but such a record takes 140 bytes more.
 
     Example: ``plainly_made(Beat)``
     """
-    return (len(dataclasses.fields(record_type)) > FEW and all(field.init for field in dataclasses.fields(record_type))
-            and not hasattr(record_type, "__post_init__")
-            and all("__slots__" not in vars(one) for one in record_type.__mro__[:-1]))
+    return (
+        len(dataclasses.fields(record_type)) > FEW
+        and all(field.init for field in dataclasses.fields(record_type))
+        and not hasattr(record_type, "__post_init__")
+        and all("__slots__" not in vars(one) for one in record_type.__mro__[:-1])
+    )
 
 
 WRITERS: dict[object, typing.Callable] = {}
@@ -250,7 +255,7 @@
     Example: ``writer(int)(5, pieces.extend)``
     """
     if shape not in WRITERS:
-        WRITERS[shape] = lambda value, extend: WRITERS[shape](value, extend)
+        WRITERS[shape] = lambda value, extend: WRITERS[shape](value, extend)  # noqa: PLW0108 - looked up when called
         try:
             writing = Writing()
             if dataclasses.is_dataclass(shape):
@@ -273,7 +278,7 @@
     Example: ``value, place = reader(int)(data, 0, len(data))``
     """
     if shape not in READERS:
-        READERS[shape] = lambda data, place, size: READERS[shape](data, place, size)
+        READERS[shape] = lambda data, place, size: READERS[shape](data, place, size)  # noqa: PLW0108 - as above
         try:
             reading = Reading()
             lines = reading.source.lines
@@ -284,7 +289,7 @@
                 made = reading.source.bind("made", shape)
                 if plainly_made(shape):
                     new = reading.source.bind("new", object.__new__)
-                    fields = ", ".join(f"{name}={value}" for name, value in zip(names, values))
+                    fields = ", ".join(f"{name}={value}" for name, value in zip(names, values, strict=False))
                     lines.append(f"one = {new}({made})")
                     lines.append(f"one.__dict__.update({fields})")
                     lines.append("return one, place")
