--- a/aspencroft/consensus/witness_state.py
+++ b/aspencroft/consensus/witness_state.py
@@ -258,8 +258,8 @@
     """Whether so many others vote that a blank witness may learn from them: a majority of the present ones but itself.
 
     Any quorum that ever counted this witness has one of them in common with those. They must hold the very voter set
-    under which it is to vote: one that still votes under the former set may accept more there afterwards, which a quorum
-    of the next set that counts this witness would not know.
+    under which it is to vote: one that still votes under the former set may accept more there afterwards, which a
+    quorum of the next set that counts this witness would not know.
 
     Example: ``taught(VoterSet(1, ("a", "b", "c"), ()), "c", {"a": survey, "b": survey})``
     """
--- a/aspencroft/replication/record_changes.py
+++ b/aspencroft/replication/record_changes.py
@@ -94,8 +94,8 @@
 
 @dataclasses.dataclass(frozen=True)
 class Tenure:
-    """A member's time as primary: whether it leads or hands its place over, its lease's end, and whether the newest record
-    that it knows is the one that it had chosen.
+    """A member's time as primary: whether it leads or hands its place over, its lease's end, and whether the newest
+    record that it knows is the one that it had chosen.
     """
 
     leading: bool
@@ -113,8 +113,8 @@
     """Whether a member may act as the primary at this moment.
 
     One that is handing over may not, whatever lease is granted to it meanwhile: witnesses drop that lease once they
-    accept the next primary, which may lead before this one hears of it. One that was told of a record that it did not have
-    chosen may not either: a record that few accepted can leave out a backup that may take over.
+    accept the next primary, which may lead before this one hears of it. One that was told of a record that it did
+    not have chosen may not either: a record that few accepted can leave out a backup that may take over.
 
     Example: ``may_serve(Tenure(True, False, end), standing, standing.primary, now)``
     """
--- a/aspencroft/simulation/consensus_model.py
+++ b/aspencroft/simulation/consensus_model.py
@@ -325,8 +325,8 @@
     def successors(self, state: State) -> typing.Iterator[tuple[str, State]]:
         """Every step that can follow.
 
-        What a candidate does at once, and what only it can see, comes before all else: to do it later shows nothing new,
-        as requests may be late and leases are counted from when they were asked for.
+        What a candidate does at once, and what only it can see, comes before all else: to do it later shows nothing
+        new, as requests may be late and leases are counted from when they were asked for.
         """
         for place, candidate in enumerate(state.candidates):
             at_once = self.urgent(candidate)
