--- a/aspencroft/configuration/control_state.py
+++ b/aspencroft/configuration/control_state.py
@@ -398,6 +398,13 @@
         """
         return 0
 
+    def payload_bytes(self) -> int:
+        """Bytes of what callers sent; the control group holds none.
+
+        Example: ``ControlState().payload_bytes() == 0``
+        """
+        return 0
+
     def restore(self, body: bytes) -> None:
         """Become what a picture shows.
 
--- /dev/null
+++ b/aspencroft/node/memory_report.py
@@ -0,0 +1,108 @@
+"""What a node's memory goes to: resident bytes, and what each replica on it holds; a warning near the limit."""
+
+import collections.abc
+import dataclasses
+
+import logbook
+
+from aspencroft.alerts import sample
+from aspencroft.replication import group_replica, replica
+from aspencroft.runtime import clock, process_memory
+
+LOG = logbook.Logger("memory")
+LOOK_EVERY = clock.seconds(1)
+WARN_SHARE = 0.7
+STEP_SHARE = 0.05
+MEGABYTE = 1e6
+
+
+@dataclasses.dataclass(frozen=True)
+class GroupMemory:
+    """What one group's replica holds on this node, and the part that the node plays in the group."""
+
+    group: int
+    part: str
+    held: replica.ReplicaMemory
+    incoming_bytes: int
+
+    def text(self) -> str:
+        """The figures as one part of a log line, in megabytes.
+
+        Example: ``report.text() == "2 serving: snapshot 8.1 journal 1.2 (90) state 9.0 (3100) incoming 0.0"``
+        """
+        held = self.held
+        return (
+            f"{self.group} {self.part}: snapshot {held.snapshot_bytes / MEGABYTE:.1f} "
+            f"journal {held.journal_bytes / MEGABYTE:.1f} ({held.journal_entries}) "
+            f"state {held.state_bytes / MEGABYTE:.1f} ({held.state_entries}) "
+            f"incoming {self.incoming_bytes / MEGABYTE:.1f}"
+        )
+
+
+class MemoryReport:
+    """Looks at the process's memory and warns as it nears its limit (bytes; 0 where none is known).
+
+    Example: ``group.create_task(MemoryReport(hosts, 150_000_000).run())``
+    """
+
+    def __init__(
+        self,
+        hosts: dict[int, group_replica.GroupReplica],
+        limit: int,
+        resident: collections.abc.Callable[[], int] = process_memory.resident_bytes,
+    ):
+        self.hosts = hosts
+        self.limit = limit
+        self.resident = resident
+        self.warned_at = 0
+
+    def groups(self) -> tuple[GroupMemory, ...]:
+        """What each replica on this node holds.
+
+        Example: ``report.groups()[0].held.snapshot_bytes``
+        """
+        return tuple(
+            GroupMemory(group, held.why, held.copy.memory(), held.incoming.size) for group, held in self.hosts.items()
+        )
+
+    def look(self) -> None:
+        """Warn when memory passed the first share of the limit, and again with each further step.
+
+        Example: ``report.look()``
+        """
+        resident = self.resident()
+        due = max(WARN_SHARE * self.limit, self.warned_at + STEP_SHARE * self.limit)
+        if not self.limit or resident < due:
+            return
+        self.warned_at = resident
+        LOG.warning(
+            "{:.1f} of {:.1f} MB in use; groups: {}",
+            resident / MEGABYTE,
+            self.limit / MEGABYTE,
+            "; ".join(one.text() for one in self.groups()),
+        )
+
+    def samples(self) -> list[sample.Sample]:
+        """The same figures as samples, for the operator's view and alert rules.
+
+        Example: ``report.samples()[0].name == "aspencroft_memory_resident_bytes"``
+        """
+        found = [
+            sample.sample("aspencroft_memory_resident_bytes", self.resident()),
+            sample.sample("aspencroft_memory_limit_bytes", self.limit),
+        ]
+        for one in self.groups():
+            group = str(one.group)
+            found.append(sample.sample("aspencroft_group_state_bytes", one.held.state_bytes, pair=group))
+            found.append(sample.sample("aspencroft_group_snapshot_bytes", one.held.snapshot_bytes, pair=group))
+            found.append(sample.sample("aspencroft_group_journal_bytes", one.held.journal_bytes, pair=group))
+        return found
+
+    async def run(self) -> None:
+        """Look again and again.
+
+        Example: ``group.create_task(report.run())``
+        """
+        while True:
+            self.look()
+            await clock.sleep(LOOK_EVERY)
--- a/aspencroft/node/node.py
+++ b/aspencroft/node/node.py
@@ -26,7 +26,7 @@
 from aspencroft.errors import result
 from aspencroft.leadership import duty
 from aspencroft.membership import cluster_member, failure_detector
-from aspencroft.node import drain_order, settings, timing_check
+from aspencroft.node import drain_order, memory_report, settings, timing_check
 from aspencroft.replication import group_replica, group_state, replica
 from aspencroft.runtime import clock, environment, supervision
 from aspencroft.sessions import lane_sessions
@@ -120,6 +120,7 @@
                 self.hosts[pair] = group_replica.GroupReplica(
                     held, self.link, self.proposer, place.address, place.area, around_it
                 )
+        self.memory = memory_report.MemoryReport(self.hosts, place.memory_limit)
         self.drain_orders = drain_order.DrainOrders(self)
         self.missed: dict[str, datetime.timedelta] = {}
         self.looked = clock.ZERO
@@ -624,6 +625,7 @@
                 "relay": self.relay.run,
                 "holdings": self.share_holdings,
                 "records": self.record_recovery.run,
+                "memory": self.memory.run,
             }
             works.update({f"pair {pair}": held.run for pair, held in self.hosts.items()})
             works.update({f"pictures {pair}": held.copy.draw_pictures for pair, held in self.hosts.items()})
@@ -678,7 +680,7 @@
                 sample.sample("aspencroft_pair_serving", held.claimed() and held.why == "serving", pair=str(pair))
             )
             found.append(sample.sample("aspencroft_pair_entries", held.copy.last().sequence, pair=str(pair)))
-        return found
+        return [*found, *self.memory.samples()]
 
     def samples(self) -> tuple[sample.Sample, ...]:
         """All samples of this node, each with the labels node, area and role.
--- a/aspencroft/node/settings.py
+++ b/aspencroft/node/settings.py
@@ -45,6 +45,7 @@
             None, voluptuous.All(voluptuous.Any(int, float), voluptuous.Range(min=0, max=60))
         ),
         voluptuous.Optional("first_start", default=True): bool,
+        voluptuous.Optional("memory_limit", default=0): voluptuous.All(int, voluptuous.Range(min=0)),
         voluptuous.Optional("bounds", default=dict): {voluptuous.In(BOUNDS): BOUND},
         voluptuous.Optional("key_window", default=60.0): voluptuous.All(
             voluptuous.Any(int, float), voluptuous.Range(min=1, max=86400)
@@ -78,7 +79,8 @@
     an older plan; ``first_start`` that this node's empty disk is a new one, not a lost one; ``key_window`` how long an
     operation key is held behind the last moment in which its work could run;
     ``bounds`` the time bounds of the deployment,
-    against which the product's own times are checked at the start.
+    against which the product's own times are checked at the start; ``memory_limit`` the bytes that this process may
+    hold before its machine ends it, 0 where none is known.
 
     Example: ``settings.read("node.toml")``
     """
@@ -102,6 +104,7 @@
     first_start: bool = True
     key_window: datetime.timedelta = clock.seconds(60)
     bounds: timing_check.Bounds = timing_check.Bounds()
+    memory_limit: int = 0
 
     @property
     def copies(self) -> int:
@@ -169,6 +172,7 @@
         full["first_start"],
         key_window=clock.seconds(full["key_window"]),
         bounds=timing_check.Bounds(**{name: clock.seconds(value) for name, value in full["bounds"].items()}),
+        memory_limit=full["memory_limit"],
     )
 
 
--- a/aspencroft/replication/replica.py
+++ b/aspencroft/replication/replica.py
@@ -149,6 +149,20 @@
     digest: bytes
 
 
+@dataclasses.dataclass(frozen=True)
+class ReplicaMemory:
+    """What a replica holds in memory, in bytes and entries.
+
+    Snapshot and state share their bytes where the snapshot was drawn here; the journal's are its own.
+    """
+
+    snapshot_bytes: int
+    journal_bytes: int
+    journal_entries: int
+    state_bytes: int
+    state_entries: int
+
+
 class View(typing.Protocol):
     """What a journal means: decides commands, folds events, draws pictures of itself."""
 
@@ -176,6 +190,10 @@
         """How much a snapshot holds."""
         ...
 
+    def payload_bytes(self) -> int:
+        """Bytes of what callers sent and got that it holds."""
+        ...
+
     def restore(self, body: bytes) -> None:
         """Become what a snapshot holds."""
         ...
@@ -345,6 +363,15 @@
         self.entries.append(entry)
         self.held += len(entry.body) + OF_AN_ENTRY
 
+    def memory(self) -> ReplicaMemory:
+        """What this replica holds in memory.
+
+        Example: ``copy.memory().journal_bytes``
+        """
+        return ReplicaMemory(
+            self.picture_size, self.held, len(self.entries), self.view.payload_bytes(), self.view.size()
+        )
+
     def last(self) -> Mark:
         """Sequence and digest of the newest entry.
 
--- a/aspencroft/sessions/lane_sessions.py
+++ b/aspencroft/sessions/lane_sessions.py
@@ -284,6 +284,13 @@
         """
         return len(self.programs) + len(self.operations) + self.ledger.size()
 
+    def payload_bytes(self) -> int:
+        """Bytes of history and kept answers that the ledger holds.
+
+        Example: ``Talk().payload_bytes() == 0``
+        """
+        return self.ledger.bytes
+
     def restore(self, body: bytes) -> None:
         """Become what a picture shows; one from before there was a ledger ends behind the operations.
 
