--- a/aspencroft/consensus/witness_bootstrap_test.py
+++ b/aspencroft/consensus/witness_bootstrap_test.py
@@ -125,3 +125,41 @@
     }
     assert witness_bootstrap.present_members(standing, reports) == list(standing.backups)
     assert witness_bootstrap.newest_holdings(reports, ()) == {0: standing}
+
+
+def copies_by_machine(machines_in_area: dict[str, int], groups: int, copies: int) -> dict[str, list[str]]:
+    """The members that founding names on each machine, "primary" or "backup", of talk groups alone."""
+    addresses = [f"{area}:{number}" for area, count in machines_in_area.items() for number in range(count)]
+    reports = {
+        address: replica_set.ReplicaReports(
+            address.split(":")[0],
+            tuple(replica_set.ReplicaReport(group, f"{address}-{group}", None, 0) for group in range(1, groups + 1)),
+            NOTHING,
+        )
+        for address in addresses
+    }
+    reports["core:0"] = replica_set.ReplicaReports("a", (replica_set.ReplicaReport(0, "core", None, 0),), NOTHING)
+    held: dict[str, list[str]] = {address: [] for address in addresses}
+    for one in witness_bootstrap.first_ballots(reports, groups + 1, copies):
+        standing = codec.untagged(one.value)
+        if one.register:
+            held[standing.primary.address].append("primary")
+            for backup in standing.backups:
+                held[backup.address].append("backup")
+    return held
+
+
+def test_the_first_replica_sets_are_spread_evenly_over_the_disks_of_each_area():
+    for machines, group_count, copies in (
+        ({"a": 4, "b": 3, "c": 3}, 4, 3),
+        ({"a": 3, "b": 3, "c": 3, "d": 3}, 4, 3),
+        ({"a": 2, "b": 2, "c": 2}, 7, 2),
+        ({"a": 5}, 6, 3),
+        ({"a": 10, "b": 10, "c": 10}, 16, 3),
+    ):
+        held = copies_by_machine(machines, group_count, copies)
+        for area in machines:
+            counts = [len(parts) for address, parts in held.items() if address.startswith(area)]
+            assert max(counts) - min(counts) <= 1, (machines, group_count, copies, held)
+        led = [parts.count("primary") for parts in held.values()]
+        assert max(led) - min(led) <= 1, (machines, group_count, copies, held)
