--- /dev/null
+++ b/aspencroft/consensus/replica_placement_test.py
@@ -0,0 +1,107 @@
+"""Tests of where replicas belong: founding sets, the order of candidates, and moves that end in an even spread."""
+
+import collections
+import random
+
+from aspencroft.consensus import replica_placement, replica_set
+
+AREAS = ("a", "b", "c")
+
+
+def disks(count: int, areas: int = 3) -> list[replica_placement.Candidate]:
+    """So many disks, their areas in turn."""
+    return [replica_placement.Candidate(f"s{number}:1", AREAS[number % areas]) for number in range(count)]
+
+
+def record(group: int, *addresses: str) -> replica_set.ReplicaSet:
+    """A record that names members by their addresses, the primary first."""
+    members = [replica_set.ReplicaId(address, f"{address} {group}") for address in addresses]
+    return replica_set.ReplicaSet(group, 1, members[0], tuple(members[1:]))
+
+
+def moved(standing: replica_set.ReplicaSet, move: replica_placement.Move) -> replica_set.ReplicaSet:
+    """The record once a move was made; a primary's place goes to a backup first."""
+    addresses = [one.address for one in standing.members() if one != move.leaving]
+    return record(standing.pair, *addresses, move.target.address)
+
+
+def spread(records: list[replica_set.ReplicaSet], able: list[replica_placement.Candidate]) -> int:
+    """By how many replicas the fullest disk exceeds the emptiest."""
+    held = replica_placement.replica_counts(records)
+    return max(held[one.address] for one in able) - min(held[one.address] for one in able)
+
+
+def distinct_areas(standing: replica_set.ReplicaSet, able: list[replica_placement.Candidate]) -> int:
+    """In how many areas a group has members."""
+    area_of = {one.address: one.area for one in able}
+    return len({area_of[one.address] for one in standing.members()})
+
+
+def settle(records: list[replica_set.ReplicaSet], able: list[replica_placement.Candidate]) -> int:
+    """Make moves, one group after the other, until there are none; how many there were."""
+    count = 0
+    while True:
+        for place, standing in enumerate(records):
+            move = replica_placement.improving_move(standing, able, replica_placement.replica_counts(records))
+            if move is not None:
+                records[place] = moved(standing, move)
+                count += 1
+                break
+        else:
+            return count
+        assert count < 1000
+
+
+def test_a_candidate_in_a_new_area_comes_first_then_the_one_that_holds_least():
+    held = collections.Counter({"s0:1": 3, "s3:1": 1, "s1:1": 9, "s4:1": 8})
+    order = replica_placement.preferred(1, disks(6), {"a", "c"}, held)
+    assert [one.address for one in order[:2]] == ["s4:1", "s1:1"]
+    assert [one.address for one in order if one.area == "a"] == ["s3:1", "s0:1"]
+
+
+def test_groups_that_look_at_equal_disks_at_once_do_not_all_choose_the_same():
+    chosen = {replica_placement.preferred(group, disks(9, 1), (), collections.Counter())[0] for group in range(40)}
+    assert len(chosen) > 4
+
+
+def test_moves_end_and_leave_disks_within_one_replica_of_each_other():
+    for seed in range(60):
+        chance = random.Random(seed)
+        able = disks(chance.randrange(3, 14), areas=1)
+        records = [
+            record(group, *chance.sample([one.address for one in able[: chance.randrange(3, len(able) + 1)]], 3))
+            for group in range(1, chance.randrange(2, 20))
+        ]
+        settle(records, able)
+        assert spread(records, able) <= 1, (seed, records)
+
+
+def test_moves_never_take_an_area_from_a_group_and_end_with_as_many_as_there_can_be():
+    for seed in range(60):
+        chance = random.Random(seed)
+        able = disks(chance.randrange(4, 14))
+        records = [
+            record(group, *chance.sample([one.address for one in able], 3))
+            for group in range(1, chance.randrange(2, 20))
+        ]
+        before = [distinct_areas(one, able) for one in records]
+        settle(records, able)
+        after = [distinct_areas(one, able) for one in records]
+        assert all(later >= earlier for earlier, later in zip(before, after, strict=True))
+        assert set(after) == {3}, (seed, records)
+
+
+def test_nothing_moves_while_a_member_is_away():
+    full = [record(group, "s0:1", "s1:1", "s2:1") for group in range(1, 6)]
+    held = replica_placement.replica_counts(full)
+    assert replica_placement.improving_move(full[0], disks(6), held) is not None
+    away = [one for one in disks(6) if one.address != "s1:1"]
+    assert replica_placement.improving_move(full[0], away, held) is None
+
+
+def test_an_even_fleet_moves_nothing():
+    founded: list[replica_set.ReplicaSet] = []
+    for group in range(1, 13):
+        chosen = replica_placement.first_members(group, disks(10), 3, founded)
+        founded.append(record(group, *(one.address for one in chosen)))
+    assert settle(founded, disks(10)) == 0
--- a/aspencroft/consensus/witness_bootstrap.py
+++ b/aspencroft/consensus/witness_bootstrap.py
@@ -7,9 +7,9 @@
 
 import logbook
 
-from aspencroft.consensus import proposer, replica_set, witness, witness_state
+from aspencroft.consensus import proposer, replica_placement, replica_set, witness, witness_state
 from aspencroft.errors import result
-from aspencroft.replication import group_state, messages
+from aspencroft.replication import messages
 from aspencroft.runtime import clock, supervision
 from aspencroft.transport import codec, connections
 
@@ -37,7 +37,7 @@
         address: str,
         pairs: int,
         copies: int,
-        holders: collections.abc.Callable[[str], tuple[group_state.Candidate, ...]],
+        holders: collections.abc.Callable[[str], tuple[replica_placement.Candidate, ...]],
         founds: bool = False,
     ):
         self.witness = own
@@ -285,27 +285,17 @@
 def first_ballots(
     reports: dict[str, replica_set.ReplicaReports], pairs: int, copies: int
 ) -> tuple[replica_set.Ballot, ...]:
-    """The very first holders: spread over the disks, each backup in an area of its own where there are enough.
+    """The very first holders: spread evenly over the disks, each in an area of its own where there are enough.
 
     Example: ``first_ballots(reports, 5, 2)``
     """
-    found = []
+    founded: list[replica_set.ReplicaSet] = []
     for pair in range(pairs):
         identities = {
             name: one.identity for name, report in reports.items() for one in report.copies if one.pair == pair
         }
-        names = sorted(identities)
-        primary = names[pair % len(names)]
-        chosen = [primary]
-        while len(chosen) < min(copies, len(names)):
-            areas = {reports[one].area for one in chosen}
-            chosen.append(
-                min(
-                    (one for one in names if one not in chosen),
-                    key=lambda one: (reports[one].area in areas, (names.index(one) - pair) % len(names)),
-                )
-            )
-        members = [replica_set.ReplicaId(one, identities[one]) for one in chosen]
-        value = codec.tagged(replica_set.ReplicaSet(pair, 1, members[0], tuple(members[1:])))
-        found.append(replica_set.Ballot(pair, FIRST_BALLOT, FIRST_BALLOT, value))
-    return tuple(found)
+        candidates = [replica_placement.Candidate(name, reports[name].area) for name in sorted(identities)]
+        chosen = replica_placement.first_members(pair, candidates, copies, founded)
+        members = [replica_set.ReplicaId(one.address, identities[one.address]) for one in chosen]
+        founded.append(replica_set.ReplicaSet(pair, 1, members[0], tuple(members[1:])))
+    return tuple(replica_set.Ballot(one.pair, FIRST_BALLOT, FIRST_BALLOT, codec.tagged(one)) for one in founded)
--- a/aspencroft/node/node.py
+++ b/aspencroft/node/node.py
@@ -16,6 +16,7 @@
 from aspencroft.consensus import (
     proposer,
     record_recovery,
+    replica_placement,
     replica_set,
     witness,
     witness_bootstrap,
@@ -116,6 +117,7 @@
                     self.gone,
                     place.copies,
                     functools.partial(self.goal, pair),
+                    self.records,
                 )
                 self.hosts[pair] = group_replica.GroupReplica(
                     held, self.link, self.proposer, place.address, place.area, around_it
@@ -165,17 +167,24 @@
             return max(self.settings.copies, len(self.proposer.voter_set.present) // 2 + 1)
         return self.settings.copies
 
-    def holders(self, sort: str) -> tuple[group_state.Candidate, ...]:
+    def holders(self, sort: str) -> tuple[replica_placement.Candidate, ...]:
         """Live nodes whose disks may hold groups of a sort.
 
         Example: ``node.holders(holding.TALK)``
         """
         return tuple(
-            group_state.Candidate(one.address, one.area)
+            replica_placement.Candidate(one.address, one.area)
             for one in self.ring.peers.values()
             if sort in one.holds and one.state == cluster_member.LIVE
         )
 
+    def records(self) -> tuple[replica_set.ReplicaSet, ...]:
+        """The newest records of replica sets that this node knows.
+
+        Example: ``node.records()[0].members()``
+        """
+        return tuple(self.ring.holdings.values())
+
     def life(self) -> str:
         """This run of this node, as others may hear of its end.
 
--- a/aspencroft/replication/group_state.py
+++ b/aspencroft/replication/group_state.py
@@ -7,7 +7,7 @@
 
 import logbook
 
-from aspencroft.consensus import proposer, replica_set
+from aspencroft.consensus import proposer, replica_placement, replica_set
 from aspencroft.errors import result
 from aspencroft.replication import record_changes, replica
 from aspencroft.runtime import clock
@@ -29,34 +29,25 @@
     """A write to this node's disk has not come back for long."""
 
 
-@dataclasses.dataclass(frozen=True)
-class Candidate:
-    """A node with a disk that could hold a copy.
-
-    Example: ``Candidate("127.0.0.1:7001", "north")``
-    """
-
-    address: str
-    area: str
-
-
 @dataclasses.dataclass(frozen=True)
 class GroupPolicy:
     """What a part is told by its node: who could hold copies, who is to hold none, who is gone.
 
     Whom to tell of records.
 
-    ``copies`` is how many disks must hold what is answered, ``goal`` how many members the group is to have.
+    ``copies`` is how many disks must hold what is answered, ``goal`` how many members the group is to have; ``records``
+    are the newest records known here of all groups.
 
-    Example: ``Around(candidates, emptied, publish, gone, 2, lambda: 2)``
+    Example: ``GroupPolicy(candidates, emptied, publish, gone, 2, lambda: 2, lambda: records)``
     """
 
-    candidates: collections.abc.Callable[[], tuple[Candidate, ...]]
+    candidates: collections.abc.Callable[[], tuple[replica_placement.Candidate, ...]]
     emptied: collections.abc.Callable[[str], bool]
     publish: collections.abc.Callable[[replica_set.ReplicaSet], None]
     gone: collections.abc.Callable[[str], bool]
     copies: int
     goal: collections.abc.Callable[[], int]
+    records: collections.abc.Callable[[], tuple[replica_set.ReplicaSet, ...]]
 
 
 class GroupState:
@@ -87,6 +78,7 @@
         self.lease_end = clock.ZERO
         self.leading = False
         self.handing_over = False
+        self.moving: replica_set.ReplicaId | None = None
         self.heard = clock.ZERO
         self.changed = asyncio.Event()
         self.lock = asyncio.Lock()
@@ -100,6 +92,8 @@
             "entries": 0,
             "taken at start": 0,
             "disk failures": 0,
+            "moves": 0,
+            "released": 0,
         }
         self.why = "starting"
         self.unsure = True
@@ -157,10 +151,17 @@
             raise DiskStalled(f"group {self.pair}: a write has not come back for long")
 
     def staying(self) -> tuple[replica_set.ReplicaId, ...]:
-        """The members that are neither emptied nor about to stop.
+        """The members that are neither emptied nor about to stop, nor giving their place to a better one.
 
         Example: ``part.staying() == part.known.members()``
         """
+        return tuple(one for one in self.remaining() if one != self.moving)
+
+    def remaining(self) -> tuple[replica_set.ReplicaId, ...]:
+        """The members that are neither emptied nor about to stop.
+
+        Example: ``part.remaining() == part.known.members()``
+        """
         return tuple(one for one in self.known.members() if not self.around.emptied(one.address))
 
     def doubt(self, address: str) -> None:
--- a/aspencroft/replication/primary.py
+++ b/aspencroft/replication/primary.py
@@ -106,6 +106,7 @@
                 group.create_task(self.replica_changes.behind())
         finally:
             own.leading = own.handing_over = False
+            own.moving = None
             own.lease_end = clock.ZERO
             own.chosen = None
             self.abandon()
--- a/aspencroft/replication/replica_changes.py
+++ b/aspencroft/replication/replica_changes.py
@@ -1,16 +1,21 @@
-"""Finding other disks for a group, and moving it off machines that are emptied or stopped."""
+"""Finding other disks for a group, and moving it off machines that are emptied, stopped or fuller than others."""
 
 import asyncio
+import datetime
 import zlib
 
 import logbook
 
-from aspencroft.consensus import proposer, replica_set
+from aspencroft.consensus import proposer, replica_placement, replica_set
 from aspencroft.errors import result
 from aspencroft.replication import group_state, log_shipping, messages, record_changes
 from aspencroft.runtime import clock
 
 LOG = logbook.Logger("recruiting")
+BALANCE_AFTER = clock.seconds(4)
+"""How long a better place for a member must have been there before it moves: most machines that are away come back."""
+BALANCE_TURN = clock.seconds(2)
+"""How much longer for each group of a lower number on the same machine, so that their moves see each other."""
 
 
 class ReplicaChanges:
@@ -24,24 +29,25 @@
         self.log_shipping = copies
         self.ready: replica_set.ReplicaId | None = None
         self.admitted = asyncio.Event()
+        self.unbalanced_since: datetime.timedelta | None = None
 
-    def order(self) -> list[group_state.Candidate]:
-        """Candidates for a backup's place: those that failed lately last, areas without a member first.
+    def order(self) -> list[replica_placement.Candidate]:
+        """Candidates for a backup's place: those that failed lately last, areas without a member first, then those that
+        hold the fewest replicas.
 
         Example: ``recruiting.order()[0].area != own.area``
         """
         own = self.own
         members = {one.address for one in own.known.members()}
         able = own.around.candidates()
-        areas = {one.area for one in able if one.address in members} | {own.area}
-        return sorted(
-            (one for one in able if one.address not in members and not own.around.emptied(one.address)),
-            key=lambda one: (
-                own.doubts(one.address),
-                one.area in areas,
-                (hash_of(one.address) + own.pair) % 97,
-            ),
-        )
+        staying = {one.address for one in own.staying()}
+        areas = {one.area for one in able if one.address in staying}
+        if own.moving != own.me():
+            areas.add(own.area)
+        free = [one for one in able if one.address not in members and not own.around.emptied(one.address)]
+        held = replica_placement.replica_counts(own.around.records())
+        best_first = replica_placement.preferred(own.pair, free, areas, held)
+        return sorted(best_first, key=lambda one: own.doubts(one.address))
 
     def lacking(self) -> bool:
         """Whether the group is to have more members than those that stay.
@@ -65,7 +71,7 @@
                 return False
         return False
 
-    async def prepare(self, one: group_state.Candidate, whole: bool = False) -> replica_set.ReplicaId | None:
+    async def prepare(self, one: replica_placement.Candidate, whole: bool = False) -> replica_set.ReplicaId | None:
         """Make a candidate's copy the same as this one was a moment ago, or as it is now; none when that failed.
 
         Example: ``fellow = await recruiting.prepare(candidate)``
@@ -120,7 +126,10 @@
         """
         while True:
             await clock.sleep(group_state.RETRY)
-            if not self.own.claimed() or not self.lacking():
+            if not self.own.claimed():
+                continue
+            self.balance()
+            if not self.lacking():
                 continue
             for one in self.order():
                 if not self.own.claimed() or self.own.why != "serving" or not self.lacking():
@@ -130,6 +139,62 @@
                     self.admitted.clear()
                     self.ready = peer
                     await self.admitted.wait()
+            if self.lacking():
+                self.own.moving = None
+
+    def balance(self) -> None:
+        """Have a member give its place to a better one, once that has been there for a while.
+
+        The move itself goes the way of all changes: the better one is added first, then the other one recorded out.
+
+        Example: ``recruiting.balance()``
+        """
+        own = self.own
+        if own.moving is not None:
+            return
+        leaving = self.misplaced() if own.why == "serving" else None
+        if leaving is None:
+            self.unbalanced_since = None
+            return
+        if self.unbalanced_since is None:
+            self.unbalanced_since = clock.now()
+        if clock.now() - self.unbalanced_since >= BALANCE_AFTER + self.turn(leaving) * BALANCE_TURN:
+            LOG.info("group {}: {} is to give its place to a better one", own.pair, leaving.address)
+            self.unbalanced_since = None
+            own.moving = leaving
+            own.counts["moves"] += 1
+
+    def misplaced(self) -> replica_set.ReplicaId | None:
+        """The member that had better not be one: it is one too many, or a better place is free.
+
+        None while members lack.
+
+        Example: ``recruiting.misplaced() is None``
+        """
+        own = self.own
+        remaining = own.remaining()
+        if len(remaining) < len(own.known.members()) or len(remaining) < own.around.goal():
+            return None
+        held = replica_placement.replica_counts(own.around.records())
+        if len(remaining) > own.around.goal():
+            return max(own.known.backups, key=lambda one: held[one.address])
+        able = [
+            one
+            for one in own.around.candidates()
+            if not own.around.emptied(one.address) and not own.doubts(one.address)
+        ]
+        move = replica_placement.improving_move(own.known, able, held)
+        return move.leaving if move is not None else None
+
+    def turn(self, leaving: replica_set.ReplicaId) -> int:
+        """How many groups of a lower number have a member on the same machine: they go first.
+
+        Example: ``recruiting.turn(own.me()) == 0``
+        """
+        return sum(
+            record.pair < self.own.pair and any(one.address == leaving.address for one in record.members())
+            for record in self.own.around.records()
+        )
 
     async def admit(self) -> bool:
         """Between two batches: send a prepared candidate the rest and have it recorded; whether the record changed so.
@@ -150,25 +215,35 @@
             self.admitted.set()
 
     async def move_away(self) -> None:
-        """Leave machines that are being emptied or stopped, one step at a time, once enough others hold the copy.
+        """Leave machines that are being emptied or stopped, or that another member took the place of.
 
-        A primary hands its place to a backup that stays.
+        One step at a time, once enough others hold the copy. A primary hands its place to a backup that stays.
 
         Example: ``await recruiting.move_away()``
         """
         own = self.own
-        staying = own.staying()
-        if own.around.emptied(own.address):
+        if own.moving is not None and own.moving not in own.known.members():
+            own.moving = None
+        remaining, staying = own.remaining(), own.staying()
+        if own.me() not in staying:
             heir = next((one for one in own.known.backups if one in staying), None)
             if heir is not None:
                 await self.transfer_leadership(heir)
-        elif record_changes.may_leave(len(staying), len(own.known.members()), own.around.copies):
-            try:
-                await own.ballot(
-                    lambda standing: record_changes.without(standing, own.me(), set(standing.backups) - set(staying))
-                )
-            except result.RequestError as refusal:
-                LOG.info("pair {}: moving away: {}", own.pair, refusal)
+        elif record_changes.may_leave(len(remaining), len(own.known.members()), own.around.copies):
+            await self.record_out(set(own.known.backups) - set(remaining))
+        elif record_changes.may_leave(len(staying), len(remaining), max(own.around.copies, own.around.goal())):
+            await self.record_out(set(own.known.backups) - set(staying))
+
+    async def record_out(self, leaving: set[replica_set.ReplicaId]) -> None:
+        """Have the witnesses record backups out that are to leave; tried again by the next call if that fails.
+
+        Example: ``await recruiting.record_out({own.known.backups[0]})``
+        """
+        own = self.own
+        try:
+            await own.ballot(lambda standing: record_changes.without(standing, own.me(), leaving))
+        except result.RequestError as refusal:
+            LOG.info("pair {}: moving away: {}", own.pair, refusal)
 
     async def transfer_leadership(self, heir: replica_set.ReplicaId) -> None:
         """Make a backup the primary and stay as a backup; it holds all that was answered.
--- a/aspencroft/replication/replica_changes_test.py
+++ b/aspencroft/replication/replica_changes_test.py
@@ -2,7 +2,7 @@
 
 import contextlib
 
-from aspencroft.consensus import witness
+from aspencroft.consensus import replica_placement, witness
 from aspencroft.replication import group_state
 from aspencroft.runtime import clock
 from aspencroft.simulation import members
@@ -63,7 +63,7 @@
         those.run(*those.names)
         await those.until(lambda: own.why == "serving")
         await those.write("a")
-        peer = await own.replica_changes.prepare(group_state.Candidate("n2:1", "south"))
+        peer = await own.replica_changes.prepare(replica_placement.Candidate("n2:1", "south"))
         await those.write("b")
         seen = []
         those.register.watch = lambda standing: (
@@ -82,7 +82,7 @@
         those.run(*those.names)
         await those.until(lambda: own.why == "serving")
         await those.write("a")
-        peer = await own.replica_changes.prepare(group_state.Candidate("n2:1", "south"))
+        peer = await own.replica_changes.prepare(replica_placement.Candidate("n2:1", "south"))
         await those.write("b")
         those.silent.add("n2:1")
         own.replica_changes.ready = peer
--- a/aspencroft/simulation/members.py
+++ b/aspencroft/simulation/members.py
@@ -6,7 +6,7 @@
 import random
 
 from aspencroft.configuration import control_state
-from aspencroft.consensus import proposer, record_recovery, replica_set
+from aspencroft.consensus import proposer, record_recovery, replica_placement, replica_set
 from aspencroft.errors import result
 from aspencroft.replication import group_replica, group_state, messages, replica
 from aspencroft.runtime import clock, environment, supervision
@@ -93,6 +93,7 @@
         self.gone: set[str] = set()
         self.heard: list[tuple[str, object]] = []
         self.register: Register | None = None
+        self.other_records: tuple[replica_set.ReplicaSet, ...] = ()
         self.tasks: list[asyncio.Task] = []
         self.runs: dict[str, asyncio.Task] = {}
         self.starts = 0
@@ -139,6 +140,7 @@
             lambda _: False,
             self.copies,
             lambda: self.goal,
+            lambda: (*self.other_records, self.register.standing()),
         )
         host = group_replica.GroupReplica(held, self, None, name, AREAS[place % 3], around)
         host.proposer = self.register
@@ -166,6 +168,16 @@
         self.silent.discard(name)
         self.run(name)
 
+    async def reopened(self, name: str) -> group_replica.GroupReplica:
+        """What a node's process would find on its disk, were it started once more beside the one that runs.
+
+        Example: ``(await those.reopened("n1:1")).copy.identity``
+        """
+        running = self.hosts[name]
+        await self.open_host(name)
+        found, self.hosts[name] = self.hosts[name], running
+        return found
+
     async def tell_records(self) -> None:
         """Tell all nodes of the record that stands, a while after it was chosen, as witnesses do.
 
@@ -194,13 +206,13 @@
             self.runs[name] = asyncio.ensure_future(self.hosts[name].run())
             self.tasks.append(self.runs[name])
 
-    def candidates(self) -> tuple[group_state.Candidate, ...]:
+    def candidates(self) -> tuple[replica_placement.Candidate, ...]:
         """All nodes but those that membership knows to be gone.
 
         Example: ``those.candidates()``
         """
         return tuple(
-            group_state.Candidate(name, AREAS[place % 3])
+            replica_placement.Candidate(name, AREAS[place % 3])
             for place, name in enumerate(self.names)
             if name not in self.gone
         )
@@ -253,6 +265,8 @@
                 return await one.install_snapshot(message)
             case messages.Fetch():
                 return await one.fetch(message)
+            case messages.Ask():
+                return one.stands(message)
         return await one.appoint(message)
 
     async def until(self, condition: collections.abc.Callable[[], bool], within: float = 10.0) -> float:
