--- a/aspencroft/cli/daemon.py
+++ b/aspencroft/cli/daemon.py
@@ -13,7 +13,7 @@
 
 from aspencroft.cli import process_signals, settings_reload
 from aspencroft.node import node, operator, settings
-from aspencroft.runtime import boottime, clock, environment, supervision
+from aspencroft.runtime import allocator, boottime, clock, environment, supervision
 
 RING = 2000
 HAND_OVER = clock.seconds(4)
@@ -232,6 +232,7 @@
     Example: ``begin(SettingsSource("node.toml", lambda: settings.read("node.toml")), build)``
     """
     process_signals.RECEIVED.install()
+    allocator.return_large_blocks()
     try:
         place = source.read()
     except settings.BadSettings as error:
--- a/aspencroft/replication/group_replica.py
+++ b/aspencroft/replication/group_replica.py
@@ -28,6 +28,8 @@
 the start are waited out in any case.
 """
 STEP_ASIDE = clock.seconds(4)
+RELEASE_AFTER = clock.seconds(10)
+"""How long a node that is no member keeps its copy: one that was away for a moment and is taken in again needs less."""
 
 
 RepairStep = messages.Repair | messages.BeginRepair | messages.SnapshotPart | messages.InstallSnapshot
@@ -76,8 +78,7 @@
                 elif standing is not None and self.me() in standing.backups:
                     await self.following.follow()
                 else:
-                    self.why = "bystander"
-                    await self.changed.wait()
+                    await self.stand_by()
             except* (group_state.Deposed, result.RequestError) as group:
                 LOG.info("pair {}: {}", self.pair, group.exceptions)
                 supervision.heed()
@@ -89,6 +90,46 @@
                 self.counts["disk failures"] += 1
                 await clock.sleep(STEP_ASIDE)
 
+    async def stand_by(self) -> None:
+        """Wait for a record that names this node; meanwhile let go of what it still holds of the group.
+
+        Example: ``await host.stand_by()``
+        """
+        self.why = "bystander"
+        began = clock.now()
+        while not self.changed.is_set():
+            try:
+                async with clock.limit(RELEASE_AFTER):
+                    await self.changed.wait()
+            except TimeoutError:
+                if clock.now() - max(began, self.heard) >= RELEASE_AFTER and self.copy.holds_state():
+                    await self.release()
+
+    async def release(self) -> None:
+        """Let go of a copy that the group does not need: its primary says, under its lease, that it is whole without.
+
+        The copy is born anew under another identity, as one whose disk was lost: whoever should still count on it, by a
+        ballot that is under way, finds that it is not the member that was meant.
+
+        Example: ``await host.release()``
+        """
+        standing = self.known
+        if standing is None:
+            return
+        try:
+            stands = await self.link.ask(
+                standing.primary.address, messages.Ask(self.pair, self.address), group_state.REPLY
+            )
+        except result.RequestError as refusal:
+            LOG.info("group {}: keeps its copy: {}", self.pair, refusal)
+            return
+        async with self.lock:
+            members = stands.holding.members()
+            unneeded = len(members) >= self.around.copies and all(one.address != self.address for one in members)
+            if unneeded and self.known == standing == stands.holding and not self.incoming.size:
+                await self.copy.release()
+                self.counts["released"] += 1
+
     async def submit(self, command, within: datetime.timedelta):
         """Have a command decided, if this node is the primary; the reply comes once it is synced on all copies.
 
--- a/aspencroft/replication/replica.py
+++ b/aspencroft/replication/replica.py
@@ -1,6 +1,7 @@
 """One copy of a pair: journal on disk, entries and digests in memory, a view folded from them."""
 
 import asyncio
+import collections
 import collections.abc
 import dataclasses
 import datetime
@@ -269,8 +270,10 @@
         self.newest = self.kept.generation
         self.replace_all(NOTHING)
         parts: list[bytes] = []
-        for item in items:
-            value = codec.untagged(item.payload)
+        unread = collections.deque(items)
+        items = ()
+        while unread:
+            value = codec.untagged(unread.popleft().payload)
             if isinstance(value, Identity):
                 self.identity = value.identity
             elif isinstance(value, replica_set.ReplicaSet):
@@ -287,9 +290,8 @@
             else:
                 self.cut(slice(max(0, value.sequence - self.snapshot.sequence - 1), None))
                 self.remember(value)
-        items = ()
         if not self.identity:
-            self.identity = format(self.environment.randomness.getrandbits(64), "016x")
+            self.identity = self.new_identity()
             await self.write(Identity(self.identity))
         self.refold()
 
@@ -329,13 +331,22 @@
         """
         self.view = self.make_view()
         if self.snapshot.pieces:
-            self.view.restore(self.snapshot.body)
+            self.view.restore(self.take_snapshot_body())
             self.snapshot = dataclasses.replace(self.snapshot, pieces=tuple(self.view.snapshot_parts()))
             self.picture_size = self.snapshot.size()
         for entry in self.entries:
             self.view.fold(codec.untagged(entry.body))
         self.view_at = self.last().sequence
 
+    def take_snapshot_body(self) -> bytes:
+        """The snapshot's bytes in one piece; its pieces are let go of, as the view is made anew from these bytes.
+
+        Example: ``copy.view.restore(copy.take_snapshot_body())``
+        """
+        body = self.snapshot.body
+        self.snapshot = dataclasses.replace(self.snapshot, pieces=())
+        return body
+
     def fold(self, entry: Entry, event) -> None:
         """Fold an entry's event into the view, which may run ahead of the entries while they are synced.
 
@@ -691,6 +702,43 @@
                 await self.environment.disk.perform(fresh.discard)
             raise
 
+    def holds_state(self) -> bool:
+        """Whether there is anything in this copy.
+
+        Example: ``Replica(...).holds_state()``
+        """
+        return bool(self.entries or self.snapshot.sequence)
+
+    async def release(self) -> None:
+        """Hold nothing any more, under another identity: nobody may take this copy for one that holds what it held.
+
+        Example: ``await copy.release()``
+        """
+        await uninterrupted.finish(self.begin_anew())
+
+    async def begin_anew(self) -> None:
+        """The steps of ``release``: the disk first, so that a failed write leaves all as it was.
+
+        Example: ``await copy.begin_anew()``
+        """
+        async with self.writing:
+            former, goal = self.identity, self.goal
+            self.identity, self.goal = self.new_identity(), None
+            try:
+                await self.rewrite(NOTHING, [])
+            except OSError:
+                self.identity, self.goal = former, goal
+                raise
+            self.replace_all(NOTHING)
+        self.refold()
+
+    def new_identity(self) -> str:
+        """A name that no other store has.
+
+        Example: ``copy.new_identity()``
+        """
+        return format(self.environment.randomness.getrandbits(64), "016x")
+
     async def repair(self, through: int, snapshot: Picture | None, entries: tuple[Entry, ...]) -> Mark:
         """Become like the primary: keep what agrees, drop what does not, add what is missing.
 
