--- a/aspencroft/configuration/control_state.py
+++ b/aspencroft/configuration/control_state.py
@@ -405,6 +405,12 @@
         """
         return 0
 
+    def limit_payload(self, most: int) -> None:
+        """Nothing to bound: the control group holds nothing of what callers send.
+
+        Example: ``ControlState().limit_payload(8 << 20)``
+        """
+
     def restore(self, body: bytes) -> None:
         """Become what a picture shows.
 
--- a/aspencroft/node/node.py
+++ b/aspencroft/node/node.py
@@ -27,7 +27,7 @@
 from aspencroft.errors import result
 from aspencroft.leadership import duty
 from aspencroft.membership import cluster_member, failure_detector
-from aspencroft.node import drain_order, memory_report, settings, timing_check
+from aspencroft.node import drain_order, memory_report, payload_limit, settings, timing_check
 from aspencroft.replication import group_replica, group_state, replica
 from aspencroft.runtime import clock, environment, supervision
 from aspencroft.sessions import lane_sessions
@@ -118,6 +118,7 @@
                     place.copies,
                     functools.partial(self.goal, pair),
                     self.records,
+                    self.payload_limit,
                 )
                 self.hosts[pair] = group_replica.GroupReplica(
                     held, self.link, self.proposer, place.address, place.area, around_it
@@ -185,6 +186,20 @@
         """
         return tuple(self.ring.holdings.values())
 
+    def payload_limit(self) -> int:
+        """How many bytes of history and kept answers a talk group may hold, by this machine's memory.
+
+        Until this node has heard of all members it can't know how many disks share the groups.
+
+        Example: ``node.payload_limit() <= 24 << 20``
+        """
+        if not self.drain_orders.members_known():
+            return payload_limit.payload_limit(0, 1)
+        place = self.settings
+        disks = sum(replica_set.TALK in one.holds for one in self.ring.peers.values())
+        replicas = payload_limit.replicas_on_a_disk(place.talk_pairs, place.copies, disks, place.losses)
+        return payload_limit.payload_limit(place.memory_limit, replicas)
+
     def life(self) -> str:
         """This run of this node, as others may hear of its end.
 
--- /dev/null
+++ b/aspencroft/node/payload_limit.py
@@ -0,0 +1,31 @@
+"""How much of what callers send a group may hold, so that no machine's memory is exceeded when others are lost."""
+
+from aspencroft.sessions import ledger
+
+PROCESS_BYTES = 75_000_000
+"""A storage process without any state: 66 MB measured at 85 nodes, and room for what is under way."""
+MEMORY_PER_PAYLOAD = 1.75
+"""Bytes of memory for each byte of history: 1.66 measured with journal and snapshot (docs/ledger.md)."""
+LEAST_BYTES = 1 << 20
+
+
+def replicas_on_a_disk(groups: int, copies: int, disks: int, losses: int) -> int:
+    """How many replicas a disk holds at most where they are spread evenly and as many disks are lost as is borne.
+
+    Example: ``replicas_on_a_disk(groups=12, copies=3, disks=10, losses=2) == 5``
+    """
+    left = max(1, disks - losses)
+    return min(groups, -(-groups * copies // left))
+
+
+def payload_limit(memory_limit: int, replicas: int) -> int:
+    """Bytes of history and kept answers for one group where a process may take so much memory, 0 where none is known.
+
+    Never more than the ledger's own bound, which keeps starts and repairs short.
+
+    Example: ``payload_limit(150_000_000, 5) == 8_571_428``
+    """
+    if not memory_limit:
+        return ledger.MOST_BYTES
+    share = int((memory_limit - PROCESS_BYTES) / MEMORY_PER_PAYLOAD / replicas)
+    return min(ledger.MOST_BYTES, max(LEAST_BYTES, share))
--- a/aspencroft/replication/group_state.py
+++ b/aspencroft/replication/group_state.py
@@ -36,9 +36,9 @@
     Whom to tell of records.
 
     ``copies`` is how many disks must hold what is answered, ``goal`` how many members the group is to have; ``records``
-    are the newest records known here of all groups.
+    are the newest records known here of all groups, ``payload_limit`` is how many bytes of callers' the group may hold.
 
-    Example: ``GroupPolicy(candidates, emptied, publish, gone, 2, lambda: 2, lambda: records)``
+    Example: ``GroupPolicy(candidates, emptied, publish, gone, 2, lambda: 2, lambda: records, lambda: 24 << 20)``
     """
 
     candidates: collections.abc.Callable[[], tuple[replica_placement.Candidate, ...]]
@@ -48,6 +48,7 @@
     copies: int
     goal: collections.abc.Callable[[], int]
     records: collections.abc.Callable[[], tuple[replica_set.ReplicaSet, ...]]
+    payload_limit: collections.abc.Callable[[], int]
 
 
 class GroupState:
--- a/aspencroft/replication/primary.py
+++ b/aspencroft/replication/primary.py
@@ -180,6 +180,7 @@
         own = self.own
         while True:
             await clock.sleep(BEAT)
+            own.copy.view.limit_payload(own.around.payload_limit())
             if own.claimed() and own.known.backups and not self.submissions.full():
                 for command in own.copy.view.due(clock.now(), own.around.gone):
                     if not self.submissions.full():
--- a/aspencroft/replication/replica.py
+++ b/aspencroft/replication/replica.py
@@ -15,7 +15,7 @@
 
 from aspencroft.consensus import replica_set
 from aspencroft.errors import result
-from aspencroft.runtime import clock, environment, uninterrupted
+from aspencroft.runtime import allocator, clock, environment, uninterrupted
 from aspencroft.storage import store
 from aspencroft.transport import codec
 
@@ -195,6 +195,10 @@
         """Bytes of what callers sent and got that it holds."""
         ...
 
+    def limit_payload(self, most: int) -> None:
+        """Bound what callers sent and got, in bytes."""
+        ...
+
     def restore(self, body: bytes) -> None:
         """Become what a snapshot holds."""
         ...
@@ -731,6 +735,7 @@
                 raise
             self.replace_all(NOTHING)
         self.refold()
+        allocator.return_free_pages()
 
     def new_identity(self) -> str:
         """A name that no other store has.
--- a/aspencroft/runtime/allocator.py
+++ b/aspencroft/runtime/allocator.py
@@ -8,6 +8,18 @@
 KEPT_FREE_BYTES = 1 << 20
 
 
+def return_free_pages() -> None:
+    """Give all pages back that hold nothing, also amid the heap; after much was freed at once, as it takes a while.
+
+    Example: ``return_free_pages()`` once a large state was let go.
+    """
+    try:
+        trim = ctypes.CDLL(None).malloc_trim
+    except (OSError, AttributeError):
+        return
+    trim(0)
+
+
 def return_large_blocks() -> bool:
     """Map blocks from 256 KiB on apart from the heap for good; whether the C library can be told so.
 
--- a/aspencroft/sessions/entry.py
+++ b/aspencroft/sessions/entry.py
@@ -229,6 +229,14 @@
     freed: tuple[str, ...]
 
 
+@codec.kind(187)
+@dataclasses.dataclass(frozen=True)
+class Tick:
+    """Clock event, command and event alike: so much time went by under one primary while turns were kept."""
+
+    span: datetime.timedelta
+
+
 @dataclasses.dataclass(frozen=True)
 class Account:
     """A program: its budget (zero if none was said), tokens used and reserved, turns under way and kept.
@@ -295,3 +303,11 @@
     ended: tuple[Ended, ...]
     keys: tuple[Key, ...]
     freed: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class TurnAges:
+    """The group's own time, and when by it each kept turn ended, in the order of the turns; behind a LedgerPicture."""
+
+    time: datetime.timedelta
+    ended: tuple[datetime.timedelta, ...]
--- a/aspencroft/sessions/lane_sessions.py
+++ b/aspencroft/sessions/lane_sessions.py
@@ -291,6 +291,13 @@
         """
         return self.ledger.bytes
 
+    def limit_payload(self, most: int) -> None:
+        """Bound the history and kept answers, in bytes; what is held already stays.
+
+        Example: ``Talk().limit_payload(8 << 20)``
+        """
+        self.ledger.most_bytes = most
+
     def restore(self, body: bytes) -> None:
         """Become what a picture shows; one from before there was a ledger ends behind the operations.
 
--- a/aspencroft/sessions/ledger.py
+++ b/aspencroft/sessions/ledger.py
@@ -16,6 +16,9 @@
 ROUND = clock.seconds(2)
 SOON = clock.seconds(0.3)
 LATER = clock.seconds(5)
+TICK = clock.seconds(2)
+FIRST_TURN_SHARE = 0.9
+"""Of the bound of history, for turns that begin a chain: what has begun may still go on when nothing new may begin."""
 LARGEST_ANSWER = 256 << 10
 LARGEST_CHAIN = 16 << 20
 MOST_BYTES = 24 << 20
@@ -36,8 +39,10 @@
     """Accounts, turns and keys, folded from events; ``decide`` changes nothing but the clocks.
 
     Clocks count from when this primary first saw a thing, so that neither a takeover nor a restart shortens a keep
-    time. A turn
-    is kept as long as a turn that goes on from it is kept or under way.
+    time. How old kept turns were then is known by the group's own time, which goes on in ticks that are events like
+    all others: a takeover does not make history begin its keep time anew. Time without a primary, and what a late tick
+    is late, is not counted, so that no turn is taken for older than it is.
+    A turn is kept as long as a turn that goes on from it is kept or under way.
     History is held once and shared by all chains through it.
 
     Example: ``events, reply = ledger.decide(entry.BeginTurn(...), now)``
@@ -53,6 +58,9 @@
         self.followers: dict[str, int] = {}
         self.at_work: dict[str, None] = {}
         self.bytes = 0
+        self.most_bytes = MOST_BYTES
+        self.time = clock.ZERO
+        self.ended_at: dict[str, datetime.timedelta] = {}
         self.rest_clocks()
 
     def rest_clocks(self) -> None:
@@ -68,6 +76,7 @@
         self.freed_at: dict[str, datetime.timedelta] = {}
         self.looked: collections.deque[tuple[int, collections.abc.Iterator[str]]] = collections.deque()
         self.next_round = clock.ZERO
+        self.ticked: datetime.timedelta | None = None
 
     # -- commands ------------------------------------------------------------------------------
 
@@ -110,7 +119,7 @@
             self.turns
         ) + len(self.under_way) + len(self.ended) + len(base) >= MOST_TURNS:
             raise result.RequestError(result.ResultCode.OVERLOADED, detail="too many programs or turns", retry=LATER)
-        if command.retained and self.bytes + sum(len(one.input) + len(one.output) for one in base) >= MOST_BYTES:
+        if command.retained and not self.has_room(command, base):
             raise result.RequestError(result.ResultCode.OVERLOADED, detail="no room for more history", retry=LATER)
         if size > LARGEST_CHAIN:
             raise result.RequestError(result.ResultCode.TOO_LARGE, detail="the history is at its limit")
@@ -136,6 +145,15 @@
         )
         return (event,), self.begun_turn(command.previous, command.have, worker, base)
 
+    def has_room(self, command: entry.BeginTurn, base: tuple[entry.Turn, ...]) -> bool:
+        """Whether there is room for a turn's history; less of it for the first one of a chain.
+
+        Example: ``ledger.has_room(command, ())``
+        """
+        added = sum(len(one.input) + len(one.output) for one in base)
+        share = 1.0 if command.previous else FIRST_TURN_SHARE
+        return self.bytes + added < share * self.most_bytes
+
     def allowed(self, command: entry.BeginTurn, now: datetime.timedelta) -> int:
         """The budget that stands for a turn, zero when none was said; refused when it is spent or reserved.
 
@@ -287,7 +305,7 @@
             return (), entry.KeyHeld(mine, known.outcome, known.status, known.headers, known.body)
         if command.attempt in self.freed:
             raise result.RequestError(result.ResultCode.STALE_TURN, detail="the attempt gave the key back before")
-        if len(self.keys) + len(self.freed) >= MOST_KEYS or self.bytes >= MOST_BYTES:
+        if len(self.keys) + len(self.freed) >= MOST_KEYS or self.bytes >= self.most_bytes:
             raise result.RequestError(result.ResultCode.OVERLOADED, detail="too many operations", retry=LATER)
         self.noted[command.key] = now
         event = entry.KeyClaimed(command.key, command.attempt, command.within, command.window, command.edge)
@@ -402,6 +420,7 @@
             return
         self.ended.pop(turn.attempt, None)
         self.stopped.pop(turn.attempt, None)
+        self.ended_at[turn.attempt] = self.time + TICK
         own = len(turn.input) + len(turn.output)
         before = self.turns.get(turn.previous)
         self.turns[turn.attempt] = entry.Kept(turn, program, keep, own + (before.size if before else 0))
@@ -414,6 +433,7 @@
         Example: ``ledger.drop("turn")``
         """
         one = self.turns.pop(attempt, None)
+        self.ended_at.pop(attempt, None)
         self.answered.pop(attempt, None)
         if one is None:
             return
@@ -535,6 +555,43 @@
                     found.append(name)
         return tuple(found)
 
+    def age(self, attempt: str) -> datetime.timedelta:
+        """For how long a turn has been kept at least, by the group's own time.
+
+        Example: ``ledger.age("turn") >= clock.ZERO``
+        """
+        return max(clock.ZERO, self.time - self.ended_at.get(attempt, self.time))
+
+    def tick_due(self, now: datetime.timedelta) -> tuple[entry.Tick, ...]:
+        """The tick that is to be recorded, if any; none is while no turn is kept.
+
+        Example: ``ledger.tick_due(now)``
+        """
+        if not self.turns:
+            self.ticked = None
+        elif self.ticked is None:
+            self.ticked = now
+        elif now - self.ticked >= TICK:
+            return (entry.Tick(TICK),)
+        return ()
+
+    def tick(self, command: entry.Tick, now: datetime.timedelta) -> tuple[tuple, object]:
+        """The group's own time goes on by one tick, if that has gone by; a late one counts no more.
+
+        Example: ``ledger.tick(entry.Tick(TICK), now)``
+        """
+        if self.ticked is None or now - self.ticked < command.span:
+            return (), messages.Closed("")
+        self.ticked = now
+        return (command,), messages.Closed("")
+
+    def time_passed(self, event: entry.Tick) -> None:
+        """A tick was recorded.
+
+        Example: ``ledger.time_passed(entry.Tick(TICK))``
+        """
+        self.time += event.span
+
     def turns_out(self, names: collections.abc.Iterable[str], now: datetime.timedelta) -> tuple[str, ...]:
         """Those turns, and turns before them, that were kept long enough and that no kept or running turn goes on from.
 
@@ -547,7 +604,7 @@
             while (
                 one is not None
                 and name not in found
-                and now - self.answered.setdefault(name, now) > one.keep + BEYOND
+                and now - self.answered.setdefault(name, now - self.age(name)) > one.keep + BEYOND
                 and self.followers.get(name, 0) == gone[name]
             ):
                 found[name] = None
@@ -629,7 +686,7 @@
             self.next_round = now + ROUND
             tables = (self.accounts, self.turns, self.ended, self.keys, self.freed)
             self.looked.extend((place, iter(list(table))) for place, table in enumerate(tables) if table)
-        return (*found, *self.look(now))
+        return (*found, *self.tick_due(now), *self.look(now))
 
     def look(self, now: datetime.timedelta) -> tuple[entry.Forget, ...]:
         """What a bounded number of looks finds to be kept long enough.
@@ -660,6 +717,7 @@
         """
         held = [list(table.values()) for table in (self.accounts, self.turns, self.under_way, self.ended, self.keys)]
         freed = list(self.freed)
+        ages = entry.TurnAges(self.time, tuple(self.ended_at[attempt] for attempt in self.turns))
 
         def parts() -> collections.abc.Iterator[bytes]:
             waiting: list[bytes] = []
@@ -686,6 +744,7 @@
                         yield b"".join(waiting)
                         waiting, size = [], 0
             yield b"".join(waiting)
+            yield codec.pack(ages)
 
         return parts()
 
@@ -706,12 +765,22 @@
     def restore(self, body: bytes, place: int) -> int:
         """Become what a picture shows that stands at a place of the bytes; the place behind it.
 
+        In one of an earlier version the ages of turns are missing: they count as new.
+
         Example: ``ledger.restore(body, 0) == len(body)``
         """
         shown, end = codec.unpack_from(entry.LedgerPicture, body, place)
+        ages = entry.TurnAges(clock.ZERO, (clock.ZERO,) * len(shown.turns))
+        if end < len(body):
+            ages, end = codec.unpack_from(entry.TurnAges, body, end)
+        if len(ages.ended) != len(shown.turns):
+            raise codec.Broken("as many ages as turns were expected")
+        most_bytes = self.most_bytes
         self.__init__()
+        self.most_bytes, self.time = most_bytes, ages.time
         self.accounts = {one.program: one for one in shown.accounts}
         self.turns = {one.turn.attempt: one for one in shown.turns}
+        self.ended_at = dict(zip(self.turns, ages.ended, strict=True))
         self.under_way = {one.attempt: one for one in shown.under_way}
         self.ended = {one.attempt: one for one in shown.ended}
         self.keys = {one.key: one for one in shown.keys}
@@ -755,6 +824,7 @@
     entry.ClaimKey: Ledger.claim_key,
     entry.CloseKey: Ledger.close_key,
     entry.Forget: Ledger.forget,
+    entry.Tick: Ledger.tick,
 }
 EVENTS = {
     entry.TurnBegan: Ledger.turn_began,
@@ -762,4 +832,5 @@
     entry.KeyClaimed: Ledger.key_claimed,
     entry.KeyClosed: Ledger.key_closed,
     entry.Forget: Ledger.forgotten,
+    entry.Tick: Ledger.time_passed,
 }
--- a/aspencroft/simulation/members.py
+++ b/aspencroft/simulation/members.py
@@ -141,6 +141,7 @@
             self.copies,
             lambda: self.goal,
             lambda: (*self.other_records, self.register.standing()),
+            lambda: 24 << 20,
         )
         host = group_replica.GroupReplica(held, self, None, name, AREAS[place % 3], around)
         host.proposer = self.register
