--- a/aspencroft/replication/group_replica.py
+++ b/aspencroft/replication/group_replica.py
@@ -28,8 +28,8 @@
 the start are waited out in any case.
 """
 STEP_ASIDE = clock.seconds(4)
-RELEASE_AFTER = clock.seconds(10)
-"""How long a node that is no member keeps its copy: one that was away for a moment and is taken in again needs less."""
+RELEASE_AFTER = clock.seconds(3)
+"""How long a node that is no member keeps its copy: what leaves is to be gone before much else is moved here."""
 
 
 RepairStep = messages.Repair | messages.BeginRepair | messages.SnapshotPart | messages.InstallSnapshot
--- a/aspencroft/replication/replica_changes.py
+++ b/aspencroft/replication/replica_changes.py
@@ -14,6 +14,8 @@
 LOG = logbook.Logger("recruiting")
 BALANCE_AFTER = clock.seconds(4)
 """How long a better place for a member must have been there before it moves: most machines that are away come back."""
+BALANCE_LOOK = clock.seconds(0.5)
+"""How often a primary looks for a better place; each look goes over all live disks."""
 BALANCE_TURN = clock.seconds(2)
 """How much longer for each group of a lower number on the same machine, so that their moves see each other."""
 
@@ -30,6 +32,7 @@
         self.ready: replica_set.ReplicaId | None = None
         self.admitted = asyncio.Event()
         self.unbalanced_since: datetime.timedelta | None = None
+        self.next_look = clock.ZERO
 
     def order(self) -> list[replica_placement.Candidate]:
         """Candidates for a backup's place: those that failed lately last, areas without a member first, then those that
@@ -150,8 +153,9 @@
         Example: ``recruiting.balance()``
         """
         own = self.own
-        if own.moving is not None:
+        if own.moving is not None or clock.now() < self.next_look:
             return
+        self.next_look = clock.now() + BALANCE_LOOK
         leaving = self.misplaced() if own.why == "serving" else None
         if leaving is None:
             self.unbalanced_since = None
