--- a/aspencroft/cli/daemon.py
+++ b/aspencroft/cli/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import importlib
 import os
 import signal
 import socket
@@ -11,8 +12,8 @@
 import logbook
 import uvicorn
 
-from aspencroft.cli import process_signals, settings_reload
-from aspencroft.node import node, operator, settings
+from aspencroft.cli import lazy_application, process_signals, settings_reload
+from aspencroft.node import node, settings
 from aspencroft.runtime import allocator, boottime, clock, environment, supervision
 
 RING = 2000
@@ -38,14 +39,18 @@
 
 
 def server_of(own: node.Node, more: list) -> Server:
-    """The HTTP server of a node, not yet started.
+    """The HTTP server of a node, not yet started; the operator's interface is loaded when it is first asked.
 
     Example: ``await server_of(own, []).serve()``
     """
+
+    def application() -> collections.abc.Callable:
+        return importlib.import_module("aspencroft.node.operator").application(own, more)
+
     host, port = own.settings.http.rsplit(":", 1)
     return Server(
         uvicorn.Config(
-            operator.application(own, more),
+            lazy_application.LazyApplication(application),
             host=host,
             port=int(port),
             log_config=None,
--- /dev/null
+++ b/aspencroft/cli/lazy_application.py
@@ -0,0 +1,34 @@
+"""An ASGI application that is loaded with the first request: most processes of a fleet are never asked."""
+
+import asyncio
+import collections.abc
+
+
+class LazyApplication:
+    """Builds an application when it is first needed, once, off the event loop.
+
+    Example: ``LazyApplication(lambda: importlib.import_module("aspencroft.node.operator").application(own, []))``
+    """
+
+    def __init__(self, build: collections.abc.Callable[[], collections.abc.Callable]):
+        self.build = build
+        self.application: collections.abc.Callable | None = None
+        self.building = asyncio.Lock()
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Answer a request, after the application was built if this is the first one.
+
+        Example: ``await application(scope, receive, send)``
+        """
+        if self.application is None:
+            await self.load()
+        await self.application(scope, receive, send)
+
+    async def load(self) -> None:
+        """Build the application, unless another request has done so meanwhile.
+
+        Example: ``await application.load()``
+        """
+        async with self.building:
+            if self.application is None:
+                self.application = await asyncio.to_thread(self.build)
--- a/aspencroft/node/payload_limit.py
+++ b/aspencroft/node/payload_limit.py
@@ -2,10 +2,10 @@
 
 from aspencroft.sessions import ledger
 
-PROCESS_BYTES = 75_000_000
-"""A storage process without any state: 66 MB measured at 85 nodes, and room for what is under way."""
-MEMORY_PER_PAYLOAD = 1.75
-"""Bytes of memory for each byte of history: 1.66 measured with journal and snapshot (docs/ledger.md)."""
+PROCESS_BYTES = 58_000_000
+"""A storage process without any state, and room for what is under way."""
+MEMORY_PER_PAYLOAD = 2.1
+"""Bytes of memory for each byte of history in turns of 3 KB: objects, journal and snapshot with it (docs/ledger.md)."""
 LEAST_BYTES = 1 << 20
 
 
@@ -23,7 +23,7 @@
 
     Never more than the ledger's own bound, which keeps starts and repairs short.
 
-    Example: ``payload_limit(150_000_000, 5) == 8_571_428``
+    Example: ``payload_limit(150_000_000, 5) == 8_761_904``
     """
     if not memory_limit:
         return ledger.MOST_BYTES
--- a/aspencroft/runtime/environment.py
+++ b/aspencroft/runtime/environment.py
@@ -4,6 +4,7 @@
 import concurrent.futures
 import dataclasses
 import datetime
+import importlib
 import os
 import pathlib
 import random
@@ -11,10 +12,11 @@
 import socket
 import typing
 
-import httpx
-
 from aspencroft.runtime import uninterrupted
 
+if typing.TYPE_CHECKING:
+    import httpx
+
 CHUNK_LIMIT = 1 << 20
 
 
@@ -83,7 +85,7 @@
 
     network: Network
     disk: Disk
-    transport: typing.Callable[[], httpx.AsyncBaseTransport]
+    transport: "typing.Callable[[], httpx.AsyncBaseTransport]"
     randomness: random.Random
     wall: typing.Callable[[], datetime.datetime]
 
@@ -223,16 +225,25 @@
             os.close(descriptor)
 
 
+def http_transport() -> "httpx.AsyncBaseTransport":
+    """HTTP over the machine's network; its library is loaded with the first one, as most processes need none.
+
+    Example: ``machine().transport()``
+    """
+    httpx = importlib.import_module("httpx")
+    limits = httpx.Limits(max_connections=512, max_keepalive_connections=64, keepalive_expiry=20)
+    return httpx.AsyncHTTPTransport(limits=limits, retries=0)
+
+
 def machine() -> Environment:
     """The real surroundings of a daemon.
 
     Example: ``node.Node(settings, surroundings.machine())``
     """
-    limits = httpx.Limits(max_connections=512, max_keepalive_connections=64, keepalive_expiry=20)
     return Environment(
         SocketNetwork(),
         FileDisk(),
-        lambda: httpx.AsyncHTTPTransport(limits=limits, retries=0),
+        http_transport,
         random.SystemRandom(),
         lambda: datetime.datetime.now(datetime.UTC),
     )
