--- a/aspencroft/consensus/replica_placement.py
+++ b/aspencroft/consensus/replica_placement.py
@@ -100,6 +100,7 @@
 
     Nothing is to be moved while a member is not among the candidates, the live disks: repair comes first. Each move
     adds an area, or keeps their number and brings two disks nearer to each other, so that a row of them ends.
+    Of equally good moves one of a backup is taken: a primary has to hand over first, and the next one would do the same.
 
     Example: ``improving_move(standing, candidates, replica_counts(records))``
     """
@@ -109,13 +110,13 @@
         return None
     free = [one for one in candidates if all(one.address != member.address for member in members)]
     areas_now = len({area_of[one.address] for one in members})
-    best, best_gain = None, (0, 0, 0)
+    best, best_gain = None, (0, 0, False, 0)
     for leaving in members:
         rest = {area_of[one.address] for one in members if one != leaving}
         for target in free:
             more_areas = len(rest | {target.area}) - areas_now
             evened = held[leaving.address] - held[target.address]
-            gain = (more_areas, evened, stable_order(standing.pair, target.address))
+            gain = (more_areas, evened, leaving != standing.primary, stable_order(standing.pair, target.address))
             better = more_areas > 0 or (more_areas == 0 and evened >= LEAST_GAIN)
             if better and gain > best_gain:
                 best, best_gain = Move(leaving, target), gain
--- a/aspencroft/consensus/replica_placement_test.py
+++ b/aspencroft/consensus/replica_placement_test.py
@@ -105,3 +105,14 @@
         chosen = replica_placement.first_members(group, disks(10), 3, founded)
         founded.append(record(group, *(one.address for one in chosen)))
     assert settle(founded, disks(10)) == 0
+
+
+def test_of_equally_good_moves_that_of_a_backup_is_taken():
+    full = [record(group, "s0:1", "s1:1") for group in (1, 2)]
+    held = replica_placement.replica_counts(full)
+    for group in (1, 2):
+        for primary, backup in (("s0:1", "s1:1"), ("s1:1", "s0:1")):
+            move = replica_placement.improving_move(record(group, primary, backup), disks(3, 1), held)
+            assert move.leaving.address == backup
+    held["s0:1"] += 1
+    assert replica_placement.improving_move(full[0], disks(3, 1), held).leaving.address == "s0:1"
--- a/aspencroft/replication/replica_moves_test.py
+++ b/aspencroft/replication/replica_moves_test.py
@@ -58,6 +58,20 @@
     members.play(tmp_path, 5, acts)
 
 
+def test_two_disks_that_are_equally_full_do_not_hand_the_group_to_and_fro(tmp_path):
+    async def acts(those: members.Members) -> None:
+        await serving(those)
+        those.other_records = other_groups(("n0:1", "n1:1"), 2)
+        changes = []
+        those.register.watch = lambda standing: changes.append(standing.epoch)
+        await those.until(lambda: len(member_addresses(those) & {"n0:1", "n1:1"}) == 1, 30)
+        await clock.sleep(LONG_ENOUGH)
+        assert those.register.standing().primary.address == "n0:1"
+        assert len(set(changes)) == 2, changes
+
+    members.play(tmp_path, 3, acts)
+
+
 def test_nothing_moves_for_a_difference_of_one_or_for_a_moment(tmp_path):
     async def acts(those: members.Members) -> None:
         await serving(those)
