--- a/aspencroft/consensus/replica_placement.py
+++ b/aspencroft/consensus/replica_placement.py
@@ -100,7 +100,7 @@
 
     Nothing is to be moved while a member is not among the candidates, the live disks: repair comes first. Each move
     adds an area, or keeps their number and brings two disks nearer to each other, so that a row of them ends.
-    Of equally good moves one of a backup is taken: a primary has to hand over first, and the next one would do the same.
+    Of equally good moves one of a backup is taken: a primary has to hand over first, and the next one would do so too.
 
     Example: ``improving_move(standing, candidates, replica_counts(records))``
     """
