Shared prompts have as many homes as memory holds; slowness is learnt from the pace of streams

Cause: an edge gave way from a shared part's first home only once it knew that home to be filled; where workers do not tell their load an edge knows its own requests alone (1.5 of some 100 at a time over 65 edges), so all edges of a zone sent a part's sessions to one worker.

Workers' slowness is learnt from the time between the events of their streams against that of an idle worker (`pace.py`); it fades to the zone's, and that to idle. It orders the two that are drawn, lends sessions to another zone when that is clearly quicker, and lets a session leave a worker that became much slower than most.

--- a/aspencroft/proxy/choose.py
+++ b/aspencroft/proxy/choose.py
@@ -5,8 +5,11 @@
 import hashlib
 import math
 import random
+import statistics
 
 SHARE = 0.75
+BORDER = 0.15
+MOVE = 0.5
 LAST, HOME, SPILL, LEAST, NONE = "last", "home", "spill", "least", "none"
 
 
@@ -15,7 +18,8 @@
     """A worker that a request may go to, as it is known at this moment.
 
     ``load`` is requests running and waiting there; ``cold`` and ``doubtful`` workers are taken when no
-    other has room; a ``crowded`` one turned a request away a moment ago.
+    other has room; a ``crowded`` one turned a request away a moment ago. ``slowness`` is how many times as long as an
+    idle worker it takes for an event, as far as that is known.
 
     Example: ``Candidate("i-1", "north", 32, 3.0)``
     """
@@ -27,6 +31,7 @@
     cold: bool = False
     doubtful: bool = False
     crowded: bool = False
+    slowness: float = 1.0
 
     def fill(self) -> float:
         """How full the worker is: whole requests over slots.
@@ -35,6 +40,13 @@
         """
         return math.floor(self.load + 1e-9) / max(1, self.slots)
 
+    def cost(self) -> float:
+        """What orders workers that are equal otherwise: how slow, and how full as far as that is known.
+
+        Example: ``Candidate("i-1", "north", 4, 2.0, slowness=1.2).cost() == 1.7``
+        """
+        return self.slowness + self.fill()
+
     def room(self, share: float) -> bool:
         """Whether one more request would stay within a share of the slots.
 
@@ -59,6 +71,14 @@
     reason: str
 
 
+def slowest(instances: tuple[Candidate, ...]) -> float:
+    """How slow a worker may be for a session to stay there: what others hold of its prompt has to be read anew.
+
+    Example: ``slowest(candidates) == 1.0 + MOVE`` while all are idle
+    """
+    return statistics.median(one.slowness for one in instances) + MOVE
+
+
 @functools.lru_cache(maxsize=65536)
 def weight(part: str, name: str) -> bytes:
     """A worker's lot for a part; the highest is the part's first home, on every edge.
@@ -84,10 +104,12 @@
     randomness: random.Random,
     share: float = SHARE,
     most: float = math.inf,
+    copies: int = 1,
 ) -> Choice:
-    """One worker: that of the turn before, else the home of the first shared part, else the lesser of two loads.
+    """One worker: that of the turn before, else a home of the first shared part, else the lesser of two loads.
 
-    A home takes requests up to ``share`` of its slots; no worker is chosen whose load is ``most`` times its slots.
+    A part has ``copies`` homes, over all zones. A home takes requests up to ``share`` of its slots; no worker is
+    chosen whose load is ``most`` times its slots.
 
     Example: ``choose(candidates, (("5c1e", 800),), "", "north", randomness).name``
     """
@@ -99,43 +121,75 @@
             return Choice("", NONE, "all workers are full")
     if last:
         known = next((one for one in instances if one.name == last), None)
-        if known is not None and not known.doubtful and known.room(1.0):
+        if known is not None and not known.doubtful and known.room(1.0) and known.slowness < slowest(instances):
             return Choice(last, LAST, f"{last} served the turn before, {known.load:.1f} of {known.slots} slots taken")
     if parts:
-        found = at_home(instances, parts[0][0], share, zone)
+        found = at_home(instances, parts[0][0], share, zone, randomness, copies)
         if found is not None:
             return found
     return least(instances, zone, randomness)
 
 
-def at_home(instances: tuple[Candidate, ...], part: str, share: float, zone: str) -> Choice | None:
-    """The first home of a part that has room; none when all homes are full.
+def at_home(
+    instances: tuple[Candidate, ...],
+    part: str,
+    share: float,
+    zone: str,
+    randomness: random.Random,
+    copies: int,
+) -> Choice | None:
+    """One of a part's homes that have room; none when all workers are full.
 
-    A part has homes in each zone: those of the own zone come first until half of the share is taken there,
-    as long prompts and
-    answers cross no border then and each zone's homes have fewer to serve;
-    then those elsewhere, then all up to the share.
+    Each zone has its portion of a part's ``copies``. The homes of the own zone come first until half of the share is
+    taken there, as long prompts and answers cross no border then; then those elsewhere, then all up to the share.
+    Among equals the lesser cost of two drawn by lot is taken: an edge knows little of what others send.
 
-    Example: ``at_home(candidates, "5c1e", 0.75, "north")``
+    Example: ``at_home(candidates, "5c1e", 0.75, "north", randomness, 3)``
     """
     order = homes(part, instances)
     near = [one for one in order if one.zone == zone]
     far = [one for one in order if one.zone != zone]
-    rounds = [(order, share), (order, 1.0)]
+    sides = [(order, copies, share), (order, copies, 1.0)]
     if near:
-        rounds = [(near, share / 2), (far, share / 2), (near + far, share), (near + far, 1.0)]
-    first = (near or order)[0]
-    for side, limit in rounds:
+        near_copies = max(1, copies * len(near) // len(order))
+        far_copies = max(1, copies - near_copies)
+        both, all_copies = near + far, near_copies + far_copies
+        sides = [
+            (near, near_copies, share / 2),
+            (far, far_copies, share / 2),
+            (both, near_copies, share),
+            (both, all_copies, 1.0),
+        ]
+    first = sides[0][0][: sides[0][1]]
+    for side, width, limit in sides:
         for rank in sorted({one.rank() for one in side}):
-            for one in side:
-                if one.rank() == rank and one.room(limit):
-                    where = "its zone's" if one.zone == zone else "a"
-                    taken = f"{one.load:.1f} of {one.slots} slots taken"
-                    why = f"{one.name} is {where} home {order.index(one) + 1} of part {part}, {taken}"
-                    return Choice(one.name, HOME if one is first else SPILL, why)
+            one = drawn_home(side, width, limit, rank, randomness)
+            if one is None:
+                continue
+            if side is near and far and copies > 1:
+                other = drawn_home(far, far_copies, limit, rank, randomness)
+                if other is not None and other.cost() + BORDER < one.cost():
+                    one = other
+            where = "its zone's" if one.zone == zone else "a"
+            taken = f"{one.load:.1f} of {one.slots} slots taken, {one.slowness:.2f} times as slow as idle"
+            why = f"{one.name} is {where} home {order.index(one) + 1} of part {part}, {taken}"
+            return Choice(one.name, HOME if one in first else SPILL, why)
     return None
 
 
+def drawn_home(
+    side: list[Candidate], width: int, limit: float, rank: int, randomness: random.Random
+) -> Candidate | None:
+    """The lesser cost of two drawn among the first homes of a rank that have room; none when no home has.
+
+    Example: ``drawn_home(near, 3, 0.375, 0, randomness)``
+    """
+    open_homes = [one for one in side if one.rank() == rank and one.room(limit)][:width]
+    if not open_homes:
+        return None
+    return min(randomness.sample(open_homes, min(2, len(open_homes))), key=Candidate.cost)
+
+
 def least(instances: tuple[Candidate, ...], zone: str, randomness: random.Random) -> Choice:
     """The less loaded of two workers drawn from each side of the zone's border.
 
--- a/aspencroft/proxy/choose_test.py
+++ b/aspencroft/proxy/choose_test.py
@@ -181,3 +181,55 @@
     for parts, last in (((), ""), ((("x", 1),), ""), ((), "i-001")):
         chosen = choose.choose(workers(3, load=2.0), parts, last, "a", random.Random(1))
         assert chosen.name in chosen.reason and "2.0 of 16" in chosen.reason
+
+
+def spread_of(found, copies: int, zone: str, requests: int = 400) -> collections.Counter:
+    """How often each worker is chosen for one part by many edges that know nothing of each other's requests.
+
+    Example: ``len(spread_of(workers(9), 3, "a")) == 1``
+    """
+    return collections.Counter(
+        choose.choose(found, (("5c1e", 800), ("own", 9)), "", zone, random.Random(seed), copies=copies).name
+        for seed in range(requests)
+    )
+
+
+def test_a_part_with_several_copies_is_spread_over_them_without_any_word_of_loads():
+    found = workers(12)
+    for zone in "abc":
+        assert len(spread_of(found, 1, zone)) == 1
+        for copies, own in ((3, 1), (6, 2), (12, 4)):
+            chosen = spread_of(found, copies, zone)
+            assert len(chosen) == own and max(chosen.values()) < 2 * min(chosen.values())
+            assert {one.zone for one in found if one.name in chosen} == {zone}
+    order = [one.name for one in choose.homes("5c1e", found)]
+    assert set(spread_of(found, 5, "elsewhere")) == set(order[:5]), "the first homes, the same on every edge"
+
+
+def test_of_two_copies_the_quicker_is_taken_as_streams_show():
+    found = tuple(dataclasses.replace(one, slowness=1.6 if place < 6 else 1.1) for place, one in enumerate(workers(12)))
+    for zone in "abc":
+        chosen = spread_of(found, 12, zone)
+        slow = sum(count for name, count in chosen.items() if name < "i-006")
+        assert slow < 0.25 * sum(chosen.values())
+
+
+def test_a_zone_that_is_slower_than_the_others_lends_its_sessions_until_it_is_not():
+    for slowness, share in ((1.0, 0.0), (1.1, 0.0), (1.3, 1.0)):
+        found = tuple(dataclasses.replace(one, slowness=slowness if one.zone == "a" else 1.0) for one in workers(12))
+        chosen = spread_of(found, 12, "a")
+        lent = sum(count for name, count in chosen.items() if int(name[2:], 16) % 3)
+        assert lent == share * sum(chosen.values())
+    slow_zone = tuple(dataclasses.replace(one, slowness=1.3 if one.zone == "a" else 1.0) for one in workers(12))
+    assert len(spread_of(slow_zone, 1, "a")) == 1, "where memory has room for one copy it stays with its home"
+
+
+def test_a_session_leaves_a_worker_that_became_much_slower_than_the_others():
+    found = workers(9)
+    for slowness, kept in ((1.0, True), (1.4, True), (1.6, False), (4.0, False)):
+        turned = swap(found, "i-003", slowness=slowness)
+        chosen = choose.choose(turned, (("x", 9), ("own", 2)), "i-003", "a", random.Random(2), copies=9)
+        assert (chosen.kind == choose.LAST) == kept, slowness
+    everywhere = tuple(dataclasses.replace(one, slowness=3.0) for one in found)
+    chosen = choose.choose(everywhere, (("x", 9), ("own", 2)), "i-003", "a", random.Random(2), copies=9)
+    assert chosen.kind == choose.LAST, "all are as slow: moving would gain nothing"
--- a/aspencroft/proxy/forwarder.py
+++ b/aspencroft/proxy/forwarder.py
@@ -16,7 +16,7 @@
 from aspencroft.errors import result
 from aspencroft.gateway import path
 from aspencroft.node import node
-from aspencroft.proxy import call, chains, choose, endings, events, instance, instances, judgement
+from aspencroft.proxy import call, chains, choose, endings, events, instance, instances, judgement, pace, working_set
 from aspencroft.runtime import clock
 from aspencroft.sessions import entry, messages
 from aspencroft.tracing import trace
@@ -132,6 +132,7 @@
         self.stories = trace.Traces(own.address)
         self.endings = endings.Endings(own)
         self.chains = chains.Chains()
+        self.working_sets: dict[str, working_set.WorkingSet] = collections.defaultdict(working_set.WorkingSet)
         self.freed = asyncio.Event()
         self.active = 0
         self.waiting = 0
@@ -404,9 +405,23 @@
             self.node.settings.area,
             self.node.environment.randomness,
             most=FULL,
+            copies=self.copies(service, passage.call.parts),
         )
         return self.instances.listed.get(chosen.name), f"{service}: {chosen.reason}"
 
+    def copies(self, service: str, parts: tuple[tuple[str, int], ...]) -> int:
+        """How many workers of a service should hold a prompt's shared part.
+
+        Example: ``forwarder.copies("chat", call.parts) >= 1``
+        """
+        if len(parts) < 2:
+            return 1
+        used = self.working_sets[service]
+        used.saw(parts)
+        facts = self.node.relay.plan.services.get(service)
+        memory = facts.engine.kv_tokens if facts is not None and facts.engine is not None else 0
+        return used.copies(len(self.instances.services.get(service, ())), memory)
+
     async def place(self, passage: Passage) -> instance.Instance:
         """A worker with a place for the call, waited for during a part of its aim.
 
@@ -684,15 +699,20 @@
 
         Example: ``async for part in forwarder.stream(...): ...``
         """
-        reader, whole = events.Reader(), False
+        reader, whole, watch = events.Reader(), False, pace.Stopwatch()
         try:
             reader.feed(first)
+            watch.saw(reader.count)
             if first:
                 yield first
                 async for part in parts:
                     reader.feed(part)
+                    watch.saw(reader.count)
                     yield part
             whole = True
+            seconds_an_event = watch.pace()
+            if seconds_an_event:
+                self.instances.paced(chosen.name, seconds_an_event)
             await response.close(True)
             self.release(chosen)
             if passage.begun:
--- a/aspencroft/proxy/instances.py
+++ b/aspencroft/proxy/instances.py
@@ -5,7 +5,7 @@
 import datetime
 import math
 
-from aspencroft.proxy import choose, instance, judgement
+from aspencroft.proxy import choose, instance, judgement, pace
 from aspencroft.runtime import clock
 
 FIRST_BAR, MOST_BAR = clock.seconds(0.25), clock.seconds(8)
@@ -60,6 +60,7 @@
         self.services: dict[str, tuple[instance.Instance, ...]] = {}
         self.known: dict[str, Known] = collections.defaultdict(Known)
         self.judgement = judgement.Judgement()
+        self.paces = pace.Paces()
         self.seen_at: datetime.timedelta | None = None
         self.fresh_at: datetime.timedelta | None = None
 
@@ -82,7 +83,9 @@
             if one.name not in self.drained:
                 services[one.service].append(one)
         self.services = {name: tuple(found) for name, found in services.items()}
-        self.judgement.take({name: frozenset(one.name for one in found) for name, found in self.services.items()})
+        there = {name: frozenset(one.name for one in found) for name, found in self.services.items()}
+        self.judgement.take(there)
+        self.paces.take(there)
         for name in [name for name, known in self.known.items() if name not in self.listed and not known.running]:
             del self.known[name]
 
@@ -130,12 +133,14 @@
         """
         now, found, held = clock.now(), [], []
         since = now - self.seen_at if self.seen_at is not None else clock.ZERO
+        paces = self.paces.of(service)
         for one in self.services.get(service, ()):
             if one.name in without:
                 continue
             known = self.known.get(one.name)
+            slowness = paces.slowness(one.name, one.zone, now)
             if known is None:
-                found.append(choose.Candidate(one.name, one.zone, one.slots, 0.0, one.cold > since))
+                found.append(choose.Candidate(one.name, one.zone, one.slots, 0.0, one.cold > since, slowness=slowness))
             elif known.wrong_until <= now:
                 candidate = choose.Candidate(
                     one.name,
@@ -145,6 +150,7 @@
                     one.cold > since,
                     known.barred_until > now or known.leaving_until > now,
                     known.crowded_until > now,
+                    slowness,
                 )
                 if one.name in self.judgement.records:
                     candidate.doubtful = candidate.doubtful or self.judgement.suspect(one.name, repeatable, now)
@@ -224,6 +230,15 @@
         known.failed_at = now
         known.barred_until = now + min(MOST_BAR, FIRST_BAR * 2 ** min(known.failures - 1, 16))
 
+    def paced(self, name: str, seconds_an_event: float) -> None:
+        """A worker's stream came at this pace.
+
+        Example: ``instances.paced("i-1", 0.03)``
+        """
+        one = self.listed.get(name)
+        if one is not None:
+            self.paces.of(one.service).observe(name, one.zone, seconds_an_event, clock.now())
+
     def heard(self, name: str, kind: str) -> None:
         """Count how a request ended at a worker for its judgement.
 
