A silent backup is given up by what answers took lately; a disk known to be lost holds nobody up

After a closing fault with a lost disk, half of the groups answered 1.3 to 1.8 s later than the others: they made a third copy first, though the loss was one of those to be borne.

A member whose disk is another one than the record names, and was not let go of (such a copy's identity says so now), counts as a loss to be borne for 3 s under that very record: the group answers with those left, never with one, and copies behind serving.

Ruled out: answering with fewer copies where a member is merely silent (it may be well, and then is no loss to be borne).

--- a/aspencroft/replication/log_shipping.py
+++ b/aspencroft/replication/log_shipping.py
@@ -4,11 +4,11 @@
 
 from aspencroft.consensus import replica_set
 from aspencroft.errors import result
-from aspencroft.replication import group_state, messages, replica, snapshot_transfer
+from aspencroft.replication import append_patience, group_state, messages, replica, snapshot_transfer
 from aspencroft.runtime import clock, supervision
 
 LOG = logbook.Logger("copying")
-APPEND = clock.seconds(0.7)
+APPEND = append_patience.MOST
 ANSWER = clock.seconds(0.5)
 MEND = clock.seconds(5)
 MEND_BYTES = 1 << 20
@@ -22,7 +22,9 @@
 
     def __init__(self, own: group_state.GroupState):
         self.own = own
+        self.patience = append_patience.AppendPatience()
         self.snapshots = snapshot_transfer.SnapshotSender(own)
+        self.lost: set[replica_set.ReplicaId] = set()
 
     async def append(
         self, standing: replica_set.ReplicaSet, last: replica.Mark, entries: tuple[replica.Entry, ...]
@@ -36,7 +38,9 @@
             if entries:
                 group.create_task(self.own.copy.write_entries(entries))
             sent = {one: group.create_task(self.send(one, message)) for one in standing.backups}
-        return tuple(one for one, task in sent.items() if task.result() != self.own.copy.last())
+            await self.patience.wait_for(sent.values())
+        last_here = self.own.copy.last()
+        return tuple(one for one, task in sent.items() if task.cancelled() or task.result() != last_here)
 
     async def send(self, backup: replica_set.ReplicaId, message: messages.Append) -> replica.Mark | None:
         """A backup's newest entry once it synced, or none; tried again while there is time, as it does no harm twice.
@@ -57,8 +61,11 @@
     async def agree(self, standing: replica_set.ReplicaSet) -> tuple[replica_set.ReplicaId, ...]:
         """Make all backups' copies the same as this one; those that failed.
 
+        ``lost`` names those among them whose disk is known to have been lost.
+
         Example: ``failed = await copying.agree(own.known)``
         """
+        self.lost.clear()
         async with supervision.Group() as group:
             mended = {one: group.create_task(self.repair_member(one)) for one in standing.backups}
         return tuple(one for one, task in mended.items() if not task.result())
@@ -72,6 +79,8 @@
         try:
             compared = await own.link.ask(peer.address, messages.Compare(own.pair, own.known.epoch), ANSWER)
             if compared.identity != peer.identity:
+                if not compared.identity.startswith(replica.RELEASED):
+                    self.lost.add(peer)
                 return False
             await own.link.ask(peer.address, messages.Appoint(own.known), group_state.REPLY)
             return await self.repair_from(peer, compared) == own.copy.last()
--- a/aspencroft/replication/primary.py
+++ b/aspencroft/replication/primary.py
@@ -18,6 +18,8 @@
 BEAT = clock.seconds(0.2)
 QUEUE = 1024
 BATCH = 256
+LOST_DISK_COUNTS = clock.seconds(3)
+"""How long a lost disk counts as a loss that was to be borne, from when it is noticed: less than any catch-up time."""
 
 
 @dataclasses.dataclass
@@ -55,6 +57,7 @@
         self.submissions: asyncio.Queue[Submission] = asyncio.Queue(QUEUE)
         self.agreed: replica_set.ReplicaSet | None = None
         self.short: replica_set.ReplicaSet | None = None
+        self.lost_disks: record_changes.LostDisks | None = None
         self.touched = clock.ZERO
 
     async def submit(self, command, within: datetime.timedelta):
@@ -195,12 +198,15 @@
     def enough(self, standing: replica_set.ReplicaSet) -> bool:
         """Whether a record names enough members to answer: as many as must hold what is answered.
 
-        Or two at least when a look
-        at all other nodes under this record found none that could hold a copy, as those are lost machines then.
+        Or two at least when a look at all other nodes under this record found none that could hold a copy, as those
+        are lost machines then, or when the disks of those that are missing are known to have been lost just now.
 
         Example: ``serving.enough(own.known)``
         """
-        return record_changes.enough(standing, self.own.around.copies, group_state.LEAST, self.short)
+        copies, lost = self.own.around.copies, self.lost_disks
+        if lost is not None and lost.excuse(standing, copies, group_state.LEAST, clock.now()):
+            return True
+        return record_changes.enough(standing, copies, group_state.LEAST, self.short)
 
     async def serve(self) -> None:
         """Make the backups agree, then take batches of commands; recruit first whenever there are too few members.
@@ -209,7 +215,8 @@
         """
         own = self.own
         held_back: list[Decided] = []
-        self.agreed = self.short = None
+        self.agreed = self.short = self.lost_disks = None
+        self.log_shipping.patience.begin()
         try:
             while True:
                 standing = own.known
@@ -251,8 +258,11 @@
             return
         self.own.why = "mending the backups"
         failed = await self.log_shipping.agree(standing)
+        lost = self.log_shipping.lost.intersection(failed)
         if failed:
             await self.drop(failed)
+            end = clock.now() + LOST_DISK_COUNTS
+            self.lost_disks = record_changes.LostDisks(self.own.known, len(lost), end)
         elif self.own.known == standing:
             self.agreed = standing
 
--- a/aspencroft/replication/primary_test.py
+++ b/aspencroft/replication/primary_test.py
@@ -5,6 +5,7 @@
 
 from aspencroft.consensus import replica_set
 from aspencroft.errors import result
+from aspencroft.replication import messages, record_changes
 from aspencroft.runtime import clock
 from aspencroft.simulation import members
 
@@ -60,6 +61,65 @@
     members.play(tmp_path, 4, acts, members=3, copies=3, goal=3)
 
 
+async def answered_with(those: members.Members, name: str) -> int:
+    """Write once somebody leads; how many members the record named when that was answered."""
+    await those.until(lambda: bool(those.leader()))
+    await those.write(name, those.leader())
+    return len(those.register.standing().members())
+
+
+def slow_repairs(those: members.Members):
+    """Have copying to new members take half a second a message."""
+    ask = those.ask
+
+    async def slow(address, message, within):
+        if isinstance(message, messages.BeginRepair):
+            await clock.sleep(clock.seconds(0.5))
+        return await ask(address, message, within)
+
+    those.ask = slow
+
+
+def test_a_disk_known_to_be_lost_is_one_of_the_losses_to_be_borne_and_holds_nobody_up(tmp_path):
+    async def acts(those: members.Members) -> None:
+        those.run(*those.names)
+        await answered_with(those, "a")
+        slow_repairs(those)
+        those.stop("n0:1")
+        await those.wipe("n2:1", 0.01)
+        those.silent.discard("n0:1")
+        those.run("n0:1")
+        assert await answered_with(those, "b") == 2, "before another copy is made"
+        await those.until(lambda: len(those.register.standing().members()) == 3)
+
+    members.play(tmp_path, 5, acts, members=3, copies=3, goal=3)
+
+
+def test_a_copy_that_was_let_go_of_is_no_loss_nor_is_a_member_that_is_silent(tmp_path):
+    async def acts(those: members.Members) -> None:
+        own = those.hosts["n0:1"]
+        await those.hosts["n2:1"].copy.release()
+        assert await own.log_shipping.agree(own.known)
+        assert not own.log_shipping.lost
+        those.silent.add("n2:1")
+        assert await own.log_shipping.agree(own.known)
+        assert not own.log_shipping.lost
+
+    members.play(tmp_path, 3, acts, members=3, copies=3, goal=3)
+
+
+def test_a_lost_disk_excuses_one_member_under_one_record_for_a_short_time():
+    one, two, three = (replica_set.ReplicaId(f"n{number}:1", "a") for number in range(3))
+    left = replica_set.ReplicaSet(0, 5, one, (two,))
+    lost = record_changes.LostDisks(left, 1, clock.seconds(3))
+    assert lost.excuse(left, 3, 2, clock.seconds(2.9))
+    assert not lost.excuse(left, 3, 2, clock.seconds(3))
+    assert not lost.excuse(left, 4, 2, clock.ZERO)
+    assert not lost.excuse(replica_set.ReplicaSet(0, 6, one, (three,)), 3, 2, clock.ZERO)
+    alone = replica_set.ReplicaSet(0, 5, one, ())
+    assert not record_changes.LostDisks(alone, 2, clock.seconds(3)).excuse(alone, 3, 2, clock.ZERO), "never with one"
+
+
 def test_members_beyond_what_must_hold_answers_are_taken_in_behind_serving(tmp_path):
     async def acts(those: members.Members) -> None:
         those.run(*those.names)
--- a/aspencroft/replication/record_changes.py
+++ b/aspencroft/replication/record_changes.py
@@ -84,6 +84,25 @@
     return count >= copies or (count >= least and short == standing)
 
 
+@dataclasses.dataclass(frozen=True)
+class LostDisks:
+    """Members that were recorded out as their disks are known to have been lost: the record since then, how many they
+    are, and until when they count as losses that were to be borne.
+    """
+
+    standing: replica_set.ReplicaSet
+    count: int
+    end: datetime.timedelta
+
+    def excuse(self, standing: replica_set.ReplicaSet, copies: int, least: int, now: datetime.timedelta) -> bool:
+        """Whether a record names enough members, as those missing are losses that happened.
+
+        Example: ``lost.excuse(standing, 3, 2, clock.now())``
+        """
+        count = len(standing.members())
+        return standing == self.standing and now < self.end and count >= least and count + self.count >= copies
+
+
 def may_leave(staying: int, members: int, copies: int) -> bool:
     """Whether members that are being drained may be recorded out: only while enough others hold the copy.
 
--- a/aspencroft/replication/replica.py
+++ b/aspencroft/replication/replica.py
@@ -28,6 +28,8 @@
 RESTED_ENTRIES = 512
 RESTED_BYTES = 256 << 10
 SNAPSHOT_REST = clock.seconds(10)
+RELEASED = "r"
+"""How the identity of a copy begins that was let go of: it's empty though no disk was lost."""
 OF_AN_ENTRY = 250
 PART, BREATH = 1 << 20, 64
 STALLED = clock.seconds(1.5)
@@ -727,7 +729,7 @@
         """
         async with self.writing:
             former, goal = self.identity, self.goal
-            self.identity, self.goal = self.new_identity(), None
+            self.identity, self.goal = RELEASED + self.new_identity(), None
             try:
                 await self.rewrite(NOTHING, [])
             except OSError:
