An edge that starts again reads the list of workers while the plan stays away

Change: where the plan is not here 0.2 to 0.4 s after the start, the list is read meanwhile; not at the very first start, when nobody calls yet. Ruled out: reading at once at each start (each read is priced; after the start of a single edge list and plan come together). The test was seen to fail first.

--- a/aspencroft/workers/list_reader.py
+++ b/aspencroft/workers/list_reader.py
@@ -259,15 +259,26 @@
     async def begin(self) -> None:
         """Wait for the plan, and a moment more for the list, which comes with it when some node reads it already.
 
-        After a stop of all nodes who reads has to be agreed on first,
-        and an edge cannot serve so long without the list.
+        After a stop of all nodes who reads has to be agreed on first, and an edge cannot serve so long without the
+        list. Where the plan itself stays away, the list is read meanwhile, so that both are there together; but not at
+        the very first start, when nobody calls yet.
 
         Example: ``await watch.begin()``
         """
-        limit = clock.now() + STALE
+        patience = STALE if self.node.settings.first_start else self.first_pause()
+        limit = clock.now() + patience
         while not self.node.relay.current() and clock.now() < limit:
             await clock.sleep(FIRST / 8)
-        self.next_read = clock.now() + FIRST * (1 + self.node.environment.randomness.random())
+        self.next_read = clock.now()
+        if self.node.relay.current() or self.node.settings.first_start:
+            self.next_read += self.first_pause()
+
+    def first_pause(self) -> datetime.timedelta:
+        """How long to wait for the list before reading it oneself; not the same on all edges.
+
+        Example: ``FIRST <= watch.first_pause() <= 2 * FIRST``
+        """
+        return FIRST * (1 + self.node.environment.randomness.random())
 
     async def follow(self, topic: str) -> None:
         """Take what the relay tree brings of a topic, each time that it changes.
--- a/aspencroft/workers/list_reader_test.py
+++ b/aspencroft/workers/list_reader_test.py
@@ -276,3 +276,32 @@
         assert sorted(name for _, name in platform.reads) == sorted(one.edges)
 
     simulated_cluster.play(17, story)
+
+
+def restarted_without_plan(first_start: bool) -> list[tuple[float, str]]:
+    """An edge starts again while all other nodes are down; its reads of the list within a second."""
+    found: list[tuple[float, str]] = []
+
+    async def acts(platform):
+        scene = platform.scene
+        for name in [*scene.cores, "edge-0"]:
+            scene.kill(name)
+        scene.more["first_start"] = first_start
+        scene.start("edge-0")
+        await scene.until(lambda: "edge-0" in scene.nodes, 10, "started")
+        platform.reads.clear()
+        platform.attach("edge-0")
+        began = scene.loop.time()
+        await asyncio.sleep(1)
+        assert not scene.nodes["edge-0"].relay.current()
+        found.extend((at - began, name) for at, name in platform.reads if name == "edge-0")
+
+    play(21, acts)
+    return found
+
+
+def test_an_edge_that_starts_again_reads_the_list_itself_when_the_plan_stays_away():
+    reads = restarted_without_plan(first_start=False)
+    assert reads and reads[0][0] < 0.6, "so that both are there together once the others are back"
+    assert len(reads) <= 3
+    assert not restarted_without_plan(first_start=True), "at the very first start nobody calls yet"
