Homes follow all parts in use, also those not met yet; a slow zone lends wherever the part is held; sessions stay

An edge meets the parts one by one, thought the few that it had met to be all, and spread them over all workers: parts gave way and were read again. 2. A session left a worker that had become slow, which under load reads its history anew and slows all. 3. The zone that was full lent nothing, as parts had one copy a zone, though the other zone's homes hold the part anyway.

Change: the size of all parts in use is estimated by how many of them were met in one program only (Good 1953); what requests in all slots hold of their own is taken off the memory first; homes go by the last part that several programs share, not by what all prompts begin with; the rule by which sessions left slow workers is gone; a zone that is clearly slower lends to the first homes elsewhere whatever the number of copies, by slowness alone, as loads that are told have their own bounds.

Ruled out: a smaller share of the memory (the first seconds, when an edge has met few parts, stay wrong).

--- a/aspencroft/proxy/choose.py
+++ b/aspencroft/proxy/choose.py
@@ -5,11 +5,9 @@
 import hashlib
 import math
 import random
-import statistics
 
 SHARE = 0.75
 BORDER = 0.15
-MOVE = 0.5
 LAST, HOME, SPILL, LEAST, NONE = "last", "home", "spill", "least", "none"
 
 
@@ -71,14 +69,6 @@
     reason: str
 
 
-def slowest(instances: tuple[Candidate, ...]) -> float:
-    """How slow a worker may be for a session to stay there: what others hold of its prompt has to be read anew.
-
-    Example: ``slowest(candidates) == 1.0 + MOVE`` while all are idle
-    """
-    return statistics.median(one.slowness for one in instances) + MOVE
-
-
 @functools.lru_cache(maxsize=65536)
 def weight(part: str, name: str) -> bytes:
     """A worker's lot for a part; the highest is the part's first home, on every edge.
@@ -121,7 +111,7 @@
             return Choice("", NONE, "all workers are full")
     if last:
         known = next((one for one in instances if one.name == last), None)
-        if known is not None and not known.doubtful and known.room(1.0) and known.slowness < slowest(instances):
+        if known is not None and not known.doubtful and known.room(1.0):
             return Choice(last, LAST, f"{last} served the turn before, {known.load:.1f} of {known.slots} slots taken")
     if parts:
         found = at_home(instances, parts[0][0], share, zone, randomness, copies)
@@ -142,7 +132,8 @@
 
     Each zone has its portion of a part's ``copies``. The homes of the own zone come first until half of the share is
     taken there, as long prompts and answers cross no border then; then those elsewhere, then all up to the share.
-    Among equals the lesser cost of two drawn by lot is taken: an edge knows little of what others send.
+    Among equals the lesser cost of two drawn by lot is taken: an edge knows little of what others send. Homes elsewhere
+    that are clearly quicker come before those of the own zone: they hold the part for their own zone anyway.
 
     Example: ``at_home(candidates, "5c1e", 0.75, "north", randomness, 3)``
     """
@@ -166,9 +157,9 @@
             one = drawn_home(side, width, limit, rank, randomness)
             if one is None:
                 continue
-            if side is near and far and copies > 1:
+            if side is near and far:
                 other = drawn_home(far, far_copies, limit, rank, randomness)
-                if other is not None and other.cost() + BORDER < one.cost():
+                if other is not None and other.slowness + BORDER < one.slowness:
                     one = other
             where = "its zone's" if one.zone == zone else "a"
             taken = f"{one.load:.1f} of {one.slots} slots taken, {one.slowness:.2f} times as slow as idle"
--- a/aspencroft/proxy/forwarder.py
+++ b/aspencroft/proxy/forwarder.py
@@ -132,7 +132,7 @@
         self.stories = trace.Traces(own.address)
         self.endings = endings.Endings(own)
         self.chains = chains.Chains()
-        self.working_sets: dict[str, working_set.WorkingSet] = collections.defaultdict(working_set.WorkingSet)
+        self.working_sets = working_set.WorkingSets()
         self.freed = asyncio.Event()
         self.active = 0
         self.waiting = 0
@@ -398,29 +398,27 @@
         passage.route = route
         service = draw_service(route, self.node.environment.randomness)
         candidates = self.instances.candidates(service, passage.tried, passage.repeatable())
+        used = self.working_sets.of(service)
         chosen = choose.choose(
             candidates,
-            passage.call.parts,
+            used.home_parts(passage.call.parts, passage.program),
             passage.last_worker,
             self.node.settings.area,
             self.node.environment.randomness,
             most=FULL,
-            copies=self.copies(service, passage.call.parts),
+            copies=used.copies(len(self.instances.services.get(service, ())), *self.memory_and_slots(service)),
         )
         return self.instances.listed.get(chosen.name), f"{service}: {chosen.reason}"
 
-    def copies(self, service: str, parts: tuple[tuple[str, int], ...]) -> int:
-        """How many workers of a service should hold a prompt's shared part.
+    def memory_and_slots(self, service: str) -> tuple[int, int]:
+        """The KV memory of one of a service's workers in tokens, and its slots; zeros when they aren't known.
 
-        Example: ``forwarder.copies("chat", call.parts) >= 1``
+        Example: ``forwarder.memory_and_slots("chat") == (452_141, 12)``
         """
-        if len(parts) < 2:
-            return 1
-        used = self.working_sets[service]
-        used.saw(parts)
         facts = self.node.relay.plan.services.get(service)
-        memory = facts.engine.kv_tokens if facts is not None and facts.engine is not None else 0
-        return used.copies(len(self.instances.services.get(service, ())), memory)
+        if facts is None or facts.engine is None:
+            return 0, 0
+        return facts.engine.kv_tokens, facts.engine.slots
 
     async def place(self, passage: Passage) -> instance.Instance:
         """A worker with a place for the call, waited for during a part of its aim.
