A root that answers is asked again after one pull; a root never heard of is said as such

Change: ParentSelection.avoid leaves the root that answers out for one pull interval (0.4 s) only; silent parents, and stale ones that are not the root, for 2 s as before. Relays that never heard of a root say so on the wire (timing.NEVER_HEARD) and in the log, once, in place of the age of the machine's clock.

Tests: distribution/parent_test.py, two, both seen to fail first; a mutation, seen.

--- a/aspencroft/distribution/parent_selection.py
+++ b/aspencroft/distribution/parent_selection.py
@@ -61,11 +61,16 @@
         self.parent_depth = depth_of(parent, root, order)
         return parent
 
-    def avoid(self, parent: str) -> bool:
-        """Select others than this parent for a while; whether it was not avoided before."""
+    def avoid(self, parent: str, *, is_reachable: bool = False) -> bool:
+        """Select others than this parent for a while; whether it was not avoided before.
+
+        A root that answers is asked again after one pull: a new one says that it heard of no root until it has read
+        what those before it acknowledged, and the parents left meanwhile may be silent ones that cost a time-out each.
+        """
         now = clock.now()
         is_new = self.avoided_until.get(parent, clock.ZERO) <= now
-        self.avoided_until[parent] = now + timing.AVOID_PARENT_FOR
+        is_answering_root = is_reachable and parent == self.followed_root
+        self.avoided_until[parent] = now + (timing.PULL_INTERVAL if is_answering_root else timing.AVOID_PARENT_FOR)
         return is_new
 
     def is_stale(self, root_age: datetime.timedelta, currency: datetime.timedelta) -> bool:
--- a/aspencroft/distribution/parent_test.py
+++ b/aspencroft/distribution/parent_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import types
 
+import logbook
 import pytest
 
 from aspencroft.configuration import control_state
@@ -96,6 +97,42 @@
     run(scenario)
 
 
+def test_a_new_root_that_has_not_read_yet_is_asked_again_before_a_second_silent_parent():
+    """The root answers at first that it heard of no root, as it has not read under its lease; all others are silent."""
+
+    async def scenario() -> None:
+        answers = Answers({ROOT: 60.0})
+        node = relay_of("edge-19:1", answers)
+        running = asyncio.ensure_future(node.run())
+        while ROOT not in answers.asked:
+            await clock.sleep(clock.seconds(0.01))
+        await clock.sleep(clock.seconds(0.1))
+        answers.ages[ROOT] = 0.0
+        await clock.sleep(timing.PULL_TIMEOUT + timing.PULL_INTERVAL)
+        running.cancel()
+        assert node.root_age() <= timing.PULL_INTERVAL + clock.seconds(0.1), answers.asked
+
+    run(scenario)
+
+
+def test_a_root_never_heard_of_is_said_as_such_and_once():
+    async def scenario() -> None:
+        await clock.sleep(clock.seconds(100))
+        answers = Answers(dict.fromkeys(ORDER, timing.NEVER_HEARD.total_seconds()))
+        node = relay_of("edge-19:1", answers)
+        running = asyncio.ensure_future(node.run())
+        await clock.sleep(clock.seconds(3))
+        running.cancel()
+        assert node.root_age() == timing.NEVER_HEARD
+        message = updates.Pull("edge-1:1", (), (), b"", (), b"", b"")
+        assert node.answer_pull(message, rooted=False).root_age == timing.NEVER_HEARD
+
+    with logbook.TestHandler() as logged:
+        run(scenario)
+        lines = [record.message for record in logged.records]
+    assert len(lines) == 1 and "has heard of none yet" in lines[0]
+
+
 def test_a_restarted_parent_that_holds_no_configuration_is_left_as_well():
     async def scenario() -> None:
         answers = Answers({ROOT: 0.0})
--- a/aspencroft/distribution/relay.py
+++ b/aspencroft/distribution/relay.py
@@ -54,7 +54,8 @@
         self.lease = configuration_lease.ConfigurationLease(self.address)
         self.grants = configuration_lease.LeaseGrants(self.address)
         self.acknowledged: tuple[str, subtree_state.Subtree] = ("", self.subtree.complete)
-        self.root_heard = clock.ZERO
+        self.root_heard: datetime.timedelta | None = None
+        self.is_rootless_logged = False
         self.root = False
         self.pull_soon = asyncio.Event()
 
@@ -107,8 +108,8 @@
         return self.parents.select(control_group.primary.address, self.failure_detector.peers.tree_order())
 
     def root_age(self) -> datetime.timedelta:
-        """How long ago the root was last heard of, by way of the relays between."""
-        return clock.now() - self.root_heard
+        """How long ago the root was last heard of, by way of the relays between; ``NEVER_HEARD`` before the first."""
+        return timing.NEVER_HEARD if self.root_heard is None else clock.now() - self.root_heard
 
     async def wait_for_change(self, topic: str) -> None:
         """Wait until a topic changes."""
@@ -178,7 +179,7 @@
         )
         same = counted.digest == message.counted
         addresses = () if same else counted.addresses
-        return updates.Pulled(tuple(missing), self.state.revision, lease, addresses, same, False, now - self.root_heard)
+        return updates.Pulled(tuple(missing), self.state.revision, lease, addresses, same, False, self.root_age())
 
     # -- pulls from the parent ---------------------------------------------------------------------
 
@@ -221,7 +222,7 @@
         stale = self.parents.is_stale(reply.root_age, self.currency)
         if stale:
             self.counts["stale parents"] += 1
-            self.avoid_parent(parent, f"it heard of the root {reply.root_age.total_seconds():.1f} s ago")
+            self.avoid_stale_parent(parent, reply.root_age)
         if before != self.state.revision or (self.address not in self.lease.counted and not stale):
             self.pull_soon.set()
             await clock.sleep(timing.PULL_SOON)
@@ -252,7 +253,10 @@
             self.lease.set_counted(reply.counted)
         if reply.revision == self.state.revision and reply.currency > clock.ZERO:
             self.lease.extend(asked + reply.currency)
-        self.root_heard = max(self.root_heard, asked - reply.root_age)
+        if reply.root_age < timing.NEVER_HEARD:
+            heard = asked - reply.root_age
+            self.root_heard = heard if self.root_heard is None else max(self.root_heard, heard)
+            self.is_rootless_logged = False
 
     async def fetch_configuration(self, parent: str) -> None:
         """Fetch a complete configuration from a parent, chunk by chunk; what came before it failed is kept.
@@ -275,6 +279,18 @@
             self.pull_soon.set()
             LOG.info("{} avoids parent {}: {}", self.address, parent, reason)
 
+    def avoid_stale_parent(self, parent: str, root_age: datetime.timedelta) -> None:
+        """As ``avoid_parent``, for one that answers and heard of the root too long ago, or never."""
+        if not self.parents.avoid(parent, is_reachable=True):
+            return
+        self.pull_soon.set()
+        if root_age < timing.NEVER_HEARD:
+            age = root_age.total_seconds()
+            LOG.info("{} avoids parent {}: it heard of the root {:.1f} s ago", self.address, parent, age)
+        elif not self.is_rootless_logged:
+            self.is_rootless_logged = True
+            LOG.info("{} waits for a root: parent {} has heard of none yet", self.address, parent)
+
     # -- root --------------------------------------------------------------------------------------
 
     def become_root(self) -> None:
--- a/aspencroft/simulation/mutations.py
+++ b/aspencroft/simulation/mutations.py
@@ -1151,10 +1151,24 @@
     Mutation(
         "a relay says that it just heard of the root",
         "distribution/relay.py",
-        " lease, addresses, same, False, now - self.root_heard)\n",
+        " lease, addresses, same, False, self.root_age())\n",
         " lease, addresses, same, False, clock.ZERO)\n",
         ("distribution/parent_test.py", "simulation/cutoff_test.py"),
     ),
+    Mutation(
+        "a root that answers is left out as long as a silent parent",
+        "distribution/parent_selection.py",
+        "        is_answering_root = is_reachable and parent == self.followed_root\n",
+        "        is_answering_root = False\n",
+        ("distribution/parent_test.py",),
+    ),
+    Mutation(
+        "a suspicion that nobody answers counts as confirmed",
+        "membership/suspicion.py",
+        "            return watcher\n        LOG.info(",
+        '            return watcher\n        return ""\n        LOG.info(',
+        ("membership/suspicion_test.py",),
+    ),
     Mutation(
         "a child of a stale parent pulls without a pause",
         "distribution/relay.py",
