--- a/aspencroft/leadership/singleton_role.py
+++ b/aspencroft/leadership/singleton_role.py
@@ -57,6 +57,7 @@
         self.node_role = node_role
         self.epoch = 0
         self.lease_end = clock.ZERO
+        self.ended_at = clock.ZERO
         self.is_holder_logged = False
         self.rejection_logged = ""
         self.inbox: asyncio.Queue[typing.Any] = asyncio.Queue(INBOX_MESSAGES)
@@ -65,6 +66,13 @@
         """Whether this node may act as the role's holder at this moment."""
         return clock.now() < self.lease_end
 
+    def end_lease(self) -> None:
+        """Stop acting as the holder at once: somebody saw a higher epoch than this one's.
+
+        A renewal that was asked for before is void, whenever its answer comes.
+        """
+        self.lease_end, self.ended_at = clock.ZERO, clock.now()
+
     async def run(self) -> None:
         """Acquire the role while this node is the preferred holder, and renew its lease."""
         while True:
@@ -87,6 +95,8 @@
         except result.RequestError as rejection:
             self.log_rejection(str(rejection))
             return
+        if asked < self.ended_at:
+            return
         self.epoch, self.lease_end = acquired.epoch, asked + control_state.ROLE_LEASE
         self.log_acquired()
 
--- a/aspencroft/leadership/singleton_role_test.py
+++ b/aspencroft/leadership/singleton_role_test.py
@@ -1,7 +1,9 @@
 """Tests of ``aspencroft.leadership.singleton_role``."""
 
+import asyncio
 import dataclasses
 
+from aspencroft.configuration import control_state
 from aspencroft.leadership import singleton_role
 from aspencroft.membership import cluster_member
 
@@ -18,3 +20,30 @@
     assert singleton_role.preferred_holder("residency", reordered) == preferred
     members[preferred] = dataclasses.replace(members[preferred], state=cluster_member.DOWN)
     assert singleton_role.preferred_holder("residency", members) not in ("", preferred)
+
+
+def test_a_renewal_asked_for_before_the_lease_was_ended_does_not_revive_it():
+    async def scenario():
+        answers: list[asyncio.Future] = []
+
+        async def submit(group_id, command, within):
+            answers.append(asyncio.get_running_loop().create_future())
+            return await answers[-1]
+
+        async def acquire(end_meanwhile: bool) -> None:
+            renewal = asyncio.ensure_future(role.acquire())
+            await asyncio.sleep(0.01)
+            if end_meanwhile:
+                role.end_lease()
+            answers[-1].set_result(control_state.RoleAcquired("residency", len(answers), "n:1", 1))
+            await renewal
+
+        role = singleton_role.SingletonRole("residency", "n:1", 1, dict, submit)
+        await acquire(end_meanwhile=False)
+        assert role.has_lease() and role.epoch == 1
+        await acquire(end_meanwhile=True)
+        assert not role.has_lease() and role.epoch == 1
+        await acquire(end_meanwhile=False)
+        assert role.has_lease() and role.epoch == 3
+
+    asyncio.run(scenario())
--- a/aspencroft/membership/failure_detector.py
+++ b/aspencroft/membership/failure_detector.py
@@ -19,7 +19,7 @@
     ) -> None:
         self.view = membership_view.MembershipView(me, voter_sets)
         self.exchange = table_exchange.TableExchange(services, link, self.view, seeds)
-        self.suspicion = suspicion.SuspicionMonitor(link, self.view, self.exchange)
+        self.suspicion = suspicion.SuspicionMonitor(link, self.view, self.exchange, services.randomness)
         self.peers = self.view.members
         self.records = self.view.records
         self.down_since = self.view.down_since
--- a/aspencroft/membership/membership_view.py
+++ b/aspencroft/membership/membership_view.py
@@ -20,7 +20,8 @@
 class MembershipView:
     """The node's own entry, the members and the replica sets that it knows; ``changed`` and ``unsent`` tell of changes.
 
-    ``last_heard`` and ``down_since`` are times of the loop's clock by address.
+    ``last_heard`` and ``down_since`` are times of the loop's clock by address; ``suspected`` are the members that this
+    node watches and has missed for long, whether or not another one confirmed it.
     """
 
     def __init__(self, me: cluster_member.ClusterMember, voter_sets: proposer.Proposer) -> None:
@@ -32,6 +33,7 @@
         self.digested: tuple[ViewVersion | None, bytes] = (None, b"")
         self.last_heard: dict[str, datetime.timedelta] = {}
         self.down_since: dict[str, datetime.timedelta] = {}
+        self.suspected: frozenset[str] = frozenset()
         self.changed = asyncio.Event()
         self.unsent = asyncio.Event()
         self.counts = {"suspicions": 0, "confirmed": 0, "denials": 0, "tables sent": 0, "odd entries": 0}
--- a/aspencroft/membership/suspicion.py
+++ b/aspencroft/membership/suspicion.py
@@ -1,5 +1,7 @@
 """Suspicion: a silent member is down only once a probe fails and a second watcher misses it too."""
 
+import random
+
 import logbook
 
 from aspencroft.errors import result
@@ -10,6 +12,7 @@
 LOG = logbook.Logger("membership.suspicion")
 SUSPICION_TIMEOUT = clock.seconds(2)  # four heartbeats missed
 SECOND_WATCHER_TIMEOUT = clock.seconds(1.2)  # shorter, as the second watcher began to miss heartbeats a little later
+FURTHER_WATCHERS = 3  # members asked beside the watchers of the ring, as those may have gone at the same time
 FORGET_DOWN_AFTER = clock.seconds(300)
 
 
@@ -21,10 +24,12 @@
         link: connections.Link,
         view: membership_view.MembershipView,
         exchange: table_exchange.TableExchange,
+        randomness: random.Random,
     ) -> None:
         self.link = link
         self.view = view
         self.exchange = exchange
+        self.randomness = randomness
 
     async def answer_confirm_suspicion(self, message: cluster_member.ConfirmSuspicion) -> cluster_member.SuspicionReply:
         """Answer as second watcher whether a member is missed here too."""
@@ -48,6 +53,7 @@
                 for address in self.exchange.watched()
                 if now - self.view.last_heard.setdefault(address, now) > SUSPICION_TIMEOUT
             ]
+            self.view.suspected = frozenset(silent)
             if silent:
                 async with supervision.Group() as group:
                     for address in silent:
@@ -77,16 +83,25 @@
                 "member {} (incarnation {}) is down: suspicion confirmed by {}",
                 address,
                 suspected.incarnation,
-                confirmed_by or "no other watcher, as none could be asked",
+                confirmed_by or "nobody else, as this cluster has no other member",
             )
             self.view.mark_down(suspected)
 
     async def ask_second_watcher(self, suspected: cluster_member.ClusterMember) -> str | None:
-        """The watcher that confirms the suspicion, "" if none answers; None if one denies it."""
-        address = suspected.address
-        for watcher in self.view.members.watchers(address, table_exchange.WATCHERS):
-            if watcher == self.view.me.address:
-                continue
+        """The member that confirms the suspicion; None if one denies it or none of those asked answers.
+
+        A node that no other member answers is as likely cut off itself, so it marks nobody down. Only where no other
+        member is there to be asked it decides alone, which gives "".
+        """
+        address, me = suspected.address, self.view.me.address
+        watchers = [
+            watcher for watcher in self.view.members.watchers(address, table_exchange.WATCHERS) if watcher != me
+        ]
+        others = [other for other in self.view.members.live() if other not in (address, me, *watchers)]
+        further = self.randomness.sample(others, min(FURTHER_WATCHERS, len(others)))
+        if not watchers and not further:
+            return ""
+        for watcher in (*watchers, *further):
             try:
                 reply = await self.link.request(
                     watcher,
@@ -99,4 +114,5 @@
                 LOG.info("suspicion of {} is denied: {} hears from it", address, watcher)
                 return None
             return watcher
-        return ""
+        LOG.info("suspicion of {} is not confirmed: no other member answers, this node may be cut off", address)
+        return None
--- a/aspencroft/residency/residency.py
+++ b/aspencroft/residency/residency.py
@@ -294,7 +294,7 @@
         except result.RequestError as refusal:
             self.counts["orders refused"] += 1
             if refusal.result is result.ResultCode.LOWER_EPOCH:
-                self.duty.lease_end = clock.ZERO
+                self.duty.end_lease()
             belief = self.beliefs[target.name]
             for name in (*step.release, *step.offload, *step.load, *step.restore):
                 belief.ordered.pop(name, None)
--- a/aspencroft/sessions/call_sessions_test.py
+++ b/aspencroft/sessions/call_sessions_test.py
@@ -1081,6 +1081,16 @@
                 lane_sessions.SessionState().restore(body[:end_at])
 
 
+def test_a_snapshot_with_bytes_left_over_changes_nothing():
+    newer = lane_sessions.SessionState()
+    take(newer.calls, begin("a"), START)
+    view = lane_sessions.SessionState()
+    before = view.snapshot()
+    with pytest.raises(codec.CodecError):
+        view.restore(newer.snapshot() + b"more")
+    assert view.snapshot() == before
+
+
 def test_a_picture_from_before_turns_had_ages_is_read_and_its_turns_count_as_new():
     view = lane_sessions.SessionState()
     take(view.calls, begin("a"), START)
--- a/aspencroft/sessions/lane_sessions.py
+++ b/aspencroft/sessions/lane_sessions.py
@@ -9,7 +9,7 @@
 
 from aspencroft.errors import result
 from aspencroft.runtime import clock
-from aspencroft.sessions import call_sessions, entry, messages
+from aspencroft.sessions import call_sessions, entry, messages, session_snapshot
 from aspencroft.transport import codec
 
 MIN_KEY_RETENTION = clock.seconds(60)
@@ -319,11 +319,15 @@
     def restore(self, body: bytes) -> None:
         """Become what a snapshot shows; one from before there were opaque calls ends behind the operations.
 
-        :raises codec.Broken: when the bytes are no snapshot
+        :raises codec.CodecError: when the bytes are no snapshot; nothing changed then
         """
         shown, place = codec.unpack_from(messages.SessionSnapshot, body, 0)
-        if place < len(body) and self.calls.restore(body, place) != len(body):
-            raise codec.CodecError("bytes are left over")
+        if place < len(body):
+            # All of it is read before any is taken: bytes that are no snapshot change nothing.
+            calls = session_snapshot.decode(body, place)
+            if calls.end != len(body):
+                raise codec.CodecError("bytes are left over")
+            self.calls.load(calls)
         self.programs = {one.name: one for one in shown.programs}
         self.operations = {one.key: one for one in shown.operations}
         self.program_of_open_turn = {go.go: one.name for one in shown.programs for go in one.under_way}
--- a/aspencroft/simulation/register.py
+++ b/aspencroft/simulation/register.py
@@ -152,7 +152,7 @@
                 return
             whole = shown.json()
             document, patch = json.loads(json.dumps(whole["plan"])), {}
-            for each in {resource, self.resource()}:
+            for each in dict.fromkeys((resource, self.resource())):
                 kind, _, name = each.partition("/")
                 spec = self.fresh(each) if chance.random() < 0.8 or way == "whole" else None
                 values[each] = text_of(spec) if spec else ""
--- a/aspencroft/transport/peer_connection.py
+++ b/aspencroft/transport/peer_connection.py
@@ -68,6 +68,8 @@
             try:
                 async with clock.limit(CONNECT_TIMEOUT):
                     channel = await self.environment.network.connect(self.address)
+                # Before the tasks below: the first request may be written, and count as unanswered, in the first step.
+                self.unanswered_since = None
                 async with supervision.Group() as group:
                     group.create_task(self.send(channel, first))
                     group.create_task(self.receive(channel))
@@ -111,7 +113,6 @@
             ConnectionResetError: nothing came for longer than the silence timeout.
 
         """
-        self.unanswered_since = None
         while True:
             await clock.sleep(KEEPALIVE_PERIOD)
             if self.unanswered_since is None:
--- a/aspencroft/transport/peer_connection_test.py
+++ b/aspencroft/transport/peer_connection_test.py
@@ -26,24 +26,40 @@
         """Nothing to do."""
 
 
+class BufferingChannel(SilentChannel):
+    """A silent connection whose buffer takes every byte at once, as a socket's does."""
+
+    async def write(self, data: bytes) -> None:
+        """Bytes are taken without a pause."""
+
+
 class SilentNetwork:
     """A network on which every peer is silent."""
 
+    channel: type[SilentChannel] = SilentChannel
+
     async def listen(self, address: str) -> asyncio.Queue:
         """Nobody connects."""
         return asyncio.Queue()
 
     async def connect(self, address: str) -> SilentChannel:
         """Connected at once."""
-        return SilentChannel()
+        return self.channel()
+
+
+class BufferingNetwork(SilentNetwork):
+    """A network on which every peer is silent and every write is taken at once."""
+
+    channel = BufferingChannel
 
 
-def test_a_silent_peer_fails_the_requests_in_flight_and_is_logged_once(monkeypatch):
+@pytest.mark.parametrize("network", [SilentNetwork, BufferingNetwork])
+def test_a_silent_peer_fails_the_first_request_in_flight_and_is_logged_once(monkeypatch, network):
     monkeypatch.setattr(peer_connection, "KEEPALIVE_PERIOD", clock.seconds(0.01))
     monkeypatch.setattr(peer_connection, "SILENCE_TIMEOUT", clock.seconds(0.05))
 
     async def request_of_a_silent_peer() -> connections.Link:
-        link = connections.Link(types.SimpleNamespace(network=SilentNetwork()), "a:1", None)
+        link = connections.Link(types.SimpleNamespace(network=network()), "a:1", None)
         ready = asyncio.Event()
         running = asyncio.create_task(link.run(ready))
         await ready.wait()
