--- a/aspencroft/cli/daemon.py
+++ b/aspencroft/cli/daemon.py
@@ -1,4 +1,4 @@
-"""What both programs share: settings, the buffered log, the HTTP server, signals, graceful shutdown."""
+"""What both programs share: settings, the log, the HTTP server, signals, graceful shutdown."""
 
 import asyncio
 import collections.abc
@@ -14,9 +14,8 @@
 
 from aspencroft.cli import lazy_application, process_signals, settings_reload
 from aspencroft.node import node, settings
-from aspencroft.runtime import allocator, boottime, clock, environment, supervision
+from aspencroft.runtime import allocator, boottime, clock, environment, events, node_log, supervision
 
-LOG_BUFFER_LINES = 2000
 LEADERSHIP_TRANSFER_TIMEOUT = clock.seconds(4)
 LAST_WORDS = clock.seconds(0.3)
 HTTP_SHUTDOWN_TIMEOUT = clock.seconds(2)
@@ -123,6 +122,7 @@
                 for work in works:
                     group.create_task(work())
                 await stop.wait()
+                report_stop(own, events.Event.STOP_BEGUN, "stop begun: it drains and hands its groups over")
                 await hand_over_work(own, drain)
                 server.should_exit = True
                 await asyncio.wait([serving], timeout=HTTP_SHUTDOWN_TIMEOUT.total_seconds())
@@ -133,6 +133,12 @@
                     [task.get_stack() for task in left],
                 )
                 leave(left)
+            report_stop(own, events.Event.STOP_ENDED, "stop ended: all its tasks are over")
+
+
+def report_stop(own: node.Node, event: events.Event, text: str) -> None:
+    """Log a step of this node's stop."""
+    events.report(LOG, events.EventFields(event, member=own.address), "node {}: {}", own.address, text)
 
 
 async def hand_over_work(own: node.Node, drain: collections.abc.Callable) -> None:
@@ -176,19 +182,12 @@
         await clock.sleep(LAST_WORDS / 4)
 
 
-def buffered_log(place: settings.Settings) -> logbook.Handler:
-    """A handler that keeps the last ``LOG_BUFFER_LINES`` lines in memory and writes them out with the next warning.
-
-    They go to the file ``place.log``, or to standard error without one.
-    """
-    if place.log is not None:
-        place.log.parent.mkdir(parents=True, exist_ok=True)
-        inner = logbook.FileHandler(str(place.log), level=logbook.DEBUG, delay=True)
-    else:
-        inner = logbook.StreamHandler(sys.stderr, level=logbook.DEBUG)
-    return logbook.FingersCrossedHandler(
-        inner, action_level=logbook.WARNING, buffer_size=LOG_BUFFER_LINES, pull_information=False, reset=True
-    )
+def open_log(place: settings.Settings) -> node_log.NodeLog:
+    """The log of this process: in the file ``place.log``, which is made with the first line, or on standard error."""
+    if place.log is None:
+        return node_log.NodeLog(logbook.StreamHandler(sys.stderr, level=logbook.DEBUG))
+    place.log.parent.mkdir(parents=True, exist_ok=True)
+    return node_log.NodeLog(logbook.FileHandler(str(place.log), level=logbook.DEBUG, delay=True))
 
 
 def start(
@@ -220,11 +219,13 @@
 
     async def whole() -> None:
         own = node.Node(place, environment.machine())
+        own.log = log
         reload = settings_reload.SettingsReload(own, source)
         more, works, drain = build(own)
         await live(own, more, works, drain, reload)
 
-    with buffered_log(place).applicationbound():
+    log = open_log(place)
+    with log.applicationbound(), contextlib.closing(log):
         try:
             with asyncio.Runner(loop_factory=boottime.BoottimeLoop) as runner:
                 runner.run(whole())
--- a/aspencroft/consensus/record_recovery.py
+++ b/aspencroft/consensus/record_recovery.py
@@ -8,7 +8,7 @@
 
 from aspencroft.consensus import proposer, replica_set, witness
 from aspencroft.errors import result
-from aspencroft.runtime import clock
+from aspencroft.runtime import clock, events
 from aspencroft.transport import codec
 
 LOG = logbook.Logger("consensus.record_recovery")
@@ -100,5 +100,11 @@
 
         chosen = await self.proposer.change(register, self.address, unchanged)
         record: replica_set.ReplicaSet = codec.untagged(chosen.value)
-        LOG.info("unannounced record of group {} recovered: {}", register, record)
+        events.report(
+            LOG,
+            events.EventFields(events.Event.RECORD_RECOVERED, register, record.epoch, member=self.address),
+            "unannounced record of group {} recovered: {}",
+            register,
+            record,
+        )
         self.announce(record)
--- a/aspencroft/consensus/witness.py
+++ b/aspencroft/consensus/witness.py
@@ -7,7 +7,7 @@
 import logbook
 
 from aspencroft.consensus import replica_set, witness_state
-from aspencroft.runtime import clock, environment
+from aspencroft.runtime import clock, environment, events
 from aspencroft.storage import data_file, store
 from aspencroft.transport import codec
 
@@ -124,7 +124,9 @@
         previous = self.state
         await self.apply_step(self.state.adopt(voter_set))
         if previous.voting and previous.voter_set.number < voter_set.number:
-            LOG.info(
+            events.report(
+                LOG,
+                events.EventFields(events.Event.VOTER_SET_ADOPTED, epoch=voter_set.number, member=previous.address),
                 "voter {} adopted voter set {}: present {}, coming {}, {}",
                 previous.address,
                 voter_set.number,
@@ -148,4 +150,11 @@
         was_voting = self.voting
         await self.apply_step(self.state.learn(voter_set, ballots, clock.now()))
         if not was_voting:
-            LOG.info("voter {} votes: learnt {} registers, voter set {}", self.state.address, len(ballots), voter_set)
+            events.report(
+                LOG,
+                events.EventFields(events.Event.VOTER_READY, epoch=voter_set.number, member=self.state.address),
+                "voter {} votes: learnt {} registers, voter set {}",
+                self.state.address,
+                len(ballots),
+                voter_set,
+            )
--- a/aspencroft/consensus/witness_bootstrap.py
+++ b/aspencroft/consensus/witness_bootstrap.py
@@ -10,7 +10,7 @@
 
 from aspencroft.consensus import proposer, replica_placement, replica_set, witness, witness_state
 from aspencroft.errors import result
-from aspencroft.runtime import clock, supervision
+from aspencroft.runtime import clock, events, supervision
 from aspencroft.transport import codec
 
 LOG = logbook.Logger("consensus.witness_bootstrap")
@@ -96,8 +96,13 @@
         """Log why this voter does not vote yet, once for each reason."""
         if not self.witness.voting and self.status_reason != self.logged_reason:
             self.logged_reason = self.status_reason
-            LOG.info(
-                "voter {} blank in voter set {}: {}", self.address, self.proposer.voter_set.number, self.status_reason
+            events.report(
+                LOG,
+                events.EventFields(events.Event.VOTER_BLANK, member=self.address, reason=self.status_reason),
+                "voter {} blank in voter set {}: {}",
+                self.address,
+                self.proposer.voter_set.number,
+                self.status_reason,
             )
 
     def disks(self) -> tuple[str, ...]:
@@ -166,6 +171,13 @@
         if len(installed) == len(others):
             await self.witness.learn(voter_set, recovered)
             self.proposer.learn(voter_set)
+            events.report(
+                LOG,
+                events.EventFields(events.Event.VOTERS_FROM_DISKS, epoch=voter_set.number, member=self.address),
+                "voters start from what disks report: {} registers, voter set {}",
+                len(recovered),
+                voter_set,
+            )
 
     def groups_without_record(self) -> tuple[int, ...]:
         """The groups of which this voter has accepted no replica set."""
--- a/aspencroft/consensus/witness_changes.py
+++ b/aspencroft/consensus/witness_changes.py
@@ -12,7 +12,7 @@
 
 from aspencroft.consensus import proposer, replica_set, witness, witness_bootstrap
 from aspencroft.errors import result
-from aspencroft.runtime import clock, supervision
+from aspencroft.runtime import clock, events, supervision
 from aspencroft.transport import codec
 
 LOG = logbook.Logger("consensus.witness_changes")
@@ -82,7 +82,15 @@
                 try:
                     await self.step()
                 except result.RequestError as refusal:
-                    LOG.info("change of voter set {} failed: {}", self.proposer.voter_set.number, refusal)
+                    events.report(
+                        LOG,
+                        events.EventFields(
+                            events.Event.VOTER_SET_CHANGE_FAILED, member=self.address, reason=str(refusal)
+                        ),
+                        "change of voter set {} failed: {}",
+                        self.proposer.voter_set.number,
+                        refusal,
+                    )
 
     async def step(self) -> None:
         """Begin a change where the target differs, or go on with one that is under way.
@@ -139,7 +147,9 @@
         )
         self.counts["rosters"] += 1
         successor = codec.untagged(chosen.value)
-        LOG.info(
+        events.report(
+            LOG,
+            events.EventFields(events.Event.VOTER_SET_CHOSEN, epoch=successor.number, member=self.address),
             "voter set {} chosen in ballot {}: present {}, coming {}; was {}: present {}, coming {}",
             successor.number,
             chosen.ballot,
--- a/aspencroft/distribution/configuration_lease.py
+++ b/aspencroft/distribution/configuration_lease.py
@@ -8,7 +8,7 @@
 
 from aspencroft.configuration import control_state
 from aspencroft.distribution import subtree_state, timing
-from aspencroft.runtime import clock
+from aspencroft.runtime import clock, events
 
 LOG = logbook.Logger("distribution.configuration_lease")
 
@@ -38,9 +38,17 @@
             return
         self.is_valid_logged = is_valid
         if is_valid:
-            LOG.info("{} has a lease on the configuration: revision {}", self.address, revision.text())
+            events.report(
+                LOG,
+                events.EventFields(events.Event.LEASE_GAINED, revision=revision.text(), member=self.address),
+                "{} has a lease on the configuration: revision {}",
+                self.address,
+                revision.text(),
+            )
         else:
-            LOG.info(
+            events.report(
+                LOG,
+                events.EventFields(events.Event.LEASE_LOST, revision=revision.text(), member=self.address),
                 "{} lost its lease on the configuration: revision {}, root last heard of {:.1f} s ago",
                 self.address,
                 revision.text(),
--- a/aspencroft/distribution/relay.py
+++ b/aspencroft/distribution/relay.py
@@ -18,7 +18,7 @@
 )
 from aspencroft.errors import result
 from aspencroft.membership import failure_detector
-from aspencroft.runtime import clock
+from aspencroft.runtime import clock, events
 from aspencroft.transport import connections
 
 LOG = logbook.Logger("distribution.relay")
@@ -301,7 +301,15 @@
     def stop_being_root(self, reason: str) -> None:
         """Grant no more leases as root."""
         if self.root:
-            LOG.info("{} is no longer the root of the dissemination tree: {}", self.address, reason)
+            events.report(
+                LOG,
+                events.EventFields(
+                    events.Event.ROOT_ENDED, CONTROL_GROUP, revision=self.revision.text(), member=self.address
+                ),
+                "{} is no longer the root of the dissemination tree: {}",
+                self.address,
+                reason,
+            )
         self.root = False
 
     def extend_as_root(self, lease_end: datetime.timedelta) -> None:
--- a/aspencroft/leadership/singleton_role.py
+++ b/aspencroft/leadership/singleton_role.py
@@ -10,7 +10,7 @@
 from aspencroft.configuration import control_state
 from aspencroft.errors import result
 from aspencroft.membership import cluster_member
-from aspencroft.runtime import clock
+from aspencroft.runtime import clock, events
 
 LOG = logbook.Logger("leadership.singleton_role")
 CONTROL_GROUP = 0
@@ -105,7 +105,16 @@
         self.rejection_logged = ""
         if not self.is_holder_logged:
             self.is_holder_logged = True
-            LOG.info("singleton role {} acquired: epoch {}, holder {}", self.name, self.epoch, self.address)
+            events.report(
+                LOG,
+                events.EventFields(
+                    events.Event.SINGLETON_ACQUIRED, None, self.epoch, member=self.address, reason=self.name
+                ),
+                "singleton role {} acquired: epoch {}, holder {}",
+                self.name,
+                self.epoch,
+                self.address,
+            )
 
     def log_rejection(self, reason: str) -> None:
         """Log why the role could not be acquired, once for each reason."""
@@ -117,7 +126,11 @@
         """Log the role as lost once its lease has expired."""
         if self.is_holder_logged and not self.has_lease():
             self.is_holder_logged = False
-            LOG.info(
+            events.report(
+                LOG,
+                events.EventFields(
+                    events.Event.SINGLETON_LOST, None, self.epoch, member=self.address, reason=self.name
+                ),
                 "singleton role {} lost: epoch {}, holder {}: lease expired, preferred holder is {}",
                 self.name,
                 self.epoch,
--- a/aspencroft/membership/membership_view.py
+++ b/aspencroft/membership/membership_view.py
@@ -9,7 +9,7 @@
 
 from aspencroft.consensus import proposer, replica_set
 from aspencroft.membership import cluster_member, member_table
-from aspencroft.runtime import clock
+from aspencroft.runtime import clock, events
 from aspencroft.transport import codec
 
 LOG = logbook.Logger("membership.membership_view")
@@ -136,7 +136,13 @@
         incarnation = claim.incarnation + (claim.incarnation > self.me.incarnation)
         self.me = dataclasses.replace(self.me, incarnation=incarnation, serial=claim.serial + 1)
         self.members[self.me.address] = self.me
-        LOG.info(
+        events.report(
+            LOG,
+            events.EventFields(
+                events.Event.ENTRY_REFUTED,
+                member=self.me.address,
+                reason=f"called {cluster_member.STATES[claim.state]}",
+            ),
             "{} refutes an entry that calls it {}: incarnation {}, serial {} from now on",
             self.me.address,
             cluster_member.STATES[claim.state],
@@ -167,11 +173,23 @@
     """Log a change of a member's state or incarnation that another node reported."""
     if member.state == cluster_member.DOWN:
         if known.state != cluster_member.DOWN:
-            LOG.info(
-                "member {} (incarnation {}) is down: reported by another member", member.address, member.incarnation
+            events.report(
+                LOG,
+                events.EventFields(
+                    events.Event.MEMBER_DOWN, member=member.address, reason="reported by another member"
+                ),
+                "member {} (incarnation {}) is down: reported by another member",
+                member.address,
+                member.incarnation,
             )
     elif known.state == cluster_member.DOWN or known.incarnation != member.incarnation:
-        LOG.info(
+        events.report(
+            LOG,
+            events.EventFields(
+                events.Event.MEMBER_BACK,
+                member=member.address,
+                reason="restarted" if known.incarnation != member.incarnation else "it was called down",
+            ),
             "member {} is back: was {} in incarnation {}, is {} in incarnation {}",
             member.address,
             cluster_member.STATES[known.state],
@@ -180,4 +198,10 @@
             member.incarnation,
         )
     elif member.state == cluster_member.LEAVING and known.state == cluster_member.LIVE:
-        LOG.info("member {} (incarnation {}) is leaving: it announced its stop", member.address, member.incarnation)
+        events.report(
+            LOG,
+            events.EventFields(events.Event.MEMBER_LEAVING, member=member.address, reason="it announced its stop"),
+            "member {} (incarnation {}) is leaving: it announced its stop",
+            member.address,
+            member.incarnation,
+        )
--- a/aspencroft/membership/suspicion.py
+++ b/aspencroft/membership/suspicion.py
@@ -6,7 +6,7 @@
 
 from aspencroft.errors import result
 from aspencroft.membership import cluster_member, membership_view, table_exchange
-from aspencroft.runtime import clock, supervision
+from aspencroft.runtime import clock, events, supervision
 from aspencroft.transport import connections
 
 LOG = logbook.Logger("membership.suspicion")
@@ -64,14 +64,16 @@
         """Probe a silent member and ask a second watcher; mark it down if it is missed there too."""
         suspected = self.view.members[address]
         self.view.counts["suspicions"] += 1
-        LOG.info(
+        events.report(
+            LOG,
+            events.EventFields(events.Event.MEMBER_SUSPECTED, member=address, reason="no heartbeat"),
             "member {} (incarnation {}) is suspected: no heartbeat for more than {:g} s",
             address,
             suspected.incarnation,
             SUSPICION_TIMEOUT.total_seconds(),
         )
         if await self.exchange.probe(address):
-            LOG.info("suspicion of {} is denied: it answers a probe", address)
+            self.report_denial(address, "it answers a probe")
             return
         confirmed_by = await self.ask_second_watcher(suspected)
         if confirmed_by is None:
@@ -79,11 +81,16 @@
         # The entry may have changed during the requests above; only the one that was suspected is marked down.
         if self.view.members.get(address) == suspected:
             self.view.counts["confirmed"] += 1
-            LOG.info(
+            confirmation = confirmed_by or "nobody else, as this cluster has no other member"
+            events.report(
+                LOG,
+                events.EventFields(
+                    events.Event.MEMBER_DOWN, member=address, reason=f"suspicion confirmed by {confirmation}"
+                ),
                 "member {} (incarnation {}) is down: suspicion confirmed by {}",
                 address,
                 suspected.incarnation,
-                confirmed_by or "nobody else, as this cluster has no other member",
+                confirmation,
             )
             self.view.mark_down(suspected)
 
@@ -111,8 +118,25 @@
             except result.RequestError:
                 continue
             if not reply.missing:
-                LOG.info("suspicion of {} is denied: {} hears from it", address, watcher)
+                self.report_denial(address, f"{watcher} hears from it")
                 return None
             return watcher
-        LOG.info("suspicion of {} is not confirmed: no other member answers, this node may be cut off", address)
+        reason = "no other member answers, this node may be cut off"
+        events.report(
+            LOG,
+            events.EventFields(events.Event.SUSPICION_UNCONFIRMED, member=address, reason=reason),
+            "suspicion of {} is not confirmed: {}",
+            address,
+            reason,
+        )
         return None
+
+    def report_denial(self, address: str, reason: str) -> None:
+        """Log that a suspected member lives."""
+        events.report(
+            LOG,
+            events.EventFields(events.Event.SUSPICION_DENIED, member=address, reason=reason),
+            "suspicion of {} is denied: {}",
+            address,
+            reason,
+        )
--- a/aspencroft/node/configuration_service.py
+++ b/aspencroft/node/configuration_service.py
@@ -8,7 +8,7 @@
 from aspencroft.distribution import updates
 from aspencroft.errors import result
 from aspencroft.node import group_client, node_view
-from aspencroft.runtime import clock
+from aspencroft.runtime import clock, events
 
 LOG = logbook.Logger("node.configuration_service")
 COMMIT_WAIT = clock.seconds(0.25)
@@ -19,6 +19,8 @@
 REPLY_MARGIN = clock.seconds(0.1)
 """What is left of an order's time for its answer to travel back."""
 WRITE_RETRIED_FOR = clock.seconds(8)
+MOST_REFUSAL_TEXT = 400
+"""Characters of a refusal in a log line: it may list many faults."""
 
 
 class ConfigurationService:
@@ -61,7 +63,7 @@
             else:
                 if not relay.root and held.has_lease():
                     relay.become_root()
-                    LOG.info("{} became the configuration root: {}", self.node.address, self.newest())
+                    self.report_root()
             if self.is_root():
                 relay.extend_as_root(held.lease_end)
             try:
@@ -70,6 +72,45 @@
             except TimeoutError:
                 pass
 
+    def report_root(self) -> None:
+        """Log that this node became the root."""
+        events.report(
+            LOG,
+            events.EventFields(
+                events.Event.ROOT_BEGUN,
+                group_client.CONTROL_GROUP_ID,
+                revision=self.node.relay.revision.text(),
+                member=self.node.address,
+            ),
+            "{} became the configuration root: {}",
+            self.node.address,
+            self.newest(),
+        )
+
+    def report_taken(self, order: str, revision: control_state.Revision, changed: int) -> None:
+        """Log that an order is durable; one that was taken before changes nothing."""
+        events.report(
+            LOG,
+            events.EventFields(events.Event.ORDER_TAKEN, revision=revision.text(), reason=order),
+            "order taken: {}, revision {}{}",
+            order,
+            revision.text(),
+            "" if changed else ", which changed nothing",
+        )
+
+    def report_refused(self, order: str, refusal: result.RequestError) -> None:
+        """Log an order that the control group refused; one that it could not decide is tried again elsewhere."""
+        if refusal.result.status >= 500:
+            return
+        text = str(refusal)[:MOST_REFUSAL_TEXT]
+        events.report(
+            LOG,
+            events.EventFields(events.Event.ORDER_REFUSED, reason=f"{order}: {refusal.result.number}"),
+            "order refused: {}: {}",
+            order,
+            text,
+        )
+
     def newest(self) -> str:
         """The newest revision here, and the epoch of the control group's newest record, as part of a log line."""
         record = self.node.failure_detector.records.get(group_client.CONTROL_GROUP_ID)
@@ -91,7 +132,13 @@
             state = held.replica.state_machine
             if isinstance(state, control_state.ControlState):
                 await state.look_ahead(message.write)
-        written = await held.submit(message.write, message.within)
+        order = f"{message.write.way} {message.write.kind}/{message.write.name}".rstrip("/ ")
+        try:
+            written = await held.submit(message.write, message.within)
+        except result.RequestError as refusal:
+            self.report_refused(order, refusal)
+            raise
+        self.report_taken(order, written.revision, written.changed)
         confirm, currency = self.node.settings.confirm, self.node.settings.currency
         limit = message.within + 2 * currency if confirm is None else confirm
         await self.wait_until_in_force(written.revision, limit, started, is_required=confirm is None)
@@ -111,7 +158,14 @@
 
         """
         started = clock.now()
-        applied = await self.node.group_replica(group_client.CONTROL_GROUP_ID).submit(message.command, message.within)
+        order = f"version {message.command.version} upon {message.command.condition}"
+        held = self.node.group_replica(group_client.CONTROL_GROUP_ID)
+        try:
+            applied = await held.submit(message.command, message.within)
+        except result.RequestError as refusal:
+            self.report_refused(order, refusal)
+            raise
+        self.report_taken(order, control_state.revision_of(applied.revision), applied.changed)
         confirm, left = self.node.settings.confirm, started + message.within - REPLY_MARGIN - clock.now()
         revision = control_state.revision_of(applied.revision)
         limit = left if confirm is None else min(confirm, left)
@@ -138,11 +192,14 @@
             async with clock.limit(limit):
                 await self.node.relay.wait_until_applied(revision)
         except TimeoutError:
-            LOG.warning(
+            events.report(
+                LOG,
+                events.EventFields(events.Event.ORDER_UNCONFIRMED, revision=revision.text(), member=self.node.address),
                 "revision {} is stored but not confirmed by all nodes after {:.2f} s; no acknowledgement from {}",
                 revision.text(),
                 (clock.now() - started).total_seconds(),
                 ", ".join(self.unconfirmed_by(revision)) or "nodes unknown to this root",
+                level=logbook.WARNING,
             )
             if is_required:
                 raise result.RequestError(
--- a/aspencroft/node/drain_order.py
+++ b/aspencroft/node/drain_order.py
@@ -14,7 +14,7 @@
 from aspencroft.errors import result
 from aspencroft.membership import cluster_member
 from aspencroft.node import node_view
-from aspencroft.runtime import clock, supervision
+from aspencroft.runtime import clock, events, supervision
 
 LOG = logbook.Logger("node.drain_order")
 MEMBERS_KNOWN_AFTER = clock.seconds(3)
@@ -144,7 +144,13 @@
                 if refusal.result is not result.ResultCode.REVISION_DIFFERS:
                     raise
             else:
-                LOG.info("machine {} ({}) is to drain: the order is stored", member.name, member.address)
+                events.report(
+                    LOG,
+                    events.EventFields(events.Event.DRAIN_ORDERED, member=member.address),
+                    "machine {} ({}) is to drain: the order is stored",
+                    member.name,
+                    member.address,
+                )
                 return
 
     async def write(self, member: cluster_member.ClusterMember, end: datetime.timedelta) -> None:
@@ -202,7 +208,18 @@
             return
         self.logged_states[address] = state, incomplete
         if state is DrainState.DRAINED:
-            LOG.info("machine {} is drained: all groups are complete without it", address)
+            events.report(
+                LOG,
+                events.EventFields(events.Event.DRAIN_FINISHED, member=address),
+                "machine {} is drained: all groups are complete without it",
+                address,
+            )
         else:
             groups = ", ".join(str(group_id) for group_id in incomplete)
-            LOG.info("machine {} is draining: groups {} are not known to be complete without it", address, groups)
+            events.report(
+                LOG,
+                events.EventFields(events.Event.DRAIN_UNFINISHED, member=address, reason=f"groups {groups}"),
+                "machine {} is draining: groups {} are not known to be complete without it",
+                address,
+                groups,
+            )
--- a/aspencroft/node/node.py
+++ b/aspencroft/node/node.py
@@ -38,7 +38,7 @@
     voter_selection,
 )
 from aspencroft.replication import group_replica, group_state, replica
-from aspencroft.runtime import clock, environment, supervision
+from aspencroft.runtime import clock, environment, events, node_log, supervision
 from aspencroft.sessions import lane_sessions
 from aspencroft.tracing import sample, trace
 from aspencroft.transport import codec, connections
@@ -102,6 +102,7 @@
         self.stopping = asyncio.Event()
         self.replicas_are_open = False
         self.traces: trace.Traces | None = None
+        self.log: node_log.NodeLog | None = None
         self.singleton_roles: dict[str, singleton_role.SingletonRole] = {}
         self.outside: collections.Counter = collections.Counter()
         self.standing: collections.Counter = collections.Counter()
@@ -310,7 +311,9 @@
             for name, work in self.tasks().items():
                 group.create_task(supervision.stand(name, work, self.standing))
             self.started.set()
-            LOG.info(
+            events.report(
+                LOG,
+                events.EventFields(events.Event.NODE_STARTED, member=self.address),
                 "node {} started: role {}, incarnation {}, groups {}",
                 self.address,
                 self.settings.role,
--- a/aspencroft/node/operator_api.py
+++ b/aspencroft/node/operator_api.py
@@ -191,6 +191,7 @@
             litestar.delete(resource_path, status_code=200)(self.delete_resource),
             litestar.get("/observed/{topic:str}", sync_to_thread=False)(self.read_topic),
             litestar.get("/requests/{identity:str}")(self.read_traces),
+            litestar.post("/log", sync_to_thread=False, status_code=200)(self.write_log),
         ]
 
     def health(self) -> dict:
@@ -210,6 +211,10 @@
         """The status document."""
         return self.node.status()
 
+    def write_log(self) -> dict:
+        """Write the lines that wait in memory to the log, and answer with them."""
+        return {"lines": [] if self.node.log is None else self.node.log.write_kept()}
+
     def metrics(self) -> litestar.Response:
         """The samples for Prometheus."""
         return litestar.Response(metrics_text(self.node), media_type=prometheus_client.CONTENT_TYPE_LATEST)
--- a/aspencroft/node/status.py
+++ b/aspencroft/node/status.py
@@ -7,7 +7,7 @@
 
 from aspencroft.membership import cluster_member
 from aspencroft.node import node_view
-from aspencroft.runtime import clock
+from aspencroft.runtime import clock, events
 from aspencroft.tracing import sample
 
 LOG = logbook.Logger("node.status")
@@ -25,6 +25,7 @@
     def __init__(self, node: node_view.NodeView):
         self.node = node
         self.sample_sources: list[collections.abc.Callable[[], list[sample.Sample]]] = [self.node_samples]
+        self.sections: dict[str, collections.abc.Callable[[], dict]] = {}
         self.has_majority: bool | None = None
 
     def quorum(self) -> dict:
@@ -33,7 +34,12 @@
         And what the loss of a majority does.
         """
         voter_set, detector = self.node.proposer.voter_set, self.node.failure_detector
-        live = [address for address in voter_set.everyone() if detector.state(address) == cluster_member.LIVE]
+        suspected = detector.view.suspected
+        live = [
+            address
+            for address in voter_set.everyone()
+            if detector.state(address) == cluster_member.LIVE and address not in suspected
+        ]
         left = voter_set.losses_left(live)
         return {
             "live": live,
@@ -47,9 +53,24 @@
         quorum = self.quorum()
         has_majority = quorum["losses_left"] >= 0
         if self.has_majority and not has_majority:
-            LOG.error("majority of voters lost: {} are not live; {}", ", ".join(quorum["missing"]), quorum["means"])
+            missing = ", ".join(quorum["missing"])
+            events.report(
+                LOG,
+                events.EventFields(events.Event.MAJORITY_LOST, member=missing),
+                "majority of voters lost: {} are not live; {}",
+                missing,
+                quorum["means"],
+                level=logbook.ERROR,
+            )
         elif self.has_majority is False and has_majority:
-            LOG.warning("majority of voters is back: {} are live", ", ".join(quorum["live"]))
+            live = ", ".join(quorum["live"])
+            events.report(
+                LOG,
+                events.EventFields(events.Event.MAJORITY_BACK, member=live),
+                "majority of voters is back: {} are live",
+                live,
+                level=logbook.WARNING,
+            )
         if has_majority or self.has_majority is not None:
             self.has_majority = has_majority
 
@@ -78,6 +99,8 @@
             },
             "quorum": self.quorum(),
             "fellows": self.members(),
+            "suspected": sorted(node.failure_detector.view.suspected),
+            "copies": node.settings.copies,
             **self.groups(),
             "duties": {
                 name: {"held": role.has_lease(), "epoch": role.epoch} for name, role in node.singleton_roles.items()
@@ -88,6 +111,7 @@
                 "ring": node.failure_detector.counts,
                 "relay": node.relay.counts,
             },
+            **{name: section() for name, section in self.sections.items()},
         }
 
     def members(self) -> list[dict]:
--- a/aspencroft/proxy/forwarder.py
+++ b/aspencroft/proxy/forwarder.py
@@ -16,6 +16,7 @@
 from aspencroft.gateway import path
 from aspencroft.node import node
 from aspencroft.proxy import (
+    admission_report,
     call,
     completion_queue,
     events,
@@ -131,6 +132,7 @@
         self.completions = completion_queue.CompletionQueue(own)
         self.chains = turn_cache.TurnCache()
         self.working_sets = working_set.WorkingSets()
+        self.admission = admission_report.AdmissionReport(own.address)
         self.freed = asyncio.Event()
         self.active = 0
         self.waiting = 0
@@ -138,6 +140,7 @@
         self.closed = False
         self.counts: collections.Counter = collections.Counter()
         own.sample_sources.append(self.samples)
+        own.status_reporter.sections["calls"] = self.status
 
     async def run(self) -> None:
         """The standing work beside the calls: the ends of calls that nobody waits for."""
@@ -199,7 +202,12 @@
     async def handle(self, one: call.Call) -> call.Answer:
         """Serve a call: an Answer, or a Refusal that says whether anything ran."""
         await self.wait_for_configuration(one)
-        state = self.admit(one)
+        try:
+            state = self.admit(one)
+        except result.RequestError as rejection:
+            self.admission.note_rejected(rejection)
+            raise
+        self.admission.note_admitted()
         self.active += 1
         handed = False
         try:
@@ -725,7 +733,29 @@
             for name, count in sorted(self.counts.items())
             if name.startswith("refused ")
         )
-        return found
+        outliers = self.instances.outliers
+        found.append(sample.sample("aspencroft_workers_ejected", len(outliers.ejected(clock.now()))))
+        found.extend(
+            sample.sample("aspencroft_worker_ejections_total", count, outcome=outcome)
+            for outcome, count in outliers.counts.items()
+        )
+        return [*found, *self.admission.samples()]
+
+    def status(self) -> dict:
+        """What an operator should see of the calls here, as a section of ``/status``."""
+        outliers = self.instances.outliers
+        return {
+            "active": self.active,
+            "asked": self.counts["asked"],
+            "answered": self.counts["answered"],
+            "rejected": self.admission.document(),
+            "refused": {
+                name.split()[1]: count for name, count in sorted(self.counts.items()) if name.startswith("refused ")
+            },
+            "workers listed": len(self.instances.listed),
+            "ejected": outliers.ejected(clock.now()),
+            "ejections": dict(outliers.counts),
+        }
 
 
 async def ended(task: asyncio.Task) -> None:
--- a/aspencroft/proxy/forwarder_test.py
+++ b/aspencroft/proxy/forwarder_test.py
@@ -33,6 +33,7 @@
         address="edge:1",
         environment=around,
         sample_sources=[],
+        status_reporter=types.SimpleNamespace(sections={}),
         stopping=asyncio.Event(),
         settings=types.SimpleNamespace(group_count=2, talk_pairs=1, area="north", address="edge:1"),
         relay=types.SimpleNamespace(
--- a/aspencroft/proxy/outlier_detection.py
+++ b/aspencroft/proxy/outlier_detection.py
@@ -5,10 +5,13 @@
 import datetime
 import math
 
+import logbook
+
 import aspencroft.workers.pool as pools
 from aspencroft.errors import result
-from aspencroft.runtime import clock
+from aspencroft.runtime import clock, events
 
+LOG = logbook.Logger("proxy.outlier_detection")
 GOOD, FAILED, BROKE, LOST, STALE, UNREACHED, LATE = (
     "good",
     "failed",
@@ -122,7 +125,9 @@
             record.good += 1.0
             if record.share < 1.0 and now >= record.ejected_until:
                 record.share = min(1.0, record.share * SLOW_START_GROWTH)
-                self.counts["returned"] += record.share == 1.0
+                if record.share == 1.0:
+                    self.counts["returned"] += 1
+                    report(events.Event.WORKER_RETURNED, name, service, "it answers well again")
             return
         record.bad[kind] += 1.0
         self.review(name, record, kind, now)
@@ -142,6 +147,7 @@
         if out >= len(names) // EJECTABLE_PART:
             record.limited = True
             self.counts["not ejected"] += 1
+            report(events.Event.WORKER_NOT_EJECTED, name, record.service, record.reason, "too many are ejected already")
             return
         remembered = record.ejected_at is not None and now - record.ejected_at < FAILURES_FORGOTTEN_AFTER + record.span
         record.span = min(LONGEST_EJECTION, record.span * 2) if remembered else FIRST_EJECTION
@@ -149,6 +155,8 @@
         record.share, record.credit, record.limited = SLOW_START_SHARE, 0.0, False
         record.good, record.bad = 0.0, collections.Counter()
         self.counts["ejected"] += 1
+        detail = f"for {record.span.total_seconds():g} s: {record.reason}"
+        report(events.Event.WORKER_EJECTED, name, record.service, detail, "worse than the others of its service")
 
     def rate(self, name: str, service: str, now: datetime.timedelta) -> float:
         """The share of bad answers that the other workers of a service give."""
@@ -192,6 +200,10 @@
             return record.limited
         return bad / total > SUSPECT_RATE + 2.0 * self.rate(name, record.service, now)
 
+    def ejected(self, now: datetime.timedelta) -> dict[str, str]:
+        """The workers that get nothing at this moment, each with the reason in words."""
+        return {name: record.reason for name, record in self.records.items() if now < record.ejected_until}
+
     def explain(self, name: str, now: datetime.timedelta) -> str:
         """What is held against a worker, in words; nothing when it is sound."""
         record = self.records.get(name)
@@ -203,3 +215,16 @@
         if record.limited:
             return f"{name} is bad, but too many are: {record.reason}"
         return f"{name} comes back with a share of {record.share:.2f}: {record.reason}"
+
+
+def report(event: events.Event, name: str, service: str, detail: str, reason: str = "") -> None:
+    """Log what was decided of a worker; ``reason`` stays the same from one time to the next, ``detail`` has figures."""
+    events.report(
+        LOG,
+        events.EventFields(event, member=name, reason=reason or detail),
+        "worker {} of service {}: {}: {}",
+        name,
+        service,
+        event.value.removeprefix("worker_").replace("_", " "),
+        detail,
+    )
--- a/aspencroft/replication/backup.py
+++ b/aspencroft/replication/backup.py
@@ -5,7 +5,7 @@
 from aspencroft.consensus import proposer, replica_set
 from aspencroft.errors import result
 from aspencroft.replication import group_state, log_shipping, record_changes
-from aspencroft.runtime import clock
+from aspencroft.runtime import clock, events
 
 LOG = logbook.Logger("replication.backup")
 PRIMARY_SILENCE = clock.seconds(0.7)
@@ -80,7 +80,15 @@
         if fresh is not None and fresh.primary == state.me():
             state.counts["takeovers"] += 1
             self.last_refusal = ""
-            LOG.info(
+            events.report(
+                LOG,
+                events.EventFields(
+                    events.Event.TAKEOVER_SUCCEEDED,
+                    state.group_id,
+                    state.record.epoch,
+                    member=str(state.me()),
+                    reason=f"in the place of {record.primary}",
+                ),
                 "group {}: takeover succeeded, epoch {}, member {}: in the place of {}",
                 state.group_id,
                 state.record.epoch,
@@ -93,7 +101,15 @@
         if str(refusal) != self.last_refusal:
             self.last_refusal = str(refusal)
             state = self.state
-            LOG.info(
+            events.report(
+                LOG,
+                events.EventFields(
+                    events.Event.TAKEOVER_REFUSED,
+                    state.group_id,
+                    state.record.epoch,
+                    member=str(state.me()),
+                    reason=str(refusal),
+                ),
                 "group {}: takeover refused, epoch {}, member {}: {}",
                 state.group_id,
                 state.record.epoch,
--- a/aspencroft/replication/group_replica.py
+++ b/aspencroft/replication/group_replica.py
@@ -18,7 +18,7 @@
     replica_changes,
     snapshot_transfer,
 )
-from aspencroft.runtime import clock, supervision
+from aspencroft.runtime import clock, events, supervision
 from aspencroft.transport import connections
 
 LOG = logbook.Logger("replication.group_replica")
@@ -79,29 +79,33 @@
                 else:
                     await self.stand_by()
             except* (group_state.DeposedError, result.RequestError) as group:
-                LOG.info(
-                    "group {}: member {} leaves its role, epoch {}: {}",
-                    self.group_id,
-                    self.me(),
-                    self.known.epoch if self.known else None,
-                    "; ".join(str(error) for error in group.exceptions),
-                )
+                self.report_end(events.Event.ROLE_ENDED, "leaves its role", group, logbook.NOTICE)
                 supervision.heed()
                 await clock.sleep(group_state.RETRY)
             except* OSError as group:
-                LOG.warning(
-                    "group {}: disk fault at member {}, epoch {}, steps aside for {} s: {}",
-                    self.group_id,
-                    self.me(),
-                    self.known.epoch if self.known else None,
-                    STEP_ASIDE.total_seconds(),
-                    "; ".join(str(error) for error in group.exceptions),
-                )
+                what = f"steps aside for {STEP_ASIDE.total_seconds():g} s for a disk fault"
+                self.report_end(events.Event.DISK_FAULT, what, group, logbook.WARNING)
                 supervision.heed()
                 self.status_reason = "the disk failed"
                 self.counts["disk failures"] += 1
                 await clock.sleep(STEP_ASIDE)
 
+    def report_end(self, event: events.Event, what: str, group: BaseExceptionGroup, level: int) -> None:
+        """Log what ended this member's work in its present role."""
+        epoch = self.known.epoch if self.known else None
+        reason = "; ".join(str(error) for error in group.exceptions)
+        events.report(
+            LOG,
+            events.EventFields(event, self.group_id, epoch, member=str(self.me()), reason=reason),
+            "group {}: member {} {}, epoch {}: {}",
+            self.group_id,
+            self.me(),
+            what,
+            epoch,
+            reason,
+            level=level,
+        )
+
     async def stand_by(self) -> None:
         """Wait for a record that names this node; meanwhile let go of what it still holds of the group."""
         self.status_reason = "bystander"
@@ -137,7 +141,9 @@
                 former = self.me()
                 await self.replica.release()
                 self.counts["released"] += 1
-                LOG.info(
+                events.report(
+                    LOG,
+                    events.EventFields(events.Event.REPLICA_RELEASED, self.group_id, record.epoch, member=str(former)),
                     "group {}: replica released, epoch {}, member {}: the group has {} members without it",
                     self.group_id,
                     record.epoch,
--- a/aspencroft/replication/group_state.py
+++ b/aspencroft/replication/group_state.py
@@ -9,8 +9,8 @@
 
 from aspencroft.consensus import proposer, replica_placement, replica_set
 from aspencroft.errors import result
-from aspencroft.replication import record_changes, replica, role
-from aspencroft.runtime import clock
+from aspencroft.replication import record_changes, replica, role, service_status
+from aspencroft.runtime import clock, events
 from aspencroft.transport import codec, connections
 
 LOG = logbook.Logger("replication.group_state")
@@ -192,12 +192,21 @@
             "moves": 0,
             "released": 0,
         }
-        self.status_reason = "starting"
+        self.service_status = service_status.ServiceStatus(held.group_id)
 
     def me(self) -> replica_set.ReplicaId:
         """This node's member name in the group."""
         return replica_set.ReplicaId(self.address, self.replica.identity)
 
+    @property
+    def status_reason(self) -> str:
+        """Why this replica does not serve the group, or ``service_status.SERVING``."""
+        return self.service_status.reason
+
+    @status_reason.setter
+    def status_reason(self, reason: str) -> None:
+        self.service_status.change(reason, self.known.epoch if self.known else None, str(self.me()))
+
     @property
     def lease_end(self) -> datetime.timedelta:
         """When this node's lease on the group ends, on the monotonic clock; zero without one."""
@@ -284,11 +293,16 @@
     def log_dropped(self, gone: collections.abc.Collection[replica_set.ReplicaId], reason: str) -> None:
         """Log that a ballot recorded members out, if it did: one that found another primary changes nothing."""
         if not set(gone) & set(self.record.members()):
-            LOG.info(
+            members = ", ".join(sorted(str(member) for member in gone))
+            events.report(
+                LOG,
+                events.EventFields(
+                    events.Event.REPLICAS_DROPPED, self.group_id, self.record.epoch, member=members, reason=reason
+                ),
                 "group {}: replicas dropped, epoch {}, members {}: {}",
                 self.group_id,
                 self.record.epoch,
-                ", ".join(sorted(str(member) for member in gone)),
+                members,
                 reason,
             )
 
--- a/aspencroft/replication/log_shipping.py
+++ b/aspencroft/replication/log_shipping.py
@@ -7,7 +7,7 @@
 from aspencroft.consensus import replica_set
 from aspencroft.errors import result
 from aspencroft.replication import append_patience, group_state, log_records, messages, snapshot_transfer
-from aspencroft.runtime import clock, supervision
+from aspencroft.runtime import clock, events, supervision
 
 LOG = logbook.Logger("replication.log_shipping")
 APPEND_TIMEOUT = append_patience.MAX_TIMEOUT
@@ -89,8 +89,20 @@
             )
             return await self.repair_from(peer, compared) == state.replica.last()
         except result.RequestError as refusal:
-            LOG.info(
-                "group {}: repair of backup {} failed, epoch {}: {}", state.group_id, peer, state.record.epoch, refusal
+            events.report(
+                LOG,
+                events.EventFields(
+                    events.Event.REPAIR_FAILED,
+                    state.group_id,
+                    state.record.epoch,
+                    member=str(peer),
+                    reason=str(refusal),
+                ),
+                "group {}: repair of backup {} failed, epoch {}: {}",
+                state.group_id,
+                peer,
+                state.record.epoch,
+                refusal,
             )
             return False
 
@@ -133,7 +145,10 @@
 
     def log_repair(self, step: str, peer: replica_set.ReplicaId, reason: str) -> None:
         """Log that the repair of a replica was begun or finished."""
-        LOG.info(
+        event = events.Event.REPAIR_BEGUN if step == "begun" else events.Event.REPAIR_FINISHED
+        events.report(
+            LOG,
+            events.EventFields(event, self.state.group_id, self.state.record.epoch, member=str(peer), reason=reason),
             "group {}: repair {}, epoch {}, member {}: {}",
             self.state.group_id,
             step,
--- a/aspencroft/replication/primary.py
+++ b/aspencroft/replication/primary.py
@@ -16,9 +16,10 @@
     log_shipping,
     record_changes,
     replica_changes,
+    service_status,
     state_machine,
 )
-from aspencroft.runtime import clock, supervision
+from aspencroft.runtime import clock, events, supervision
 from aspencroft.transport import codec
 
 LOG = logbook.Logger("replication.primary")
@@ -192,7 +193,15 @@
         try:
             await state.ballot(lambda record: record)
         except result.RequestError as refusal:
-            LOG.info(
+            events.report(
+                LOG,
+                events.EventFields(
+                    events.Event.BALLOT_FAILED,
+                    state.group_id,
+                    state.record.epoch,
+                    member=str(state.me()),
+                    reason=str(refusal),
+                ),
                 "group {}: ballot on the record failed, epoch {}, member {}: {}; asked for as {}",
                 state.group_id,
                 state.record.epoch,
@@ -247,7 +256,7 @@
         if not state.has_lease():
             await clock.sleep(HEARTBEAT_PERIOD / 8)
         elif not record.backups:
-            state.status_reason = "no backup"
+            state.status_reason = service_status.NO_BACKUP
             self.reject_queued(result.ResultCode.NO_BACKUP)
             if await self.replica_changes.add_replica():
                 self.synchronized_record = state.record
@@ -256,14 +265,14 @@
         elif self.synchronized_record != record:
             await self.synchronize_backups(record)
         elif not self.has_enough_members(record):
-            state.status_reason = "recruiting"
+            state.status_reason = service_status.RECRUITING
             if await self.replica_changes.add_replica(include_suspected=False):
                 self.synchronized_record = state.record
             elif state.record == record:
                 self.exhausted_record = record
         else:
             self.send_replies(undelivered)
-            state.status_reason = "serving"
+            state.status_reason = service_status.SERVING
             await self.replica_changes.move_away()
             if state.record == record and await self.replica_changes.admit_candidate():
                 self.synchronized_record = state.record
@@ -275,7 +284,7 @@
         if not await self.log_shipping.confirm_log():
             await clock.sleep(group_state.RETRY)
             return
-        self.state.status_reason = "mending the backups"
+        self.state.status_reason = service_status.REPAIRING_BACKUPS
         failed = await self.log_shipping.synchronize_backups(record)
         lost = self.log_shipping.lost_disks.intersection(failed)
         if failed:
@@ -418,11 +427,20 @@
         try:
             await state.ballot(lambda record: record_changes.without_backups(record, state.me(), gone))
         except result.RequestError as refusal:
-            LOG.info(
+            members = ", ".join(sorted(str(backup) for backup in gone))
+            events.report(
+                LOG,
+                events.EventFields(
+                    events.Event.REPLICAS_NOT_DROPPED,
+                    state.group_id,
+                    state.record.epoch,
+                    member=members,
+                    reason=str(refusal),
+                ),
                 "group {}: failed backups not dropped, epoch {}, members {}: {}",
                 state.group_id,
                 state.record.epoch,
-                ", ".join(sorted(str(backup) for backup in gone)),
+                members,
                 refusal,
             )
             await clock.sleep(group_state.RETRY)
--- a/aspencroft/replication/replica_changes.py
+++ b/aspencroft/replication/replica_changes.py
@@ -9,7 +9,7 @@
 from aspencroft.consensus import proposer, replica_placement, replica_set
 from aspencroft.errors import result
 from aspencroft.replication import group_state, log_shipping, messages, record_changes
-from aspencroft.runtime import clock
+from aspencroft.runtime import clock, events
 
 LOG = logbook.Logger("replication.replica_changes")
 BALANCE_AFTER = clock.seconds(4)
@@ -81,7 +81,15 @@
                 state.suspected_peers.suspect(candidate.address)
             return peer if same else None
         except result.RequestError as refusal:
-            LOG.info(
+            events.report(
+                LOG,
+                events.EventFields(
+                    events.Event.REPLICA_NOT_ADDED,
+                    state.group_id,
+                    state.record.epoch,
+                    member=candidate.address,
+                    reason=str(refusal),
+                ),
                 "group {}: candidate {} not prepared, epoch {}: {}",
                 state.group_id,
                 candidate.address,
@@ -108,7 +116,9 @@
             if enlisted is None or peer not in state.record.backups:
                 return False
             state.counts["recruits"] += 1
-            LOG.info(
+            events.report(
+                LOG,
+                events.EventFields(events.Event.REPLICA_ADDED, state.group_id, state.record.epoch, member=str(peer)),
                 "group {}: replica added, epoch {}, member {}: its log is the same as the primary's",
                 state.group_id,
                 state.record.epoch,
@@ -121,7 +131,21 @@
             )
             return True
         except result.RequestError as refusal:
-            LOG.info("group {}: replica {} not added, epoch {}: {}", state.group_id, peer, state.record.epoch, refusal)
+            events.report(
+                LOG,
+                events.EventFields(
+                    events.Event.REPLICA_NOT_ADDED,
+                    state.group_id,
+                    state.record.epoch,
+                    member=str(peer),
+                    reason=str(refusal),
+                ),
+                "group {}: replica {} not added, epoch {}: {}",
+                state.group_id,
+                peer,
+                state.record.epoch,
+                refusal,
+            )
             state.suspected_peers.suspect(peer.address)
             if refusal.result is result.ResultCode.OUTCOME_UNKNOWN:
                 raise group_state.DeposedError(f"not known whether {peer.address} is a member") from None
@@ -147,8 +171,8 @@
                     self.admitted.clear()
                     self.ready = peer
                     await self.admitted.wait()
-            if self.is_lacking_members():
-                self.state.move.end()
+            if self.is_lacking_members() and self.state.move.leaving is not None:
+                self.end_move("given up, as members are lacking")
 
     def balance(self) -> None:
         """Have a member give its place to a better one, once that has been there for a while.
@@ -166,7 +190,15 @@
         if self.unbalanced_since is None:
             self.unbalanced_since = clock.now()
         if clock.now() - self.unbalanced_since >= BALANCE_AFTER + self.count_groups_ahead(leaving) * BALANCE_TURN:
-            LOG.info(
+            events.report(
+                LOG,
+                events.EventFields(
+                    events.Event.MOVE_BEGUN,
+                    state.group_id,
+                    state.record.epoch,
+                    member=str(leaving),
+                    reason="a better place for it is free",
+                ),
                 "group {}: move begun, epoch {}, member {}: a better place for it is free",
                 state.group_id,
                 state.record.epoch,
@@ -176,6 +208,26 @@
             state.move.begin(leaving)
             state.counts["moves"] += 1
 
+    def end_move(self, reason: str) -> None:
+        """No member is to leave for a better place any more."""
+        state = self.state
+        events.report(
+            LOG,
+            events.EventFields(
+                events.Event.MOVE_ENDED,
+                state.group_id,
+                state.record.epoch,
+                member=str(state.move.leaving),
+                reason=reason,
+            ),
+            "group {}: move ended, epoch {}, member {}: {}",
+            state.group_id,
+            state.record.epoch,
+            state.move.leaving,
+            reason,
+        )
+        state.move.end()
+
     def find_misplaced(self) -> replica_set.ReplicaId | None:
         """The member that had better not be one: it is one too many, or a better place is free.
 
@@ -228,7 +280,7 @@
         """
         state = self.state
         if state.move.leaving is not None and state.move.leaving not in state.record.members():
-            state.move.end()
+            self.end_move("it is no member any more")
         remaining, staying = state.remaining(), state.staying()
         if state.me() not in staying:
             heir = next((member for member in state.record.backups if member in staying), None)
@@ -245,11 +297,20 @@
         try:
             await state.ballot(lambda record: record_changes.without_backups(record, state.me(), leaving))
         except result.RequestError as refusal:
-            LOG.info(
+            members = ", ".join(sorted(str(member) for member in leaving))
+            events.report(
+                LOG,
+                events.EventFields(
+                    events.Event.REPLICAS_NOT_DROPPED,
+                    state.group_id,
+                    state.record.epoch,
+                    member=members,
+                    reason=str(refusal),
+                ),
                 "group {}: replicas that leave not dropped, epoch {}, members {}: {}",
                 state.group_id,
                 state.record.epoch,
-                ", ".join(sorted(str(member) for member in leaving)),
+                members,
                 refusal,
             )
             return
--- a/aspencroft/replication/role.py
+++ b/aspencroft/replication/role.py
@@ -10,6 +10,7 @@
 import logbook
 
 from aspencroft.consensus import replica_set
+from aspencroft.runtime import events
 
 LOG = logbook.Logger("replication.role")
 
@@ -33,6 +34,12 @@
     """A primary that hands its place to a backup: it answers nothing, whatever lease it is granted."""
 
 
+LEADERSHIP_ROLES = frozenset(
+    (ReplicaRole.CANDIDATE, ReplicaRole.ACQUIRING_LEASE, ReplicaRole.LEADER, ReplicaRole.STEPPING_DOWN)
+)
+"""Roles whose begin or end is an event for those on call; the others come with any start."""
+
+
 @dataclasses.dataclass(frozen=True)
 class RoleFacts:
     """All that a replica's role follows from."""
@@ -106,13 +113,20 @@
         fresh = decide_role(facts)
         if fresh is self.role:
             return
-        LOG.info(
+        epoch = None if facts.known is None else facts.known.epoch
+        change = f"{self.role.value} to {fresh.value}"
+        events.report(
+            LOG,
+            events.EventFields(
+                events.Event.ROLE_CHANGED, self.group_id, epoch, member=str(facts.me), reason=f"{change}: {reason}"
+            ),
             "group {}: role changed from {} to {}, epoch {}, member {}: {}",
             self.group_id,
             self.role.value,
             fresh.value,
-            None if facts.known is None else facts.known.epoch,
+            epoch,
             facts.me,
             reason,
+            level=logbook.NOTICE if {self.role, fresh} & LEADERSHIP_ROLES else logbook.INFO,
         )
         self.role = fresh
--- a/aspencroft/replication/role_test.py
+++ b/aspencroft/replication/role_test.py
@@ -7,6 +7,7 @@
 
 from aspencroft.consensus import replica_set
 from aspencroft.replication import role
+from aspencroft.runtime import events
 
 ME, PEER, OTHER = (replica_set.ReplicaId(f"n{number}:1", "disk") for number in range(3))
 PRIMARY = replica_set.ReplicaSet(7, 4, ME, (PEER,))
@@ -54,7 +55,10 @@
         f"group 7: role changed from recovering to follower, epoch 4, member {ME}: its log follows the primary's",
         f"group 7: role changed from follower to acquiring lease, epoch 4, member {ME}: the primary is silent",
     ]
-    assert all(record.level == logbook.INFO for record in log.records)
+    assert [record.level for record in log.records] == [logbook.INFO, logbook.NOTICE], "a start is no event"
+    assert log.records[1].extra[events.EXTRA] == events.EventFields(
+        events.Event.ROLE_CHANGED, 7, 4, member=str(ME), reason="follower to acquiring lease: the primary is silent"
+    )
 
 
 def test_the_end_of_a_term_ends_a_transfer_with_it():
--- a/aspencroft/simulation/call_troubles.py
+++ b/aspencroft/simulation/call_troubles.py
@@ -257,6 +257,7 @@
             address=name,
             environment=around,
             sample_sources=[],
+            status_reporter=types.SimpleNamespace(sections={}),
             stopping=asyncio.Event(),
             standing=None,
             settings=types.SimpleNamespace(
--- a/aspencroft/simulation/mutations.py
+++ b/aspencroft/simulation/mutations.py
@@ -1165,8 +1165,8 @@
     Mutation(
         "a suspicion that nobody answers counts as confirmed",
         "membership/suspicion.py",
-        "            return watcher\n        LOG.info(",
-        '            return watcher\n        return ""\n        LOG.info(',
+        "            return watcher\n        reason = ",
+        '            return watcher\n        return ""\n        reason = ',
         ("membership/suspicion_test.py",),
     ),
     Mutation(
@@ -1179,8 +1179,8 @@
     Mutation(
         "a new primary is the root before its first read",
         "node/configuration_service.py",
-        '            except result.RequestError:\n                await clock.sleep(COMMIT_WAIT / 5)\n            else:\n                if not relay.root and held.has_lease():\n                    relay.become_root()\n                    LOG.info("{} became the configuration root: {}", self.node.address, self.newest())\n',
-        '            except result.RequestError:\n                await clock.sleep(COMMIT_WAIT / 5)\n            if not relay.root and held.has_lease():\n                relay.become_root()\n                LOG.info("{} became the configuration root: {}", self.node.address, self.newest())\n',
+        "            except result.RequestError:\n                await clock.sleep(COMMIT_WAIT / 5)\n            else:\n                if not relay.root and held.has_lease():\n                    relay.become_root()\n                    self.report_root()\n",
+        "            except result.RequestError:\n                await clock.sleep(COMMIT_WAIT / 5)\n            if not relay.root and held.has_lease():\n                relay.become_root()\n                self.report_root()\n",
         ("node/root_test.py",),
     ),
     Mutation(
--- a/aspencroft/workers/list_reader.py
+++ b/aspencroft/workers/list_reader.py
@@ -12,7 +12,7 @@
 from aspencroft.leadership import singleton_role
 from aspencroft.node import node, settings, timing_check
 from aspencroft.proxy import instance, instances
-from aspencroft.runtime import clock, supervision
+from aspencroft.runtime import clock, events, supervision
 
 LOG = logbook.Logger("workers.list_reader")
 TOPIC, READ = "workers", "workers read"
@@ -96,6 +96,39 @@
     return refusal.result is result.ResultCode.OVERLOADED
 
 
+def report_unreadable(address: str, refusal: result.RequestError) -> None:
+    """Log that the list could not be read."""
+    events.report(
+        LOG,
+        events.EventFields(events.Event.WORKER_LIST_UNREADABLE, member=address, reason=str(refusal.result.number)),
+        "list of workers not read by {}: {}",
+        address,
+        refusal,
+    )
+
+
+def report_read_again(address: str, failures: int) -> None:
+    """Log that the list was read after failures."""
+    events.report(
+        LOG,
+        events.EventFields(events.Event.WORKER_LIST_READ_AGAIN, member=address),
+        "list of workers read again by {}, after {} failed reads",
+        address,
+        failures,
+    )
+
+
+def report_change(address: str, found: list[instance.Instance]) -> None:
+    """Log that the list changed."""
+    events.report(
+        LOG,
+        events.EventFields(events.Event.WORKER_LIST_CHANGED, member=address),
+        "list of workers changed: {} listed, {} draining",
+        len(found),
+        sum(one.draining for one in found),
+    )
+
+
 class ListReader:
     """The duty's work: read the list again and again, tell it when it changed, and now and then that it did not.
 
@@ -164,8 +197,10 @@
             self.refused += 1
             self.most_pause = MOST_PAUSE if rate_spent(refusal) else MOST_PAUSE_UNREACHED
             self.counts["list refusals"] += 1
-            LOG.info("{}", refusal)
+            report_unreadable(self.node.address, refusal)
             return
+        if self.refused:
+            report_read_again(self.node.address, self.refused)
         self.refused = 0
         shown = matter(found)
         if shown != self.shown:
@@ -174,6 +209,7 @@
                 return
             self.revision, self.shown, self.changed = told_now, shown, now
             self.counts["list changes"] += 1
+            report_change(self.node.address, found)
             self.beaten = clock.ZERO
         if now - self.beaten >= BEAT and await self.publish(READ, json.dumps([self.revision.text()])) is not None:
             self.beaten = now
@@ -273,12 +309,14 @@
             self.counts["own list reads"] += 1
             try:
                 found = await self.lister()
+                if self.refused:
+                    report_read_again(self.node.address, self.refused)
                 self.refused = 0
                 self.instances.update(found, now)
             except result.RequestError as refusal:
                 most = MOST_DOUBLINGS if rate_spent(refusal) else MOST_DOUBLINGS_UNREACHED
                 self.refused = min(self.refused + 1, most)
-                LOG.info("{}", refusal)
+                report_unreadable(self.node.address, refusal)
             span = max(CALM_PERIOD, nodes * self.cost() / SHARE)
             span *= self.node.environment.randomness.uniform(0.7, 1.3) * 2**self.refused
             self.next_read = clock.now() + span
