--- a/aspencroft/cli/local_cluster.py
+++ b/aspencroft/cli/local_cluster.py
@@ -1,4 +1,4 @@
-"""Sixteen real processes on this machine: their folders, settings, signals and resource use."""
+"""Real processes on this machine, sixteen unless told otherwise: their folders, settings, signals and resource use."""
 
 import contextlib
 import dataclasses
@@ -15,11 +15,28 @@
 
 HOST = "127.0.0.1"
 AREAS = ("north", "middle", "south")
-ROLES = ("edge",) * 8 + ("storage",) * 3 + ("core",) * 5
+CORES_WITH_DISKS = 2
 LINK_PORT, HTTP_PORT, PLATFORM_PORT, WORKER_PORT = 7100, 7300, 7500, 7520
 STOP_TIMEOUT_S = 15.0
 
 
+@dataclasses.dataclass(frozen=True)
+class ClusterSize:
+    """How many processes of each role a cluster starts with."""
+
+    edges: int = 8
+    storage: int = 3
+    cores: int = 5
+
+    def roles(self) -> dict[int, str]:
+        """The role of each process by its number, edges first."""
+        return dict(enumerate(("edge",) * self.edges + ("storage",) * self.storage + ("core",) * self.cores))
+
+
+SMALLEST = ClusterSize(1, 2, 3)
+"""One edge, as many disks as a group needs, as many cores as there are seeds."""
+
+
 @dataclasses.dataclass(frozen=True)
 class ResourceUse:
     """Resource use of a process at one moment; memory and disk in bytes."""
@@ -35,10 +52,11 @@
 class LocalCluster:
     """Processes by number; a machine that is swapped gets a new number and new addresses."""
 
-    def __init__(self, folder: pathlib.Path, offset: int):
+    def __init__(self, folder: pathlib.Path, offset: int, size: ClusterSize = ClusterSize()):
         self.folder = folder
         self.offset = offset
-        self.roles = dict(enumerate(ROLES))
+        self.roles = size.roles()
+        self.disks = {*self.numbers("storage"), *self.numbers("core")[-CORES_WITH_DISKS:]}
         self.areas = {number: AREAS[number % 3] for number in self.roles}
         self.seeds = [number for number, role in self.roles.items() if role == "core"][:3]
         self.processes: dict[int, subprocess.Popen] = {}
@@ -76,7 +94,7 @@
             f'workers = "http://{HOST}:{PLATFORM_PORT + self.offset}/api/workers"',
             f'log = "{folder / "ring.log"}"',
         ]
-        if role == "storage" or number in (14, 15):
+        if number in self.disks:
             lines.append(f'data = "{folder / "data"}"')
         (folder / "node.toml").write_text("\n".join(lines) + "\n")
 
@@ -111,6 +129,8 @@
         """Replace a machine by an empty one at a new address; returns its number."""
         fresh = max(self.roles) + 1
         self.roles[fresh], self.areas[fresh] = self.roles.pop(number), self.areas[number]
+        if self.roles[fresh] == "storage" or number in self.disks:
+            self.disks.add(fresh)
         self.processes.pop(number, None)
         shutil.rmtree(self.folder_of(number) / "data", ignore_errors=True)
         return fresh
--- a/aspencroft/cli/local_cluster_command.py
+++ b/aspencroft/cli/local_cluster_command.py
@@ -443,7 +443,9 @@
     ]
 
 
-def prepare_cluster(folder: str, offset: int, keep: bool) -> local_cluster.LocalCluster:
+def prepare_cluster(
+    folder: str, offset: int, keep: bool, size: local_cluster.ClusterSize
+) -> local_cluster.LocalCluster:
     """A cluster in a folder, which is emptied first unless ``keep``.
 
     Turns off standard logging and makes SIGTERM an interrupt, for the whole process.
@@ -453,7 +455,7 @@
     path = pathlib.Path(folder)
     if not keep and path.exists():
         shutil.rmtree(path)
-    return local_cluster.LocalCluster(path, offset)
+    return local_cluster.LocalCluster(path, offset, size)
 
 
 def workload_of(deployment: str) -> shape.Shape:
@@ -463,17 +465,30 @@
     return shape.shape_of(deployment)
 
 
-def start(*, deployment: str = "archive", folder: str = "run", offset: int = 0, keep: bool = False) -> None:
-    """Start 16 local processes and stand-ins, write the plan, and leave them running until interrupted.
+def start(
+    *,
+    deployment: str = "archive",
+    folder: str = "run",
+    offset: int = 0,
+    keep: bool = False,
+    edges: int = 8,
+    storage: int = 3,
+    cores: int = 5,
+) -> None:
+    """Start local processes and stand-ins, write the plan, and leave them running until interrupted.
 
     :param deployment: archive or tills
     :param folder: where settings, data and logs go
     :param offset: added to all ports
     :param keep: keep the data of an earlier run instead of starting empty
+    :param edges: how many edges, at least 1
+    :param storage: how many machines with disks for sessions, at least 2
+    :param cores: how many core machines, at least 3
     """
+    size = local_cluster.ClusterSize(edges, storage, cores)
 
     async def whole() -> None:
-        drive = ClusterRun(prepare_cluster(folder, offset, keep), workload_of(deployment), random.Random(1))
+        drive = ClusterRun(prepare_cluster(folder, offset, keep, size), workload_of(deployment), random.Random(1))
         try:
             await drive.begin()
             print(
@@ -500,6 +515,9 @@
     offset: int = 0,
     seed: int = 1,
     history: str = "",
+    edges: int = 8,
+    storage: int = 3,
+    cores: int = 5,
 ) -> None:
     """Start a local cluster, drive a deployment's mix and operators, cause faults, and judge what was seen.
 
@@ -515,11 +533,15 @@
     :param offset: added to all ports
     :param seed: seed of traffic and schedule
     :param history: where to write the history; folder/history.json if left out
+    :param edges: how many edges, at least 1
+    :param storage: how many machines with disks for sessions, at least 2
+    :param cores: how many core machines, at least 3
     """
+    size = local_cluster.ClusterSize(edges, storage, cores)
     kinds = FAULTS if "every" in faults else tuple(faults)
     if set(kinds) - set(FAULTS):
         sys.exit(f"faults: {', '.join(FAULTS)}, or every")
-    one = ClusterRun(prepare_cluster(folder, offset, False), workload_of(deployment), random.Random(seed))
+    one = ClusterRun(prepare_cluster(folder, offset, False, size), workload_of(deployment), random.Random(seed))
 
     async def whole() -> None:
         try:
--- a/aspencroft/cli/operator_command.py
+++ b/aspencroft/cli/operator_command.py
@@ -1,5 +1,6 @@
 """The operators' client: reads, writes and watches plan resources and what is observed."""
 
+import asyncio
 import json
 import os
 import pathlib
@@ -7,8 +8,12 @@
 
 import defopt
 import httpx
+import msgspec
+
+from aspencroft.cli import cluster_status
 
 TIMEOUT_S = 30
+MEMBER_TIMEOUT_S = 2
 
 
 def program_name() -> str:
@@ -119,48 +124,112 @@
         return 0 if response.is_success else 1
 
 
-def status_screen(shown: dict, plan: dict, topics: dict) -> str:
-    """The fleet's state as one node sees it, on one screen."""
-    lines = [
-        f"seen by {shown['address']} ({shown['role']}, {shown['area']}): plan {shown['plan']['revision']}"
-        f"{' in force' if shown['plan']['current'] else ' NOT CURRENT'}, "
+def log(node: str) -> int:
+    """Have a node write the lines that wait in its memory to its log, and show them.
+
+    :param node: any node's HTTP address, host:port
+    """
+    response = httpx.post(f"http://{node}/log", timeout=TIMEOUT_S, trust_env=False)
+    if not response.is_success:
+        return print_response(response)
+    print("\n".join(response.json()["lines"]) or "no lines are kept")
+    return 0
+
+
+def decode_status(node: str, body: bytes) -> cluster_status.NodeStatus:
+    """A node's status; ends the program where it is none."""
+    try:
+        return msgspec.json.decode(body, type=cluster_status.NodeStatus)
+    except msgspec.DecodeError as error:
+        sys.exit(f"{program_name()}: {node} gave no status of a node: {error}")
+
+
+async def fetch_others(asked: cluster_status.NodeStatus) -> cluster_status.ClusterStatus:
+    """Ask all members that are not down, at once; those that fail or are slow count as silent."""
+    others: list[cluster_status.NodeStatus] = []
+    silent: list[str] = []
+
+    async def fetch(client: httpx.AsyncClient, member: cluster_status.MemberStatus) -> None:
+        try:
+            response = await client.get(f"http://{member.http}/status")
+            others.append(msgspec.json.decode(response.content, type=cluster_status.NodeStatus))
+        except (httpx.HTTPError, msgspec.DecodeError):
+            silent.append(member.address)
+
+    members = [
+        member
+        for member in asked.fellows
+        if member.address != asked.address
+        and member.http
+        and member.state in (cluster_status.LIVE, cluster_status.LEAVING)
+    ]
+    async with httpx.AsyncClient(timeout=MEMBER_TIMEOUT_S, trust_env=False) as client, asyncio.TaskGroup() as group:
+        for member in members:
+            group.create_task(fetch(client, member))
+    others.sort(key=lambda status: status.address)
+    return cluster_status.ClusterStatus(asked, tuple(others), tuple(sorted(silent)))
+
+
+def status_screen(cluster: cluster_status.ClusterStatus, plan: dict, quiet: dict, alerts: dict) -> str:
+    """The cluster's state on one screen: what is wrong first, then what there is."""
+    asked, newest = cluster.asked, cluster.newest_revision()
+    problems = cluster.problems()
+    lines = [f"! {problem}" for problem in problems] or ["no problem is known"]
+    lines += [
+        "",
+        f"seen by {asked.address} ({asked.role}, {asked.area}) and {len(cluster.others)} others: "
+        f"configuration {newest.revision}, "
         + ", ".join(f"{len(plan.get(kind, {}))} {kind}" for kind in ("lanes", "services", "routes", "rules")),
+        f"voters: {len(asked.quorum.live)} of {len(asked.witness.roster)} live, "
+        f"{max(0, asked.quorum.losses_left)} more may be lost",
+        "",
+        *member_lines(asked),
+        "",
+        *group_lines(cluster),
         "",
+        *mark_lines(plan, quiet, alerts),
     ]
+    faults = {**asked.faults.outside, **asked.faults.standing_tasks}
+    lines.append(f"  faults counted here: {', '.join(f'{name} {count}' for name, count in faults.items()) or 'none'}")
+    return "\n".join(lines)
+
+
+def member_lines(asked: cluster_status.NodeStatus) -> list[str]:
+    """The members by area."""
     by_area: dict[str, list[str]] = {}
-    for one in shown["fellows"]:
-        mark = "" if one["state"] == "live" else f" {one['state'].upper()}"
-        by_area.setdefault(one["area"], []).append(f"{one['role']} {one['address']}{mark}")
-    for area, row in sorted(by_area.items()):
-        lines.append(f"  {area}: " + "; ".join(sorted(row)))
-    lines.append("")
-    for group_id, held in shown["holders"].items():
-        name = "control" if group_id == "0" else f"talk {group_id}"
-        lines.append(
-            f"  {name}: epoch {held['epoch']}, primary {held['primary']}, backup {held['backup'] or 'NONE: no writes'}"
-        )
-    witness = shown["witness"]
-    lines.append(f"  witnesses: {', '.join(witness['roster'])} (here: {witness['why']})")
+    for member in asked.fellows:
+        mark = "" if member.state == cluster_status.LIVE else f" {member.state.upper()}"
+        by_area.setdefault(member.area, []).append(f"{member.role} {member.address}{mark}")
+    return [f"  {area}: " + "; ".join(sorted(row)) for area, row in sorted(by_area.items())]
+
+
+def group_lines(cluster: cluster_status.ClusterStatus) -> list[str]:
+    """The replication groups with their members."""
+    return [
+        f"  {cluster_status.group_name(group_id)}: epoch {record.epoch}, primary {record.primary}, "
+        f"backups {', '.join(record.backups) or 'NONE'}"
+        for group_id, record in cluster.replica_sets().items()
+    ]
+
+
+def mark_lines(plan: dict, quiet: dict, alerts: dict) -> list[str]:
+    """What operators and rules marked."""
     leaving = sorted(name for name, spec in plan.get("workers", {}).items() if spec.get("leaving"))
-    emptied = sorted(name for name, spec in plan.get("machines", {}).items() if spec.get("emptied"))
-    quiet, alerts = topics.get("quiet", {}), topics.get("alerts", {})
-    lines += [
-        "",
-        f"  workers marked as leaving: {', '.join(leaving) or 'none'}; "
-        f"machines emptied: {', '.join(emptied) or 'none'}",
+    drained = sorted(name for name, spec in plan.get("machines", {}).items() if spec.get("emptied"))
+    return [
+        f"  workers marked as leaving: {', '.join(leaving) or 'none'}",
+        f"  drained machines: {', '.join(drained) or 'none'}",
         f"  quiet list: {', '.join(quiet.get('workers', [])) or 'none'} "
         f"(asleep: {', '.join(quiet.get('asleep', [])) or 'none'})",
         f"  alerts: {', '.join(f'{name} {state}' for name, state in alerts.get('rules', {}).items()) or 'none'}",
     ]
-    faults = {**shown["faults"]["outside"], **shown["faults"]["standing tasks"]}
-    lines.append(f"  faults counted here: {', '.join(f'{name} {count}' for name, count in faults.items()) or 'none'}")
-    return "\n".join(lines)
 
 
 def status(node: str) -> int:
-    """Show the fleet's state on one screen, as a node sees it.
+    """Show the cluster's state on one screen: what is wrong first, as the node and all that it knows tell it.
 
-    Exits with 1 when the node's plan is not current or a replication group has no backup.
+    Exits with 1 when anything is wrong: a group without a primary or with too few replicas, voters lost, members down,
+    suspected or leaving, nodes behind the newest configuration.
 
     :param node: any node's HTTP address, host:port
     """
@@ -169,22 +238,23 @@
         response = httpx.get(f"http://{node}/{page}", timeout=TIMEOUT_S, trust_env=False)
         if not response.is_success:
             return print_response(response)
-        pages[page] = response.json()
-    shown = pages["status"]
+        pages[page] = response
+    cluster = asyncio.run(fetch_others(decode_status(node, pages["status"].content)))
     print(
         status_screen(
-            shown,
-            pages["plan"]["plan"],
-            {"quiet": pages["observed/quiet"]["quiet"], "alerts": pages["observed/alerts"]["alerts"]},
+            cluster,
+            pages["plan"].json()["plan"],
+            pages["observed/quiet"].json()["quiet"],
+            pages["observed/alerts"].json()["alerts"],
         )
     )
-    return 0 if shown["plan"]["current"] and all(held["backups"] for held in shown["holders"].values()) else 1
+    return 1 if cluster.problems() else 0
 
 
 def main() -> None:
     """Run the subcommand that the arguments name; a failed connection ends it with one line."""
     try:
-        sys.exit(defopt.run([status, get, put, patch, delete, watch]))
+        sys.exit(defopt.run([status, get, put, patch, delete, watch, log]))
     except httpx.HTTPError as error:
         sys.exit(f"{program_name()}: {error!r}")
     except KeyboardInterrupt:
--- a/aspencroft/consensus/replica_set.py
+++ b/aspencroft/consensus/replica_set.py
@@ -33,6 +33,13 @@
     address: str
     identity: str
 
+    def label(self) -> str:
+        """The replica in a log line.
+
+        Example: ``ReplicaId("n:1", "abc").label() == "n:1/abc"``
+        """
+        return f"{self.address}/{self.identity}"
+
 
 @codec.kind(21)
 @dataclasses.dataclass(frozen=True)
--- a/aspencroft/docs_test.py
+++ b/aspencroft/docs_test.py
@@ -127,6 +127,28 @@
     assert named - set(classes()) == set()
 
 
+LOG_LINE = re.compile(r"`(NOTICE|INFO|WARNING|ERROR) ([a-z_.]+): ([^`]+)`")
+"""A line of the log as the page for who is on call quotes it: level, logger, format."""
+PLACE_OF_A_VALUE = re.compile(r"\{[^}]*\}")
+
+
+def stale_log_lines(text):
+    """The quoted log lines whose fixed words no module with that logger has."""
+    sources = [file.read_text() for folder in FOLDERS for file in folder.rglob("*.py")]
+    stale = set()
+    for _, logger, form in LOG_LINE.findall(" ".join(text.split())):
+        fixed = [words.strip() for words in PLACE_OF_A_VALUE.split(form)]
+        if not any(f'Logger("{logger}")' in source and all(words in source for words in fixed) for source in sources):
+            stale.add(f"{logger}: {form}")
+    return sorted(stale)
+
+
+def test_the_page_for_who_is_on_call_quotes_lines_that_the_code_has():
+    text = PAGES["docs/on-call.md"].read_text()
+    assert len(LOG_LINE.findall(" ".join(text.split()))) > 40 and stale_log_lines(text) == []
+    assert stale_log_lines("`INFO node.status: no such line`") == ["node.status: no such line"]
+
+
 def test_each_page_of_history_is_there():
     assert set(PAGES) >= HISTORY
 
--- a/aspencroft/replication/backup.py
+++ b/aspencroft/replication/backup.py
@@ -86,14 +86,14 @@
                     events.Event.TAKEOVER_SUCCEEDED,
                     state.group_id,
                     state.record.epoch,
-                    member=str(state.me()),
-                    reason=f"in the place of {record.primary}",
+                    member=state.me().label(),
+                    reason=f"in the place of {record.primary.label()}",
                 ),
                 "group {}: takeover succeeded, epoch {}, member {}: in the place of {}",
                 state.group_id,
                 state.record.epoch,
-                state.me(),
-                record.primary,
+                state.me().label(),
+                record.primary.label(),
             )
 
     def log_refusal(self, refusal: result.RequestError) -> None:
@@ -107,12 +107,12 @@
                     events.Event.TAKEOVER_REFUSED,
                     state.group_id,
                     state.record.epoch,
-                    member=str(state.me()),
+                    member=state.me().label(),
                     reason=str(refusal),
                 ),
                 "group {}: takeover refused, epoch {}, member {}: {}",
                 state.group_id,
                 state.record.epoch,
-                state.me(),
+                state.me().label(),
                 refusal,
             )
--- a/aspencroft/replication/group_replica.py
+++ b/aspencroft/replication/group_replica.py
@@ -96,10 +96,10 @@
         reason = "; ".join(str(error) for error in group.exceptions)
         events.report(
             LOG,
-            events.EventFields(event, self.group_id, epoch, member=str(self.me()), reason=reason),
+            events.EventFields(event, self.group_id, epoch, member=self.me().label(), reason=reason),
             "group {}: member {} {}, epoch {}: {}",
             self.group_id,
-            self.me(),
+            self.me().label(),
             what,
             epoch,
             reason,
@@ -143,11 +143,13 @@
                 self.counts["released"] += 1
                 events.report(
                     LOG,
-                    events.EventFields(events.Event.REPLICA_RELEASED, self.group_id, record.epoch, member=str(former)),
+                    events.EventFields(
+                        events.Event.REPLICA_RELEASED, self.group_id, record.epoch, member=former.label()
+                    ),
                     "group {}: replica released, epoch {}, member {}: the group has {} members without it",
                     self.group_id,
                     record.epoch,
-                    former,
+                    former.label(),
                     len(members),
                 )
 
--- a/aspencroft/replication/group_state.py
+++ b/aspencroft/replication/group_state.py
@@ -205,7 +205,7 @@
 
     @status_reason.setter
     def status_reason(self, reason: str) -> None:
-        self.service_status.change(reason, self.known.epoch if self.known else None, str(self.me()))
+        self.service_status.change(reason, self.known.epoch if self.known else None, self.me().label())
 
     @property
     def lease_end(self) -> datetime.timedelta:
@@ -293,7 +293,7 @@
     def log_dropped(self, gone: collections.abc.Collection[replica_set.ReplicaId], reason: str) -> None:
         """Log that a ballot recorded members out, if it did: one that found another primary changes nothing."""
         if not set(gone) & set(self.record.members()):
-            members = ", ".join(sorted(str(member) for member in gone))
+            members = ", ".join(sorted(member.label() for member in gone))
             events.report(
                 LOG,
                 events.EventFields(
--- a/aspencroft/replication/log_shipping.py
+++ b/aspencroft/replication/log_shipping.py
@@ -95,12 +95,12 @@
                     events.Event.REPAIR_FAILED,
                     state.group_id,
                     state.record.epoch,
-                    member=str(peer),
+                    member=peer.label(),
                     reason=str(refusal),
                 ),
                 "group {}: repair of backup {} failed, epoch {}: {}",
                 state.group_id,
-                peer,
+                peer.label(),
                 state.record.epoch,
                 refusal,
             )
@@ -148,12 +148,12 @@
         event = events.Event.REPAIR_BEGUN if step == "begun" else events.Event.REPAIR_FINISHED
         events.report(
             LOG,
-            events.EventFields(event, self.state.group_id, self.state.record.epoch, member=str(peer), reason=reason),
+            events.EventFields(event, self.state.group_id, self.state.record.epoch, member=peer.label(), reason=reason),
             "group {}: repair {}, epoch {}, member {}: {}",
             self.state.group_id,
             step,
             self.state.record.epoch,
-            peer,
+            peer.label(),
             reason,
         )
 
@@ -199,9 +199,9 @@
                     LOG.warning(
                         "group {}: log completed from member {}, epoch {}, member {}: it held what this disk lacks",
                         state.group_id,
-                        peer,
+                        peer.label(),
                         state.record.epoch,
-                        state.me(),
+                        state.me().label(),
                     )
                     state.counts["taken at start"] += 1
                     through = message.last.sequence if reply.snapshot is None else reply.snapshot.sequence
@@ -210,7 +210,7 @@
             LOG.info(
                 "group {}: no comparison with member {}, epoch {}: {}",
                 state.group_id,
-                peer,
+                peer.label(),
                 state.record.epoch,
                 refusal,
             )
--- a/aspencroft/replication/primary.py
+++ b/aspencroft/replication/primary.py
@@ -199,13 +199,13 @@
                     events.Event.BALLOT_FAILED,
                     state.group_id,
                     state.record.epoch,
-                    member=str(state.me()),
+                    member=state.me().label(),
                     reason=str(refusal),
                 ),
                 "group {}: ballot on the record failed, epoch {}, member {}: {}; asked for as {}",
                 state.group_id,
                 state.record.epoch,
-                state.me(),
+                state.me().label(),
                 refusal,
                 reason,
             )
@@ -402,7 +402,7 @@
                     state.group_id,
                     type(submission.command).__name__,
                     record.epoch,
-                    state.me(),
+                    state.me().label(),
                 )
                 events, reply = (), result.RequestError(result.ResultCode.INTERNAL, detail=repr(error))
             for event in events:
@@ -427,7 +427,7 @@
         try:
             await state.ballot(lambda record: record_changes.without_backups(record, state.me(), gone))
         except result.RequestError as refusal:
-            members = ", ".join(sorted(str(backup) for backup in gone))
+            members = ", ".join(sorted(backup.label() for backup in gone))
             events.report(
                 LOG,
                 events.EventFields(
--- a/aspencroft/replication/replica_changes.py
+++ b/aspencroft/replication/replica_changes.py
@@ -118,11 +118,11 @@
             state.counts["recruits"] += 1
             events.report(
                 LOG,
-                events.EventFields(events.Event.REPLICA_ADDED, state.group_id, state.record.epoch, member=str(peer)),
+                events.EventFields(events.Event.REPLICA_ADDED, state.group_id, state.record.epoch, member=peer.label()),
                 "group {}: replica added, epoch {}, member {}: its log is the same as the primary's",
                 state.group_id,
                 state.record.epoch,
-                peer,
+                peer.label(),
             )
             await state.link.request(
                 peer.address,
@@ -137,12 +137,12 @@
                     events.Event.REPLICA_NOT_ADDED,
                     state.group_id,
                     state.record.epoch,
-                    member=str(peer),
+                    member=peer.label(),
                     reason=str(refusal),
                 ),
                 "group {}: replica {} not added, epoch {}: {}",
                 state.group_id,
-                peer,
+                peer.label(),
                 state.record.epoch,
                 refusal,
             )
@@ -196,13 +196,13 @@
                     events.Event.MOVE_BEGUN,
                     state.group_id,
                     state.record.epoch,
-                    member=str(leaving),
+                    member=leaving.label(),
                     reason="a better place for it is free",
                 ),
                 "group {}: move begun, epoch {}, member {}: a better place for it is free",
                 state.group_id,
                 state.record.epoch,
-                leaving,
+                leaving.label(),
             )
             self.unbalanced_since = None
             state.move.begin(leaving)
@@ -211,19 +211,20 @@
     def end_move(self, reason: str) -> None:
         """No member is to leave for a better place any more."""
         state = self.state
+        leaving = state.move.leaving.label() if state.move.leaving is not None else ""
         events.report(
             LOG,
             events.EventFields(
                 events.Event.MOVE_ENDED,
                 state.group_id,
                 state.record.epoch,
-                member=str(state.move.leaving),
+                member=leaving,
                 reason=reason,
             ),
             "group {}: move ended, epoch {}, member {}: {}",
             state.group_id,
             state.record.epoch,
-            state.move.leaving,
+            leaving,
             reason,
         )
         state.move.end()
@@ -297,7 +298,7 @@
         try:
             await state.ballot(lambda record: record_changes.without_backups(record, state.me(), leaving))
         except result.RequestError as refusal:
-            members = ", ".join(sorted(str(member) for member in leaving))
+            members = ", ".join(sorted(member.label() for member in leaving))
             events.report(
                 LOG,
                 events.EventFields(
--- a/aspencroft/replication/role.py
+++ b/aspencroft/replication/role.py
@@ -118,14 +118,14 @@
         events.report(
             LOG,
             events.EventFields(
-                events.Event.ROLE_CHANGED, self.group_id, epoch, member=str(facts.me), reason=f"{change}: {reason}"
+                events.Event.ROLE_CHANGED, self.group_id, epoch, member=facts.me.label(), reason=f"{change}: {reason}"
             ),
             "group {}: role changed from {} to {}, epoch {}, member {}: {}",
             self.group_id,
             self.role.value,
             fresh.value,
             epoch,
-            facts.me,
+            facts.me.label(),
             reason,
             level=logbook.NOTICE if {self.role, fresh} & LEADERSHIP_ROLES else logbook.INFO,
         )
--- a/aspencroft/replication/role_test.py
+++ b/aspencroft/replication/role_test.py
@@ -57,7 +57,7 @@
     ]
     assert [record.level for record in log.records] == [logbook.INFO, logbook.NOTICE], "a start is no event"
     assert log.records[1].extra[events.EXTRA] == events.EventFields(
-        events.Event.ROLE_CHANGED, 7, 4, member=str(ME), reason="follower to acquiring lease: the primary is silent"
+        events.Event.ROLE_CHANGED, 7, 4, member=ME.label(), reason="follower to acquiring lease: the primary is silent"
     )
 
 
--- a/aspencroft/simulation/behaviour_digests.py
+++ b/aspencroft/simulation/behaviour_digests.py
@@ -318,14 +318,17 @@
     return sorted({*campaign.FAULTS, *campaign.APART, *forwarding.FAULTS} - met)
 
 
-def behaviour_digests(*, check: bool = False, processes: int = 4) -> None:
+def behaviour_digests(*, check: bool = False, processes: int = 4, only: str = "") -> None:
     """Play all days and keep their digests, or compare them with those kept.
 
     :param check: compare, print the days that differ and exit with 1 if there are any; keep nothing
     :param processes: how many days at once, six at most
+    :param only: compare just the day of this name
     """
+    if only and (not check or only not in days()):
+        sys.exit(f"only: one of {', '.join(days())}, together with --check")
     began = time.perf_counter()
-    found = play_apart(days(), processes)
+    found = play_apart([only] if only else days(), processes)
     for name, one in found.items():
         print(f"{name}: {one.digest[:16]}, {one.seconds:.1f} s, {one.broken} broken; {', '.join(one.kinds)}")
     print(f"{len(found)} days in {time.perf_counter() - began:.1f} s; kinds not met: {missing(found.values())}")
@@ -333,7 +336,7 @@
     if not check:
         KEPT.write_text(json.dumps(digests, indent=1) + "\n")
         return
-    before = kept()
+    before = {name: digest for name, digest in kept().items() if not only or name == only}
     differing = sorted(name for name in {*before, *digests} if before.get(name) != digests.get(name))
     print(*(f"differs: {name}" for name in differing), f"{len(differing)} days differ", sep="\n")
     sys.exit(1 if differing else 0)
