--- a/aspencroft/configuration/control_state.py
+++ b/aspencroft/configuration/control_state.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from aspencroft.configuration import http_route, operator_configuration, resources, taken_orders
+from aspencroft.configuration import http_route, operator_configuration, refused_orders, resources, taken_orders
 from aspencroft.errors import result
 from aspencroft.runtime import clock
 from aspencroft.transport import codec
@@ -155,7 +155,7 @@
     orders: tuple[operator_configuration.Order, ...]
 
 
-Event = RoleAcquired | ConfigurationTaken | ResourcesChanged
+Event = RoleAcquired | ConfigurationTaken | ResourcesChanged | refused_orders.OrderRefused
 """What the control group's log holds."""
 
 
@@ -203,11 +203,21 @@
     def decide_configuration(
         self, command: operator_configuration.ApplyConfiguration, epoch: int
     ) -> tuple[tuple, object]:
-        """An operator's configuration, checked whole before anything is stored; one that was taken is known again."""
+        """An operator's configuration, checked whole before anything is stored.
+
+        One that was taken is known again; one that was refused stays refused.
+        """
         known = self.configuration.known(command)
         if known is not None:
             return (), operator_configuration.Applied(known.revision, 0, True)
-        decided = self.configuration.decide(command, self.document, self.index)
+        self.configuration.check_refused_before(command)
+        try:
+            decided = self.configuration.decide(command, self.document, self.index)
+        except result.RequestError as refusal:
+            lasting = self.configuration.lasting_refusal(command, refusal)
+            if lasting is None:
+                raise
+            return (lasting,), refusal
         revision = Revision(epoch, self.revision.number + 1)
         changed = ResourcesChanged(revision, tuple(Change(*one) for one in decided.changes))
         taken = taken_orders.Taken(command.version, command.digest, revision.text())
@@ -297,6 +307,8 @@
         elif isinstance(event, ConfigurationTaken):
             self.configuration.apply(event.taken, event.kept, event.orders)
             self.fold_changes(event.changed)
+        elif isinstance(event, refused_orders.OrderRefused):
+            self.configuration.refused.add(event)
         else:
             self.fold_changes(event)
 
--- a/aspencroft/configuration/operator_configuration.py
+++ b/aspencroft/configuration/operator_configuration.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from aspencroft.configuration import http_route, resources, taken_orders
+from aspencroft.configuration import http_route, refused_orders, resources, taken_orders
 from aspencroft.errors import result
 from aspencroft.transport import codec
 
@@ -120,6 +120,7 @@
         self.version = 0
         self.groups: dict[str, dict[str, Kept]] = {}
         self.taken = taken_orders.TakenOrders()
+        self.refused = refused_orders.RefusedOrders()
 
     def known(self, command: ApplyConfiguration) -> taken_orders.Taken | None:
         """The record of this very command, if it was taken before.
@@ -173,6 +174,39 @@
             raise refusal(faults)
         return Decided(tuple(kept), self.orders(command), tuple(changes))
 
+    def check_refused_before(self, command: ApplyConfiguration) -> None:
+        """Refuse an order again that was refused before, though it could be taken now.
+
+        Raises:
+            RequestError: the result that the order was told then.
+
+        """
+        found = self.refused.find(command.version, command.condition, command.digest)
+        if found is None:
+            return
+        text = "this very order was refused before"
+        if found.result == result.ResultCode.PLAN_INVALID.number:
+            raise refusal([resources.Fault("", text)])
+        raise result.RequestError(result.ResultCode.REVISION_DIFFERS, detail=text)
+
+    def lasting_refusal(
+        self, command: ApplyConfiguration, told: result.RequestError
+    ) -> refused_orders.OrderRefused | None:
+        """The event that keeps a refused order refused; none where no later state could take it.
+
+        Raises:
+            RequestError: OUTCOME_UNKNOWN where the record has no room for it.
+
+        """
+        is_final = command.condition < self.version or command.version <= command.condition
+        if is_final or len(command.digest) != taken_orders.DIGEST_BYTES:
+            return None
+        if self.refused.is_full():
+            raise result.RequestError(
+                result.ResultCode.OUTCOME_UNKNOWN, result.Ran.UNKNOWN, "too many refused orders are on record"
+            )
+        return refused_orders.OrderRefused(command.version, command.condition, command.digest, told.result.number)
+
     def items(self, command: ApplyConfiguration) -> tuple[list[Kept], list[Kept]]:
         """Items that a command changes, as they will be kept, and the old ones that go or give way."""
         kept, dropped, named = [], [], set()
@@ -214,6 +248,7 @@
         """Take in a configuration that was decided."""
         self.version = taken.version
         self.taken.add(taken)
+        self.refused.forget_below(taken.version)
         for one in kept:
             group = self.groups.setdefault(one.group, {})
             if one.text:
@@ -236,6 +271,7 @@
             "version": self.version,
             "items": [dataclasses.astuple(one) for group in self.groups.values() for one in group.values()],
             "taken": self.taken.snapshot(),
+            "refused": self.refused.snapshot(),
         }
 
     def restore(self, shown: dict) -> None:
@@ -246,6 +282,8 @@
             self.groups.setdefault(kept.group, {})[kept.label] = kept
         self.taken = taken_orders.TakenOrders()
         self.taken.restore(shown["taken"])
+        self.refused = refused_orders.RefusedOrders()
+        self.refused.restore(shown.get("refused", ()))
 
 
 def twice(names: collections.abc.Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
--- a/aspencroft/simulation/mutations.py
+++ b/aspencroft/simulation/mutations.py
@@ -1169,6 +1169,20 @@
         '            return watcher\n        return ""\n        reason = ',
         ("membership/suspicion_test.py",),
     ),
+    Mutation(
+        "an order that was refused is decided anew",
+        "configuration/control_state.py",
+        "        self.configuration.check_refused_before(command)\n",
+        "",
+        ("configuration/refused_orders_test.py",),
+    ),
+    Mutation(
+        "refused orders are not in the snapshot",
+        "configuration/operator_configuration.py",
+        '            "refused": self.refused.snapshot(),\n',
+        '            "refused": [],\n',
+        ("configuration/refused_orders_test.py",),
+    ),
     Mutation(
         "a child of a stale parent pulls without a pause",
         "distribution/relay.py",
