A stream on a resumable route goes on at another worker inside one answer

Change: on routes with resumable and more than one attempt, proxy/event_buffer.py passes on whole events only; a stream that breaks, also in the middle of an event, goes on at another worker behind the last whole event that went out (Forwarder.resume, continue_at; Last-Event-Id by platform/dialect.py). Head and stamp stay the first worker's, events that went out are dropped, a gap in ids that counted up one by one breaks the answer off, attempts of all workers together are bounded by the route, tokens are charged for the events that went out. Before the first event another worker is tried.

The stand-in worker answers a stream that is continued behind its last event by its end (it made one more event).

--- a/aspencroft/emulator/worker_server.py
+++ b/aspencroft/emulator/worker_server.py
@@ -49,6 +49,11 @@
         left = max(1, int(remaining.total_seconds() * 1000))
         return (*kept, (REMAINING, b"%d" % left), (EXPECT, instance_name.encode()))
 
+    def resume_headers(self, headers: call.Headers, last_event: str) -> call.Headers:
+        """The headers of a request that continues a stream behind an event; unchanged when that is none."""
+        kept = tuple((name, value) for name, value in headers if name.lower() != RESUME)
+        return (*kept, (RESUME, last_event.encode())) if last_event else headers
+
     def head(self, status: int, headers: call.Headers, attempt: str) -> call.Head:
         """What the head of an answer says."""
         known = {name.lower(): value for name, value in headers}
@@ -420,6 +425,8 @@
             (name, int(count)) for name, count in (one.split(":") for one in asked.text(PARTS).split(",") if one)
         )
         done = after * worker.work.shape.stride
+        if after and done >= most:
+            return await self.put_out_nothing(asked)
         job = engine.Job(asked.text(MODEL), parts, max(1, most - done), end)
         worker.engine.offer(job)
         try:
@@ -427,6 +434,15 @@
         finally:
             worker.engine.drop(job)
 
+    async def put_out_nothing(self, asked: Asked) -> None:
+        """Answer a stream that is continued behind its last event: just its end is left."""
+        run = self.worker.begin(asked)
+        run.status = 200
+        run.first = run.ended = clock.now().total_seconds()
+        more = (b"content-type", STREAM), (b"transfer-encoding", b"chunked")
+        await self.send(self.head_of(asked, 200, run, more))
+        await self.finish(asked, run)
+
     async def put_out(self, asked: Asked, job: engine.Job, after: int) -> None:
         """Hand a job's events over as they come."""
         worker, told, run = self.worker, 0, None
--- /dev/null
+++ b/aspencroft/proxy/event_buffer_test.py
@@ -0,0 +1,85 @@
+"""Tests of ``aspencroft.proxy.event_buffer``."""
+
+import hypothesis
+import hypothesis.strategies
+import pytest
+
+from aspencroft.errors import result
+from aspencroft.proxy import event_buffer, events
+
+
+def event(number: int, end: bytes = b"\n", first: bytes = b"") -> bytes:
+    return first + b"id: %d" % number + end + b"data: words %d" % number + end + end
+
+
+def cut(stream: bytes, places: list[int]) -> list[bytes]:
+    edges = sorted({min(place, len(stream)) for place in places})
+    return [stream[start:end] for start, end in zip([0, *edges], [*edges, len(stream)], strict=True)]
+
+
+PLACES = hypothesis.strategies.lists(hypothesis.strategies.integers(0, 200), max_size=12)
+ENDS = hypothesis.strategies.sampled_from([b"\n", b"\r\n", b"\r"])
+
+
+@hypothesis.settings(deadline=None, derandomize=True, database=None)
+@hypothesis.given(PLACES, PLACES, ENDS, hypothesis.strategies.integers(0, 120), hypothesis.strategies.integers(0, 3))
+def test_a_stream_broken_anywhere_and_continued_anywhere_has_each_event_once(before, after, end, broken_at, overlap):
+    stream = b"".join(event(number, end) for number in range(1, 7))
+    buffer, passed = event_buffer.EventBuffer(), b""
+    for part in cut(stream[:broken_at], before):
+        passed += buffer.feed(part)
+    assert stream.startswith(passed) and buffer.can_continue()
+    last = int(buffer.last_id or 0)
+    buffer.begin_again()
+    for part in cut(b"".join(event(number, end) for number in range(max(1, last + 1 - overlap), 7)), after):
+        passed += buffer.feed(part)
+    passed += buffer.rest()
+    reader = events.Reader()
+    reader.feed(passed)
+    assert reader.data == [b"words %d" % number for number in range(1, 7)]
+
+
+@hypothesis.settings(deadline=None, derandomize=True, database=None)
+@hypothesis.given(hypothesis.strategies.binary(max_size=300), PLACES)
+def test_any_bytes_pass_unchanged_while_nothing_is_continued(stream, places):
+    buffer = event_buffer.EventBuffer()
+    assert b"".join(buffer.feed(part) for part in cut(stream, places)) + buffer.rest() == stream
+
+
+def test_ids_that_repeat_in_one_run_pass_and_only_a_continued_stream_is_checked():
+    buffer = event_buffer.EventBuffer()
+    assert buffer.feed(event(5) + event(5) + event(2)) == event(5) + event(5) + event(2)
+
+
+def test_a_continued_stream_that_leaves_events_out_is_broken_off():
+    buffer = event_buffer.EventBuffer()
+    buffer.feed(event(1) + event(2))
+    buffer.begin_again()
+    with pytest.raises(result.RequestError):
+        buffer.feed(event(4))
+
+
+def test_ids_that_do_not_count_up_one_by_one_are_taken_as_they_rise():
+    buffer = event_buffer.EventBuffer()
+    buffer.feed(event(10) + event(20))
+    buffer.begin_again()
+    assert buffer.feed(event(20) + event(40)) == event(40)
+
+
+@pytest.mark.parametrize("head", [b"data: x\n\n", b"id:\ndata: x\n\n"])
+def test_a_stream_with_an_event_that_has_no_id_is_not_continued(head):
+    buffer = event_buffer.EventBuffer()
+    assert buffer.can_continue()
+    assert buffer.feed(head) == head and not buffer.can_continue()
+
+
+def test_a_line_before_the_id_belongs_to_its_event():
+    buffer = event_buffer.EventBuffer()
+    told = event(1, first=b"weight-versions: 7\n")
+    assert buffer.feed(told[:9]) + buffer.feed(told[9:]) == told and buffer.last_id == "1"
+
+
+def test_an_event_without_end_is_held_back_within_bounds(monkeypatch):
+    monkeypatch.setattr(event_buffer, "MOST_PENDING_BYTES", 100)
+    buffer = event_buffer.EventBuffer()
+    assert buffer.feed(b"data: " + b"x" * 200) == b"data: " + b"x" * 200 and not buffer.can_continue()
--- a/aspencroft/proxy/forwarder.py
+++ b/aspencroft/proxy/forwarder.py
@@ -19,6 +19,7 @@
     admission_report,
     call,
     completion_queue,
+    event_buffer,
     events,
     instance,
     instances,
@@ -68,6 +69,9 @@
     def head(self, status: int, headers: call.Headers, attempt: str) -> call.Head:
         """What the head of an answer says."""
 
+    def resume_headers(self, headers: call.Headers, last_event: str) -> call.Headers:
+        """The headers of a request that continues a stream behind an event; unchanged when that is none."""
+
     def accepts(self, attempt: str) -> pool.Accepts:
         """Whether an answer may be one to the request with this id."""
 
@@ -115,11 +119,33 @@
         """Whether the work may be done more than once."""
         return self.route.kind == http_route.SAFE
 
+    def may_resume(self) -> bool:
+        """Whether a stream that breaks off may go on at another worker."""
+        return self.route.kind == http_route.STREAM and self.route.resumable and self.route.attempts > 1
+
     def exhausted(self) -> bool:
         """Whether the call was sent to as many workers as its route allows."""
         return self.attempts.sent >= max(1, self.route.attempts)
 
 
+@dataclasses.dataclass
+class StreamSource:
+    """The worker that a stream comes from at the moment, and its answer; it is given back once."""
+
+    chosen: instance.Instance
+    response: pool.Response
+    parts: collections.abc.AsyncIterator[bytes]
+    first: bytes
+    is_open: bool = True
+
+    async def read(self) -> collections.abc.AsyncIterator[bytes]:
+        """The bytes that came first, and all others as they come."""
+        if self.first:
+            yield self.first
+            async for part in self.parts:
+                yield part
+
+
 class Forwarder:
     """The stages of one edge for opaque calls; each call is walked through them by the task of its connection."""
 
@@ -456,7 +482,7 @@
             except result.RequestError as refusal:
                 self.add_trace(state, "attempt failed", f"{chosen.name}: {refusal}")
                 state.tried_workers |= {chosen.name}
-                if refusal.ran is not result.Ran.NOT_RUN and not state.repeatable():
+                if refusal.ran is not result.Ran.NOT_RUN and not (state.repeatable() or state.may_resume()):
                     raise
                 if state.hedged or state.exhausted() or clock.now() >= state.end:
                     raise
@@ -630,41 +656,129 @@
         parts: collections.abc.AsyncIterator[bytes],
         first: bytes,
     ) -> collections.abc.AsyncIterator[bytes]:
-        """The parts of a stream; it ends only once the turn is kept, and raises when it was broken off."""
-        reader, whole, watch = events.Reader(), False, stream_pace.Stopwatch()
+        """The parts of a stream; it ends only once the turn is kept, and raises when it was broken off.
+
+        On a route that may be resumed only whole events go out, and a stream that breaks goes on at another worker.
+        """
+        reader, watch = events.Reader(), stream_pace.Stopwatch()
+        whole_events = event_buffer.EventBuffer() if state.may_resume() else None
+        source, whole = StreamSource(chosen, response, parts, first), False
         try:
-            reader.feed(first)
-            watch.saw(reader.count)
-            if first:
-                yield first
-                async for part in parts:
-                    reader.feed(part)
-                    watch.saw(reader.count)
-                    yield part
-            whole = True
-            seconds_an_event = watch.pace()
-            if seconds_an_event:
-                self.instances.record_pace(chosen.name, seconds_an_event)
-            await response.close(True)
-            self.release(chosen)
+            while not whole:
+                try:
+                    async for part in source.read():
+                        passed = part if whole_events is None else whole_events.feed(part)
+                        if passed:
+                            reader.feed(passed)
+                            watch.saw(reader.count)
+                            yield passed
+                    whole = True
+                except result.RequestError as refusal:
+                    await self.close_broken(source, refusal)
+                    source = await self.resume(state, source, whole_events, refusal)
+                    watch = stream_pace.Stopwatch()
+            if whole_events is not None and (rest := whole_events.rest()):
+                reader.feed(rest)
+                yield rest
+            await self.close_whole(source, watch)
             if state.turn_reserved:
-                await self.end_turn(state, chosen, reader)
+                await self.end_turn(state, source.chosen, reader)
             self.counts["answered"] += 1
-            self.add_trace(state, "answered", f"{chosen.name}: {reader.count} events")
+            self.add_trace(state, "answered", f"{source.chosen.name}: {reader.count} events")
         except result.RequestError as refusal:
             self.counts["streams broken"] += 1
-            if not whole:
-                self.instances.record_failure(chosen.name, outlier_detection.outcome_of_error(refusal))
             self.add_trace(state, "broken off", str(refusal))
             raise
         finally:
             self.active -= 1
-            if not whole:
-                await response.close(False)
-                self.release(chosen)
+            if source.is_open:
+                source.is_open = False
+                await source.response.close(False)
+                self.release(source.chosen)
             if state.turn_reserved:
                 self.finish_turn_later(state, messages.UNKNOWN)
 
+    async def close_whole(self, source: StreamSource, watch: stream_pace.Stopwatch) -> None:
+        """Give back the worker and the connection of a stream that came whole."""
+        seconds_an_event = watch.pace()
+        if seconds_an_event:
+            self.instances.record_pace(source.chosen.name, seconds_an_event)
+        await source.response.close(True)
+        source.is_open = False
+        self.release(source.chosen)
+
+    async def close_broken(self, source: StreamSource, refusal: result.RequestError) -> None:
+        """Give back the worker of a stream that broke off, and count the failure for it."""
+        self.instances.record_failure(source.chosen.name, outlier_detection.outcome_of_error(refusal))
+        source.is_open = False
+        await source.response.close(False)
+        self.release(source.chosen)
+
+    async def resume(
+        self,
+        state: CallState,
+        broken: StreamSource,
+        whole_events: event_buffer.EventBuffer | None,
+        refusal: result.RequestError,
+    ) -> StreamSource:
+        """Continue a stream at another worker, behind the last whole event that went out.
+
+        The attempts that the route allows hold for all workers of the call together.
+
+        Raises:
+            RequestError: the refusal that broke the stream, where it may not go on; that of the last attempt where no
+                worker could continue it.
+
+        """
+        if whole_events is None or not whole_events.can_continue():
+            raise refusal
+        failed = broken.chosen
+        while not state.exhausted() and clock.now() < state.end:
+            state.tried_workers |= {failed.name}
+            self.add_trace(state, "broken, to be continued", f"{failed.name}: {refusal}")
+            failed = await self.wait_for_worker(state)
+            try:
+                source = await self.continue_at(state, failed, whole_events.last_id)
+            except result.RequestError as later:
+                refusal = later
+                continue
+            whole_events.begin_again()
+            self.counts["streams continued"] += 1
+            self.add_trace(state, "continued", f"{failed.name}, behind event {whole_events.last_id or 'none'}")
+            return source
+        raise refusal
+
+    async def continue_at(self, state: CallState, chosen: instance.Instance, last_event: str) -> StreamSource:
+        """Ask one worker to continue a stream; its answer's head was checked and is not passed on.
+
+        Raises:
+            RequestError: the worker declined, broke off or gave another answer than a stream.
+
+        """
+        self.instances.begin(chosen.name)
+        response: pool.Response | None = None
+        try:
+            if self.instances.is_excluded(chosen.name):
+                raise result.RequestError(result.ResultCode.PUT_BACK, detail="the worker is leaving")
+            service = self.node.relay.configuration.services.get(chosen.service)
+            most = service.max_connections if service is not None and service.max_connections else MOST_CONNECTIONS
+            headers = self.dialect.request_headers(state.call, chosen.name, state.end - clock.now())
+            response = await self.send(state, chosen, self.dialect.resume_headers(headers, last_event), most)
+            head = self.dialect.head(response.status, response.headers, state.call.attempt)
+            self.record_head(chosen, head)
+            await self.check_head(state, response, head)
+            if not 200 <= head.status < 300:
+                raise result.RequestError(result.ResultCode.WORKER_BROKE, result.Ran.UNKNOWN, f"status {head.status}")
+            parts = response.parts()
+            return StreamSource(chosen, response, parts, await anext(parts, b""))
+        except BaseException as error:
+            if response is not None:
+                await response.close(False)
+            if isinstance(error, result.RequestError) and response is not None:
+                self.instances.record_failure(chosen.name, outlier_detection.outcome_of_error(error))
+            self.release(chosen)
+            raise
+
     async def end_turn(self, state: CallState, chosen: instance.Instance, reader: events.Reader) -> None:
         """Have the turn kept and charged, before its caller hears of its end."""
         one, output = state.call, reader.output()
--- a/aspencroft/simulation/mutations.py
+++ b/aspencroft/simulation/mutations.py
@@ -1169,6 +1169,20 @@
         '            return watcher\n        return ""\n        reason = ',
         ("membership/suspicion_test.py",),
     ),
+    Mutation(
+        "the rest of a broken event is joined with what another worker sends",
+        "proxy/event_buffer.py",
+        '        self.pending, self.is_continued = b"", True\n',
+        "        self.is_continued = True\n",
+        ("proxy/event_buffer_test.py", "simulation/call_troubles_test.py"),
+    ),
+    Mutation(
+        "a stream is continued beyond the attempts of its route",
+        "proxy/forwarder.py",
+        '        if state.exhausted():\n            raise result.RequestError(result.ResultCode.PUT_BACK, detail="the route',
+        '        if False:\n            raise result.RequestError(result.ResultCode.PUT_BACK, detail="the route',
+        ("simulation/call_troubles_test.py", "proxy/forwarder_test.py"),
+    ),
     Mutation(
         "an order that was refused is decided anew",
         "configuration/control_state.py",
