--- a/aspencroft/membership/suspicion.py
+++ b/aspencroft/membership/suspicion.py
@@ -1,5 +1,6 @@
 """Suspicion: a silent member is down only once a probe fails and a second watcher misses it too."""
 
+import asyncio
 import random
 
 import logbook
@@ -108,19 +109,14 @@
         further = self.randomness.sample(others, min(FURTHER_WATCHERS, len(others)))
         if not watchers and not further:
             return ""
-        for watcher in (*watchers, *further):
-            try:
-                reply = await self.link.request(
-                    watcher,
-                    cluster_member.ConfirmSuspicion(address, suspected.incarnation),
-                    2 * table_exchange.PROBE_TIMEOUT,
-                )
-            except result.RequestError:
-                continue
-            if not reply.missing:
-                self.report_denial(address, f"{watcher} hears from it")
-                return None
-            return watcher
+        for watcher in watchers:
+            is_missing = await self.ask(watcher, suspected)
+            if is_missing is not None:
+                return self.confirmation(watcher, suspected, is_missing)
+        answers = await asyncio.gather(*(self.ask(other, suspected) for other in further))
+        for other, is_missing in zip(further, answers, strict=True):
+            if is_missing is not None:
+                return self.confirmation(other, suspected, is_missing)
         reason = "no other member answers, this node may be cut off"
         events.report(
             LOG,
@@ -131,6 +127,22 @@
         )
         return None
 
+    async def ask(self, watcher: str, suspected: cluster_member.ClusterMember) -> bool | None:
+        """Whether another member misses a suspected one too; None if it does not answer."""
+        message = cluster_member.ConfirmSuspicion(suspected.address, suspected.incarnation)
+        try:
+            reply = await self.link.request(watcher, message, 2 * table_exchange.PROBE_TIMEOUT)
+        except result.RequestError:
+            return None
+        return bool(reply.missing)
+
+    def confirmation(self, watcher: str, suspected: cluster_member.ClusterMember, is_missing: bool) -> str | None:
+        """The member that confirms a suspicion, or None where it denies it."""
+        if is_missing:
+            return watcher
+        self.report_denial(suspected.address, f"{watcher} hears from it")
+        return None
+
     def report_denial(self, address: str, reason: str) -> None:
         """Log that a suspected member lives."""
         events.report(
--- a/aspencroft/simulation/mutations.py
+++ b/aspencroft/simulation/mutations.py
@@ -1165,8 +1165,8 @@
     Mutation(
         "a suspicion that nobody answers counts as confirmed",
         "membership/suspicion.py",
-        "            return watcher\n        reason = ",
-        '            return watcher\n        return ""\n        reason = ',
+        "            reason,\n        )\n        return None\n\n    async def ask(",
+        '            reason,\n        )\n        return ""\n\n    async def ask(',
         ("membership/suspicion_test.py",),
     ),
     Mutation(
