--- a/aspencroft/consensus/witness_changes_test.py
+++ b/aspencroft/consensus/witness_changes_test.py
@@ -1,6 +1,9 @@
 """Tests of changing the voter set: a second loss at every step, a set that few heard of, what stays readable."""
 
+import pytest
+
 from aspencroft.consensus import replica_set
+from aspencroft.simulation import voter_walk
 from aspencroft.simulation import voters as simulated_voters
 from aspencroft.transport import codec
 
@@ -58,6 +61,15 @@
             lose_at(step, lost, 7)
 
 
+@pytest.mark.parametrize(("voters", "every"), [(5, 17), (7, 41)])
+@pytest.mark.parametrize("loss", voter_walk.Loss)
+def test_further_losses_of_each_sort_at_messages_of_a_replacement(voters, every, loss):
+    """A sample; ``python -m aspencroft.simulation.voter_walk`` takes every message."""
+    scenes = voter_walk.scenes(voters, every, [loss])
+    assert len(scenes) > 25
+    assert [text for text in map(voter_walk.play, scenes) if text] == []
+
+
 def test_a_set_that_a_single_witness_accepted_stops_nobody():
     async def scenario(voters: simulated_voters.Voters) -> None:
         await voters.written(1, 4)
--- a/aspencroft/replication/role_test.py
+++ b/aspencroft/replication/role_test.py
@@ -52,8 +52,8 @@
             roles.apply(facts(), "its log follows the primary's")
         roles.apply(facts(known=PRIMARY, is_leading=True), "the primary is silent")
     assert [record.message for record in log.records] == [
-        f"group 7: role changed from recovering to follower, epoch 4, member {ME}: its log follows the primary's",
-        f"group 7: role changed from follower to acquiring lease, epoch 4, member {ME}: the primary is silent",
+        f"group 7: role changed from recovering to follower, epoch 4, member {ME.label()}: its log follows the primary's",
+        f"group 7: role changed from follower to acquiring lease, epoch 4, member {ME.label()}: the primary is silent",
     ]
     assert [record.level for record in log.records] == [logbook.INFO, logbook.NOTICE], "a start is no event"
     assert log.records[1].extra[events.EXTRA] == events.EventFields(
--- a/aspencroft/simulation/cutoff_test.py
+++ b/aspencroft/simulation/cutoff_test.py
@@ -33,6 +33,26 @@
     check(cutoff.play(700 + cutoff.KINDS.index(kind), trouble, SMALL), 20, 1000)
 
 
+@pytest.mark.parametrize("kind", ("in", "swallow"))
+def test_edges_in_touch_hear_of_a_new_root_though_most_other_parents_are_cut_off(kind):
+    """The root is cut off with a core and two edges of three, so that its successor is asked before it has read.
+
+    On 16d0921, where a root that answers was left out like a silent parent, this seed had 39 faults ("swallow").
+    """
+
+    async def trouble(cluster: simulated_cluster.SimulatedCluster, trial: cutoff.Trial) -> None:
+        await asyncio.sleep(2)
+        leader = cluster.leader(0)
+        other = next(name for name in cluster.cores if name != leader)
+        edges = [name for number, name in enumerate(cluster.edges) if number % 3]
+        cutoff.cut(cluster, kind, [leader, other, *edges], cluster.names())
+        await asyncio.sleep(6)
+        cluster.wire.heal()
+        await asyncio.sleep(2)
+
+    check(cutoff.play(901, trouble, WITH_RELAYING_EDGES), 8, 500)
+
+
 @pytest.mark.parametrize("kind", ("out", "swallow"))
 def test_edges_in_touch_keep_up_though_the_edges_that_relay_to_them_are_cut_off(kind):
     async def trouble(cluster: simulated_cluster.SimulatedCluster, trial: cutoff.Trial) -> None:
