--- a/aspencroft/replication/role_test.py
+++ b/aspencroft/replication/role_test.py
@@ -51,9 +51,10 @@
         for _ in range(3):
             roles.apply(facts(), "its log follows the primary's")
         roles.apply(facts(known=PRIMARY, is_leading=True), "the primary is silent")
+    about = f"epoch 4, member {ME.label()}"
     assert [record.message for record in log.records] == [
-        f"group 7: role changed from recovering to follower, epoch 4, member {ME.label()}: its log follows the primary's",
-        f"group 7: role changed from follower to acquiring lease, epoch 4, member {ME.label()}: the primary is silent",
+        f"group 7: role changed from recovering to follower, {about}: its log follows the primary's",
+        f"group 7: role changed from follower to acquiring lease, {about}: the primary is silent",
     ]
     assert [record.level for record in log.records] == [logbook.INFO, logbook.NOTICE], "a start is no event"
     assert log.records[1].extra[events.EXTRA] == events.EventFields(
--- a/aspencroft/simulation/model_check.py
+++ b/aspencroft/simulation/model_check.py
@@ -67,6 +67,12 @@
     checks.append(
         voting(f"{size} voters: change of two", consensus_model.Scenario(voters, coming, 1, change, step)),
     )
+    wiped = Voting(ballots=1, leases=0, clock_steps=2 + 2 * more, voter_set_changes=1, lost_disks=1)
+    checks.append(
+        voting(
+            f"{size} voters: change of two and a lost disk", consensus_model.Scenario(voters, coming, 1, wiped, step)
+        ),
+    )
     return tuple(checks)
 
 
@@ -85,6 +91,10 @@
             "copies: unknown outcome of an enlistment",
             replica_model.Scenario(3, 2, 2, Copies(enlistments=1, unknown_outcomes=1)),
         ),
+        copies(
+            "copies: patience over after a start",
+            replica_model.Scenario(3, 3, 2, Copies(takeovers=2, restarts=2, impatience=2, drops=0)),
+        ),
         copies(
             "copies: two losses of three",
             replica_model.Scenario(3, 3, 3, Copies(entries=1, lost_disks=2, failed_looks=1)),
--- a/aspencroft/simulation/model_check_test.py
+++ b/aspencroft/simulation/model_check_test.py
@@ -33,6 +33,9 @@
 CHANGING = consensus_model.Budget(
     ballots=12, leases=12, clock_steps=20, delays=3, voter_restarts=2, lost_values=1, voter_set_changes=2, gossip=4
 )
+WIPED_WHILE_CHANGING = consensus_model.Budget(
+    ballots=10, leases=8, clock_steps=16, delays=2, lost_disks=2, voter_set_changes=2, gossip=4
+)
 COPIES = replica_model.Budget(
     entries=6,
     takeovers=4,
@@ -61,6 +64,14 @@
     assert_kept(check, model_check.SMALL)
 
 
+def test_patience_at_a_start_is_safe_only_on_disks_that_keep_what_they_synced():
+    """On a disk that may lose its last value the model finds what the wait for another member guards against."""
+    budget = replica_model.Budget(takeovers=2, lost_values=1, impatience=1, drops=0)
+    model = replica_model.ReplicaModel(replica_model.Scenario(3, 3, 2, budget))
+    found = explorer.explore(model, model_check.SMALL)
+    assert found.violation is not None and "waits no longer" in " ".join(found.trace)
+
+
 def assert_kept(check: model_check.Check, bound: explorer.Bound) -> None:
     found = explorer.explore(check.model(), bound)
     print(f"{check.name}: {found.text()}")
@@ -97,6 +108,13 @@
     walk(consensus_model.ConsensusModel(scenario), choices)
 
 
+@WALK
+@hypothesis.given(CHOICES, strategies.sampled_from(((THREE, ("c", "d", "e")), (FIVE, ("c", "d", "e", "f", "g")))))
+def test_long_walks_with_wipes_inside_changes_of_the_voter_set_keep_every_invariant(choices, sets):
+    scenario = consensus_model.Scenario(sets[0], sets[1], 2, WIPED_WHILE_CHANGING, clock.seconds(0.5))
+    walk(consensus_model.ConsensusModel(scenario), choices)
+
+
 @WALK
 @hypothesis.given(CHOICES)
 def test_long_walks_of_copies_keep_every_invariant(choices):
--- a/aspencroft/simulation/replica_model.py
+++ b/aspencroft/simulation/replica_model.py
@@ -31,6 +31,7 @@
     unknown_outcomes: int = 0
     drains: int = 0
     failed_looks: int = 0
+    impatience: int = 0
 
     def less(self, name: str) -> "Budget | None":
         """One event fewer of a kind; none when there is none left.
@@ -197,6 +198,10 @@
             lost += any(one.address == f"m{other}" and one != identity(other, peer) for one in others)
         if lost == len(others):
             yield f"m{place} is alone", changed(state, place, node._replace(unsure=False))
+        budget = state.budget.less("impatience")
+        if budget is not None:
+            # ``START_PATIENCE`` is over: it goes on with what its disk holds, whatever the others would have said.
+            yield f"m{place} waits no longer", changed(state, place, node._replace(unsure=False), budget=budget)
 
     def primary_steps(
         self, state: State, place: int, node: Node, me: replica_set.ReplicaId
