--- a/aspencroft/consensus/witness_test.py
+++ b/aspencroft/consensus/witness_test.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from aspencroft.consensus import replica_set, witness
-from aspencroft.runtime import environment
+from aspencroft.consensus import ballot, replica_set, witness
+from aspencroft.runtime import clock, environment
 from aspencroft.transport import codec
 
 
@@ -119,3 +119,25 @@
         assert not reply.granted and reply.voter_set == NEWER
 
     asyncio.run(scenario())
+
+
+def test_an_accept_for_the_promise_of_an_earlier_incarnation_is_refused(tmp_path):
+    """What that incarnation told of accepted values may have been lost with its disk, whatever it was taught since."""
+
+    async def scenario():
+        voter = await voter_on(tmp_path / "voter", environment.machine().disk)
+        promise = await voter.prepare(replica_set.Prepare(0, 9, "b:1", SET.number))
+        assert promise.granted and promise.incarnation == 5
+        assert not (await voter.accept(replica_set.Accept(0, 9, RECORD, 4, SET.number))).granted
+        assert (await voter.accept(replica_set.Accept(0, 9, RECORD, 5, SET.number))).granted
+
+    asyncio.run(scenario())
+
+
+def test_a_ballot_that_took_longer_than_a_lease_is_not_known_to_be_chosen():
+    """A voter that lost its disk meanwhile may vote again by then, and count for another value."""
+    reply = replica_set.BallotReply(True, 1, replica_set.Ballot(0, 9, 9, RECORD), SET, clock.ZERO)
+    replies, started = {"w:1": reply, "w:2": reply}, clock.seconds(100)
+    assert ballot.is_chosen(SET, replies, started, started + witness.LEASE)
+    assert not ballot.is_chosen(SET, replies, started, started + witness.LEASE + clock.seconds(0.001))
+    assert not ballot.is_chosen(SET, {"w:1": reply}, started, started)
--- a/aspencroft/simulation/model_check.py
+++ b/aspencroft/simulation/model_check.py
@@ -10,7 +10,7 @@
 import defopt
 
 from aspencroft.runtime import clock
-from aspencroft.simulation import consensus_model, explorer, replica_model
+from aspencroft.simulation import consensus_model, explorer, relay_model, replica_model
 
 FIVE = ("a", "b", "c", "d", "e")
 SMALL = explorer.Bound(depth=80, states=160_000)
@@ -102,6 +102,24 @@
     )
 
 
+def relay_checks() -> tuple[Check, ...]:
+    """The checks of the dissemination tree: one root, a change of it, lost replies and updates that do not fit."""
+    one, two = relay_model.ONE_ROOT, relay_model.PULLS
+    three = tuple(pull for pull in two if relay_model.LEAF not in pull and pull[0] != relay_model.FIRST_ROOT)
+    budget = relay_model.Budget
+    settings = {
+        "one root": (budget(commits=1, clock_steps=1, terms=0), one),
+        "one root, lost replies": (budget(commits=1, clock_steps=1, terms=0, lost_replies=1), one),
+        "one root, updates that do not fit": (budget(commits=1, clock_steps=4, terms=0, unfit_updates=1), one[:1]),
+        "change of the root": (budget(commits=1, clock_steps=3), three),
+        "change of the root below a relay": (budget(commits=1, clock_steps=4, restarts=1), two),
+    }
+    return tuple(
+        Check(f"relays: {name}", lambda chosen=chosen: relay_model.RelayModel(*chosen))
+        for name, chosen in settings.items()
+    )
+
+
 def run(checks: collections.abc.Iterable[Check], bound: explorer.Bound) -> dict[str, explorer.Exploration]:
     """Explore each check to the bound."""
     return {one.name: explorer.explore(one.model(), bound) for one in checks}
@@ -118,7 +136,7 @@
     """
     bound = explorer.Bound(depth, states)
     broken = 0
-    for one in (*voting_checks(FIVE[:voters], fine), *copies_checks()):
+    for one in (*voting_checks(FIVE[:voters], fine), *copies_checks(), *relay_checks()):
         if only not in one.name:
             continue
         found = explorer.explore(one.model(), bound)
