--- a/aspencroft/simulation/consensus_model.py
+++ b/aspencroft/simulation/consensus_model.py
@@ -22,6 +22,7 @@
 DRIFT = clock.seconds(0.1)
 GROUP = 0
 FIRST_BALLOT = 1
+NO_EPOCH = 0
 NUMBERS = 16
 COUNTER = 16
 JOINT_ENDS = "joint ends"
@@ -82,13 +83,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class Scenario:
-    """Who takes part: the voters, those to come when the voter set changes, how many candidates, what may happen."""
+    """Who takes part: the voters, those to come when the voter set changes, how many candidates, what may happen.
+
+    With ``founding`` all voters start with disks that never held anything, and no record was chosen yet.
+    """
 
     voters: tuple[str, ...] = ("a", "b", "c")
     coming: tuple[str, ...] = ()
     candidates: int = 2
     budget: Budget = Budget()
     step: datetime.timedelta = witness_state.LEASE
+    founding: bool = False
 
     def addresses(self) -> tuple[str, ...]:
         """All nodes that are voters at any time."""
@@ -240,6 +245,12 @@
         return number
 
 
+def first_record(place: int, candidates: int) -> replica_set.ReplicaSet:
+    """The first record that a node would have chosen: it names itself the primary."""
+    backups = tuple(member(other) for other in range(candidates) if other != place)
+    return replica_set.ReplicaSet(GROUP, 1, member(place), backups)
+
+
 def member(place: int) -> replica_set.ReplicaId:
     """The name of a candidate as a member.
 
@@ -282,6 +293,8 @@
 
     def initial(self) -> State:
         """Voters that all hold the first record; the first candidate is its primary, the others its backups."""
+        if self.scenario.founding:
+            return self.initial_blank()
         first = replica_set.ReplicaSet(GROUP, 1, member(0), tuple(map(member, range(1, self.scenario.candidates))))
         voter_set = replica_set.VoterSet(1, self.scenario.voters, ())
         ballot = replica_set.Ballot(GROUP, FIRST_BALLOT, FIRST_BALLOT, codec.tagged(first))
@@ -306,6 +319,26 @@
             self.interner.of(self.scenario.budget),
         )
 
+    def initial_blank(self) -> State:
+        """Voters of a first start; each candidate would have another first record chosen."""
+        voters = []
+        for address in self.addresses:
+            blank = witness_state.WitnessState(address, 1, replica_set.VoterSet(0, self.scenario.voters, ()))
+            node = VoterNode(blank, (), None)
+            if address in self.scenario.voters:
+                node = node.after(blank.restore((), NOW, is_first_start=True))
+            voters.append(node)
+        voter_set = replica_set.VoterSet(replica_set.FIRST_VOTER_SET_NUMBER, self.scenario.voters, ())
+        none_known = replica_set.ReplicaSet(GROUP, NO_EPOCH, replica_set.ReplicaId("", ""), ())
+        candidates = [Candidate(place, none_known, voter_set) for place in range(self.scenario.candidates)]
+        return State(
+            tuple(map(self.interner.of, voters)),
+            tuple(map(self.interner.of, candidates)),
+            frozenset(),
+            frozenset(),
+            self.interner.of(self.scenario.budget),
+        )
+
     def part(self, number: int):
         """An interned part."""
         return self.interner.parts[number]
@@ -505,6 +538,9 @@
 
     def add_ballots(self, own: Candidate, add: typing.Callable) -> None:
         """Ballots that a candidate may begin."""
+        if own.known.epoch == NO_EPOCH:
+            add("founds", "ballots", *self.begin(own, GROUP, "found"))
+            return
         leads = own.known.primary == own.me()
         settled = own.chosen is not None and own.chosen.value == codec.tagged(own.known)
         if leads and not own.leading and settled:
@@ -575,6 +611,8 @@
         granting = ballots.granting_replies(answers)
         if not run.accepting and run.voter_set.has_quorum(granting):
             newest = ballots.newest_accepted(granting)
+            if run.register == GROUP and run.purpose != "found" and not newest.value:
+                return  # as ``GroupState.ballot``: without any record there is nothing to change
             value = self.proposal(own, newest.value)
             messages = ballots.accept_messages(run.voter_set, run.register, run.number, value, granting)
             envelopes = [Envelope(own.place, address, message) for address, message in messages.items()]
@@ -596,6 +634,8 @@
             return witness_changes.choose_voter_set_value(
                 newest, run.voter_set, replica_set.VoterSet(number, present, coming)
             )
+        if run.purpose == "found":
+            return newest or codec.tagged(first_record(own.place, self.scenario.candidates))
         standing = codec.untagged(newest)
         fresh = standing
         if run.purpose == "take over":
@@ -877,4 +917,8 @@
         for before, after in itertools.pairwise(row):
             if after.ballot == before.ballot or after.base < before.ballot:
                 return f"a chosen value is lost: ballot {after.ballot} was made of {after.base}, not {before.ballot}"
+    records = {one.value for one in decisions if one.register == GROUP}
+    epochs = [codec.untagged(value).epoch for value in records]
+    if len(set(epochs)) < len(epochs):
+        return f"two records of one epoch were chosen: {sorted(epochs)}"
     return None
--- a/aspencroft/simulation/model_check.py
+++ b/aspencroft/simulation/model_check.py
@@ -64,6 +64,15 @@
     ]
     coming = (*voters[2:], *(f"n{number}" for number in range(2)))
     change = Voting(ballots=1, leases=0, clock_steps=2 + 2 * more, voter_set_changes=1, lost_values=1)
+    founding = {
+        "start of all from blank disks": Voting(ballots=2, leases=1, clock_steps=1, gossip=1),
+        "start of all and a lost disk": Voting(ballots=2, leases=0, clock_steps=2 + more, lost_disks=1),
+        "start of all and a restart": Voting(ballots=2, leases=0, clock_steps=1, voter_restarts=1, lost_values=1),
+    }
+    checks.extend(
+        voting(f"{size} voters: {name}", consensus_model.Scenario(voters, (), 2, budget, step, founding=True))
+        for name, budget in founding.items()
+    )
     checks.append(
         voting(f"{size} voters: change of two", consensus_model.Scenario(voters, coming, 1, change, step)),
     )
--- a/aspencroft/simulation/mutations.py
+++ b/aspencroft/simulation/mutations.py
@@ -1204,6 +1204,13 @@
         "        if step.writes:\n",
         ("consensus/witness_test.py",),
     ),
+    Mutation(
+        "founding: a first record is proposed over one that may have been chosen",
+        "simulation/consensus_model.py",
+        "            return newest or codec.tagged(first_record(",
+        "            return codec.tagged(first_record(",
+        ("simulation/model_check_test.py",),
+    ),
     Mutation(
         "relay model: a new root does not wait for the leases of the one before",
         "distribution/configuration_lease.py",
