--- a/aspencroft/replication/snapshot_transfer_test.py
+++ b/aspencroft/replication/snapshot_transfer_test.py
@@ -252,3 +252,46 @@
         assert not reopened.is_incomplete()
 
     members.play(tmp_path, 2, scenario)
+
+
+def test_a_member_away_for_five_thousand_changes_and_killed_twice_while_it_catches_up(tmp_path, small_bounds):
+    """Its record stays: it is taken in again as a replica that lacks all of it, in parts, and then is the same."""
+
+    async def scenario(cluster: members.Members) -> None:
+        cluster.run(*cluster.names)
+        await cluster.until(lambda: cluster.group_replicas["n0:1"].status_reason == "serving")
+        cluster.stop("n2:1")
+        for number in range(5000):
+            await cluster.write(f"s{number % 300}-{number // 2500}")
+        primary = cluster.group_replicas["n0:1"]
+
+        async def start() -> None:
+            await cluster.open_host("n2:1")
+            cluster.group_replicas["n2:1"].learn(cluster.register.standing())
+            cluster.silent.discard("n2:1")
+            cluster.run("n2:1")
+
+        def parts_sent() -> int:
+            return sum(
+                address == "n2:1" and isinstance(message, (messages.SnapshotChunk, messages.Repair))
+                for address, message in cluster.heard
+            )
+
+        cluster.silent.add("n1:1")
+        cluster.stop("n1:1")
+        for _ in range(2):
+            await start()
+            before = parts_sent()
+            await cluster.until(lambda before=before: parts_sent() > before + 1, 20)
+            cluster.stop("n2:1")
+        await start()
+        await cluster.until(
+            lambda: "n2:1" in [one.address for one in primary.known.backups] and cluster.same("n0:1", "n2:1"), 30
+        )
+        caught_up = cluster.group_replicas["n2:1"].replica
+        assert caught_up.state_machine.snapshot() == primary.replica.state_machine.snapshot()
+        await cluster.write("afterwards")
+        reopened = await cluster.reopened("n2:1")
+        assert reopened.replica.state_machine.snapshot() == primary.replica.state_machine.snapshot()
+
+    members.play(tmp_path, 3, scenario)
