--- a/aspencroft/platform_check/timing_bounds_test.py
+++ b/aspencroft/platform_check/timing_bounds_test.py
@@ -51,6 +51,13 @@
     return timing_check.violations(times, place.bounds)
 
 
+@pytest.mark.parametrize("name", DEPLOYMENTS)
+def test_a_tree_of_five_levels_meets_the_bounds_though_every_push_is_lost(name, monkeypatch):
+    """Four children a relay: 341 nodes, more than any deployment played so far has."""
+    monkeypatch.setattr(timing_check, "RELAY_LEVELS", 5)
+    assert unmet(DEPLOYMENTS[name]) == ()
+
+
 @pytest.mark.parametrize("name", DEPLOYMENTS)
 def test_the_bounds_of_a_deployment_are_handed_over_and_met(name):
     given = settings_file.bounds_of(DEPLOYMENTS[name])
