--- a/aspencroft/cli/pages_test.py
+++ b/aspencroft/cli/pages_test.py
@@ -180,14 +180,27 @@
     walker.run("ctl", "patch", walker.http, "change.json")
 
 
+@contextlib.contextmanager
+def children_take_interrupts() -> collections.abc.Iterator[None]:
+    """Children started meanwhile take SIGINT as under a terminal. A shell's job in the background hands on that
+    SIGINT is ignored; a handler of one's own isn't handed on.
+    """
+    before = signal.signal(signal.SIGINT, signal.default_int_handler)
+    try:
+        yield
+    finally:
+        signal.signal(signal.SIGINT, before)
+
+
 def walk_watch(walker: Walker, resource: str) -> None:
-    watching = subprocess.Popen(
-        [sys.executable, "-m", "aspencroft", "ctl", "watch", walker.http, resource],
-        cwd=walker.folder,
-        stdout=subprocess.PIPE,
-        stderr=subprocess.PIPE,
-        text=True,
-    )
+    with children_take_interrupts():
+        watching = subprocess.Popen(
+            [sys.executable, "-m", "aspencroft", "ctl", "watch", walker.http, resource],
+            cwd=walker.folder,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
     time.sleep(WATCH_S)
     watching.send_signal(signal.SIGINT)
     output, faults = watching.communicate(timeout=20)
--- a/aspencroft/platform_check/order_races_test.py
+++ b/aspencroft/platform_check/order_races_test.py
@@ -1,15 +1,28 @@
 """Eight operators at once whose answers are mostly lost, repeated to any node, while the control primary is hurt."""
 
+import collections
+
 import pytest
 
 from aspencroft.platform_check import operators, order_races
 
 
-@pytest.mark.parametrize("seed", (401, 402))
+@pytest.mark.parametrize("seed", (401, 403, 404))
 def test_of_racing_orders_one_is_taken_on_each_version_and_none_that_was_taken_is_refused(seed):
+    total = judged_race(seed)
+    assert total["unclear True"] > 0, total
+
+
+def test_of_racing_orders_that_all_get_clear_answers_none_that_was_taken_is_refused():
+    judged_race(402)
+
+
+def judged_race(seed: int) -> collections.Counter:
+    """What came of a race in which no rule was broken and many orders were taken and refused."""
     total, found = order_races.race(seed)
     assert found == []
-    assert total["taken"] > 15 and total["412 True"] > 15 and total["unclear True"] > 0, total
+    assert total["taken"] > 15 and total["412 True"] > 15, total
+    return total
 
 
 @pytest.mark.parametrize("seed", (411, 412, 413, 414))
