Tests that had been eased are strict again; what is read after the kills is read after them

(1) The two models of orders took either refusal for a repeated refused order and skipped the checks of the state behind it; the stateful walk allowed REVISION_DIFFERS for any order refused before; 'unchanged' left the record of refusals out whole. (2) The walk of kills looked for the order before the kills, and did not show that every node was gone. Change: (1) the reply told first, or one that the model gives now, and all checks of the state; the walk wants the result on record; the record may hold this one refusal only. (2) All node processes are counted before the kill, killed, seen gone; then order, refusal and failover are read from the files.

--- a/aspencroft/cli/pages_test.py
+++ b/aspencroft/cli/pages_test.py
@@ -86,16 +86,22 @@
         """Whether any node's file tells of an event."""
         return any(f"event={event} " in f"{line} " for line in self.log_lines())
 
+    def node_pids(self) -> dict[int, str]:
+        """The nodes' processes that run, each with the settings file that it was started with."""
+        files = {str(path.relative_to(self.folder)) for path in self.folder.glob("run/node-*/node.toml")}
+        found = {}
+        for home in pathlib.Path("/proc").glob("[0-9]*"):
+            with contextlib.suppress(OSError):
+                named = files & set((home / "cmdline").read_bytes().decode().split("\0"))
+                if named and os.readlink(home / "cwd") == str(self.folder):
+                    found[int(home.name)] = named.pop()
+        return found
+
     def pid_at(self, address: str) -> int:
         """The process that has a link address, by the settings file that it was started with."""
-        for settings in self.folder.glob("run/node-*/node.toml"):
-            if f'address = "{address}"' in settings.read_text():
-                relative = str(settings.relative_to(self.folder))
-                for home in pathlib.Path("/proc").glob("[0-9]*"):
-                    with contextlib.suppress(OSError):
-                        command = (home / "cmdline").read_bytes().decode().split("\0")
-                        if relative in command and os.readlink(home / "cwd") == str(self.folder):
-                            return int(home.name)
+        for pid, settings in self.node_pids().items():
+            if f'address = "{address}"' in (self.folder / settings).read_text():
+                return pid
         raise AssertionError(f"no process at {address}")
 
     def stop(self) -> None:
@@ -315,6 +321,7 @@
     assert walker.has_event("order_taken") and walker.has_event("order_refused")
     before = walker.status()["holders"]["0"]
     lost = before["primary"]
+    before_kill = walker.node_pids()
     known = set(walker.log_lines())
 
     def failovers() -> list[str]:
@@ -329,8 +336,12 @@
     assert shown.startswith("! ") and lost in shown
     walker.until(lambda: walker.has_event("member_down"), EVENT_LIMIT_S, "the lost member in a file")
     assert f"member {lost} (" in walker.run("ctl", "status", walker.http, code=1)
-    for address in [member["address"] for member in walker.status()["fellows"] if member["address"] != lost]:
-        os.kill(walker.pid_at(address), signal.SIGKILL)
+    survivors = walker.node_pids()
+    assert len(survivors) == len(before_kill) - 1, (before_kill, survivors)
+    for pid in survivors:
+        os.kill(pid, signal.SIGKILL)
+    walker.until(lambda: not walker.node_pids(), EVENT_LIMIT_S, "all nodes gone")
+    assert walker.has_event("order_taken") and walker.has_event("order_refused")
     assert any(f"in the place of {lost}" in line for line in failovers()), failovers()
     assert all(re.match(r"\[[\d-]+ [\d:.]+\] [A-Z]+: [\w.]+: ", line) for line in walker.log_lines())
 
--- a/aspencroft/configuration/operator_configuration_test.py
+++ b/aspencroft/configuration/operator_configuration_test.py
@@ -1,6 +1,7 @@
 """Operators' configurations against a plain, slow model; what is taken, refused, known again and kept."""
 
 import collections
+import copy
 import hashlib
 import json
 import random
@@ -170,20 +171,21 @@
     seen = collections.Counter()
     for seed in range(250):
         chance = random.Random(seed)
-        store, model, said, refused = Store(), Model(), [], set()
+        store, model, said, refused = Store(), Model(), [], {}
         for _ in range(40):
             command = drawn(chance, model, said)
             said.append(command)
+            before = store.state_machine.revision
             if command in refused:
-                assert store.apply(command) in (result.ResultCode.PLAN_INVALID, result.ResultCode.REVISION_DIFFERS)
+                judged_now = copy.deepcopy(model).apply(command)
+                wanted = {refused[command]} | (judged_now if isinstance(judged_now, set) else set())
                 seen["refused again"] += 1
-                continue
-            wanted, before = model.apply(command), store.state_machine.revision
+            else:
+                wanted = model.apply(command)
             reply = store.apply(command)
-            if isinstance(wanted, set):
-                refused.add(command)
             if isinstance(wanted, set):
                 assert reply in wanted, (seed, reply, wanted, command)
+                refused.setdefault(command, reply)
                 seen[reply] += 1
             else:
                 assert reply.again == (wanted == "again"), (seed, reply, wanted, command)
--- a/aspencroft/configuration/orders_stateful_test.py
+++ b/aspencroft/configuration/orders_stateful_test.py
@@ -59,7 +59,7 @@
         before = self.state.snapshot()
         repeated = command in self.register
         lost_record = command.version <= self.state.configuration.taken.horizon
-        was_refused = any(one.digest == command.digest for one in self.kept_refusals())
+        told_before = [one.result for one in self.kept_refusals() if one.digest == command.digest]
         events: tuple = ()
         try:
             events, reply = self.state.decide(codec.untagged(codec.tagged(command)), None, self.epoch)
@@ -69,7 +69,7 @@
             assert self.state.snapshot() == before
             assert not repeated or refusal.ran is result.Ran.UNKNOWN, "an order that was taken was refused"
             if refusal.result is result.ResultCode.REVISION_DIFFERS:
-                assert command.condition != self.version() or was_refused
+                assert command.condition != self.version() or refusal.result.number in told_before
             elif refusal.result is result.ResultCode.OUTCOME_UNKNOWN:
                 assert lost_record and command.condition != self.version()
             else:
@@ -80,7 +80,7 @@
                 self.state.apply(codec.untagged(self.log[-1]))
             self.pending.append((command, refusal))
             return
-        assert not was_refused, "an order that was refused was taken"
+        assert not told_before, "an order that was refused was taken"
         assert reply.again == repeated
         assert repeated == (not events)
         if events:
--- a/aspencroft/platform_check/configuration_test.py
+++ b/aspencroft/platform_check/configuration_test.py
@@ -121,6 +121,11 @@
         shown["configuration"].pop("refused", None)
         return shown
 
+    def refusals(self) -> list[tuple[int, int, int]]:
+        """Version, condition and result of each order on record as refused."""
+        shown = json.loads(self.state_machine.snapshot())["configuration"].get("refused", [])
+        return [(version, condition, number) for version, condition, _, number in shown]
+
     def put(self, condition: int, document: dict):
         """PUT."""
         return self.take(configuration.whole(condition, raw(document)))
@@ -292,6 +297,8 @@
             is result.ResultCode.PLAN_INVALID
         ), change
         assert operator.state() == before
+        invalid = result.ResultCode.PLAN_INVALID.number
+        assert operator.refusals() in ([], [(9, 5, invalid)]), "nothing but this refusal comes on record"
         if "route-list" in change:
             items = {"config-revision": 9, "upsert-items": {"route-list": change["route-list"]}}
             assert operator.patch(5, items) is result.ResultCode.PLAN_INVALID, change
