The rank of a tenant, else of a route, decides which waiting call gets the next worker

Change: calls that wait at an edge for a worker of the same service go in the order of their ranks for half of the time that they may wait; then all are alike, so that a less urgent kind does not starve. Seen to fail without the order (the call that came first got the place); measured by the tests of this commit only.

--- a/aspencroft/proxy/forwarder.py
+++ b/aspencroft/proxy/forwarder.py
@@ -27,6 +27,7 @@
     quota_client,
     stream_pace,
     turn_cache,
+    waiting_calls,
     worker_selection,
     working_set,
 )
@@ -174,6 +175,7 @@
         self.chains = turn_cache.TurnCache()
         self.working_sets = working_set.WorkingSets()
         self.admission = admission_report.AdmissionReport(own.address)
+        self.waiting_calls = waiting_calls.WaitingCalls()
         self.freed = asyncio.Event()
         self.active = 0
         self.waiting = 0
@@ -433,28 +435,44 @@
             return 0, 0
         return facts.engine.kv_tokens, facts.engine.slots
 
+    def rank(self, state: CallState) -> int:
+        """How urgent a call is, 0 the most: as its tenant says, else its route."""
+        holder = self.access.tenant_of(state.call)
+        return state.route.rank if holder is None or holder.rank is None else holder.rank
+
     async def wait_for_worker(self, state: CallState) -> instance.Instance:
-        """A worker with a place for the call, waited for during a part of its aim."""
-        limit = (
-            clock.now() + min(state.route.aim or state.route.timeout, state.end - clock.now()) / AIM_PARTS_FOR_WAITING
-        )
-        while True:
-            chosen, why = self.choose(state)
-            if chosen is not None:
-                self.add_trace(state, "chosen", f"{chosen.name}: {why}")
-                return chosen
-            if clock.now() >= limit:
-                raise result.RequestError(
-                    result.ResultCode.OVERLOADED if bool(self.instances.listed) else result.ResultCode.NO_WORKER,
-                    detail=why,
-                    retry=RETRY_SOON,
-                )
-            self.freed.clear()
-            try:
-                async with clock.limit(min(WAIT_POLL_INTERVAL, limit - clock.now())):
-                    await self.freed.wait()
-            except TimeoutError:
-                pass
+        """A worker with a place for the call, waited for during a part of its aim.
+
+        For half of that time more urgent calls that wait here go first; then all are alike, so that none starves.
+        """
+        now = clock.now()
+        span = min(state.route.aim or state.route.timeout, state.end - now) / AIM_PARTS_FOR_WAITING
+        limit, yields_until = now + span, now + span / 2
+        with self.waiting_calls.enter(self.rank(state), state.route.services()) as entered:
+            while True:
+                if clock.now() < yields_until and self.waiting_calls.is_preceded(entered):
+                    chosen, why = None, "more urgent calls wait"
+                else:
+                    chosen, why = self.choose(state)
+                if chosen is not None:
+                    self.add_trace(state, "chosen", f"{chosen.name}: {why}")
+                    return chosen
+                if clock.now() >= limit:
+                    raise result.RequestError(
+                        result.ResultCode.OVERLOADED if bool(self.instances.listed) else result.ResultCode.NO_WORKER,
+                        detail=why,
+                        retry=RETRY_SOON,
+                    )
+                await self.wait_for_place(limit)
+
+    async def wait_for_place(self, limit: datetime.timedelta) -> None:
+        """Wait until a place may have become free, for a moment at most."""
+        self.freed.clear()
+        try:
+            async with clock.limit(min(WAIT_POLL_INTERVAL, limit - clock.now())):
+                await self.freed.wait()
+        except TimeoutError:
+            pass
 
     # -- forward ---------------------------------------------------------------------------------
 
--- a/aspencroft/proxy/forwarder_test.py
+++ b/aspencroft/proxy/forwarder_test.py
@@ -310,6 +310,57 @@
     assert played(scenario, {}) == (result.ResultCode.NO_PLAN, result.Ran.NOT_RUN, 200)
 
 
+def test_the_rank_of_a_tenant_goes_before_that_of_the_route():
+    async def scenario(forwarding, lives):
+        require_keys(forwarding, MINE, OTHERS)
+        return [forwarding.rank(forwarding.admit(with_key(key))) for key in (KEY, OTHER_KEY)]
+
+    assert played(scenario, {}, rank=2) == [2, 3]
+
+
+async def order_of_places(forwarding, keys, pauses):
+    """In which order calls get a worker that has a place for one more after each pause, in seconds."""
+    places, order = 0, []
+    usual = forwarding.choose
+
+    def choose(state):
+        nonlocal places
+        if not places:
+            return None, "no place"
+        places -= 1
+        return usual(state)
+
+    async def wait(key):
+        state = forwarding.admit(with_key(key))
+        await forwarding.wait_for_worker(state)
+        order.append(state.call.tenant)
+
+    forwarding.choose = choose
+    waiting = [asyncio.ensure_future(wait(key)) for key in keys]
+    for pause in pauses:
+        await clock.sleep(clock.seconds(pause))
+        places += 1
+        forwarding.freed.set()
+    await asyncio.gather(*waiting)
+    return order
+
+
+def test_a_more_urgent_call_gets_the_next_worker_though_it_came_later():
+    async def scenario(forwarding, lives):
+        require_keys(forwarding, MINE, OTHERS)
+        return await order_of_places(forwarding, [OTHER_KEY, KEY], [0.005, 0.005])
+
+    assert played(scenario, {}, rank=1) == ["mine", "others"]
+
+
+def test_a_less_urgent_call_does_not_starve():
+    async def scenario(forwarding, lives):
+        require_keys(forwarding, MINE, OTHERS)
+        return await order_of_places(forwarding, [OTHER_KEY, KEY, KEY, KEY], [0.06, 0.01, 0.01, 0.01])
+
+    assert played(scenario, {}, rank=1)[0] == "others"
+
+
 def test_tenants_share_no_names_of_programs_turns_or_keys():
     async def scenario(forwarding, lives):
         require_keys(forwarding, MINE, OTHERS)
