A question about a tenant's requests that is asked again is counted once

When the primary of a group waits for its backups longer than an edge is patient, the edge asks again, and each try counted the same requests anew: a tenant could be refused for a window for requests that never ran. Change: a question has a number, an edge asks it unchanged until it is answered, and the primary keeps the reply to each edge's newest question for a window. Seen to fail without it: `test_requests_whose_grants_are_lost_on_the_way_are_counted_once` and `test_a_question_asked_again_is_counted_once`.

--- a/aspencroft/proxy/quota_client.py
+++ b/aspencroft/proxy/quota_client.py
@@ -10,6 +10,7 @@
 import collections.abc
 import dataclasses
 import datetime
+import itertools
 
 from aspencroft.configuration import tenant
 from aspencroft.errors import result
@@ -43,6 +44,14 @@
     asked_at: datetime.timedelta
 
 
+@dataclasses.dataclass(frozen=True)
+class Question:
+    """What is asked about a tenant: its number on this edge, and for how many requests."""
+
+    number: int
+    count: int
+
+
 @dataclasses.dataclass
 class TenantQueue:
     """The requests of a tenant that wait for an answer here."""
@@ -60,6 +69,7 @@
         self.node = own
         self.queues: dict[str, TenantQueue] = {}
         self.counts: collections.Counter[str] = collections.Counter()
+        self.numbers = itertools.count(1)
         self.returns: set[asyncio.Task] = set()
 
     async def reserve(self, one: tenant.Tenant, within: datetime.timedelta) -> Grant | None:
@@ -103,16 +113,13 @@
     async def serve(self, queue: TenantQueue) -> None:
         """Ask for all that wait, batch by batch, until none waits."""
         while batch := self.take_batch(queue):
+            question = Question(next(self.numbers), len(batch))
             try:
-                grant, reply = await self.ask(queue.limit, len(batch))
-            except result.RequestError:
-                queue.waiting.extendleft(reversed(batch))
-                await clock.sleep(RETRY_PAUSE)
-                continue
+                while batch:
+                    batch = await self.ask(queue, question, batch)
             except BaseException as error:
                 self.fail(batch, error)
                 raise
-            self.hand_out(queue, batch, grant, reply)
 
     def take_batch(self, queue: TenantQueue) -> list[asyncio.Future]:
         """The requests that are asked for next; those that gave up waiting fall out."""
@@ -123,28 +130,55 @@
                 batch.append(leave)
         return batch
 
-    async def ask(self, one: tenant.Tenant, count: int) -> tuple[Grant, entry.RequestsReserved]:
-        """Ask the group that counts the tenant; if that has no primary now, the one that has the reserve.
-
-        Raises:
-            RequestError: neither can tell now, or the reserve is used up.
+    async def ask(self, queue: TenantQueue, question: Question, batch: list[asyncio.Future]) -> list[asyncio.Future]:
+        """Ask once for a batch; those of it that still have to wait for an answer.
 
+        The group that counts the tenant is asked the same question until it answers, lest it counts twice. As long as
+        it doesn't, the reserve is asked for those that wait.
         """
-        quota = self.node.settings.quota
-        limit = one.most_requests(quota.window)
+        quota, name = self.node.settings.quota, queue.limit.name
+        limit = queue.limit.most_requests(quota.window)
         error = quota.allowed_error(limit)
-        group_id = self.group_of(one.name)
-        command = entry.ReserveRequests(one.name, count, limit, error // RUN_AHEAD_PART, quota.window)
+        group_id = self.group_of(name)
+        command = self.question(name, question, limit, error // RUN_AHEAD_PART)
         try:
-            return await self.ask_group(group_id, command)
+            grant, reply = await self.ask_group(group_id, command)
         except result.RequestError:
             self.counts["primary did not tell"] += 1
-        command = entry.ReserveRequests(f"{one.name}\nreserve", count, error // RESERVE_PART, 0, quota.window)
-        grant, reply = await self.ask_group(self.other_group(group_id), command)
+            return await self.ask_for_reserve(queue, error // RESERVE_PART, batch)
+        self.hand_out(queue, batch, grant, reply)
+        return []
+
+    async def ask_for_reserve(
+        self, queue: TenantQueue, limit: int, batch: list[asyncio.Future]
+    ) -> list[asyncio.Future]:
+        """Ask another group for leave from the reserve; those of a batch that got none and still wait."""
+        waiting = [leave for leave in batch if not leave.done()]
+        if not waiting:
+            return []
+        name = queue.limit.name
+        command = self.question(f"{name}\nreserve", Question(next(self.numbers), len(waiting)), limit, 0)
+        try:
+            grant, reply = await self.ask_group(self.other_group(self.group_of(name)), command)
+        except result.RequestError:
+            await clock.sleep(RETRY_PAUSE)
+            return waiting
         if not reply.granted:
-            raise result.RequestError(result.ResultCode.UNREACHABLE, detail="the reserve is used up")
-        self.counts["granted from the reserve"] += reply.granted
-        return grant, dataclasses.replace(reply, retry=clock.ZERO)
+            await clock.sleep(RETRY_PAUSE)
+        left = reply.granted
+        for leave in waiting:
+            if left and not leave.done():
+                left -= 1
+                self.counts["granted from the reserve"] += 1
+                leave.set_result(grant)
+        if left:
+            self.give_back(grant, left)
+        return [leave for leave in waiting if not leave.done()]
+
+    def question(self, counted_as: str, question: Question, limit: int, run_ahead: int) -> entry.ReserveRequests:
+        """The command that asks for leave under a name."""
+        edge, window = self.node.incarnation_id(), self.node.settings.quota.window
+        return entry.ReserveRequests(counted_as, edge, question.number, question.count, limit, run_ahead, window)
 
     async def ask_group(self, group_id: int, command: entry.ReserveRequests) -> tuple[Grant, entry.RequestsReserved]:
         """Ask the primary of one group, for a short time."""
@@ -172,11 +206,9 @@
                 left -= 1
                 self.counts["granted"] += 1
                 leave.set_result(grant)
-            elif reply.retry:
+            else:
                 self.counts["refused"] += 1
                 leave.set_exception(over_quota(reply.retry))
-            else:
-                queue.waiting.append(leave)
         if reply.retry:
             queue.refused_until = clock.now() + min(reply.retry, REFUSAL_MEMORY)
         if left:
--- a/aspencroft/proxy/quota_client_test.py
+++ b/aspencroft/proxy/quota_client_test.py
@@ -26,10 +26,15 @@
     def __init__(self):
         self.quotas = [request_quota.RequestQuotas() for _ in range(GROUPS + 1)]
         self.without_primary: set[int] = set()
+        self.losing_replies: set[int] = set()
         self.asked: list[tuple[int, object]] = []
 
     async def submit(self, group_id, command, within):
         self.asked.append((group_id, command))
+        if group_id in self.losing_replies:
+            self.quotas[group_id].decide_reserve(command, clock.now(), 1)
+            await clock.sleep(within)
+            raise result.RequestError(result.ResultCode.UNREACHABLE, result.Ran.UNKNOWN)
         if group_id in self.without_primary:
             await clock.sleep(within)
             raise result.RequestError(result.ResultCode.NOT_PRIMARY)
@@ -51,6 +56,7 @@
         own = types.SimpleNamespace(
             settings=types.SimpleNamespace(talk_pairs=GROUPS, quota=BOUNDS),
             submit=groups.submit,
+            incarnation_id=lambda: "edge-1 1",
             group_client=groups,
             failure_detector=types.SimpleNamespace(records={number: number for number in range(GROUPS + 1)}),
         )
@@ -141,6 +147,18 @@
     assert played(scenario) == (40, set())
 
 
+def test_requests_whose_grants_are_lost_on_the_way_are_counted_once():
+    async def scenario(client, groups):
+        group_id = client.group_of(TENANT.name)
+        groups.losing_replies.add(group_id)
+        groups.without_primary.add(client.other_group(group_id))
+        asyncio.get_running_loop().call_later(0.9, groups.losing_replies.discard, group_id)
+        first = await outcomes(client, 20, clock.seconds(2))
+        return first, (await outcomes(client, 40))[0]
+
+    assert played(scenario) == ((20, set()), 30)
+
+
 def test_an_edge_that_reaches_no_group_refuses_in_time_and_promises_that_nothing_ran():
     async def scenario(client, groups):
         groups.without_primary.update(range(GROUPS + 1))
--- a/aspencroft/sessions/entry.py
+++ b/aspencroft/sessions/entry.py
@@ -248,10 +248,13 @@
 class ReserveRequests:
     """Command: count requests of a tenant, as far as no window of that length comes to hold more than ``limit``.
 
-    ``run_ahead`` is how many granted requests may be on no record.
+    ``run_ahead`` is how many granted requests may be on no record. ``edge`` is the run of the asking edge, and
+    ``question`` the number of its question about this tenant: asked again, it gets the same reply.
     """
 
     tenant: str
+    edge: str
+    question: int
     count: int
     limit: int
     run_ahead: int
--- a/aspencroft/sessions/request_quota.py
+++ b/aspencroft/sessions/request_quota.py
@@ -8,6 +8,7 @@
 import collections
 import collections.abc
 import datetime
+import itertools
 import typing
 
 from aspencroft.errors import result
@@ -20,6 +21,8 @@
 """Steps of a window in a record: it says for how many of them a grant is gone already, rounded down."""
 MAX_TENANTS = 50_000
 MAX_WINDOW = clock.seconds(3600)
+EXPIRED_AT_ONCE = 8
+"""Remembered replies that one look forgets at most: more than one question adds."""
 SHORTEST_RETRY = clock.seconds(0.01)
 
 
@@ -30,16 +33,26 @@
     requests: int
 
 
+class AnsweredQuestion(typing.NamedTuple):
+    """The newest question of an edge about a tenant, and the reply that it got."""
+
+    number: int
+    at: datetime.timedelta
+    reply: entry.RequestsReserved
+
+
 class TenantWindow:
     """What a tenant was granted within the window that ends now."""
 
-    __slots__ = ("steps", "total", "unrecorded")
+    __slots__ = ("answered", "steps", "total", "unrecorded")
 
     def __init__(self) -> None:
         self.steps: collections.deque[GrantedStep] = collections.deque()
         self.total = 0
         self.unrecorded: collections.deque[GrantedStep] = collections.deque()
         """The steps that no record holds."""
+        self.answered: dict[str, AnsweredQuestion] = {}
+        """By the edge that asked, those asked longest ago first."""
 
     def expire(self, now: datetime.timedelta, window: datetime.timedelta) -> None:
         """Forget what was granted before the window."""
@@ -47,6 +60,19 @@
             self.total -= self.steps.popleft().requests
         while self.unrecorded and now - self.unrecorded[0].at > window:
             self.unrecorded.popleft()
+        for edge, answered in list(itertools.islice(self.answered.items(), EXPIRED_AT_ONCE)):
+            if now - answered.at > window:
+                del self.answered[edge]
+
+    def known_reply(self, command: entry.ReserveRequests) -> entry.RequestsReserved | None:
+        """The reply that the very question got before."""
+        answered = self.answered.get(command.edge)
+        return answered.reply if answered is not None and answered.number == command.question else None
+
+    def remember(self, command: entry.ReserveRequests, now: datetime.timedelta, reply: entry.RequestsReserved) -> None:
+        """Keep a reply, in case that it is lost on its way."""
+        self.answered.pop(command.edge, None)
+        self.answered[command.edge] = AnsweredQuestion(command.question, now, reply)
 
     def add(self, now: datetime.timedelta, count: int, window: datetime.timedelta) -> None:
         """Count a grant; all of one step count as granted with the last of them."""
@@ -132,9 +158,13 @@
         if command.tenant not in self.windows and len(self.windows) >= MAX_TENANTS:
             raise result.RequestError(result.ResultCode.OVERLOADED, detail="too many tenants")
         window = self.window_of(command.tenant, now, command.window)
+        known = window.known_reply(command)
+        if known is not None:
+            return (), known
         granted = max(0, min(command.count, command.limit - window.total))
         retry = clock.ZERO if granted == command.count else window.time_until_free(now, command.window)
         reply = entry.RequestsReserved(granted, retry, epoch)
+        window.remember(command, now, reply)
         if not granted:
             return (), reply
         window.add(now, granted, command.window)
--- a/aspencroft/sessions/request_quota_test.py
+++ b/aspencroft/sessions/request_quota_test.py
@@ -1,6 +1,7 @@
 """Requests of tenants over sliding windows: what the users saw as QUOTA, judged by a count of its own."""
 
 import dataclasses
+import itertools
 import random
 
 import pytest
@@ -14,8 +15,11 @@
 START = clock.seconds(100)
 
 
-def reserve(count=1, limit=10, run_ahead=1000, tenant="t"):
-    return entry.ReserveRequests(tenant, count, limit, run_ahead, WINDOW)
+QUESTIONS = itertools.count(1)
+
+
+def reserve(count=1, limit=10, run_ahead=1000, tenant="t", question=0):
+    return entry.ReserveRequests(tenant, "edge", question or next(QUESTIONS), count, limit, run_ahead, WINDOW)
 
 
 def most_in_a_window(times) -> int:
@@ -156,6 +160,22 @@
     assert replicas.ask(reserve(10, 15), START).granted == 5
 
 
+def test_a_question_asked_again_is_counted_once():
+    replicas = Replicas()
+    first = replicas.ask(reserve(4, 10, question=-1), START)
+    again = [replicas.ask(reserve(4, 10, question=-1), START + clock.seconds(0.1 * number)) for number in range(5)]
+    assert again == [first] * 5
+    assert replicas.ask(reserve(10, 10), START + clock.seconds(1)).granted == 6
+
+
+def test_replies_are_not_remembered_for_ever():
+    replicas, now = Replicas(), START
+    for number in range(500):
+        now += clock.seconds(0.1)
+        replicas.ask(dataclasses.replace(reserve(), edge=f"edge-{number}"), now)
+    assert len(replicas.quotas.windows["t"].answered) <= 51
+
+
 def test_tenants_are_counted_apart():
     replicas = Replicas()
     assert replicas.ask(reserve(10, 10, tenant="a"), START).granted == 10
