A node that waits for a second watcher no longer takes the wait for a standstill

What callers saw: on a node that nobody answers, /status `suspected` and `quorum` came and went every few seconds: an edge cut off for 20 s suspected nobody in 11 of 28 looks, 0.5 s apart, from the sixth second on. Worse, a member that fell silent while the node waited for an answer about another one was not noticed meanwhile, and was given two more seconds afterwards. Cause: the loop of SuspicionMonitor.watch measured the time between two of its looks and took more than 1 s for a standstill of its own process. It also waited, between two looks, for the confirmation of all suspicions: 0.7 s for the probe and 1.4 s for each other member that does not answer. Change: each suspicion is confirmed in a task of its own, one a member at a time. The loop waits for nothing but its own sleep, so a sleep that ends late is a standstill, and nothing else is. The silence of all is then counted from that moment on, as before (MembershipView.restart_silence). Other loops were read for the same cause (each place that compares the clock with a time noted before): replication/append_patience.py measures only its own waits; node/voter_selection.py is traced apart.

--- a/aspencroft/membership/membership_view.py
+++ b/aspencroft/membership/membership_view.py
@@ -156,6 +156,10 @@
         self.down_since[member.address] = clock.now()
         self.signal_change()
 
+    def restart_silence(self, now: datetime.timedelta) -> None:
+        """Count the silence of all members from now on: this process stood still, which says nothing about others."""
+        self.last_heard = dict.fromkeys(self.last_heard, now)
+
     def forget_down_before(self, end: datetime.timedelta) -> None:
         """Remove the members that are down since before a time."""
         for address in [address for address, since in self.down_since.items() if since < end]:
--- a/aspencroft/membership/suspicion.py
+++ b/aspencroft/membership/suspicion.py
@@ -1,6 +1,7 @@
 """Suspicion: a silent member is down only once a probe fails and a second watcher misses it too."""
 
 import asyncio
+import datetime
 import random
 
 import logbook
@@ -13,6 +14,8 @@
 LOG = logbook.Logger("membership.suspicion")
 SUSPICION_TIMEOUT = clock.seconds(2)  # four heartbeats missed
 SECOND_WATCHER_TIMEOUT = clock.seconds(1.2)  # shorter, as the second watcher began to miss heartbeats a little later
+CHECK_INTERVAL = table_exchange.HEARTBEAT_INTERVAL / 2
+STANDSTILL_AFTER = SUSPICION_TIMEOUT / 2  # a sleep that took longer: heartbeats may be here, unread
 FURTHER_WATCHERS = 3  # members asked beside the watchers of the ring, as those may have gone at the same time
 FORGET_DOWN_AFTER = clock.seconds(300)
 
@@ -40,26 +43,35 @@
         return cluster_member.SuspicionReply(not await self.exchange.probe(message.address))
 
     async def watch(self) -> None:
-        """Suspect silent members, twice a heartbeat interval, and forget those that are down for long."""
-        previous = clock.now()
-        while True:
-            await clock.sleep(table_exchange.HEARTBEAT_INTERVAL / 2)
-            now = clock.now()
-            if now - previous > SUSPICION_TIMEOUT / 2:
-                # This process itself stood still: the silence says nothing about others.
-                self.view.last_heard = dict.fromkeys(self.view.last_heard, now)
-            previous = now
-            silent = [
-                address
-                for address in self.exchange.watched()
-                if now - self.view.last_heard.setdefault(address, now) > SUSPICION_TIMEOUT
-            ]
-            self.view.suspected = frozenset(silent)
-            if silent:
-                async with supervision.Group() as group:
-                    for address in silent:
-                        group.create_task(self.suspect(address))
-            self.view.forget_down_before(now - FORGET_DOWN_AFTER)
+        """Look for silent members at each interval, and forget those that are down for long.
+
+        Each suspicion is confirmed in a task of its own: the loop waits for nothing but its own sleep, so a sleep that
+        ends late shows a standstill of this process, and a member that falls silent meanwhile is noticed in time.
+        """
+        confirmations: dict[str, asyncio.Task[None]] = {}
+        async with supervision.Group() as group:
+            while True:
+                slept_at = clock.now()
+                await clock.sleep(CHECK_INTERVAL)
+                now = clock.now()
+                if now - slept_at > STANDSTILL_AFTER:
+                    self.view.restart_silence(now)
+                self.view.forget_down_before(now - FORGET_DOWN_AFTER)
+                silent = self.silent_members(now)
+                self.view.suspected = frozenset(silent)
+                confirmations = {address: task for address, task in confirmations.items() if not task.done()}
+                for address in silent:
+                    if address not in confirmations:
+                        confirmations[address] = group.create_task(self.suspect(address))
+
+    def silent_members(self, now: datetime.timedelta) -> list[str]:
+        """The watched members that were not heard for longer than the suspicion timeout, in ring order."""
+        last_heard = self.view.last_heard
+        return [
+            address
+            for address in self.exchange.watched()
+            if now - last_heard.setdefault(address, now) > SUSPICION_TIMEOUT
+        ]
 
     async def suspect(self, address: str) -> None:
         """Probe a silent member and ask a second watcher; mark it down if it is missed there too."""
--- a/aspencroft/simulation/mutations.py
+++ b/aspencroft/simulation/mutations.py
@@ -1169,6 +1169,13 @@
         '            reason,\n        )\n        return ""\n\n    async def ask(',
         ("membership/suspicion_test.py",),
     ),
+    Mutation(
+        "a process that stood still counts the silence of others",
+        "membership/suspicion.py",
+        "if now - slept_at > STANDSTILL_AFTER:\n",
+        "if False:\n",
+        ("membership/standstill_test.py",),
+    ),
     Mutation(
         "the rest of a broken event is joined with what another worker sends",
         "proxy/event_buffer.py",
