A voter lost while another is replaced is replaced right after it

What callers saw: of two core machines lost some seconds apart, the second one stayed a voter for 2.2 s after the first was replaced, although it had been down for 0.3 to 3 s by then: 1.5 s longer than needed with one voter less. VoterSelection took 1.5 s in which nobody asked for the target for a time in which another node was the primary, and counted every absence anew. The control primary itself did not ask: it asks between two changes only, and a joint voter set lasted 1.7 to 2.8 s. Change: WitnessChanges.step asks for the target at each step, also of a joint set; absences count anew only after a pause longer than any step can take (LONGEST_STEP, 2.1 s, from its timeouts). After a standstill of this process, or another node's time as primary, they still do.

--- a/aspencroft/consensus/witness_changes.py
+++ b/aspencroft/consensus/witness_changes.py
@@ -20,6 +20,8 @@
 JOINT_CHECK_INTERVAL = clock.seconds(0.2)
 """Time between two looks at a joint voter set: shorter, as it needs more voters than either set alone."""
 REQUEST_TIMEOUT = clock.seconds(0.4)
+LONGEST_STEP = CHECK_INTERVAL + 2 * REQUEST_TIMEOUT + 2 * proposer.REQUEST_TIMEOUT
+"""Longest time from one step to the next: the pause, a survey, both phases of a ballot, and an announcement."""
 MIN_JOINT_TIME = witness.LEASE + 2 * witness.LEASE_MARGIN
 """How long a joint voter set stays in force at least, so that leases granted under the former one have expired."""
 
@@ -95,13 +97,15 @@
     async def step(self) -> None:
         """Begin a change where the target differs, or go on with one that is under way.
 
+        The target is asked for in each step, also while a change is under way: who answers may have to see in time
+        that a voter is lost.
+
         Raises: ``result.RequestError`` as ``Proposer.change`` does.
         """
-        voter_set = self.proposer.voter_set
+        voter_set, target = self.proposer.voter_set, self.target_voters()
         if voter_set.coming:
             await self.step_joint(voter_set)
             return
-        target = self.target_voters()
         if target and set(target) != set(voter_set.present):
             await self.propose(voter_set, voter_set.present, target)
 
--- a/aspencroft/node/voter_selection.py
+++ b/aspencroft/node/voter_selection.py
@@ -2,7 +2,7 @@
 
 import datetime
 
-from aspencroft.consensus import proposer, witness_placement
+from aspencroft.consensus import proposer, witness_changes, witness_placement
 from aspencroft.distribution import relay
 from aspencroft.membership import cluster_member, failure_detector
 from aspencroft.node import settings
@@ -48,11 +48,12 @@
     def preferred_core_voters(self) -> tuple[str, ...]:
         """The voters where live core nodes are; one that is not live for VOTER_LOST_AFTER counts as lost.
 
-        How long a voter is not live counts anew when nobody asked for as long: another node may have been the primary.
+        How long a voter is not live counts anew when nobody asked for longer than a step of a change takes: another
+        node may have been the primary, or this process stood still.
         """
         now, present = clock.now(), self.proposer.voter_set.present
         not_live = [address for address in present if self.failure_detector.state(address) != cluster_member.LIVE]
-        if now - self.last_checked > VOTER_LOST_AFTER:
+        if now - self.last_checked > witness_changes.LONGEST_STEP:
             self.not_live_since = {}
         self.last_checked = now
         self.not_live_since = {address: self.not_live_since.get(address, now) for address in not_live}
