Status and metrics tell by route what was refused, why attempts failed and where time went

An operator who was told that one kind of request was served too little could see refusals by result for an edge as a whole only, and no time at all. Now `calls.routes` has, for each route, refusals and failed attempts by result, and the time that calls spent before their session group, waiting for a worker, before the first bytes and at the turn's end.

--- a/aspencroft/proxy/forwarder.py
+++ b/aspencroft/proxy/forwarder.py
@@ -25,6 +25,7 @@
     instances,
     outlier_detection,
     quota_client,
+    route_counts,
     stream_pace,
     turn_cache,
     waiting_calls,
@@ -176,6 +177,7 @@
         self.working_sets = working_set.WorkingSets()
         self.admission = admission_report.AdmissionReport(own.address)
         self.waiting_calls = waiting_calls.WaitingCalls()
+        self.routes = route_counts.RouteCounts()
         self.freed = asyncio.Event()
         self.active = 0
         self.waiting = 0
@@ -260,6 +262,7 @@
         except result.RequestError as refusal:
             self.add_trace(state, "refused", str(refusal))
             self.counts[f"refused {refusal.result.number}"] += 1
+            self.routes.note_refused(state.route.name, refusal)
             self.abandon(state)
             if state.attempts.possibly_run and refusal.ran is result.Ran.NOT_RUN:
                 raise result.RequestError(refusal.result, result.Ran.UNKNOWN, refusal.detail, refusal.retry) from None
@@ -301,12 +304,15 @@
 
     async def submit_to_group(self, state: CallState, group_key: str, command):
         """Have a session group decide a command; what no group can decide now is refused, not run."""
+        began = clock.now()
         try:
             return await self.node.submit(self.group_of(group_key), command, self.group_wait_limit(state))
         except result.RequestError as refusal:
             if refusal.result in GROUP_UNAVAILABLE:
                 raise result.RequestError(refusal.result, result.Ran.NOT_RUN, refusal.detail, RETRY_SOON) from None
             raise
+        finally:
+            self.routes.note_stage(state.route.name, route_counts.Stage.BEGIN, began)
 
     def group_of(self, key: str) -> int:
         """The session group of a program or operation key."""
@@ -449,21 +455,23 @@
         span = min(state.route.aim or state.route.timeout, state.end - now) / AIM_PARTS_FOR_WAITING
         limit, yields_until = now + span, now + span / 2
         with self.waiting_calls.enter(self.rank(state), state.route.services()) as entered:
-            while True:
+            chosen, why = None, ""
+            while chosen is None and (not why or clock.now() < limit):
+                if why:
+                    await self.wait_for_place(limit)
                 if clock.now() < yields_until and self.waiting_calls.is_preceded(entered):
-                    chosen, why = None, "more urgent calls wait"
+                    why = "more urgent calls wait"
                 else:
                     chosen, why = self.choose(state)
-                if chosen is not None:
-                    self.add_trace(state, "chosen", f"{chosen.name}: {why}")
-                    return chosen
-                if clock.now() >= limit:
-                    raise result.RequestError(
-                        result.ResultCode.OVERLOADED if bool(self.instances.listed) else result.ResultCode.NO_WORKER,
-                        detail=why,
-                        retry=RETRY_SOON,
-                    )
-                await self.wait_for_place(limit)
+        self.routes.note_stage(state.route.name, route_counts.Stage.CHOOSE, now)
+        if chosen is None:
+            raise result.RequestError(
+                result.ResultCode.OVERLOADED if bool(self.instances.listed) else result.ResultCode.NO_WORKER,
+                detail=why,
+                retry=RETRY_SOON,
+            )
+        self.add_trace(state, "chosen", f"{chosen.name}: {why}")
+        return chosen
 
     async def wait_for_place(self, limit: datetime.timedelta) -> None:
         """Wait until a place may have become free, for a moment at most."""
@@ -521,6 +529,7 @@
                 return await self.attempt(state, chosen)
             except result.RequestError as refusal:
                 self.add_trace(state, "attempt failed", f"{chosen.name}: {refusal}")
+                self.routes.note_failed_attempt(state.route.name, refusal)
                 state.tried_workers |= {chosen.name}
                 if refusal.ran is not result.Ran.NOT_RUN and not (state.repeatable() or state.may_resume()):
                     raise
@@ -530,7 +539,7 @@
 
     async def attempt(self, state: CallState, chosen: instance.Instance) -> call.Answer:
         """One attempt at one worker; whatever comes is counted for the choice of later ones."""
-        one = state.call
+        one, began = state.call, clock.now()
         self.instances.begin(chosen.name)
         state.attempts.in_flight += 1
         ended = False
@@ -553,6 +562,7 @@
                 return answer
             return await self.read_answer(state, chosen, response, head)
         finally:
+            self.routes.note_stage(state.route.name, route_counts.Stage.FIRST, began)
             state.attempts.in_flight -= 1
             if not ended:
                 self.release(chosen)
@@ -727,6 +737,7 @@
             self.add_trace(state, "answered", f"{source.chosen.name}: {reader.count} events")
         except result.RequestError as refusal:
             self.counts["streams broken"] += 1
+            self.routes.note_failed_attempt(state.route.name, refusal)
             self.add_trace(state, "broken off", str(refusal))
             raise
         finally:
@@ -835,11 +846,14 @@
             reader.count * stride,
             chosen.name,
         )
-        within = max(state.end - clock.now(), TURN_END_GRACE)
+        began = clock.now()
+        within = max(state.end - began, TURN_END_GRACE)
         try:
             await self.node.submit(self.group_of(state.program), command, within)
         except result.RequestError as refusal:
             raise result.RequestError(result.ResultCode.OUTCOME_UNKNOWN, result.Ran.UNKNOWN, str(refusal)) from None
+        finally:
+            self.routes.note_stage(state.route.name, route_counts.Stage.END, began)
         state.turn_reserved = False
         if retained:
             turn = entry.Turn(state.attempt_id(), state.previous_turn(), one.body, output, chosen.name)
@@ -894,7 +908,7 @@
             sample.sample("aspencroft_worker_ejections_total", count, outcome=outcome)
             for outcome, count in outliers.counts.items()
         )
-        return [*found, *self.admission.samples(), *self.quotas.samples()]
+        return [*found, *self.admission.samples(), *self.quotas.samples(), *self.routes.samples()]
 
     def status(self) -> dict:
         """What an operator should see of the calls here, as a section of ``/status``."""
@@ -909,6 +923,7 @@
                 name.split()[1]: count for name, count in sorted(self.counts.items()) if name.startswith("refused ")
             },
             "workers listed": len(self.instances.listed),
+            "routes": self.routes.document(),
             "ejected": outliers.ejected(clock.now()),
             "ejections": dict(outliers.counts),
         }
--- a/aspencroft/proxy/forwarder_test.py
+++ b/aspencroft/proxy/forwarder_test.py
@@ -404,3 +404,18 @@
         return refusal.ran, [len(life.runs) for life in lives], forwarding.counts["hedged"]
 
     assert played(scenario, {}, {"lost": 1.0}, attempts=2, aim=0.1) == (result.Ran.UNKNOWN, [0, 1], 1)
+
+
+def test_status_tells_by_route_what_was_refused_why_attempts_failed_and_where_time_went():
+    async def scenario(forwarding, lives):
+        for life in lives:
+            life.slots.slots = life.slots.queue = 0
+        refusal = await refusal_of(forwarding)
+        return refusal.result.number, forwarding.status()["routes"]["route"]
+
+    number, counts = played(scenario, {}, {})
+    assert counts["refused"] == {str(number): 1}
+    assert counts["failed attempts"] == {str(result.ResultCode.PUT_BACK.number): 2}
+    assert set(counts["stages"]) == {"choose", "first"}
+    assert counts["stages"]["first"]["count"] == 2
+    assert counts["stages"]["choose"]["seconds"] >= counts["stages"]["choose"]["longest"] > 0
--- a/aspencroft/simulation/forwarding_test.py
+++ b/aspencroft/simulation/forwarding_test.py
@@ -33,6 +33,21 @@
     assert not found["refused while places were free"] and not found["broken off"]
 
 
+def test_status_tells_how_long_turns_and_keys_waited_for_their_groups(monkeypatch):
+    edges = []
+    begin = forwarder.Forwarder.__init__
+
+    def noted(self, *given):
+        begin(self, *given)
+        edges.append(self)
+
+    monkeypatch.setattr(forwarder.Forwarder, "__init__", noted)
+    forwarding.run_day(9, ("invalid",), 2, False, 3.0)
+    routes = [counts for edge in edges for counts in edge.status()["routes"].values()]
+    passed = {stage for counts in routes for stage, figures in counts["stages"].items() if figures["seconds"] > 0}
+    assert {"begin", "first", "end"} <= passed
+
+
 def test_callers_that_leave_while_answers_come_leave_nothing_behind(monkeypatch):
     habits = tuple((dataclasses.replace(habit, leaves=0.3), 2 * rate) for habit, rate in forwarding.HABITS)
     monkeypatch.setattr(forwarding, "HABITS", habits)
