--- a/aspencroft/simulation/forwarding_test.py
+++ b/aspencroft/simulation/forwarding_test.py
@@ -43,7 +43,7 @@
 
     monkeypatch.setattr(forwarder.Forwarder, "__init__", noted)
     forwarding.run_day(9, ("invalid",), 2, False, 3.0)
-    routes = [counts for edge in edges for counts in edge.status()["routes"].values()]
+    routes = [counts for edge in edges for counts in edge.routes.document().values()]
     passed = {stage for counts in routes for stage, figures in counts["stages"].items() if figures["seconds"] > 0}
     assert {"begin", "first", "end"} <= passed
 
