A return of unused requests that comes late takes no other tenant request out of the count

What callers saw: nothing yet; found in review of the count of tenants' requests. The primary took a return for any request of the tenant, so that one held up on its way until its own grant had left the window took a grant away that was still within it, and as many requests more were granted than the limit allows. Change: a grant carries the time of its primary's clock, and a return is counted only while grants of that time are counted.

--- a/aspencroft/proxy/quota_client.py
+++ b/aspencroft/proxy/quota_client.py
@@ -36,12 +36,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class Grant:
-    """Leave for one request to run: the name, group and epoch that it is counted under, and when it was asked for."""
+    """Leave for one request to run: the name, group and epoch that it is counted under, and when it was asked for.
+
+    ``granted_at`` is when the primary counted it, by that one's clock.
+    """
 
     counted_as: str
     group_id: int
     epoch: int
     asked_at: datetime.timedelta
+    granted_at: datetime.timedelta
 
 
 @dataclasses.dataclass(frozen=True)
@@ -184,7 +188,7 @@
         """Ask the primary of one group, for a short time."""
         asked_at = clock.now()
         reply: entry.RequestsReserved = await self.node.submit(group_id, command, PRIMARY_PATIENCE)
-        return Grant(command.tenant, group_id, reply.epoch, asked_at), reply
+        return Grant(command.tenant, group_id, reply.epoch, asked_at, reply.granted_at), reply
 
     def group_of(self, name: str) -> int:
         """The session group that counts a tenant's requests."""
@@ -233,7 +237,7 @@
         record = self.node.failure_detector.records.get(grant.group_id)
         if record is None:
             return
-        command = entry.ReturnRequests(grant.counted_as, count, grant.epoch)
+        command = entry.ReturnRequests(grant.counted_as, count, grant.epoch, grant.granted_at)
         self.counts["given back"] += count
         task = asyncio.ensure_future(self.send_back(record, command))
         self.returns.add(task)
--- a/aspencroft/sessions/entry.py
+++ b/aspencroft/sessions/entry.py
@@ -264,21 +264,29 @@
 @codec.kind(190)
 @dataclasses.dataclass(frozen=True)
 class RequestsReserved:
-    """Reply: how many of the requests are granted, in which epoch, and after how long the next one may be."""
+    """Reply: how many of the requests are granted, in which epoch, when, and after how long the next one may be.
+
+    ``granted_at`` is a time of the primary's own clock, for the return of what was not used.
+    """
 
     granted: int
     retry: datetime.timedelta
     epoch: int
+    granted_at: datetime.timedelta
 
 
 @codec.kind(191)
 @dataclasses.dataclass(frozen=True)
 class ReturnRequests:
-    """Command: granted requests of a tenant did not run and never will; not idempotent, so it is sent once only."""
+    """Command: granted requests of a tenant did not run and never will; not idempotent, so it is sent once only.
+
+    ``epoch`` and ``granted_at`` are those of the reply that granted them.
+    """
 
     tenant: str
     count: int
     epoch: int
+    granted_at: datetime.timedelta
 
 
 @codec.kind(192)
--- a/aspencroft/sessions/request_quota.py
+++ b/aspencroft/sessions/request_quota.py
@@ -45,7 +45,7 @@
 class TenantWindow:
     """What a tenant was granted within the window that ends now."""
 
-    __slots__ = ("answered", "is_presumed_recorded", "presumed", "steps", "total", "unrecorded")
+    __slots__ = ("answered", "expired_until", "is_presumed_recorded", "presumed", "steps", "total", "unrecorded")
 
     def __init__(self) -> None:
         self.steps: collections.deque[GrantedStep] = collections.deque()
@@ -57,6 +57,8 @@
         self.presumed = GrantedStep(clock.ZERO, 0)
         """What an earlier primary may have granted on no record; not in ``total``, as the allowed error covers it."""
         self.is_presumed_recorded = True
+        self.expired_until = datetime.timedelta.min
+        """Grants of this time and before are forgotten already."""
 
     def presume(self, now: datetime.timedelta, count: int) -> None:
         """Hold it for possible that an earlier primary granted so many requests just now that no record shows."""
@@ -66,7 +68,9 @@
     def expire(self, now: datetime.timedelta, window: datetime.timedelta) -> None:
         """Forget what was granted before the window."""
         while self.steps and now - self.steps[0].at > window:
-            self.total -= self.steps.popleft().requests
+            oldest = self.steps.popleft()
+            self.total -= oldest.requests
+            self.expired_until = oldest.at
         while self.unrecorded and now - self.unrecorded[0].at > window:
             self.unrecorded.popleft()
         for edge, answered in list(itertools.islice(self.answered.items(), EXPIRED_AT_ONCE)):
@@ -95,7 +99,7 @@
             steps.append(GrantedStep(now, before + count))
 
     def take_back(self, count: int) -> None:
-        """Count requests no more that did not run.
+        """Count requests no more that did not run and whose grants are not forgotten yet.
 
         The oldest grants go: whichever grant was not used, what remains expires no earlier than what was used.
         """
@@ -185,7 +189,7 @@
             return (), known
         granted = max(0, min(command.count, command.limit - window.total))
         retry = clock.ZERO if granted == command.count else window.time_until_free(now, command.window)
-        reply = entry.RequestsReserved(granted, retry, epoch)
+        reply = entry.RequestsReserved(granted, retry, epoch, now)
         window.remember(command, now, reply)
         if not granted:
             return (), reply
@@ -196,11 +200,14 @@
         return (record_of(command.tenant, window, now, command.window),), reply
 
     def decide_return(self, command: entry.ReturnRequests, epoch: int) -> entry.Decision:
-        """Requests that were granted in this tenure did not run; those granted by an earlier primary stay counted."""
+        """Requests that were granted in this tenure did not run; those granted by an earlier primary stay counted.
+
+        A return that was held up on its way is too late once its grants left the window: it would take others for them.
+        """
         window = self.windows.get(command.tenant)
-        if window is not None and command.epoch == epoch:
+        if window is not None and command.epoch == epoch and command.granted_at > window.expired_until:
             window.take_back(command.count)
-        return (), entry.RequestsReserved(0, clock.ZERO, epoch)
+        return (), entry.RequestsReserved(0, clock.ZERO, epoch, command.granted_at)
 
     def apply_counted(self, event: entry.RequestsCounted, now: datetime.timedelta | None) -> None:
         """A tenant's counts were recorded; the tenant that was recorded longest ago gives way at a bound."""
--- a/aspencroft/sessions/request_quota_test.py
+++ b/aspencroft/sessions/request_quota_test.py
@@ -166,7 +166,7 @@
             if not reply.granted:
                 continue
             if chance.random() < 0.5:
-                replicas.ask(entry.ReturnRequests("t", 1, reply.epoch), now + clock.seconds(0.001))
+                replicas.ask(entry.ReturnRequests("t", 1, reply.epoch, reply.granted_at), now + clock.seconds(0.001))
                 given_back += 1
             else:
                 ran.append(now)
@@ -179,7 +179,7 @@
     reply = replicas.ask(reserve(5, 10, 0), START)
     replicas.take_over()
     assert replicas.ask(reserve(5, 10, 0), START).granted == 5
-    replicas.ask(entry.ReturnRequests("t", 5, reply.epoch), START)
+    replicas.ask(entry.ReturnRequests("t", 5, reply.epoch, reply.granted_at), START)
     assert replicas.ask(reserve(1, 10, 0), START).granted == 0
 
 
@@ -245,3 +245,30 @@
     before = state.snapshot()
     state.decide(reserve(4, 10, 100), START, 3)
     assert state.snapshot() == before
+
+
+def test_a_return_that_comes_when_its_grant_is_over_frees_no_other_grant():
+    replicas = Replicas()
+    early = replicas.ask(reserve(4), START)
+    later = START + clock.seconds(4)
+    assert replicas.ask(reserve(6), later).granted == 6
+    delayed = START + WINDOW + clock.seconds(1)
+    assert replicas.ask(reserve(1), delayed).granted == 1
+    replicas.ask(entry.ReturnRequests("t", 4, early.epoch, early.granted_at), delayed)
+    assert replicas.ask(reserve(10), delayed).granted == 3
+
+
+def test_returns_that_come_at_any_time_never_let_a_window_hold_more_that_ran():
+    for seed in range(60):
+        chance, replicas, now, ran, late = random.Random(seed), Replicas(), START, [], []
+        for _ in range(600):
+            now += clock.seconds(chance.expovariate(8.0))
+            for due, reply in [one for one in late if one[0] <= now]:
+                replicas.ask(entry.ReturnRequests("t", 1, reply.epoch, reply.granted_at), now)
+                late.remove((due, reply))
+            reply = replicas.ask(reserve(1, 10), now)
+            if reply.granted and chance.random() < 0.5:
+                late.append((now + clock.seconds(chance.expovariate(0.3)), reply))
+            elif reply.granted:
+                ran.append(now)
+        assert most_in_a_window(ran) <= 10
