A grant that comes in the moment in which its caller's wait ends is used

What callers saw: nothing yet; found in review. A request whose grant came in the very turn of the event loop in which its wait ran out was refused, and the grant neither used nor given back, so that the tenant had one request less in that window. Change: such a request goes on with its grant.

--- a/aspencroft/proxy/quota_client.py
+++ b/aspencroft/proxy/quota_client.py
@@ -103,6 +103,8 @@
             async with clock.limit(within):
                 return await leave
         except TimeoutError:
+            if is_granted(leave):
+                return leave.result()
             self.counts["not told"] += 1
             raise result.RequestError(
                 result.ResultCode.UNREACHABLE,
@@ -110,7 +112,7 @@
                 retry=UNAVAILABLE_RETRY_AFTER,
             ) from None
         except asyncio.CancelledError:
-            if leave.done() and not leave.cancelled() and leave.exception() is None:
+            if is_granted(leave):
                 self.give_back(leave.result())
             raise
 
@@ -262,6 +264,11 @@
         return dict(sorted(self.counts.items()))
 
 
+def is_granted(leave: asyncio.Future[Grant]) -> bool:
+    """Whether a request that waited for leave has it."""
+    return leave.done() and not leave.cancelled() and leave.exception() is None
+
+
 def over_quota(retry: datetime.timedelta) -> result.RequestError:
     """The refusal of a request above its tenant's limit."""
     return result.RequestError(result.ResultCode.OVER_QUOTA, retry=retry)
--- a/aspencroft/proxy/quota_client_test.py
+++ b/aspencroft/proxy/quota_client_test.py
@@ -204,3 +204,20 @@
         return found, clock.now() - began < clock.seconds(0.21)
 
     assert played(scenario) == ((0, {result.ResultCode.UNREACHABLE}), True)
+
+
+def test_a_grant_that_comes_in_the_moment_in_which_a_caller_has_waited_long_enough_is_used():
+    async def scenario(client, groups):
+        groups.without_primary.update(range(GROUPS + 1))
+        batches, take_batch = [], client.take_batch
+
+        def noted(queue):
+            batches.append(take_batch(queue))
+            return batches[-1]
+
+        client.take_batch = noted
+        grant = quota_client.Grant(TENANT.name, 1, 1, clock.now(), clock.now())
+        asyncio.get_running_loop().call_later(WITHIN.total_seconds(), lambda: batches[-1][0].set_result(grant))
+        return await client.reserve(TENANT, WITHIN) is grant
+
+    assert played(scenario)
