All waits of a call for session groups end together, and fewer calls of one tenant wait

Found by review, not seen by users. A call that waited for its tenant's group and then for its turn's could be held for four fifths of its time and then be refused, and 1,024 waiting calls of one tenant took all places of an edge. Change: one end for all waits of a call, fixed at the first; 128 calls of a tenant wait at an edge.

--- a/aspencroft/proxy/forwarder.py
+++ b/aspencroft/proxy/forwarder.py
@@ -43,6 +43,7 @@
 TURN_END_GRACE = clock.seconds(0.2)
 AIM_PARTS_FOR_WAITING = 4
 WAITING_SHARE = 0.4
+SHORTEST_GROUP_WAIT = clock.seconds(0.1)
 LEAST_RETENTION = clock.seconds(60)
 DRAIN_POLL_INTERVAL = clock.seconds(0.05)
 WAIT_POLL_INTERVAL = clock.seconds(0.02)
@@ -113,6 +114,7 @@
     current_worker: str = ""
     hedged: bool = False
     quota_grant: quota_client.Grant | None = None
+    group_wait_end: datetime.timedelta | None = None
 
     def attempt_id(self) -> str:
         """The caller's id of this try, as session groups know it."""
@@ -297,10 +299,13 @@
         """How long a call waits for the group that it needs: its primary may be changing, which takes a second or so.
 
         A call that waits is tried all the time and goes on the moment the group serves; it leaves the caller time to
-        come again.
+        come again. All waits of a call end at the same time, but for a short one that each group gets.
         """
-        left = state.end - clock.now()
-        return max(min(max(state.route.aim, left * WAITING_SHARE), left), clock.ZERO)
+        now = clock.now()
+        left = state.end - now
+        if state.group_wait_end is None:
+            state.group_wait_end = now + max(state.route.aim, left * WAITING_SHARE)
+        return max(min(max(state.group_wait_end - now, SHORTEST_GROUP_WAIT), left), clock.ZERO)
 
     async def submit_to_group(self, state: CallState, group_key: str, command):
         """Have a session group decide a command; what no group can decide now is refused, not run."""
--- a/aspencroft/proxy/quota_client.py
+++ b/aspencroft/proxy/quota_client.py
@@ -32,7 +32,8 @@
 RESERVE_PART = 4
 """The part of the allowed error that the reserve grants in a window is one in so many."""
 MAX_BATCH = 256
-MAX_WAITING = 1024
+MAX_WAITING = 128
+"""Calls of one tenant that wait at an edge: a small part of those that it may hold, which others need."""
 UNAVAILABLE_RETRY_AFTER = clock.seconds(0.3)
 
 
