--- a/aspencroft/emulator/worker_server.py
+++ b/aspencroft/emulator/worker_server.py
@@ -34,6 +34,7 @@
     b"x-program",
     b"x-session",
 )
+TENANT = b"x-tenant"
 HOPS = frozenset((b"connection", b"keep-alive", b"transfer-encoding", b"content-length", LOAD, INSTANCE))
 READ = 1 << 16
 PIECES = clock.seconds(0.05)
@@ -44,10 +45,11 @@
     """What the stand-in's headers mean to the product."""
 
     def request_headers(self, one: call.Call, instance_name: str, remaining: datetime.timedelta) -> call.Headers:
-        """The headers that a worker gets: the caller's, with the time that is left and the worker that is meant."""
-        kept = tuple((name, value) for name, value in one.headers if name.lower() not in (EXPECT, REMAINING))
+        """The headers that a worker gets: the caller's, with the time left, the worker that is meant and the tenant."""
+        kept = tuple((name, value) for name, value in one.headers if name.lower() not in (EXPECT, REMAINING, TENANT))
         left = max(1, int(remaining.total_seconds() * 1000))
-        return (*kept, (REMAINING, b"%d" % left), (EXPECT, instance_name.encode()))
+        tenant = ((TENANT, one.tenant.encode()),) if one.tenant else ()
+        return (*kept, (REMAINING, b"%d" % left), (EXPECT, instance_name.encode()), *tenant)
 
     def resume_headers(self, headers: call.Headers, last_event: str) -> call.Headers:
         """The headers of a request that continues a stream behind an event; unchanged when that is none."""
--- a/aspencroft/simulation/forwarding.py
+++ b/aspencroft/simulation/forwarding.py
@@ -17,6 +17,7 @@
 import sys
 import tempfile
 import time
+import typing
 
 import defopt
 
@@ -44,6 +45,8 @@
 SHOWN = 6
 DRAIN_CALL = clock.seconds(0.9)
 ROUTES, SERVICES = "routes", "services"
+KINDS = {ROUTES: "http_routes", SERVICES: "services"}
+"""The kind of resource of each group in what an operator writes."""
 EDGE_FAULTS = ("edge kill", "edge power", "edge freeze", "edge stop")
 DISK_FAULTS = (
     "kill",
@@ -549,6 +552,8 @@
 class Operator:
     """Whoever writes configurations: one after the other, races, invalid ones; each repeated until it is clear."""
 
+    kinds: typing.ClassVar[dict[str, str]] = KINDS
+
     def __init__(self, world: World, chance: random.Random):
         self.world = world
         self.chance = chance
@@ -603,9 +608,8 @@
         self, one: rules.Version, before: dict[tuple[str, str], str] | None
     ) -> operator_configuration.ApplyConfiguration:
         """The order for a version, whole or as what differs from the one before."""
-        kinds = {ROUTES: "http_routes", SERVICES: "services"}
         items = tuple(
-            operator_configuration.Item(group, name, text, kinds[group], name, text)
+            operator_configuration.Item(group, name, text, self.kinds[group], name, text)
             for (group, name), text in one.items.items()
             if before is None or before.get((group, name)) != text
         )
@@ -1119,10 +1123,15 @@
         )
 
 
-def play(seed: int, scenario: collections.abc.Callable, size: simulated_cluster.Size) -> World:
+def play(
+    seed: int,
+    scenario: collections.abc.Callable,
+    size: simulated_cluster.Size,
+    make_world: collections.abc.Callable[[int, simulated_cluster.Size, pathlib.Path], World] = World,
+) -> World:
     """Play a trace in a fresh world."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix="aspencroft-"))
-    world = World(seed, size, folder)
+    world = make_world(seed, size, folder)
 
     async def whole() -> None:
         world.begin_world()
