--- a/aspencroft/sessions/request_quota_test.py
+++ b/aspencroft/sessions/request_quota_test.py
@@ -174,6 +174,16 @@
         assert given_back > 50
 
 
+def test_a_request_given_back_late_frees_no_grant_that_was_used():
+    replicas = Replicas()
+    unused = replicas.ask(reserve(1, 2), START)
+    assert replicas.ask(reserve(1, 2), START + clock.seconds(2)).granted == 1
+    replicas.ask(entry.ReturnRequests("t", 1, unused.epoch), START + clock.seconds(2.1))
+    assert replicas.ask(reserve(1, 2), START + clock.seconds(2.2)).granted == 1
+    assert replicas.ask(reserve(1, 2), START + clock.seconds(5.1)).granted == 0
+    assert replicas.ask(reserve(1, 2), START + clock.seconds(7.1)).granted == 1
+
+
 def test_what_an_earlier_primary_granted_is_not_taken_back_from_the_next():
     replicas = Replicas()
     reply = replicas.ask(reserve(5, 10, 0), START)
