--- a/aspencroft/simulation/mutations.py
+++ b/aspencroft/simulation/mutations.py
@@ -1165,8 +1165,8 @@
     Mutation(
         "a suspicion that nobody answers counts as confirmed",
         "membership/suspicion.py",
-        "            reason,\n        )\n        return None\n\n    async def ask(",
-        '            reason,\n        )\n        return ""\n\n    async def ask(',
+        "return Outcome(Verdict.UNCONFIRMED, ",
+        "return Outcome(Verdict.CONFIRMED, ",
         ("membership/suspicion_test.py",),
     ),
     Mutation(
