A drain order is about one machine: another one at its address is in service

What callers saw: an address that was drained once counted as drained for ever. A machine that came there later, empty and under another name or the same, held no replica, and an order to drain it was answered as if it had been given. With five cores and three storages, each drained, removed and replaced in turn, the control group was not whole after the third core. Cause: the plan holds an order by address; nothing told the ordered machine from a later one. Change: node/disk_arrival.py. At a disk's first start a marker file is left on it before any store. With the newest plan of the control group in hand the node decides once and removes it. A disk without the marker was here before: the order holds, through restarts. A new disk withdraws an order to a machine of another name, or one that is completed; it holds for a disk that was lost on the way. 'completed' is a new word in the plan, durable before anybody is told. The withdrawn order stays under the former machine's name, so that it is answered as before. An order that comes before the new disk has decided takes the former one's place. The order's name counts beside its address. No message between nodes changed. Plans without the word are read as before; a control primary of the former version, which refuses it, keeps no machine from being called drained. Why it works: what marks the machine is born with its disk and survives what the disk survives, and the decision is made against the control group's newest plan, once, so a later word in the plan can't turn it.

--- a/aspencroft/configuration/resources.py
+++ b/aspencroft/configuration/resources.py
@@ -4,6 +4,7 @@
 import dataclasses
 import functools
 import json
+import re
 import typing
 
 import voluptuous
@@ -17,8 +18,15 @@
 TENANTS = "tenants"
 ACCESS = "access"
 WORKER = voluptuous.Schema({voluptuous.Optional("leaving", default=False): bool})
-MACHINE = voluptuous.Schema({voluptuous.Optional("emptied", default=False): bool, voluptuous.Optional("name"): str})
-ADDRESS = voluptuous.All(str, voluptuous.Match(r"^[0-9A-Za-z.:\[\]-]+:[0-9]{1,5}\Z"))
+MACHINE = voluptuous.Schema(
+    {
+        voluptuous.Optional("emptied", default=False): bool,
+        voluptuous.Optional("name"): str,
+        voluptuous.Optional("completed", default=False): bool,
+    }
+)
+ADDRESS_PATTERN = re.compile(r"^[0-9A-Za-z.:\[\]-]+:[0-9]{1,5}\Z")
+ADDRESS = voluptuous.All(str, voluptuous.Match(ADDRESS_PATTERN))
 SEEDS = voluptuous.Schema(
     {voluptuous.Required("addresses"): voluptuous.All([ADDRESS], voluptuous.Length(min=3, max=7), voluptuous.Unique())}
 )
@@ -51,6 +59,30 @@
     meaning: str
 
 
+@dataclasses.dataclass(frozen=True)
+class DrainOrder:
+    """An order to drain the machine at an address.
+
+    ``name`` is the machine's when the order was given, empty where only its address was marked; ``is_completed`` tells
+    that somebody was told that the machine is drained, and may have taken it away.
+    """
+
+    name: str
+    is_completed: bool
+
+    def is_for(self, name: str) -> bool:
+        """Whether the order is for a machine of this name, as far as its address does not tell."""
+        return self.name in ("", name)
+
+    def holds_for_new_disk(self, name: str) -> bool:
+        """Whether the order is for a machine of this name that comes to its address with an empty disk.
+
+        Then the disk of the ordered machine was lost. Once somebody was told that this one is drained, an empty disk
+        is another machine's.
+        """
+        return self.is_for(name) and not self.is_completed
+
+
 @dataclasses.dataclass(frozen=True)
 class Configuration:
     """The plan as nodes use it."""
@@ -59,7 +91,7 @@
     lanes: dict[str, lane.Lane]
     lane_routes: dict[tuple[str, str], lane_route.LaneRoute]
     leaving: frozenset[str]
-    drained: frozenset[str]
+    drain_orders: dict[str, DrainOrder]
     seeds: tuple[str, ...]
     rules: dict[str, alert_rule.Rule]
     http_routes: dict[str, http_route.HttpRoute]
@@ -70,6 +102,11 @@
     keys_required: bool = False
     version: int = 0
 
+    @property
+    def drained(self) -> collections.abc.Set[str]:
+        """The addresses of machines that are to hold no replicas."""
+        return self.drain_orders.keys()
+
     def allowed(self, lane_name: str, tool: str) -> tuple[str, ...]:
         """The services that a lane's call may go to now, for a tool or in general."""
         whole = self.lanes[lane_name].services
@@ -101,6 +138,18 @@
     return tuple(faults)
 
 
+def is_machine_name(name: str) -> bool:
+    """Whether a resource can bear a machine's name without being taken for that of an address.
+
+    Example: ``is_machine_name("storage-1") and not is_machine_name("storage-1:7300")``
+    """
+    try:
+        RESOURCE_NAME(name)
+    except voluptuous.Invalid:
+        return False
+    return ADDRESS_PATTERN.match(name) is None
+
+
 def crowded(document: dict) -> bool:
     """Whether a document holds more resources than may be."""
     return sum(len(group) for group in document.values() if isinstance(group, dict)) > MOST_RESOURCES
@@ -204,7 +253,11 @@
     if "workers" in patch:
         fresh["leaving"] = marked("workers", "leaving")
     if "machines" in patch:
-        fresh["drained"] = marked("machines", "emptied")
+        fresh["drain_orders"] = {
+            address: DrainOrder(spec.get("name", ""), spec.get("completed", False))
+            for address, spec in document.get("machines", {}).items()
+            if spec.get("emptied")
+        }
     if "seeds" in patch:
         fresh["seeds"] = tuple(document.get("seeds", {}).get("control", {}).get("addresses", []))
     if "rules" in patch:
@@ -253,7 +306,7 @@
 
 
 EMPTY = Configuration(
-    {}, {}, {}, frozenset(), frozenset(), (), {}, {}, route_table.EMPTY, limits.of({}), {}, tenant.NO_KEYS
+    {}, {}, {}, frozenset(), {}, (), {}, {}, route_table.EMPTY, limits.of({}), {}, tenant.NO_KEYS
 )
 
 
--- a/aspencroft/configuration/resources_test.py
+++ b/aspencroft/configuration/resources_test.py
@@ -36,3 +36,34 @@
     assert not resources.check(document)
     typed = resources.of(document)
     assert typed.allowed("chat", "t") == ("b",) and typed.allowed("chat", "") == ("a", "b")
+
+
+def test_a_drain_order_of_a_former_version_holds_until_somebody_was_told_of_its_end():
+    document: dict = {
+        "machines": {
+            "a:1": {"emptied": True},
+            "b:1": {"emptied": True, "name": "storage-b"},
+            "c:1": {"emptied": True, "name": "storage-c", "completed": True},
+            "d:1": {"emptied": False, "name": "storage-d", "completed": True},
+        }
+    }
+    assert not resources.check(document)
+    typed = resources.of(document)
+    assert typed.drain_orders == {
+        "a:1": resources.DrainOrder("", False),
+        "b:1": resources.DrainOrder("storage-b", False),
+        "c:1": resources.DrainOrder("storage-c", True),
+    }
+    assert set(typed.drained) == {"a:1", "b:1", "c:1"}
+    holding = [
+        (address, name)
+        for address, order in typed.drain_orders.items()
+        for name in ("storage-b", "storage-c")
+        if order.holds_for_new_disk(name)
+    ]
+    assert holding == [("a:1", "storage-b"), ("a:1", "storage-c"), ("b:1", "storage-b")]
+
+
+def test_a_machines_name_names_a_resource_only_where_it_is_no_address():
+    assert all(resources.is_machine_name(name) for name in ("storage-shah-alam-1", "S.1_b"))
+    assert not any(resources.is_machine_name(name) for name in ("", "10.0.0.4:7300", "a/b", "-a", "a" * 97))
--- a/aspencroft/node/drain_order.py
+++ b/aspencroft/node/drain_order.py
@@ -8,12 +8,12 @@
 
 import logbook
 
-from aspencroft.configuration import control_state
+from aspencroft.configuration import control_state, resources
 from aspencroft.consensus import replica_set
 from aspencroft.distribution import updates
 from aspencroft.errors import result
 from aspencroft.membership import cluster_member
-from aspencroft.node import node_view
+from aspencroft.node import group_client, node_view
 from aspencroft.runtime import clock, events, supervision
 
 LOG = logbook.Logger("node.drain_order")
@@ -49,6 +49,11 @@
         ]
         return max(found, key=lambda member: (member.state != cluster_member.DOWN, member.incarnation), default=None)
 
+    def order_for(self, member: cluster_member.ClusterMember) -> resources.DrainOrder | None:
+        """The drain order that was given to a member, as far as its address and name tell."""
+        order = self.node.relay.configuration.drain_orders.get(member.address)
+        return order if order is not None and order.is_for(member.name) else None
+
     def member(self, name: str) -> cluster_member.ClusterMember:
         """The member of a name.
 
@@ -69,12 +74,20 @@
 
     def ordered_address(self, name: str) -> str | None:
         """The address of the machine of a name that is to drain or was removed since; none without such an order."""
-        drained, found = self.node.relay.configuration.drained, self.find(name)
+        orders, found = self.node.relay.configuration.drain_orders, self.find(name)
         if found is not None:
-            return found.address if found.address in drained else None
-        machines = self.node.relay.document.get("machines", {})
-        named = (address for address in drained if name in (address, machines.get(address, {}).get("name")))
-        return next(named, None)
+            return found.address if self.order_for(found) is not None else None
+        return next((address for address, order in orders.items() if name in (address, order.name)), None)
+
+    def may_be_replaced(self, address: str) -> bool:
+        """Whether somebody was told that the machine at an address is drained, and one runs there.
+
+        It may be another one with a new disk, which has not withdrawn the order yet.
+        """
+        return (
+            self.node.relay.configuration.drain_orders[address].is_completed
+            and self.node.failure_detector.state(address) != cluster_member.DOWN
+        )
 
     async def wait_for_newest_configuration(self, end: datetime.timedelta) -> None:
         """Wait until the plan here is as new as the control group's when this was called."""
@@ -134,10 +147,12 @@
         end = clock.now() + within
         while True:
             await self.wait_for_newest_configuration(end)
-            if self.ordered_address(name) is not None:
+            address = self.ordered_address(name)
+            if address is not None and not self.may_be_replaced(address):
                 return
             member = self.member(name)
-            self.check_enough_disks_left(member)
+            if address is None:
+                self.check_enough_disks_left(member)
             try:
                 await self.write(member, end)
             except result.RequestError as refusal:
@@ -154,8 +169,12 @@
                 return
 
     async def write(self, member: cluster_member.ClusterMember, end: datetime.timedelta) -> None:
-        """Write the order on top of the plan that is known here."""
-        body = json.dumps({"machines": {member.address: {"emptied": True, "name": member.name}}})
+        """Write the order on top of the plan that is known here.
+
+        It stands in the place of a former machine's, which may be completed.
+        """
+        spec = {"emptied": True, "name": member.name, "completed": None}
+        body = json.dumps({"machines": {member.address: spec}})
         write = control_state.WriteResources("merge", "", "", body, self.node.relay.revision)
         try:
             async with clock.limit(end - clock.now()):
@@ -184,7 +203,40 @@
             for group_id in range(self.node.settings.group_count)
             if member is None or replica_set.group_kind(group_id) in member.holds
         ]
-        return await self.state_without(address, group_ids, end)
+        state = await self.state_without(address, group_ids, end)
+        if state is DrainState.DRAINED and not await self.record_completion(address, end):
+            return DrainState.IN_SERVICE
+        return state
+
+    async def record_completion(self, address: str, end: datetime.timedelta) -> bool:
+        """Have it recorded that a machine is drained, before anybody is told and takes it away.
+
+        Whether it is recorded: then a new disk at the address is known to be another machine's.
+        """
+        orders = self.node.relay.configuration.drain_orders
+        while (order := orders.get(address)) is not None and not order.is_completed:
+            try:
+                await self.write_completion(address, end)
+            except TimeoutError:
+                return False
+            except result.RequestError as refusal:
+                if refusal.result is not result.ResultCode.REVISION_DIFFERS:
+                    # A control group led by a former version knows no such field: told as that version told it.
+                    return refusal.result is result.ResultCode.PLAN_INVALID
+            else:
+                return True
+            await self.wait_for_newest_configuration(end)
+            orders = self.node.relay.configuration.drain_orders
+        return order is not None
+
+    async def write_completion(self, address: str, end: datetime.timedelta) -> None:
+        """Write that an order is completed, upon that order alone."""
+        relay, left = self.node.relay, end - clock.now()
+        body = json.dumps({**relay.document["machines"][address], "completed": True})
+        known = control_state.revision_of(relay.revisions[f"machines/{address}"])
+        write = control_state.WriteResources("put", "machines", address, body, known)
+        async with clock.limit(left):
+            await self.node.submit(group_client.CONTROL_GROUP_ID, write, left)
 
     async def state_without(self, address: str, group_ids: list[int], end: datetime.timedelta) -> DrainState:
         """Whether all of some groups are complete without a machine, as far as their primaries say so in time."""
--- a/aspencroft/node/node.py
+++ b/aspencroft/node/node.py
@@ -27,6 +27,7 @@
 from aspencroft.membership import cluster_member, failure_detector
 from aspencroft.node import (
     configuration_service,
+    disk_arrival,
     drain_order,
     group_client,
     memory_report,
@@ -64,7 +65,11 @@
         )
         data = node_settings.data
         self.witness = witness.Witness(
-            node_environment, data / "witness" if data else None, self.address, self.incarnation, voter_set
+            node_environment,
+            data / disk_arrival.FIRST_STORE if data else None,
+            self.address,
+            self.incarnation,
+            voter_set,
         )
         self.witness_bootstrap = witness_bootstrap.WitnessBootstrap(
             self.witness,
@@ -98,6 +103,7 @@
                     self.group_replicas[group_id] = self.new_group_replica(group_id, data / f"pair-{group_id}")
         self.memory = memory_report.MemoryReport(self.group_replicas, node_settings.memory_limit)
         self.drain_orders = drain_order.DrainOrders(self)
+        self.disk_arrival = disk_arrival.DiskArrival(self, self.drain_orders)
         self.started = asyncio.Event()
         self.stopping = asyncio.Event()
         self.replicas_are_open = False
@@ -301,6 +307,7 @@
         async with supervision.Group() as group:
             group.create_task(self.link.run(listening))
             await listening.wait()
+            await self.disk_arrival.note_first_start()
             await self.witness.start(self.settings.witnesses == settings.CORE and self.settings.first_start)
             self.proposer.learn(self.witness.known.voter_set)
             for group_id, held in self.group_replicas.items():
@@ -330,6 +337,7 @@
             "relay": self.relay.run,
             "holdings": self.share_records,
             "records": self.record_recovery.run,
+            "disk arrival": self.disk_arrival.run,
             "memory": self.memory.run,
         }
         tasks.update({f"pair {group_id}": held.run for group_id, held in self.group_replicas.items()})
--- a/aspencroft/node/node_view.py
+++ b/aspencroft/node/node_view.py
@@ -11,6 +11,7 @@
 from aspencroft.membership import failure_detector
 from aspencroft.node import group_client, memory_report, settings
 from aspencroft.replication import group_replica
+from aspencroft.runtime import environment
 from aspencroft.tracing import sample, trace
 from aspencroft.transport import connections
 
@@ -23,6 +24,7 @@
     """
 
     settings: settings.Settings
+    environment: environment.Environment
     address: str
     incarnation: int
     link: connections.Link
--- a/aspencroft/runtime/events.py
+++ b/aspencroft/runtime/events.py
@@ -68,6 +68,7 @@
     DRAIN_ORDERED = "drain_ordered"
     DRAIN_UNFINISHED = "drain_unfinished"
     DRAIN_FINISHED = "drain_finished"
+    DRAIN_WITHDRAWN = "drain_withdrawn"
     WORKER_EJECTED = "worker_ejected"
     WORKER_NOT_EJECTED = "worker_not_ejected"
     WORKER_RETURNED = "worker_returned"
--- a/aspencroft/simulation/mutations.py
+++ b/aspencroft/simulation/mutations.py
@@ -610,8 +610,8 @@
     Mutation(
         "a drain order is checked against whatever plan the node has",
         "node/drain_order.py",
-        "            await self.wait_for_newest_configuration(end)\n            if self.ordered_address",
-        "            if self.ordered_address",
+        "            await self.wait_for_newest_configuration(end)\n            address = self.ordered_address",
+        "            address = self.ordered_address",
         ("node/drain_order_test.py",),
     ),
     Mutation(
@@ -626,10 +626,79 @@
     Mutation(
         "a drain order is forgotten with its machine",
         "node/drain_order.py",
-        "        return next(named, None)\n",
+        "        return next((address for address, order in orders.items() if name in (address, order.name)), None)\n",
         "        return None\n",
         ("node/node_test.py::test_a_drain_order_sent_again_after_the_machine_is_gone_and_forgotten_is_done",),
     ),
+    Mutation(
+        "a new disk keeps a former machine's drain order",
+        "node/disk_arrival.py",
+        "        if order is not None and not order.holds_for_new_disk(self.name()):\n",
+        "        if False:\n",
+        (
+            "simulation/drained_machines_test.py::test_each_storage_machine_in_turn_is_drained_and_replaced_at_its_address_under_another_name",
+        ),
+    ),
+    Mutation(
+        "a machine that lost its disk is free of its drain order",
+        "configuration/resources.py",
+        "        return self.is_for(name) and not self.is_completed\n",
+        "        return False\n",
+        (
+            "simulation/drained_machines_test.py::test_an_order_holds_for_a_machine_that_lost_its_disk_before_it_was_called_drained",
+        ),
+    ),
+    Mutation(
+        "a machine is called drained and nobody records it",
+        "node/drain_order.py",
+        "        if state is DrainState.DRAINED and not await self.record_completion(address, end):\n",
+        "        if False:\n",
+        (
+            "simulation/drained_machines_test.py::test_a_drained_machine_is_replaced_at_its_address_under_its_own_name",
+            "node/drain_order_test.py",
+        ),
+    ),
+    Mutation(
+        "a disk that held something counts as new",
+        "node/disk_arrival.py",
+        "        if (data / FIRST_STORE).exists():\n            return False\n",
+        "",
+        ("simulation/drained_machines_test.py::test_a_restart_of_the_ordered_machine_undoes_nothing",),
+    ),
+    Mutation(
+        "a new disk is none any more after a restart",
+        "node/disk_arrival.py",
+        "        marker.touch()\n",
+        "        return True\n",
+        (
+            "simulation/drained_machines_test.py::test_a_machine_that_is_killed_before_it_withdrew_a_former_machines_order_withdraws_it_after_its_restart",
+        ),
+    ),
+    Mutation(
+        "the marker of a new disk is not synced",
+        "node/disk_arrival.py",
+        "    # Also where an earlier run made it: that may have been killed before its sync.\n    disk.synchronise(data)\n",
+        "",
+        ("node/disk_arrival_test.py",),
+    ),
+    Mutation(
+        "an order to a replacement is taken for its predecessor's",
+        "node/drain_order.py",
+        "            if address is not None and not self.may_be_replaced(address):\n",
+        "            if address is not None:\n",
+        (
+            "simulation/drained_machines_test.py::test_an_order_to_a_replacement_is_not_lost_to_the_withdrawal_of_the_former_machines_order",
+        ),
+    ),
+    Mutation(
+        "a drain order counts for whoever is at its address",
+        "node/drain_order.py",
+        "        return order if order is not None and order.is_for(member.name) else None\n",
+        "        return order\n",
+        (
+            "simulation/drained_machines_test.py::test_an_order_to_a_replacement_is_not_lost_to_the_withdrawal_of_the_former_machines_order",
+        ),
+    ),
     Mutation(
         "a node that just started calls machines unknown",
         "node/drain_order.py",
--- a/aspencroft/simulation/simulated_cluster.py
+++ b/aspencroft/simulation/simulated_cluster.py
@@ -46,7 +46,10 @@
 
 
 class SimulatedCluster:
-    """One simulated world."""
+    """One simulated world.
+
+    Nodes go by the host of their address; ``machine_names`` has the names of the machines that bear another one.
+    """
 
     def __init__(
         self,
@@ -77,6 +80,7 @@
         self.ended: list[str] = []
         self.holds = size.holds()
         self.lost: set[str] = set()
+        self.machine_names: dict[str, str] = {}
         self.marked: dict[str, float] = {}
 
     def names(self) -> list[str]:
@@ -113,7 +117,7 @@
             "http://platform:80/api/workers",
             2,
             None,
-            name,
+            self.machine_names.get(name, name),
             holds=holds,
         )
         return dataclasses.replace(place, **{"first_start": name not in self.lost, **self.more})
