A name means a machine in service before one that was drained, whatever their clocks

What callers saw: with the clock of a machine behind that of a drained one whose name it bears at another address, an order to drain it was answered as if it had been given, and its state was said to be drained. An operator takes a machine away on that word. Cause: of several members of a name the one with the latest incarnation was meant, and an incarnation is the time of day at the start. Change: a member that is not down comes first, then one without an order of its own, then the latest.

--- a/aspencroft/node/drain_order.py
+++ b/aspencroft/node/drain_order.py
@@ -43,11 +43,18 @@
         self.logged_states: dict[str, tuple[DrainState, tuple[int, ...]]] = {}
 
     def find(self, name: str) -> cluster_member.ClusterMember | None:
-        """The member of a name, the newest run of it where several are known."""
+        """The member of a name; where several bore it, one that is not down, then one that is not to drain.
+
+        So nobody is told that a machine is drained where another one of its name is in service.
+        """
         found = [
             member for member in self.node.failure_detector.peers.values() if name in (member.name, member.address)
         ]
-        return max(found, key=lambda member: (member.state != cluster_member.DOWN, member.incarnation), default=None)
+
+        def rank(member: cluster_member.ClusterMember) -> tuple[bool, bool, int]:
+            return member.state != cluster_member.DOWN, self.order_for(member) is None, member.incarnation
+
+        return max(found, key=rank, default=None)
 
     def order_for(self, member: cluster_member.ClusterMember) -> resources.DrainOrder | None:
         """The drain order that was given to a member, as far as its address and name tell."""
--- a/aspencroft/simulation/drained_machines_test.py
+++ b/aspencroft/simulation/drained_machines_test.py
@@ -1,6 +1,7 @@
-"""Drained machines that were removed for good, and others that come at their addresses."""
+"""Drained machines that were removed for good, and others that come at their addresses or bear their names."""
 
 import asyncio
+import datetime
 
 import pytest
 
@@ -133,6 +134,49 @@
     play(seed, scenario)
 
 
+@pytest.mark.parametrize("seed", [5, 6])
+def test_a_machine_at_another_address_that_bears_a_drained_ones_name_takes_its_own_order(seed):
+    """Its clock is behind the one of the machine that was drained, which is not known to be down yet."""
+
+    async def scenario(operator: Operator) -> None:
+        cluster, (old, fresh) = operator.cluster, ("storage-0", "storage-3")
+        await operator.drain(old)
+        operator.remove(old)
+        cluster.clock_jump = datetime.timedelta(hours=-1)
+        cluster.storages[0] = fresh
+        await operator.replace(fresh, old)
+        known = cluster.nodes[operator.asked()].failure_detector.peers
+        await cluster.until(lambda: f"{fresh}:1" in known, 5, f"{fresh} known")
+        assert await operator.state(old) is IN_SERVICE
+        await operator.until_it_holds(fresh)
+        assert await operator.state(old) is IN_SERVICE
+        cluster.start("storage-4")
+        cluster.storages.append("storage-4")
+        await asyncio.sleep(2)
+        await operator.drain(old)
+        assert not operator.holds(fresh)
+
+    play(seed, scenario)
+
+
+@pytest.mark.parametrize("seed", [7, 8])
+def test_a_machine_that_is_down_is_not_called_drained_by_an_order_to_one_that_bore_its_name(seed):
+    async def scenario(operator: Operator) -> None:
+        cluster, (old, fresh) = operator.cluster, ("storage-0", "storage-4")
+        await operator.drain(old)
+        operator.remove(old)
+        cluster.clock_jump = datetime.timedelta(hours=-1)
+        cluster.storages[0] = fresh
+        await operator.replace(fresh, old)
+        await operator.until_it_holds(fresh)
+        cluster.power_off(fresh)
+        cluster.storages.remove(fresh)
+        await asyncio.sleep(5)
+        assert await operator.state(old) is IN_SERVICE
+
+    play(seed, scenario, SPARE)
+
+
 @pytest.mark.parametrize("same_name", [False, True])
 def test_each_core_machine_in_turn_is_drained_and_replaced_and_two_are_lost_after_that(same_name):
     async def scenario(operator: Operator) -> None:
--- a/aspencroft/simulation/mutations.py
+++ b/aspencroft/simulation/mutations.py
@@ -699,6 +699,16 @@
             "simulation/drained_machines_test.py::test_an_order_to_a_replacement_is_not_lost_to_the_withdrawal_of_the_former_machines_order",
         ),
     ),
+    Mutation(
+        "a name means whichever machine has the latest clock",
+        "node/drain_order.py",
+        "member.state != cluster_member.DOWN, self.order_for(member) is None, member.incarnation",
+        "member.state != cluster_member.DOWN, True, member.incarnation",
+        (
+            "simulation/drained_machines_test.py::test_a_machine_at_another_address_that_bears_a_drained_ones_name_takes_its_own_order",
+            "simulation/drained_machines_test.py::test_a_machine_that_is_down_is_not_called_drained_by_an_order_to_one_that_bore_its_name",
+        ),
+    ),
     Mutation(
         "a node that just started calls machines unknown",
         "node/drain_order.py",
