--- a/aspencroft/configuration/resources.py
+++ b/aspencroft/configuration/resources.py
@@ -305,9 +305,7 @@
     return tenants, before.key_table.changed(gone, come)
 
 
-EMPTY = Configuration(
-    {}, {}, {}, frozenset(), {}, (), {}, {}, route_table.EMPTY, limits.of({}), {}, tenant.NO_KEYS
-)
+EMPTY = Configuration({}, {}, {}, frozenset(), {}, (), {}, {}, route_table.EMPTY, limits.of({}), {}, tenant.NO_KEYS)
 
 
 def patch_between(old: dict, new: dict) -> dict:
