--- a/aspencroft/platform_check/order_races_test.py
+++ b/aspencroft/platform_check/order_races_test.py
@@ -7,14 +7,15 @@
 from aspencroft.platform_check import operators, order_races
 
 
-@pytest.mark.parametrize("seed", (401, 403, 404))
+@pytest.mark.parametrize("seed", (401, 403, 405))
 def test_of_racing_orders_one_is_taken_on_each_version_and_none_that_was_taken_is_refused(seed):
     total = judged_race(seed)
     assert total["unclear True"] > 0, total
 
 
-def test_of_racing_orders_that_all_get_clear_answers_none_that_was_taken_is_refused():
-    judged_race(402)
+@pytest.mark.parametrize("seed", (402, 404))
+def test_of_racing_orders_that_all_get_clear_answers_none_that_was_taken_is_refused(seed):
+    judged_race(seed)
 
 
 def judged_race(seed: int) -> collections.Counter:
