--- a/aspencroft/simulation/quota_campaign_test.py
+++ b/aspencroft/simulation/quota_campaign_test.py
@@ -24,6 +24,10 @@
     assert any(quota_campaign.TAKEOVERS in one for one in found.done)
 
 
+def test_four_takeovers_of_one_group_in_a_row_refuse_hardly_any_request_within_its_limit():
+    assert quota_campaign.run_day(35).wrong == []
+
+
 def test_an_edge_that_goes_on_with_its_first_keys_is_seen(monkeypatch):
     first_table = []
     plain = caller_access.CallerAccess.identify
