--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -49,19 +49,22 @@
         return time.monotonic() - self.began
 
 
+def is_free(address: str, port: int) -> bool:
+    """Whether nothing listens on a port of an address."""
+    with socket.socket() as one:
+        one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            one.bind((address, port))
+        except OSError:
+            return False
+        return True
+
+
 def free_base(addresses: list[str], count: int) -> int:
     """A first port from which ``count`` ports are free at all addresses."""
     for _ in range(200):
         base = random.randrange(18000, 31000)
-        with contextlib.ExitStack() as stack:
-            try:
-                for address in addresses:
-                    for port in range(base, base + count):
-                        one = stack.enter_context(socket.socket())
-                        one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                        one.bind((address, port))
-            except OSError:
-                continue
+        if all(is_free(address, port) for address in addresses for port in range(base, base + count)):
             return base
     raise CannotRun("no free ports")
 
