--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -443,14 +443,16 @@
             server.close()
 
 
-def play(case: pathlib.Path, scenario, **sizes) -> int:
+def play(case: pathlib.Path, scenario, trouble: bool, **sizes) -> int:
     """Play a scenario; it returns what was broken, an empty text if nothing. Returns the exit code."""
     record = Record(case / "record.txt")
     folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     record(f"trouble={trouble}")
 
     async def run() -> str:
+        # A script that is told to stop ends its processes, too.
+        own = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, own.cancel)
         if not (ROOT / "target" / "deps").is_dir():
             raise CannotRun("target/deps is missing: build first")
         fleet = Fleet(record, folder, **sizes)
@@ -463,7 +465,7 @@
 
     try:
         broken = asyncio.run(run())
-    except (CannotRun, TimeoutError, OSError) as error:
+    except (CannotRun, TimeoutError, OSError, asyncio.CancelledError) as error:
         record(f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         return 2
