--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""Small programs of several turns run beside one program whose three turns have inputs as large as the limits allow.
+"""Small programs of several turns run beside one program that has ten turns with inputs of a megabyte.
 
 Without the disruption that program sends inputs as small as the others. Nothing is killed, cut or slowed.
 """
@@ -10,7 +10,7 @@
 import fleet
 
 SMALL, PROGRAMS, TURNS, NEW_A_SECOND, AIM_S = b"a short question " * 20, 36, 11, 12, 10.0
-LARGE = b"p" * fleet.LIMITS["max-body-bytes"]
+LARGE, HELPERS = b"p" * 1_000_000, 9
 
 
 async def case(machines, record):
@@ -71,14 +71,20 @@
         previous = ""
         for number in range(1, turns + 1):
             previous, statuses = await turn(name, number, previous, body)
-            if len(body) > 100000:
-                record(f"program {name}, turn {number}, {len(body)} bytes: {statuses}")
             if not previous:
                 ended["stuck"] += 1
                 return
             await asyncio.sleep(pause)
         ended["whole"] += 1
 
+    async def program_with_helpers(name, body):
+        """One turn, then helpers one after the other, each with one turn that goes on from it."""
+        parent, _ = await turn(name, 1, "", body)
+        for number in range(HELPERS if parent else 0):
+            await asyncio.sleep(0.2)
+            reply, statuses = await turn(name, number + 2, parent, body)
+            ended["helper served" if reply else f"helper not served {statuses}"] += 1
+
     async def first_turn(number):
         attempt = fleet.attempt_id()
         got = await fleet.client_try(edges[number % 3], "POST", "/chat/x", 3.0, SMALL, attempt=attempt, Program_Id=f"new-{number}", Token_Count="100,20")
@@ -87,8 +93,8 @@
 
     tasks = [asyncio.ensure_future(program(f"small-{number}", SMALL, TURNS, 1.0)) for number in range(PROGRAMS)]
     await asyncio.sleep(3)
-    tasks.append(asyncio.ensure_future(program("provenance", LARGE if fleet.trouble() else SMALL, 3, 0.2)))
-    await asyncio.sleep(3)
+    tasks.append(asyncio.ensure_future(program_with_helpers("provenance", LARGE if fleet.trouble() else SMALL)))
+    await asyncio.sleep(5)
     for number in range(NEW_A_SECOND * 15):
         tasks.append(asyncio.ensure_future(first_turn(number)))
         await asyncio.sleep(1 / NEW_A_SECOND)
