--- a/aspencroft/node/memory_report.py
+++ b/aspencroft/node/memory_report.py
@@ -51,6 +51,8 @@
         self.limit = limit
         self.resident = resident
         self.warned_at = 0
+        self.sections: dict[str, collections.abc.Callable[[], str]] = {}
+        """Texts of what else a program of this node holds, by name."""
 
     def groups(self) -> tuple[GroupMemory, ...]:
         """What each replica on this node holds."""
@@ -67,10 +69,11 @@
             return
         self.warned_at = resident
         LOG.warning(
-            "{:.1f} of {:.1f} MB in use; groups: {}",
+            "{:.1f} of {:.1f} MB in use; groups: {}{}",
             resident / MEGABYTE,
             self.limit / MEGABYTE,
             "; ".join(group.text() for group in self.groups()),
+            "".join(f"; {name}: {text()}" for name, text in self.sections.items()),
         )
 
     def samples(self) -> list[sample.Sample]:
--- a/aspencroft/proxy/call.py
+++ b/aspencroft/proxy/call.py
@@ -4,6 +4,8 @@
 import dataclasses
 import datetime
 
+from aspencroft.proxy import memory_budget
+
 Headers = tuple[tuple[bytes, bytes], ...]
 
 
@@ -14,7 +16,8 @@
     ``time_limit`` is how long the caller waits, counted from ``arrived_at``. ``budget``, ``prompt_tokens``, ``reserve``
     and the sizes in ``prompt_segments`` are in tokens. An empty text or zero means that the caller gave no value.
     ``key_digest`` is the digest of the caller's API key, which itself is in none of the fields; ``tenant`` is looked up
-    by it at admission, whatever the caller claims.
+    by it at admission, whatever the caller claims. ``memory`` reserves the bytes that are held for the call; whoever
+    made the call releases it.
     """
 
     method: str
@@ -38,6 +41,9 @@
     model: str = ""
     prompt_segments: tuple[tuple[str, int], ...] = ()
     resume_after: str = ""
+    memory: memory_budget.Reservation = dataclasses.field(
+        default_factory=memory_budget.unlimited, compare=False, repr=False
+    )
 
     def deadline(self) -> datetime.timedelta:
         """The time at which the caller stops waiting, on the clock of the event loop."""
--- a/aspencroft/proxy/forwarder.py
+++ b/aspencroft/proxy/forwarder.py
@@ -23,6 +23,7 @@
     events,
     instance,
     instances,
+    memory_budget,
     outlier_detection,
     quota_client,
     route_counts,
@@ -613,6 +614,7 @@
         attempts.sent += 1
         attempts.possibly_run += 1
         try:
+            await request.memory.grow(memory_budget.Purpose.SENDING, len(state.body), state.deadline)
             return await self.pool.request(
                 worker.address,
                 request.method,
