--- a/aspencroft/proxy/forwarder.py
+++ b/aspencroft/proxy/forwarder.py
@@ -23,7 +23,6 @@
     events,
     instance,
     instances,
-    memory_budget,
     outlier_detection,
     quota_client,
     route_counts,
@@ -169,7 +168,14 @@
 class Forwarder:
     """Forwards the calls of one edge; the task of the caller's connection takes each call through all stages."""
 
-    def __init__(self, own: node.Node, dialect: Dialect, view: instances.Instances, connections: pool.Pool):
+    def __init__(
+        self,
+        own: node.Node,
+        dialect: Dialect,
+        view: instances.Instances,
+        connections: pool.Pool,
+        turn_cache_bytes: int = turn_cache.MAX_BYTES,
+    ):
         self.node = own
         self.dialect = dialect
         self.instances = view
@@ -178,7 +184,7 @@
         self.quotas = quota_client.QuotaClient(own)
         self.traces = trace.Traces(own.address)
         self.completions = completion_queue.CompletionQueue(own)
-        self.cached_turns = turn_cache.TurnCache()
+        self.cached_turns = turn_cache.TurnCache(turn_cache_bytes)
         self.working_sets = working_set.WorkingSets()
         self.admission = admission_report.AdmissionReport(own.address)
         self.waiting_calls = waiting_calls.WaitingCalls()
@@ -614,7 +620,6 @@
         attempts.sent += 1
         attempts.possibly_run += 1
         try:
-            await request.memory.grow(memory_budget.Purpose.SENDING, len(state.body), state.deadline)
             return await self.pool.request(
                 worker.address,
                 request.method,
--- a/aspencroft/proxy/memory_budget.py
+++ b/aspencroft/proxy/memory_budget.py
@@ -27,7 +27,6 @@
 
     BODY = "body"
     HISTORY = "history"
-    SENDING = "sending"
     ANSWER = "answer"
     OUTPUT = "output"
 
@@ -65,14 +64,19 @@
         """Return the bytes that are reserved."""
         return self.parts.total()
 
-    async def grow(self, purpose: Purpose, size: int, until: datetime.timedelta) -> None:
+    async def grow(
+        self, purpose: Purpose, size: int, until: datetime.timedelta, ran: result.Ran = result.Ran.UNKNOWN
+    ) -> None:
         """Reserve more bytes for a call that has begun, waiting for them until a time on the loop's clock.
 
         Raises:
-            RequestError: OVERLOADED with an unknown outcome; the bytes are not reserved.
+            RequestError: OVERLOADED with the outcome ``ran``; the bytes are not reserved.
 
         """
-        await self.budget.grow(self, purpose, size, until)
+        try:
+            await self.budget.grow(self, purpose, size, until)
+        except TimeoutError:
+            raise self.budget.refusal(self, size, ran) from None
 
     def shrink(self, purpose: Purpose, size: int) -> None:
         """Give back what is reserved for a purpose beyond a size."""
@@ -131,16 +135,18 @@
         return reservation
 
     async def grow(self, reservation: Reservation, purpose: Purpose, size: int, until: datetime.timedelta) -> None:
-        """Reserve more bytes for a call that has begun; see ``Reservation.grow``."""
+        """Reserve more bytes for a call that has begun; see ``Reservation.grow``.
+
+        Raises:
+            TimeoutError: the bytes are not free in time, or are more than the whole budget.
+
+        """
         if not self.begun.waiters and self.has_room(self.begun, size):
             self.take(reservation, self.begun, purpose, size)
             return
         if size > self.limit:
-            raise self.refusal(reservation, size, result.Ran.UNKNOWN)
-        try:
-            await self.wait(reservation, self.begun, purpose, size, until)
-        except TimeoutError:
-            raise self.refusal(reservation, size, result.Ran.UNKNOWN) from None
+            raise TimeoutError
+        await self.wait(reservation, self.begun, purpose, size, until)
 
     def release(self, reservation: Reservation) -> None:
         """Give all bytes of a reservation back and let others have them."""
--- a/aspencroft/workers/pool.py
+++ b/aspencroft/workers/pool.py
@@ -26,6 +26,7 @@
 MAX_LINE_BYTES = 4096
 MAX_INTERIM_RESPONSES = 8
 MAX_INLINE_WRITE_BYTES = 1 << 15
+WRITE_PART_BYTES = 1 << 16
 METHODS_WITH_BODY = frozenset(("POST", "PUT", "PATCH"))
 FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding", b"connection"))
 STATUS_LINE = re.compile(rb"HTTP/1\.1 ([1-9]\d\d)(?: [^\0]*)?")
@@ -37,6 +38,7 @@
 KEEP_ALIVE_TIMEOUT = re.compile(rb"(?:^|[,;\s])timeout\s*=\s*(\d{1,6})", re.IGNORECASE)
 
 Accepts = collections.abc.Callable[[int, call.Headers], bool]
+Reserve = collections.abc.Callable[[int], collections.abc.Awaitable[None]]
 
 
 class ConnectionLostError(result.RequestError):
@@ -127,6 +129,14 @@
     return raw
 
 
+async def write_in_parts(channel: environment.Channel, head: bytes, body: bytes) -> None:
+    """Write a request part by part, so that no second copy of a large body waits in the channel."""
+    await channel.write(head)
+    view = memoryview(body)
+    for start in range(0, len(body), WRITE_PART_BYTES):
+        await channel.write(bytes(view[start : start + WRITE_PART_BYTES]))
+
+
 class Connection:
     """A connection to a worker's address, with the bytes that were received and not yet parsed."""
 
@@ -235,12 +245,24 @@
             raise ConnectionBrokenError("malformed chunk size")
         return int(size[1], 16)
 
-    async def read(self) -> bytes:
+    async def discard(self) -> None:
+        """Read the whole body and drop it.
+
+        :raises result.RequestError: the body was cut off, or the deadline has passed
+        """
+        async for _ in self.parts():
+            pass
+
+    async def read(self, reserve: Reserve | None = None) -> bytes:
         """Return the whole body, at most 64 MiB.
 
+        ``reserve`` is awaited with the number of bytes that are to be held next: all where the length is known.
+
         :raises result.RequestError: the body was cut off or is too large, or the deadline has passed
         """
         length, buffer = self.head.length, self.connection.buffer
+        if length is not None and reserve is not None and length <= MAX_BODY_BYTES:
+            await reserve(length)
         if length is not None and length <= len(buffer):
             body = bytes(buffer[:length])
             del buffer[:length]
@@ -250,6 +272,8 @@
             raise self.broken("response body too large")
         found, size = [], 0
         async for part in self.parts():
+            if length is None and reserve is not None:
+                await reserve(len(part))
             found.append(part)
             size += len(part)
             if size > MAX_BODY_BYTES:
@@ -342,11 +366,11 @@
             ``NOT_RUN`` if no byte of the request was sent; WORKER_LOST, WORKER_BROKE, or DEADLINE with an unknown
             outcome if some bytes may have been sent
         """
-        raw = request_head(method, target, headers, len(body)) + body
+        head_bytes = request_head(method, target, headers, len(body))
         connection = await self.acquire(address, end, max_connections)
         connection.deadline_timer = asyncio.get_running_loop().call_at(end.total_seconds(), connection.expire)
         try:
-            await self.send(connection, raw)
+            await self.send(connection, head_bytes, body)
             head = await self.receive(connection, method == "HEAD")
             if accepts is not None and not accepts(head.status, head.headers):
                 self.counts["worker answers in excess"] += 1
@@ -396,14 +420,14 @@
             raise result.RequestError(result.ResultCode.DEADLINE)
         return Connection(address, channel)
 
-    async def send(self, connection: Connection, raw: bytes) -> None:
+    async def send(self, connection: Connection, head: bytes, body: bytes) -> None:
         """Write a request; a large one while reading, as a worker may respond before it has read everything."""
-        if len(raw) > MAX_INLINE_WRITE_BYTES:
-            connection.write_task = asyncio.ensure_future(connection.channel.write(raw))
+        if len(head) + len(body) > MAX_INLINE_WRITE_BYTES:
+            connection.write_task = asyncio.ensure_future(write_in_parts(connection.channel, head, body))
             connection.write_task.add_done_callback(lambda task: task.cancelled() or task.exception())
             return
         try:
-            await connection.channel.write(raw)
+            await connection.channel.write(head + body)
         except OSError as error:
             raise self.lost(connection, f"{error!r}") from None
 
