--- a/aspencroft/proxy/forwarder.py
+++ b/aspencroft/proxy/forwarder.py
@@ -23,6 +23,7 @@
     events,
     instance,
     instances,
+    memory_budget,
     outlier_detection,
     quota_client,
     route_counts,
@@ -33,7 +34,7 @@
     working_set,
 )
 from aspencroft.runtime import clock
-from aspencroft.sessions import entry, messages, session_groups
+from aspencroft.sessions import entry, messages, operation_keys, session_groups, turn_history
 from aspencroft.tracing import sample, trace
 from aspencroft.workers import pool
 
@@ -52,6 +53,8 @@
 MAX_ACTIVE_CALLS = 1024
 MAX_SELECTIONS = 12
 MAX_CONNECTIONS = 64
+OUTPUT_STEP_BYTES = 8 << 10
+"""Step in which the memory for the output of a retained turn is reserved."""
 LOAD_LIMIT = 1.25
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 """Statuses that suggest that a request did not run. A status alone does not prove it: unless the worker states it,
@@ -117,6 +120,11 @@
     hedged: bool = False
     quota_grant: quota_client.Grant | None = None
     group_wait_end: datetime.timedelta | None = None
+    output_reserved: int = 0
+
+    def keeps_output(self) -> bool:
+        """Whether the output of the call becomes a part of a session's history."""
+        return self.turn_reserved and self.route.retained
 
     def attempt_id(self) -> str:
         """The caller's attempt id, qualified by its tenant as session groups store it."""
@@ -376,10 +384,13 @@
         state.last_worker = reply.worker
         if previous:
             self.cached_turns.add(reply.chain)
-            history = self.cached_turns.bytes_of(previous)
+            history = self.cached_turns.history(previous)
             if history is None:
                 raise result.RequestError(result.ResultCode.INTERNAL, detail="the history of the turn is incomplete")
-            state.body = history + request.body
+            parts = [*turn_cache.parts_of(history), request.body]
+            until = clock.now() + self.group_wait_limit(state)
+            await request.memory.grow(memory_budget.Purpose.HISTORY, sum(map(len, parts)), until, result.Ran.NOT_RUN)
+            state.body = b"".join(parts)
         self.add_trace(state, "turn begun", f"previous turn: {request.previous or 'none'}")
 
     async def find_chain_in_other_groups(self, state: CallState, turn: str) -> tuple[entry.Turn, ...]:
@@ -663,7 +674,7 @@
     async def discard_answer(self, response: pool.Response, reuse: bool) -> None:
         """Read the rest of a response that is not passed on, so that the connection can be reused if wanted."""
         try:
-            await response.read()
+            await response.discard()
         except result.RequestError:
             return
         finally:
@@ -688,10 +699,16 @@
         self, state: CallState, worker: instance.Instance, response: pool.Response, head: call.Head
     ) -> call.Answer:
         """Read the whole body of a response that is not a stream; nothing is passed on before that."""
+
+        async def reserve(size: int) -> None:
+            await state.call.memory.grow(memory_budget.Purpose.ANSWER, size, state.deadline)
+
         try:
-            body = await response.read()
+            body = await response.read(reserve)
         except result.RequestError as error:
-            self.instances.record_failure(worker.name, outlier_detection.outcome_of_error(error))
+            await response.close(False)
+            if error.result is not result.ResultCode.OVERLOADED:
+                self.instances.record_failure(worker.name, outlier_detection.outcome_of_error(error))
             raise
         except BaseException:
             await response.close(False)
@@ -699,13 +716,7 @@
         await response.close(True)
         answer = call.Answer(response.status, self.dialect.answer_headers(response.headers), body)
         if state.key_reserved:
-            pairs = tuple(entry.Header(name, value) for name, value in answer.headers)
-            key = self.key_of(state.call)
-            self.completions.offer(
-                self.group_of(key),
-                entry.CloseKey(key, state.attempt_id(), messages.DONE, answer.status, pairs, body),
-            )
-            state.key_reserved = False
+            self.finish_key_later(state, answer)
         if state.turn_reserved:
             # The answer to a turn is read here only if its status is not 2xx; its token count is not known.
             self.finish_turn_later(state, messages.UNKNOWN)
@@ -748,7 +759,7 @@
 
         On a resumable route only complete events are passed on, and a broken stream is resumed at another worker.
         """
-        reader, pace_timer = events.Reader(), stream_pace.PaceTimer()
+        reader, pace_timer = events.Reader(state.keeps_output()), stream_pace.PaceTimer()
         buffer = event_buffer.EventBuffer() if state.may_resume() else None
         source, is_complete = StreamSource(worker, response, chunks, first), False
         try:
@@ -758,6 +769,8 @@
                         complete = chunk if buffer is None else buffer.feed(chunk)
                         if complete:
                             reader.feed(complete)
+                            if reader.held_bytes() > state.output_reserved:
+                                await self.reserve_output(state, reader)
                             pace_timer.record(reader.count)
                             yield complete
                     is_complete = True
@@ -788,6 +801,23 @@
                 # The stream did not end normally, or its end was not confirmed by the session group.
                 self.finish_turn_later(state, messages.UNKNOWN)
 
+    async def reserve_output(self, state: CallState, reader: events.Reader) -> None:
+        """Reserve the memory for the output of a retained turn so far, in steps.
+
+        Raises:
+            RequestError: the memory is not free before the call's deadline, or the output is larger than a chain may
+                be; the outcome is unknown.
+
+        """
+        missing = reader.held_bytes() - state.output_reserved
+        if reader.held_bytes() > turn_history.MAX_CHAIN_BYTES:
+            raise result.RequestError(
+                result.ResultCode.WORKER_BROKE, result.Ran.UNKNOWN, "the output is larger than a chain may be"
+            )
+        step = -(-missing // OUTPUT_STEP_BYTES) * OUTPUT_STEP_BYTES
+        await state.call.memory.grow(memory_budget.Purpose.OUTPUT, step, state.deadline)
+        state.output_reserved += step
+
     async def close_complete(self, source: StreamSource, pace_timer: stream_pace.PaceTimer) -> None:
         """Release the worker and the connection of a complete stream, and record its pace."""
         seconds_per_event = pace_timer.pace()
@@ -910,6 +940,18 @@
             entry.EndTurn(state.program, state.session_id(), state.attempt_id(), outcome, b"", b"", 0, ""),
         )
 
+    def finish_key_later(self, state: CallState, answer: call.Answer) -> None:
+        """Queue the answer under an operation key; one that is too large to be stored is queued without its bytes."""
+        state.key_reserved = False
+        key = self.key_of(state.call)
+        if len(answer.body) > operation_keys.MAX_ANSWER_BYTES:
+            answer = call.Answer(0, (), b"")
+        pairs = tuple(entry.Header(name, value) for name, value in answer.headers)
+        self.completions.offer(
+            self.group_of(key),
+            entry.CloseKey(key, state.attempt_id(), messages.DONE, answer.status, pairs, answer.body),
+        )
+
     def abandon(self, state: CallState) -> None:
         """Release or charge the reservations of a failed call."""
         outcome = messages.UNKNOWN if state.attempts.possibly_run else messages.NOT_RUN
--- a/aspencroft/proxy/turn_cache.py
+++ b/aspencroft/proxy/turn_cache.py
@@ -50,4 +50,9 @@
             return None
         for turn in history:
             self.turns.move_to_end(turn.attempt)
-        return b"".join(turn.input + turn.output for turn in history)
+        return b"".join(parts_of(history))
+
+
+def parts_of(history: list[entry.Turn]) -> list[bytes]:
+    """Return the inputs and outputs of turns, in order."""
+    return [part for turn in history for part in (turn.input, turn.output)]
