--- a/aspencroft/node/memory_report.py
+++ b/aspencroft/node/memory_report.py
@@ -26,6 +26,7 @@
     part: str
     held: replica.ReplicaMemory
     incoming_bytes: int
+    payload_limit: int = 0
 
     def text(self) -> str:
         """The figures as one part of a log line, in megabytes."""
@@ -34,7 +35,8 @@
             f"{self.group} {self.part}: snapshot {held.snapshot_bytes / MEGABYTE:.1f} "
             f"journal {held.journal_bytes / MEGABYTE:.1f} ({held.journal_entries}) "
             f"state {held.state_bytes / MEGABYTE:.1f} ({held.state_entries}) "
-            f"incoming {self.incoming_bytes / MEGABYTE:.1f}"
+            f"incoming {self.incoming_bytes / MEGABYTE:.1f} "
+            f"limit {self.payload_limit / MEGABYTE:.1f}"
         )
 
 
@@ -46,10 +48,12 @@
         hosts: dict[int, group_replica.GroupReplica],
         limit: int,
         resident: collections.abc.Callable[[], int] = process_memory.resident_bytes,
+        payload_limit: collections.abc.Callable[[int], int] = lambda group: 0,
     ):
         self.group_replicas = hosts
         self.limit = limit
         self.resident = resident
+        self.payload_limit = payload_limit
         self.warned_at = 0
         self.sections: dict[str, collections.abc.Callable[[], str]] = {}
         """Texts of what else a program of this node holds, by name."""
@@ -57,7 +61,7 @@
     def groups(self) -> tuple[GroupMemory, ...]:
         """What each replica on this node holds."""
         return tuple(
-            GroupMemory(group, held.status_reason, held.replica.memory(), held.incoming.size)
+            GroupMemory(group, held.status_reason, held.replica.memory(), held.incoming.size, self.payload_limit(group))
             for group, held in self.group_replicas.items()
         )
 
@@ -85,6 +89,7 @@
         for one in self.groups():
             group = str(one.group)
             found.append(sample.sample("aspencroft_group_state_bytes", one.held.state_bytes, pair=group))
+            found.append(sample.sample("aspencroft_group_payload_limit_bytes", one.payload_limit, pair=group))
             found.append(sample.sample("aspencroft_group_snapshot_bytes", one.held.snapshot_bytes, pair=group))
             found.append(sample.sample("aspencroft_group_journal_bytes", one.held.journal_bytes, pair=group))
         return found
--- a/aspencroft/node/node.py
+++ b/aspencroft/node/node.py
@@ -101,7 +101,9 @@
             for group_id in range(node_settings.group_count):
                 if replica_set.group_kind(group_id) in node_settings.held:
                     self.group_replicas[group_id] = self.new_group_replica(group_id, data / f"pair-{group_id}")
-        self.memory = memory_report.MemoryReport(self.group_replicas, node_settings.memory_limit)
+        self.memory = memory_report.MemoryReport(
+            self.group_replicas, node_settings.memory_limit, payload_limit=lambda group: self.payload_limit()
+        )
         self.drain_orders = drain_order.DrainOrders(self)
         self.disk_arrival = disk_arrival.DiskArrival(self, self.drain_orders)
         self.started = asyncio.Event()
--- a/aspencroft/replication/primary.py
+++ b/aspencroft/replication/primary.py
@@ -400,9 +400,11 @@
                 )
                 continue
             try:
-                events, reply = state.replica.state_machine.decide(submission.command, clock.now(), record.epoch)
+                decided, reply = state.replica.state_machine.decide(submission.command, clock.now(), record.epoch)
             except result.RequestError as refusal:
-                events, reply = (), refusal
+                decided, reply = (), refusal
+                if refusal.result is result.ResultCode.OVERLOADED:
+                    self.report_full(record, refusal)
             except Exception as error:  # a fault in one command must not end the primary's supervised task
                 LOG.exception(
                     "group {}: command {} not decided, epoch {}, member {}: internal fault",
@@ -411,13 +413,25 @@
                     record.epoch,
                     state.me().label(),
                 )
-                events, reply = (), result.RequestError(result.ResultCode.INTERNAL, detail=repr(error))
-            for event in events:
+                decided, reply = (), result.RequestError(result.ResultCode.INTERNAL, detail=repr(error))
+            for event in decided:
                 entries.append(log_records.Entry(record.epoch, last.sequence + len(entries) + 1, codec.tagged(event)))
                 state.replica.apply(entries[-1], event)
             undelivered.append(Decided(submission, reply))
         return tuple(entries)
 
+    def report_full(self, record: replica_set.ReplicaSet, refusal: result.RequestError) -> None:
+        """Report that the group refused a command for want of room."""
+        fields = events.EventFields(events.Event.GROUP_FULL, self.state.group_id, record.epoch, reason="no room")
+        events.report(
+            LOG,
+            fields,
+            "group {}: command refused for want of room, epoch {}: {}",
+            self.state.group_id,
+            record.epoch,
+            refusal.detail,
+        )
+
     async def remove_failed_backups(self, failed: collections.abc.Iterable[replica_set.ReplicaId]) -> None:
         """Remove failed backups from the replica set through a ballot of the witnesses.
 
--- a/aspencroft/runtime/events.py
+++ b/aspencroft/runtime/events.py
@@ -54,6 +54,7 @@
     MOVE_BEGUN = "move_begun"
     MOVE_ENDED = "move_ended"
     DISK_FAULT = "disk_fault"
+    GROUP_FULL = "group_full"
     ROOT_BEGUN = "root_begun"
     ROOT_ENDED = "root_ended"
     ORDER_TAKEN = "order_taken"
--- a/aspencroft/sessions/call_sessions.py
+++ b/aspencroft/sessions/call_sessions.py
@@ -116,7 +116,7 @@
         if command.retained and not self.has_room(command, imported):
             raise result.RequestError(
                 result.ResultCode.OVERLOADED,
-                detail="the history of the group is at its size limit",
+                detail=self.describe_use(command.program),
                 retry=OVERLOADED_RETRY_AFTER,
             )
         if chain_bytes > turn_history.MAX_CHAIN_BYTES:
@@ -142,6 +142,14 @@
         )
         return (event,), self.history.start_reply(command.previous, command.held_turn, worker, imported)
 
+    def describe_use(self, program: str) -> str:
+        """Return how many bytes the group and one of its programs hold, for refusals."""
+        held = self.history.program_bytes[program]
+        return (
+            f"the group holds {self.payload_bytes()} of {self.max_payload_bytes} bytes,"
+            f" the program {program[:100]!r} {held} of them"
+        )
+
     def has_room(self, command: entry.BeginTurn, imported: tuple[entry.Turn, ...]) -> bool:
         """Return whether the payload limit, lower for the first turn of a chain, has room for the imported turns.
 
--- a/aspencroft/sessions/turn_history.py
+++ b/aspencroft/sessions/turn_history.py
@@ -51,9 +51,11 @@
         self.successors: dict[str, int] = {}
         """For each turn that has any: the number of retained or in-flight turns that continue it."""
         self.bytes = 0
+        self.program_bytes: collections.Counter[str] = collections.Counter()
+        """For each program that holds any: the bytes of its retained turns; a chain shared by helpers counts once."""
         for retained in snapshot.turns:
             self.pin(retained.turn.previous)
-            self.bytes += turn_bytes(retained.turn)
+            self.add_bytes(retained.program, turn_bytes(retained.turn))
         for started in snapshot.in_flight:
             self.pin(started.previous)
         self.reset_clocks()
@@ -197,9 +199,16 @@
         self.retained[turn.attempt] = entry.RetainedTurn(
             turn, program, retention_period, added + (previous.size if previous else 0)
         )
-        self.bytes += added
+        self.add_bytes(program, added)
         self.pin(turn.previous)
 
+    def add_bytes(self, program: str, size: int) -> None:
+        """Count bytes of history, negative ones that are forgotten, for the group and for a program."""
+        self.bytes += size
+        self.program_bytes[program] += size
+        if not self.program_bytes[program]:
+            del self.program_bytes[program]
+
     def pin(self, attempt: str) -> None:
         """Count a turn, retained or in flight, that continues this one."""
         if attempt:
@@ -273,7 +282,7 @@
         self.answered_at.pop(attempt, None)
         if known is None:
             return None
-        self.bytes -= turn_bytes(known.turn)
+        self.add_bytes(known.program, -turn_bytes(known.turn))
         self.unpin(known.turn.previous)
         if known.retention_period < retention.MIN_RETENTION:
             self.finished[attempt] = entry.FinishedAttempt(
