--- a/aspencroft/sessions/call_sessions.py
+++ b/aspencroft/sessions/call_sessions.py
@@ -232,7 +232,7 @@
 
     def finish_key(self, command: entry.CloseKey, now: datetime.timedelta) -> entry.Decision:
         """Record the outcome of the attempt that holds an operation key."""
-        return self.keys.decide_finish(command, now)
+        return self.keys.decide_finish(command, now, self.max_payload_bytes - self.payload_bytes())
 
     def record_requests(self, command: entry.RecordRequests, now: datetime.timedelta) -> entry.Decision:
         """Write the grants of a tenant to the log."""
--- a/aspencroft/sessions/operation_keys.py
+++ b/aspencroft/sessions/operation_keys.py
@@ -61,9 +61,11 @@
         event = entry.KeyClaimed(command.key, command.attempt, command.time_limit, command.window, command.edge)
         return (event,), entry.KeyHeld(True, "", 0, (), b"")
 
-    def decide_finish(self, command: entry.CloseKey, now: datetime.timedelta) -> entry.Decision:
+    def decide_finish(self, command: entry.CloseKey, now: datetime.timedelta, room: int) -> entry.Decision:
         """Record the outcome of the attempt that holds a key. An outcome is final, except that UNKNOWN may become DONE.
 
+        An answer larger than ``room``, in bytes, is not stored.
+
         :raises result.RequestError: MALFORMED without a valid outcome, OVERLOADED at the limit of keys
         """
         if command.outcome not in messages.OUTCOMES:
@@ -89,7 +91,7 @@
             assert known is not None
             # The window starts at the last moment at which the work could have run, so a late answer extends it.
             self.reserved_at[command.key] = max(self.reserved_at.get(command.key, now), now - known.time_limit)
-            event = key_closed(command)
+            event = key_closed(command, room)
         return (event,), messages.Closed(command.outcome)
 
     def apply_reserved(self, event: entry.KeyClaimed) -> None:
@@ -183,10 +185,10 @@
     return len(body) + sum(len(header.name) + len(header.value) for header in headers)
 
 
-def key_closed(command: entry.CloseKey) -> entry.KeyClosed:
+def key_closed(command: entry.CloseKey, room: int) -> entry.KeyClosed:
     """Return the event that ends a key; an answer that is too large is left out and marked as NOT_KEPT."""
     if command.outcome != messages.DONE:
         return entry.KeyClosed(command.key, command.attempt, command.outcome, 0, (), b"")
-    if answer_bytes(command.headers, command.body) > MAX_ANSWER_BYTES:
+    if answer_bytes(command.headers, command.body) > min(MAX_ANSWER_BYTES, room):
         return entry.KeyClosed(command.key, command.attempt, entry.NOT_KEPT, command.status, (), b"")
     return entry.KeyClosed(command.key, command.attempt, messages.DONE, command.status, command.headers, command.body)
