--- a/aspencroft/node/message_handlers.py
+++ b/aspencroft/node/message_handlers.py
@@ -78,7 +78,7 @@
 
     async def submit(message: replication_messages.Submit) -> replication_messages.Submitted:
         held = node.group_replica(message.group_id)
-        reply = await held.submit(codec.untagged(message.body), message.within)
+        reply = await held.submit(codec.untagged(message.body), message.within, len(message.body))
         # A primary that decided a command knows the record under which it did.
         return replication_messages.Submitted(codec.tagged(reply), typing.cast(replica_set.ReplicaSet, held.known))
 
--- a/aspencroft/replication/group_replica.py
+++ b/aspencroft/replication/group_replica.py
@@ -153,9 +153,9 @@
                     len(members),
                 )
 
-    async def submit(self, command: primary.Command, within: datetime.timedelta) -> primary.Reply:
+    async def submit(self, command: primary.Command, within: datetime.timedelta, size: int = 0) -> primary.Reply:
         """Run a command if this node is the primary; the reply comes once its events are synced on all replicas."""
-        return await self.primary.submit(command, within)
+        return await self.primary.submit(command, within, size)
 
     def report_replica_set(self, message: messages.ReplicaSetQuery) -> messages.ReplicaSetReply:
         """As a serving primary without a ballot in progress: return the replica set in force."""
--- a/aspencroft/replication/primary.py
+++ b/aspencroft/replication/primary.py
@@ -31,6 +31,8 @@
 """Maximum number of commands queued for a batch; further commands are rejected."""
 MAX_BATCH = 256
 """Maximum number of commands in one batch: all of them wait for the slowest."""
+MAX_BATCH_BYTES = 4 << 20
+"""A batch takes no more commands from this size on: it is copied several times, and must fit into a frame."""
 LOST_DISK_GRACE = clock.seconds(3)
 """How long after its detection a lost disk counts towards the tolerated losses: less than any catch-up time."""
 
@@ -43,11 +45,12 @@
 
 @dataclasses.dataclass
 class Submission:
-    """A queued command, its deadline and the future for its reply."""
+    """A queued command, its deadline, the future for its reply, and its size in bytes."""
 
     command: Command
     end: datetime.timedelta
     reply: asyncio.Future
+    size: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -76,7 +79,7 @@
         self.lost_disks: record_changes.LostDisks | None = None
         self.last_append_at = clock.ZERO
 
-    async def submit(self, command: Command, within: datetime.timedelta) -> Reply:
+    async def submit(self, command: Command, within: datetime.timedelta, size: int = 0) -> Reply:
         """Run a command on the primary and return the reply once its events are synced on all replicas.
 
         A command without events may be answered at once, even while a batch is being synced.
@@ -104,7 +107,7 @@
             reply = state.replica.state_machine.decide_at_once(command, clock.now(), state.record.epoch)
             if reply is not None:
                 return reply
-        submission = Submission(command, clock.now() + within, asyncio.get_running_loop().create_future())
+        submission = Submission(command, clock.now() + within, asyncio.get_running_loop().create_future(), size)
         self.submissions.put_nowait(submission)
         try:
             async with clock.limit(within):
@@ -337,8 +340,10 @@
                 batch = [await self.submissions.get()]
         except TimeoutError:
             return []
-        while not self.submissions.empty() and len(batch) < MAX_BATCH:
+        size = batch[0].size
+        while not self.submissions.empty() and len(batch) < MAX_BATCH and size < MAX_BATCH_BYTES:
             batch.append(self.submissions.get_nowait())
+            size += batch[-1].size
         return batch
 
     async def commit_batch(self, undelivered: list[Decided]) -> None:
--- a/aspencroft/replication/primary_test.py
+++ b/aspencroft/replication/primary_test.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import dataclasses
+import types
 
 from aspencroft.consensus import replica_set
 from aspencroft.errors import result
-from aspencroft.replication import messages, record_changes
+from aspencroft.replication import messages, primary, record_changes
 from aspencroft.runtime import clock
+from aspencroft.sessions import turn_history
 from aspencroft.simulation import members
+from aspencroft.transport import frame
 
 
 def test_nothing_is_answered_until_all_backups_hold_it_or_are_recorded_out(tmp_path):
@@ -236,3 +239,22 @@
         assert primary.lease_end > clock.now() or not primary.role_state.is_leading
 
     members.play(tmp_path, 3, scenario, members=3)
+
+
+def test_a_batch_takes_no_more_commands_once_it_has_bytes_enough_and_at_least_one():
+    """Guards against batches that fit into no frame: their appends fail, and the primary records its backups out."""
+
+    async def batches(sizes: list[int]) -> list[int]:
+        queue: asyncio.Queue[primary.Submission] = asyncio.Queue()
+        for size in sizes:
+            queue.put_nowait(primary.Submission(None, clock.ZERO, asyncio.get_running_loop().create_future(), size))
+        taken = []
+        while not queue.empty():
+            taken.append(len(await primary.Primary.take_batch(types.SimpleNamespace(submissions=queue))))
+        return taken
+
+    enough = primary.MAX_BATCH_BYTES
+    assert asyncio.run(batches([enough] * 3)) == [1, 1, 1]
+    assert asyncio.run(batches([16 * enough, 1, enough // 2, enough // 2, 1])) == [1, 3, 1]
+    assert asyncio.run(batches([100] * 600)) == [256, 256, 88]
+    assert 2 * enough + turn_history.MAX_CHAIN_BYTES < frame.MAX_BODY_BYTES
