--- a/aspencroft/node/message_handlers.py
+++ b/aspencroft/node/message_handlers.py
@@ -10,7 +10,7 @@
 from aspencroft.distribution import updates
 from aspencroft.errors import result
 from aspencroft.membership import cluster_member
-from aspencroft.node import configuration_service, group_client, node_view
+from aspencroft.node import configuration_service, group_client, node_view, payload_ledger
 from aspencroft.replication import group_replica
 from aspencroft.tracing import sample, trace
 from aspencroft.transport import codec
@@ -78,7 +78,9 @@
 
     async def submit(message: replication_messages.Submit) -> replication_messages.Submitted:
         held = node.group_replica(message.group_id)
-        reply = await held.submit(codec.untagged(message.body), message.within, len(message.body))
+        command = codec.untagged(message.body)
+        await node.payload.make_room(message.group_id, command)
+        reply = await held.submit(command, message.within, len(message.body))
         # A primary that decided a command knows the record under which it did.
         return replication_messages.Submitted(codec.tagged(reply), typing.cast(replica_set.ReplicaSet, held.known))
 
@@ -118,6 +120,7 @@
             lambda message: node.group_replica(message.group_id).report_replica_set(message)
         ),
         replica_set.ReplicaSetNotice: learn_replica_set,
+        payload_ledger.ReservePayload: answered_at_once(node.payload.ledger.reserve),
     }
 
 
--- a/aspencroft/node/node.py
+++ b/aspencroft/node/node.py
@@ -33,6 +33,7 @@
     memory_report,
     message_handlers,
     payload_limit,
+    payload_reservations,
     settings,
     status,
     timing_check,
@@ -97,12 +98,15 @@
         )
         self.group_client = group_client.GroupClient(self.link, self.failure_detector)
         self.group_replicas: dict[int, group_replica.GroupReplica] = {}
+        self.payload = payload_reservations.PayloadReservations(
+            self.link, self.failure_detector, self.group_replicas, self.payload_plan
+        )
         if data is not None:
             for group_id in range(node_settings.group_count):
                 if replica_set.group_kind(group_id) in node_settings.held:
                     self.group_replicas[group_id] = self.new_group_replica(group_id, data / f"pair-{group_id}")
         self.memory = memory_report.MemoryReport(
-            self.group_replicas, node_settings.memory_limit, payload_limit=lambda group: self.payload_limit()
+            self.group_replicas, node_settings.memory_limit, payload_limit=self.payload.limit_of
         )
         self.drain_orders = drain_order.DrainOrders(self)
         self.disk_arrival = disk_arrival.DiskArrival(self, self.drain_orders)
@@ -146,7 +150,7 @@
             self.settings.copies,
             functools.partial(self.target_replica_count, group_id),
             self.records,
-            self.payload_limit,
+            functools.partial(self.payload.limit_of, group_id),
         )
         state_type = lane_sessions.SessionState if group_id else control_state.ControlState
         return group_replica.GroupReplica(
@@ -195,18 +199,19 @@
         """The newest records of replica sets that this node knows."""
         return tuple(self.failure_detector.records.values())
 
-    def payload_limit(self) -> int:
-        """How many bytes of history and kept answers a session group may hold, by this machine's memory.
+    def payload_plan(self) -> payload_limit.PayloadPlan:
+        """How this machine's memory for history and kept answers is divided among the session groups.
 
-        Until this node has heard of all members it can't know how many disks share the groups.
+        Until this node has heard of all members it can't know how many disks share the groups, and may have to hold
+        all of them.
         """
-        if not self.drain_orders.members_known():
-            return payload_limit.payload_limit(0, 1)
-        disks = sum(replica_set.SESSION in member.holds for member in self.failure_detector.peers.values())
-        replicas = payload_limit.replicas_on_a_disk(
-            self.settings.talk_pairs, self.settings.copies, disks, self.settings.losses
-        )
-        return payload_limit.payload_limit(self.settings.memory_limit, replicas)
+        replicas = self.settings.talk_pairs
+        if self.drain_orders.members_known():
+            disks = sum(replica_set.SESSION in member.holds for member in self.failure_detector.peers.values())
+            replicas = payload_limit.replicas_on_a_disk(
+                self.settings.talk_pairs, self.settings.copies, disks, self.settings.losses
+            )
+        return payload_limit.plan(self.settings.memory_limit, self.settings.talk_pairs, replicas)
 
     def incarnation_id(self) -> str:
         """This run of this node, as others may learn of its end."""
@@ -341,6 +346,7 @@
             "records": self.record_recovery.run,
             "disk arrival": self.disk_arrival.run,
             "memory": self.memory.run,
+            "payload": self.payload.run,
         }
         tasks.update({f"pair {group_id}": held.run for group_id, held in self.group_replicas.items()})
         tasks.update(
--- a/aspencroft/node/node_view.py
+++ b/aspencroft/node/node_view.py
@@ -9,7 +9,7 @@
 from aspencroft.distribution import relay, updates
 from aspencroft.leadership import singleton_role
 from aspencroft.membership import failure_detector
-from aspencroft.node import group_client, memory_report, settings
+from aspencroft.node import group_client, memory_report, payload_reservations, settings
 from aspencroft.replication import group_replica
 from aspencroft.runtime import environment
 from aspencroft.tracing import sample, trace
@@ -38,6 +38,7 @@
     singleton_roles: dict[str, singleton_role.SingletonRole]
     traces: trace.Traces | None
     memory: memory_report.MemoryReport
+    payload: payload_reservations.PayloadReservations
     outside: collections.Counter
     standing: collections.Counter
     stopping: asyncio.Event
--- a/aspencroft/node/payload_limit.py
+++ b/aspencroft/node/payload_limit.py
@@ -1,5 +1,7 @@
 """How much of what callers send a group may hold, so that no machine's memory is exceeded when others are lost."""
 
+import dataclasses
+
 from aspencroft.sessions import call_sessions
 
 PROCESS_BYTES = 58_000_000
@@ -7,6 +9,32 @@
 MEMORY_PER_PAYLOAD = 2.1
 """Bytes of memory for each byte of history in turns of 3 KB: objects, journal and snapshot with it (docs/ledger.md)."""
 LEAST_BYTES = 1 << 20
+MAX_GROUP_BYTES = call_sessions.MAX_PAYLOAD_BYTES
+BASE_DIVISOR = 2
+"""The bases of all groups together take this part of a machine's memory; the rest goes to those that need more."""
+
+
+@dataclasses.dataclass(frozen=True)
+class PayloadPlan:
+    """How a machine divides its memory for history and kept answers among session groups, in bytes of these.
+
+    ``groups`` is the number of session groups, ``replicas`` how many of them the machine may have to hold.
+    """
+
+    total_bytes: int
+    base_bytes: int
+    groups: int
+    replicas: int
+
+
+def plan(memory_limit: int, groups: int, replicas: int) -> PayloadPlan:
+    """Divide the bytes that a process may take, 0 where that is not known: then each group has its largest limit.
+
+    Example: ``plan(290_000_000, 12, 12) == PayloadPlan(110_476_190, 4_603_174, 12, 12)``
+    """
+    base = payload_limit(memory_limit, BASE_DIVISOR * replicas)
+    total = int((memory_limit - PROCESS_BYTES) / MEMORY_PER_PAYLOAD)
+    return PayloadPlan(max(total, replicas * base), base, groups, replicas)
 
 
 def replicas_on_a_disk(groups: int, copies: int, disks: int, losses: int) -> int:
@@ -19,7 +47,7 @@
 
 
 def payload_limit(memory_limit: int, replicas: int) -> int:
-    """Bytes of history and kept answers for one group where a process may take so much memory, 0 where none is known.
+    """Bytes of history and kept answers for each of some equal groups in the memory of a process, 0 where not known.
 
     Never more than the bound that a group has anyway, which keeps starts and repairs short.
 
--- a/aspencroft/proxy/forwarder.py
+++ b/aspencroft/proxy/forwarder.py
@@ -53,6 +53,7 @@
 MAX_ACTIVE_CALLS = 1024
 MAX_SELECTIONS = 12
 MAX_CONNECTIONS = 64
+EXPECTED_BYTES_PER_TOKEN = 8
 OUTPUT_STEP_BYTES = 8 << 10
 """Step in which the memory for the output of a retained turn is reserved."""
 LOAD_LIMIT = 1.25
@@ -371,16 +372,15 @@
         # Set before the submit, because the command may take effect although its reply is lost.
         state.turn_reserved = True
         try:
-            reply = await self.submit_to_group(state, state.program, command)
+            reply = await self.submit_to_group(state, state.program, with_expected_bytes(state, command))
         except result.RequestError as error:
             if error.result is not result.ResultCode.UNKNOWN_TURN:
                 if error.result is result.ResultCode.OUT_OF_BUDGET:
                     state.turn_reserved = False
                 raise
             chain = await self.find_chain_in_other_groups(state, previous)
-            reply = await self.submit_to_group(
-                state, state.program, dataclasses.replace(command, base=chain, held_turn="")
-            )
+            command = dataclasses.replace(command, base=chain, held_turn="")
+            reply = await self.submit_to_group(state, state.program, with_expected_bytes(state, command))
         state.last_worker = reply.worker
         if previous:
             self.cached_turns.add(reply.chain)
@@ -1015,6 +1015,14 @@
         }
 
 
+def with_expected_bytes(state: CallState, command: entry.BeginTurn) -> entry.BeginTurn | entry.BeginRetainedTurn:
+    """Tell the session group what a retained turn is expected to add to the history."""
+    if not command.retained:
+        return command
+    expected = len(state.call.body) + state.call.reserve * EXPECTED_BYTES_PER_TOKEN
+    return entry.BeginRetainedTurn(command, expected)
+
+
 async def cancel_and_wait(task: asyncio.Task) -> None:
     """Cancel a task if it still runs and wait for its end; its result and its exception are ignored."""
     task.cancel()
--- a/aspencroft/sessions/call_sessions.py
+++ b/aspencroft/sessions/call_sessions.py
@@ -6,6 +6,7 @@
 import collections.abc
 import datetime
 import functools
+import math
 import typing
 
 from aspencroft.errors import result
@@ -23,6 +24,8 @@
 
 FIRST_TURN_SHARE = 0.9
 """New chains may begin only below this share of the payload limit; existing chains may use all of it."""
+HOLDING_FACTOR = 2
+"""How many times the bytes that are left a program may hold: who holds most is refused first, and never takes all."""
 MAX_PAYLOAD_BYTES = 24 << 20
 """Limit on the history and stored answers of a group; a machine with little memory sets a lower one."""
 OVERLOADED_RETRY_AFTER = clock.seconds(5)
@@ -43,10 +46,10 @@
 
     def load(self, restored: session_snapshot.Restored) -> None:
         """Replace the state with that of a snapshot and reset all timers; the payload limit stays."""
-        snapshot, ages, quotas, _ = restored
+        snapshot, ages, quotas, _, expected = restored
         self.group_clock = retention.GroupClock(ages.time)
         self.budgets = token_budget.TokenBudgets(snapshot.accounts)
-        self.history = turn_history.TurnHistory(self.group_clock, snapshot, ages)
+        self.history = turn_history.TurnHistory(self.group_clock, snapshot, ages, expected)
         self.keys = operation_keys.OperationKeys(snapshot.keys, snapshot.released)
         self.quotas = request_quota.RequestQuotas(quotas.counted)
         self.scan = retention.RetentionScan()
@@ -61,7 +64,7 @@
         self.scan.reset()
 
     def payload_bytes(self) -> int:
-        """Return the bytes of history and stored answers."""
+        """Return the bytes of history, of what turns in flight are expected to add to it, and of stored answers."""
         return self.history.bytes + self.keys.bytes
 
     # -- commands ------------------------------------------------------------------------------
@@ -92,7 +95,14 @@
         """Return whether a command belongs to opaque calls."""
         return type(command) in COMMANDS or isinstance(command, entry.ReserveRequests | entry.ReturnRequests)
 
-    def begin_turn(self, command: entry.BeginTurn, now: datetime.timedelta) -> entry.Decision:
+    def begin_retained_turn(self, command: entry.BeginRetainedTurn, now: datetime.timedelta) -> entry.Decision:
+        """Start a turn like ``begin_turn``, and reserve room for what it is expected to add to the history."""
+        decided, reply = self.begin_turn(command.begin, now, max(0, command.expected_bytes))
+        return tuple(entry.RetainedTurnBegan(began, max(0, command.expected_bytes)) for began in decided), reply
+
+    def begin_turn(
+        self, command: entry.BeginTurn, now: datetime.timedelta, expected_bytes: int | None = None
+    ) -> tuple[tuple[entry.TurnBegan, ...], entry.TurnBegun]:
         """Start a turn, once for each attempt, while used plus reserved tokens are below the program's budget.
 
         A program without a budget is not limited. The order of the checks decides which result a caller gets: an
@@ -113,7 +123,7 @@
                 detail="the limit of programs or turns of the group is reached",
                 retry=OVERLOADED_RETRY_AFTER,
             )
-        if command.retained and not self.has_room(command, imported):
+        if command.retained and not self.has_room(command, imported, expected_bytes):
             raise result.RequestError(
                 result.ResultCode.OVERLOADED,
                 detail=self.describe_use(command.program),
@@ -150,15 +160,38 @@
             f" the program {program[:100]!r} {held} of them"
         )
 
-    def has_room(self, command: entry.BeginTurn, imported: tuple[entry.Turn, ...]) -> bool:
-        """Return whether the payload limit, lower for the first turn of a chain, has room for the imported turns.
+    def has_room(self, command: entry.BeginTurn, imported: tuple[entry.Turn, ...], expected_bytes: int | None) -> bool:
+        """Return whether the payload limit, lower for the first turn of a chain, has room for a turn.
 
-        The size of the new turn itself is not known yet and not counted.
+        Edges of earlier versions do not tell what a turn is expected to add. It is not counted then.
         """
         added = sum(map(turn_history.turn_bytes, imported))
+        if expected_bytes is not None:
+            return self.required_limit(command, added, expected_bytes) <= self.max_payload_bytes
         share = 1.0 if command.previous else FIRST_TURN_SHARE
         return self.payload_bytes() + added < share * self.max_payload_bytes
 
+    def required_limit(self, command: entry.BeginTurn, imported_bytes: int, expected_bytes: int) -> int:
+        """Return the smallest payload limit under which a turn may begin.
+
+        The program's bytes, with the new ones, must not exceed ``HOLDING_FACTOR`` times those that are left after it.
+        So a program that holds little goes on, however much others hold: these are refused before they take the rest.
+        """
+        used = self.payload_bytes() + imported_bytes + expected_bytes
+        held = self.history.program_bytes[command.program] + expected_bytes
+        left = -(-held // HOLDING_FACTOR)
+        share = 1.0 if command.previous else FIRST_TURN_SHARE
+        return max(math.ceil(used / share), used + left)
+
+    def wanted_limit(self, command: object) -> int:
+        """Return the smallest payload limit under which a command has room, 0 if it needs none."""
+        if isinstance(command, entry.BeginRetainedTurn):
+            imported_bytes = sum(map(turn_history.turn_bytes, command.begin.base))
+            return self.required_limit(command.begin, imported_bytes, max(0, command.expected_bytes))
+        if isinstance(command, entry.ClaimKey):
+            return self.payload_bytes() + operation_keys.MAX_ANSWER_BYTES
+        return 0
+
     def find_turn(self, command: entry.FindTurn, now: datetime.timedelta) -> entry.Decision:
         """Look up a retained turn and its chain."""
         return self.history.decide_find(command, now)
@@ -267,6 +300,11 @@
         self.history.apply_began(event)
         self.budgets.reserve(event)
 
+    def apply_retained_turn_began(self, event: entry.RetainedTurnBegan) -> None:
+        """Add a turn in flight, and reserve its tokens and the room for what it is expected to add."""
+        self.apply_turn_began(event.began)
+        self.history.expect(event.began, event.expected_bytes)
+
     def apply_turn_ended(self, event: entry.TurnEnded) -> None:
         """End a turn: charge its program, and retain its history or only remember the attempt as finished."""
         started = self.history.take_in_flight(event.attempt)
@@ -394,7 +432,10 @@
             self.group_clock.time, tuple(self.history.ended_at[attempt] for attempt in self.history.retained)
         )
         quotas = entry.QuotaRecords(self.quotas.snapshot())
-        return session_snapshot.encode_chunks(tables, list(self.keys.released), ages, quotas)
+        expected = entry.ExpectedBytes(
+            tuple(self.history.expected.get(attempt, 0) for attempt in self.history.in_flight)
+        )
+        return session_snapshot.encode_chunks(tables, list(self.keys.released), ages, quotas, expected)
 
     def size(self) -> int:
         """Return the number of records in a snapshot."""
@@ -414,6 +455,7 @@
 CommandHandler = collections.abc.Callable[[CallSessions, typing.Any, datetime.timedelta], entry.Decision]
 COMMANDS: dict[type, CommandHandler] = {
     entry.BeginTurn: CallSessions.begin_turn,
+    entry.BeginRetainedTurn: CallSessions.begin_retained_turn,
     entry.EndTurn: CallSessions.end_turn,
     entry.FindTurn: CallSessions.find_turn,
     entry.ClaimKey: CallSessions.reserve_key,
@@ -424,6 +466,7 @@
 }
 EVENTS: dict[type, collections.abc.Callable[[CallSessions, typing.Any], None]] = {
     entry.TurnBegan: CallSessions.apply_turn_began,
+    entry.RetainedTurnBegan: CallSessions.apply_retained_turn_began,
     entry.TurnEnded: CallSessions.apply_turn_ended,
     entry.KeyClaimed: CallSessions.apply_key_reserved,
     entry.KeyClosed: CallSessions.apply_key_finished,
--- a/aspencroft/sessions/entry.py
+++ b/aspencroft/sessions/entry.py
@@ -52,6 +52,15 @@
     base: tuple[Turn, ...]
 
 
+@codec.kind(194)
+@dataclasses.dataclass(frozen=True)
+class BeginRetainedTurn:
+    """Command: start a turn that will be retained and is expected to add so many bytes to the history of its group."""
+
+    begin: BeginTurn
+    expected_bytes: int
+
+
 @codec.kind(142)
 @dataclasses.dataclass(frozen=True)
 class TurnBegun:
@@ -170,6 +179,15 @@
         return self.max_tokens if self.budget else 0
 
 
+@codec.kind(195)
+@dataclasses.dataclass(frozen=True)
+class RetainedTurnBegan:
+    """Event: a turn is in flight, and room is reserved for the bytes that it is expected to add."""
+
+    began: TurnBegan
+    expected_bytes: int
+
+
 @codec.kind(154)
 @dataclasses.dataclass(frozen=True)
 class TurnEnded:
@@ -390,8 +408,16 @@
     ended: tuple[datetime.timedelta, ...]
 
 
+@dataclasses.dataclass(frozen=True)
+class ExpectedBytes:
+    """The bytes for which the turns in flight have reserved room, in their order; it ends a snapshot."""
+
+    sizes: tuple[int, ...]
+
+
 Command = (
     BeginTurn
+    | BeginRetainedTurn
     | EndTurn
     | FindTurn
     | ClaimKey
@@ -402,7 +428,7 @@
     | Forget
     | Tick
 )
-Event = TurnBegan | TurnEnded | KeyClaimed | KeyClosed | RequestsCounted | Forget | Tick
+Event = TurnBegan | RetainedTurnBegan | TurnEnded | KeyClaimed | KeyClosed | RequestsCounted | Forget | Tick
 Reply = TurnBegun | TurnFound | KeyHeld | RequestsReserved | messages.Closed
 Decision = tuple[tuple[Event, ...], Reply]
 """The events of a command, which must be committed to the log before the reply is sent, and the reply."""
--- a/aspencroft/sessions/lane_sessions.py
+++ b/aspencroft/sessions/lane_sessions.py
@@ -350,6 +350,10 @@
         """Limit the history and stored answers of opaque calls, in bytes; what is already stored stays."""
         self.calls.max_payload_bytes = max_bytes
 
+    def wanted_limit(self, command: object) -> int:
+        """Return the smallest payload limit under which a command has room, 0 if it needs none."""
+        return self.calls.wanted_limit(command)
+
     def restore(self, body: bytes) -> None:
         """Replace the state with that of a snapshot; one of a version without opaque calls ends after the operations.
 
--- a/aspencroft/sessions/session_snapshot.py
+++ b/aspencroft/sessions/session_snapshot.py
@@ -14,6 +14,7 @@
 
 
 NO_QUOTAS = entry.QuotaRecords(())
+NOTHING_EXPECTED = entry.ExpectedBytes(())
 
 
 class Restored(typing.NamedTuple):
@@ -23,6 +24,7 @@
     ages: entry.TurnAges
     quotas: entry.QuotaRecords
     end: int
+    expected: entry.ExpectedBytes = NOTHING_EXPECTED
 
 
 def empty() -> Restored:
@@ -35,8 +37,9 @@
     released: collections.abc.Sequence[str],
     ages: entry.TurnAges,
     quotas: entry.QuotaRecords = NO_QUOTAS,
+    expected: entry.ExpectedBytes = NOTHING_EXPECTED,
 ) -> collections.abc.Iterator[bytes]:
-    """Encode an ``entry.CallSessionsSnapshot``, then the ages of turns, then the quota records if there are any.
+    """Encode an ``entry.CallSessionsSnapshot`` and the ages of turns; then quota records and expected bytes, if any.
 
     :param tables: the records of all fields of the snapshot but the last, in the order of the fields
     :param released: the last field
@@ -66,14 +69,17 @@
                 pending, size = [], 0
     yield b"".join(pending)
     yield codec.pack(ages)
-    if quotas.counted:
+    if quotas.counted or any(expected.sizes):
         yield codec.pack(quotas)
+    if any(expected.sizes):
+        yield codec.pack(expected)
 
 
 def decode(body: bytes, start: int) -> Restored:
     """Decode the snapshot that starts at an offset.
 
-    Snapshots of earlier versions lack the ages of turns; their turns count as new.
+    Snapshots of earlier versions lack the ages of turns; their turns count as new. Without expected bytes the turns
+    in flight have no room reserved.
 
     :raises codec.CodecError: if the bytes are not a valid snapshot
     """
@@ -86,4 +92,11 @@
     quotas = NO_QUOTAS
     if end < len(body):
         quotas, end = codec.unpack_from(entry.QuotaRecords, body, end)
-    return Restored(snapshot, ages, quotas, end)
+    expected = NOTHING_EXPECTED
+    if end < len(body):
+        expected, end = codec.unpack_from(entry.ExpectedBytes, body, end)
+        if len(expected.sizes) != len(snapshot.in_flight):
+            raise codec.CodecError(
+                f"snapshot has {len(snapshot.in_flight)} turns in flight but {len(expected.sizes)} expected sizes"
+            )
+    return Restored(snapshot, ages, quotas, end, expected)
--- a/aspencroft/sessions/turn_history.py
+++ b/aspencroft/sessions/turn_history.py
@@ -41,7 +41,13 @@
     turn has by then is known from the group's own time.
     """
 
-    def __init__(self, group_clock: retention.GroupClock, snapshot: entry.CallSessionsSnapshot, ages: entry.TurnAges):
+    def __init__(
+        self,
+        group_clock: retention.GroupClock,
+        snapshot: entry.CallSessionsSnapshot,
+        ages: entry.TurnAges,
+        expected: entry.ExpectedBytes,
+    ):
         self.group_clock = group_clock
         self.retained = {retained.turn.attempt: retained for retained in snapshot.turns}
         self.in_flight = {started.attempt: started for started in snapshot.in_flight}
@@ -52,12 +58,19 @@
         """For each turn that has any: the number of retained or in-flight turns that continue it."""
         self.bytes = 0
         self.program_bytes: collections.Counter[str] = collections.Counter()
-        """For each program that holds any: the bytes of its retained turns; a chain shared by helpers counts once."""
+        """For each program that holds any: the bytes of its retained turns and those expected of its turns in flight.
+
+        A chain that helpers share counts once.
+        """
         for retained in snapshot.turns:
             self.pin(retained.turn.previous)
             self.add_bytes(retained.program, turn_bytes(retained.turn))
         for started in snapshot.in_flight:
             self.pin(started.previous)
+        self.expected: dict[str, int] = {}
+        """For each turn in flight that reserves room: the bytes that it is expected to add to the history."""
+        for started, size in zip(snapshot.in_flight, expected.sizes, strict=False):
+            self.expect(started, size)
         self.reset_clocks()
 
     def reset_clocks(self) -> None:
@@ -168,12 +181,20 @@
         self.in_flight[event.attempt] = dataclasses.replace(event, base=()) if event.base else event
         self.pin(event.previous)
 
+    def expect(self, started: entry.TurnBegan, size: int) -> None:
+        """Reserve room for what a turn in flight is expected to add to the history."""
+        if size:
+            self.expected[started.attempt] = size
+            self.add_bytes(started.program, size)
+
     # -- ending a turn --------------------------------------------------------------------------
 
     def take_in_flight(self, attempt: str) -> entry.TurnBegan | None:
         """Remove a turn from those in flight. Its predecessor stays pinned until the caller unpins it."""
         started = self.in_flight.pop(attempt, None)
         self.began_at.pop(attempt, None)
+        if started is not None:
+            self.add_bytes(started.program, -self.expected.pop(attempt, 0))
         return started
 
     def take_finished(self, attempt: str) -> entry.FinishedAttempt | None:
