--- a/aspencroft/workers/pool.py
+++ b/aspencroft/workers/pool.py
@@ -270,15 +270,14 @@
             return body
         if length is not None and length > MAX_BODY_BYTES:
             raise self.broken("response body too large")
-        found, size = [], 0
+        body = bytearray()
         async for part in self.parts():
             if length is None and reserve is not None:
                 await reserve(len(part))
-            found.append(part)
-            size += len(part)
-            if size > MAX_BODY_BYTES:
+            body += part
+            if len(body) > MAX_BODY_BYTES:
                 raise self.broken("response body too large")
-        return b"".join(found)
+        return bytes(body)
 
     def broken(self, reason: str) -> result.RequestError:
         """Close the connection and return the error for an unusable response."""
