--- a/aspencroft/node/payload_limit.py
+++ b/aspencroft/node/payload_limit.py
@@ -10,7 +10,7 @@
 """Bytes of memory for each byte of history in turns of 3 KB: objects, journal and snapshot with it (docs/ledger.md)."""
 LEAST_BYTES = 1 << 20
 MAX_GROUP_BYTES = call_sessions.MAX_PAYLOAD_BYTES
-BASE_DIVISOR = 2
+BASE_NUMERATOR, BASE_DENOMINATOR = 3, 4
 """The bases of all groups together take this part of a machine's memory; the rest goes to those that need more."""
 
 
@@ -30,9 +30,11 @@
 def plan(memory_limit: int, groups: int, replicas: int) -> PayloadPlan:
     """Divide the bytes that a process may take, 0 where that is not known: then each group has its largest limit.
 
-    Example: ``plan(290_000_000, 12, 12) == PayloadPlan(110_476_190, 4_603_174, 12, 12)``
+    Example: ``plan(290_000_000, 12, 12) == PayloadPlan(110_476_190, 6_904_761, 12, 12)``
     """
-    base = payload_limit(memory_limit, BASE_DIVISOR * replicas)
+    base = payload_limit(memory_limit, replicas)
+    if memory_limit:
+        base = max(LEAST_BYTES, base * BASE_NUMERATOR // BASE_DENOMINATOR)
     total = int((memory_limit - PROCESS_BYTES) / MEMORY_PER_PAYLOAD)
     return PayloadPlan(max(total, replicas * base), base, groups, replicas)
 
--- a/aspencroft/node/payload_reservations.py
+++ b/aspencroft/node/payload_reservations.py
@@ -20,6 +20,8 @@
 LOG = logbook.Logger("node.payload_reservations")
 ASK_TIMEOUT = clock.seconds(0.4)
 """How long one machine may take to answer: one that is down must not hold up the others' turns for long."""
+SILENT_PAUSE = clock.seconds(4)
+"""How long turns do not wait for the answer of a machine that gave none; renewals ask it all the same."""
 REFUSED_PAUSE = clock.seconds(0.25)
 """How long a group that was not granted all that it wanted does not ask again."""
 RENEWAL_PERIOD = clock.seconds(2)
@@ -49,6 +51,7 @@
         self.ledger = payload_ledger.PayloadLedger(plan, self.held_bytes)
         self.granted: dict[int, int] = {}
         self.refused_until: dict[int, datetime.timedelta] = {}
+        self.silent_until: dict[str, datetime.timedelta] = {}
         self.locks: collections.defaultdict[int, asyncio.Lock] = collections.defaultdict(asyncio.Lock)
 
     def held_bytes(self) -> dict[int, int]:
@@ -72,24 +75,26 @@
             wanted = machine.wanted_limit(command)
             may_ask = clock.now() >= self.refused_until.get(group_id, clock.ZERO)
             if may_ask and wanted > self.limit_of(group_id) and self.group_replicas[group_id].has_lease():
-                await self.ask(group_id, machine, round(wanted * SPARE_FACTOR))
+                await self.ask(group_id, machine, round(wanted * SPARE_FACTOR), self.answering_machines())
 
     async def run(self) -> None:
-        """Renew the grants, and give back what is no longer needed."""
+        """Renew the grants, ask ahead for groups that grow, and give back what is no longer needed."""
         while True:
             await clock.sleep(RENEWAL_PERIOD)
             for group_id, held in self.group_replicas.items():
                 machine = self.state_of(group_id)
-                if machine is None:
-                    continue
-                if not held.has_lease():
+                if machine is not None and not held.has_lease():
                     self.granted.pop(group_id, None)
-                    continue
-                size = machine.payload_bytes()
-                if max(self.granted.get(group_id, 0), size) > self.plan().base_bytes:
-                    async with self.locks[group_id]:
-                        spare = -(-size // call_sessions.HOLDING_FACTOR)
-                        await self.ask(group_id, machine, round((size + spare) * SPARE_FACTOR))
+                elif machine is not None:
+                    await self.renew(group_id, machine)
+
+    async def renew(self, group_id: int, machine: lane_sessions.SessionState) -> None:
+        """Ask for what a group holds, and for room for its programs to grow, if that is more than the base."""
+        size = machine.payload_bytes()
+        wanted = round((size + size // call_sessions.HOLDING_FACTOR) * SPARE_FACTOR)
+        if max(self.granted.get(group_id, 0), wanted) > self.plan().base_bytes:
+            async with self.locks[group_id]:
+                await self.ask(group_id, machine, wanted, self.machines())
 
     def state_of(self, group_id: int) -> lane_sessions.SessionState | None:
         """Return the state of a session group with a replica here, None for any other group."""
@@ -98,19 +103,21 @@
             return None
         return typing.cast(lane_sessions.SessionState, held.replica.state_machine)
 
-    async def ask(self, group_id: int, machine: lane_sessions.SessionState, wanted: int) -> None:
-        """Ask all machines that may hold the group for a limit, and set the least that is granted."""
+    async def ask(self, group_id: int, machine: lane_sessions.SessionState, wanted: int, addresses: list[str]) -> None:
+        """Ask machines that may hold the group for a limit, and set the least that is granted."""
         request = payload_ledger.ReservePayload(group_id, machine.payload_bytes(), wanted)
         grants: list[int] = []
 
         async def ask_one(address: str) -> None:
             try:
                 grants.append((await self.link.request(address, request, ASK_TIMEOUT)).granted_bytes)
+                self.silent_until.pop(address, None)
             except result.RequestError as refusal:
+                self.silent_until[address] = clock.now() + SILENT_PAUSE
                 LOG.info("group {}: no reservation of {}: {}", group_id, address, refusal)
 
         async with supervision.Group() as group:
-            for address in self.machines():
+            for address in addresses:
                 group.create_task(ask_one(address))
         if not grants:
             return
@@ -120,6 +127,11 @@
         machine.limit_payload(self.limit_of(group_id))
         LOG.info("group {}: may hold {} bytes, {} wanted", group_id, self.granted[group_id], wanted)
 
+    def answering_machines(self) -> list[str]:
+        """Return the machines without those that gave no answer a moment ago."""
+        now = clock.now()
+        return [address for address in self.machines() if self.silent_until.get(address, now) <= now]
+
     def machines(self) -> list[str]:
         """Return the addresses of the nodes that may hold session groups and are not down, this one among them."""
         return [
