--- a/aspencroft/node/group_client.py
+++ b/aspencroft/node/group_client.py
@@ -89,6 +89,8 @@
             return request.result()
         finally:
             request.cancel()
+            # A future holds its exception, whose traceback holds this frame: without this cycle all is freed at once.
+            del request
 
     async def request_to_control_primary(
         self, message_of: collections.abc.Callable[[datetime.timedelta], object], within: datetime.timedelta
--- a/aspencroft/proxy/call.py
+++ b/aspencroft/proxy/call.py
@@ -13,8 +13,9 @@
 class Call:
     """One attempt of a caller, read completely; ``headers`` are the end-to-end headers that are passed to the worker.
 
-    ``time_limit`` is how long the caller waits, counted from ``arrived_at``. ``budget``, ``prompt_tokens``, ``reserve``
-    and the sizes in ``prompt_segments`` are in tokens. An empty text or zero means that the caller gave no value.
+    A ``body`` may be a buffer, which nothing changes. ``time_limit`` is how long the caller waits, counted from
+    ``arrived_at``. ``budget``, ``prompt_tokens``, ``reserve`` and the sizes in ``prompt_segments`` are in tokens. An
+    empty text or zero means that the caller gave no value.
     ``key_digest`` is the digest of the caller's API key, which itself is in none of the fields; ``tenant`` is looked up
     by it at admission, whatever the caller claims. ``memory`` reserves the bytes that are held for the call; whoever
     made the call releases it.
@@ -24,7 +25,7 @@
     target: str
     host: str
     headers: Headers
-    body: bytes
+    body: bytes | bytearray
     attempt: str
     time_limit: datetime.timedelta
     arrived_at: datetime.timedelta
@@ -88,5 +89,5 @@
 
     status: int
     headers: Headers
-    body: bytes
+    body: bytes | bytearray
     chunks: collections.abc.AsyncIterator[bytes] | None = None
--- a/aspencroft/proxy/call_memory_test.py
+++ b/aspencroft/proxy/call_memory_test.py
@@ -6,9 +6,9 @@
 
 from aspencroft.emulator import worker_server
 from aspencroft.errors import result
-from aspencroft.proxy import events, forwarder, forwarder_test, memory_budget
+from aspencroft.proxy import completion_queue, events, forwarder, forwarder_test, memory_budget
 from aspencroft.runtime import clock
-from aspencroft.sessions import operation_keys, turn_history
+from aspencroft.sessions import entry, operation_keys, turn_history
 
 LIMIT = 1 << 20
 
@@ -83,3 +83,42 @@
         return [(one.status, len(one.body)) for one in offered]
 
     assert forwarder_test.run_scenario(scenario, {}) == [(200, operation_keys.MAX_ANSWER_BYTES), (0, 0)]
+
+
+def test_queued_answers_are_bounded_together_and_those_left_out_stand_for_no_answer():
+    """Guards against many answers under keys that wait in the queue to groups without a primary."""
+
+    async def scenario(edge, workers):
+        queue = edge.completions
+        body = bytes(operation_keys.MAX_ANSWER_BYTES)
+        for number in range(100):
+            queue.offer(1, entry.CloseKey(f"k{number}", "a", "done", 200, (), body))
+        queued = [queue.queues[1].get_nowait() for _ in range(100)]
+        assert sum(len(one.body) for one in queued) == queue.answer_bytes <= completion_queue.MAX_ANSWER_BYTES
+        assert {(one.status, len(one.body)) for one in queued} == {(200, len(body)), (0, 0)}
+
+    forwarder_test.run_scenario(scenario, {})
+
+
+def test_a_large_message_to_a_group_reserves_its_copies_only_while_it_is_under_way():
+    """Guards against turns that take an edge over its memory on their way to and from session groups."""
+
+    async def scenario(edge, workers):
+        budget = memory_budget.MemoryBudget(8 << 20)
+        one = await reserved_call(budget)
+        state = edge.admit(one)
+        async with edge.transfer(state, 1000):
+            assert budget.held == 0
+        async with edge.transfer(state, 1 << 20):
+            assert budget.held == forwarder.TRANSFER_COPIES << 20
+        assert budget.held == 0
+        with pytest.raises(result.RequestError) as refused:
+            async with edge.transfer(state, 4 << 20):
+                raise AssertionError
+        assert (refused.value.result, refused.value.ran) == (result.ResultCode.OVERLOADED, result.Ran.NOT_RUN)
+        with pytest.raises(ValueError):
+            async with edge.transfer(state, 1 << 20):
+                raise ValueError
+        assert budget.held == 0
+
+    forwarder_test.run_scenario(scenario, {})
--- a/aspencroft/proxy/completion_queue.py
+++ b/aspencroft/proxy/completion_queue.py
@@ -2,14 +2,18 @@
 
 import asyncio
 import collections
+import dataclasses
 
 from aspencroft.errors import result
 from aspencroft.node import node
 from aspencroft.runtime import clock, supervision
+from aspencroft.sessions import entry
 
 QUEUE_SIZE = 1024
 SENDERS_PER_GROUP = 4
 SUBMIT_TIMEOUT = clock.seconds(12)
+MAX_ANSWER_BYTES = 4 << 20
+"""Bytes of answers that are queued or in flight in all groups; further answers are left out of their commands."""
 
 
 class CompletionQueue:
@@ -19,14 +23,18 @@
         self.node = own
         self.queues = {group: asyncio.Queue(QUEUE_SIZE) for group in range(1, own.settings.group_count)}
         self.in_flight = 0
+        self.answer_bytes = 0
         self.counts: collections.Counter = collections.Counter()
 
     def offer(self, group: int, command) -> None:
         """Queue a command; if the queue is full the command is dropped, and the group's timer ends the turn or key."""
         if self.queues[group].full():
             self.counts["left to the group"] += 1
-        else:
-            self.queues[group].put_nowait(command)
+            return
+        if isinstance(command, entry.CloseKey) and self.answer_bytes + len(command.body) > MAX_ANSWER_BYTES:
+            command = without_answer(command)
+        self.answer_bytes += size_of_answer(command)
+        self.queues[group].put_nowait(command)
 
     def open(self) -> bool:
         """Whether commands are queued or in flight."""
@@ -55,5 +63,16 @@
                     self.counts["left to the group"] += 1
                 finally:
                     self.in_flight -= 1
+                    self.answer_bytes -= size_of_answer(command)
 
         return work
+
+
+def size_of_answer(command) -> int:
+    """Return the bytes of the answer that a command brings."""
+    return len(command.body) if isinstance(command, entry.CloseKey) else 0
+
+
+def without_answer(command: entry.CloseKey) -> entry.CloseKey:
+    """Return a command that ends its key as done, with an answer that was not kept."""
+    return dataclasses.replace(command, status=0, headers=(), body=b"")
--- a/aspencroft/proxy/forwarder.py
+++ b/aspencroft/proxy/forwarder.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import collections.abc
+import contextlib
 import dataclasses
 import datetime
 import hashlib
@@ -54,6 +55,8 @@
 MAX_SELECTIONS = 12
 MAX_CONNECTIONS = 64
 EXPECTED_BYTES_PER_TOKEN = 8
+TRANSFER_COPIES = 3
+"""Copies of a message that there are at once: the command, its frame, and what the socket has not taken yet."""
 OUTPUT_STEP_BYTES = 8 << 10
 """Step in which the memory for the output of a retained turn is reserved."""
 LOAD_LIMIT = 1.25
@@ -353,7 +356,8 @@
         """Reserve the turn's output tokens and fetch its history, which the request body then begins with."""
         request, route = state.call, state.route
         previous = state.previous_turn() if route.retained else ""
-        cached_turn = previous if previous and self.cached_turns.has_history(previous) else ""
+        # The turns themselves are kept here, as the cache may evict them before the group replies.
+        history = self.cached_turns.history(previous) if previous else None
         keep = max(route.keep, MIN_RETENTION, request.program_within or clock.ZERO)
         command = entry.BeginTurn(
             state.program,
@@ -366,7 +370,7 @@
             keep,
             state.deadline - clock.now(),
             self.node.incarnation_id(),
-            cached_turn,
+            previous if history else "",
             (),
         )
         # Set before the submit, because the command may take effect although its reply is lost.
@@ -378,21 +382,47 @@
                 if error.result is result.ResultCode.OUT_OF_BUDGET:
                     state.turn_reserved = False
                 raise
-            chain = await self.find_chain_in_other_groups(state, previous)
-            command = dataclasses.replace(command, base=chain, held_turn="")
-            reply = await self.submit_to_group(state, state.program, with_expected_bytes(state, command))
+            history = list(await self.find_chain_in_other_groups(state, previous))
+            command = dataclasses.replace(command, base=tuple(history), held_turn=previous)
+            async with self.transfer(state, turn_cache.size_of(history)):
+                reply = await self.submit_to_group(state, state.program, with_expected_bytes(state, command))
         state.last_worker = reply.worker
         if previous:
-            self.cached_turns.add(reply.chain)
-            history = self.cached_turns.history(previous)
-            if history is None:
-                raise result.RequestError(result.ResultCode.INTERNAL, detail="the history of the turn is incomplete")
+            if not history:
+                history = await self.receive_chain(state, previous, reply)
+            self.cached_turns.add(tuple(history))
             parts = [*turn_cache.parts_of(history), request.body]
             until = clock.now() + self.group_wait_limit(state)
             await request.memory.grow(memory_budget.Purpose.HISTORY, sum(map(len, parts)), until, result.Ran.NOT_RUN)
             state.body = b"".join(parts)
         self.add_trace(state, "turn begun", f"previous turn: {request.previous or 'none'}")
 
+    async def receive_chain(
+        self, state: CallState, previous: str, reply: entry.TurnBegun | entry.LargeChainBegun
+    ) -> list[entry.Turn]:
+        """Return the chain that a turn continues; a large one is fetched once the memory for it is reserved."""
+        if isinstance(reply, entry.TurnBegun):
+            return list(reply.chain)
+        async with self.transfer(state, reply.chain_bytes):
+            found = await self.submit_to_group(state, state.program, entry.FindTurn(previous))
+            if not found.found:
+                raise result.RequestError(result.ResultCode.NOT_PRIMARY, detail="the chain is gone", retry=RETRY_SOON)
+            return list(found.chain)
+
+    @contextlib.asynccontextmanager
+    async def transfer(
+        self, state: CallState, size: int, ran: result.Ran = result.Ran.NOT_RUN
+    ) -> collections.abc.AsyncIterator[None]:
+        """Reserve the copies of a large message to or from a session group while it is under way."""
+        memory = state.call.memory
+        if size > memory_budget.SMALL_REQUEST_BYTES:
+            until = clock.now() + self.group_wait_limit(state)
+            await memory.grow(memory_budget.Purpose.TRANSFER, TRANSFER_COPIES * size, until, ran)
+        try:
+            yield
+        finally:
+            memory.shrink(memory_budget.Purpose.TRANSFER, 0)
+
     async def find_chain_in_other_groups(self, state: CallState, turn: str) -> tuple[entry.Turn, ...]:
         """Find a turn's history in the groups of other programs; it is unknown only if every group says so."""
         own_group = self.group_of(state.program)
@@ -544,6 +574,8 @@
             return await self.hedge(state, first)
         finally:
             await cancel_and_wait(first)
+            # A future holds its exception, whose traceback holds this frame: without this cycle all is freed at once.
+            del first
 
     async def hedge(self, state: CallState, first: asyncio.Task) -> call.Answer:
         """Start a second attempt because the first has not answered within the latency target.
@@ -556,16 +588,13 @@
         other = dataclasses.replace(state, tried_workers=state.tried_workers | {state.current_worker}, hedged=False)
         self.add_trace(state, "hedged", f"no answer from {state.current_worker} so far")
         second = asyncio.ensure_future(self.try_workers_in_turn(other))
-        pending = {first, second}
         try:
-            while pending:
-                done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-                for task in done:
-                    if task.exception() is None:
-                        return task.result()
-            return await first
+            answer = await first_answer({first, second})
+            return await first if answer is None else answer
         finally:
             await cancel_and_wait(second)
+            # A future holds its exception, whose traceback holds this frame: without this cycle all is freed at once.
+            del first, second
 
     async def try_workers_in_turn(self, state: CallState) -> call.Answer:
         """Try one worker after another."""
@@ -920,7 +949,8 @@
         began = clock.now()
         time_limit = max(state.deadline - began, TURN_END_GRACE)
         try:
-            await self.node.submit(self.group_of(state.program), command, time_limit)
+            async with self.transfer(state, len(command.input) + len(command.output), result.Ran.UNKNOWN):
+                await self.node.submit(self.group_of(state.program), command, time_limit)
         except result.RequestError as error:
             raise result.RequestError(result.ResultCode.OUTCOME_UNKNOWN, result.Ran.UNKNOWN, str(error)) from None
         finally:
@@ -1023,6 +1053,17 @@
     return entry.BeginRetainedTurn(command, expected)
 
 
+async def first_answer(tasks: set[asyncio.Task]) -> call.Answer | None:
+    """Return the first answer that one of some tasks comes to; None if all of them fail."""
+    pending = tasks
+    while pending:
+        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+        for task in done:
+            if task.exception() is None:
+                return task.result()
+    return None
+
+
 async def cancel_and_wait(task: asyncio.Task) -> None:
     """Cancel a task if it still runs and wait for its end; its result and its exception are ignored."""
     task.cancel()
--- a/aspencroft/proxy/memory_budget.py
+++ b/aspencroft/proxy/memory_budget.py
@@ -15,6 +15,8 @@
 LOG = logbook.Logger("proxy.memory_budget")
 SMALL_REQUEST_BYTES = 64 << 10
 """Requests up to this size have a share of the budget of their own, so that large ones never hold them up."""
+ARRIVED_BYTES = 128 << 10
+"""Most bytes of a waiting request that have arrived all the same."""
 SMALL_SHARE_DIVISOR = 8
 LARGE_SHARE_NUMERATOR, LARGE_SHARE_DENOMINATOR = 5, 8
 """The rest, a quarter, is left to calls that have begun: their histories and answers."""
@@ -29,6 +31,7 @@
     HISTORY = "history"
     ANSWER = "answer"
     OUTPUT = "output"
+    TRANSFER = "transfer"
 
 
 @dataclasses.dataclass(eq=False)
@@ -122,7 +125,7 @@
             if not share.waiters and self.has_room(share, size):
                 self.take(reservation, share, Purpose.BODY, size)
                 return reservation
-        arrived = min(size, SMALL_REQUEST_BYTES)
+        arrived = min(size, ARRIVED_BYTES)
         if size > shares[0].limit or self.waiting_bytes + arrived > self.waiting_limit:
             raise self.refusal(reservation, size, result.Ran.NOT_RUN)
         self.waiting_bytes += arrived
--- a/aspencroft/proxy/memory_budget_test.py
+++ b/aspencroft/proxy/memory_budget_test.py
@@ -153,9 +153,10 @@
         with pytest.raises(result.RequestError):
             await budget.admit("a", LIMIT, soon())
         await budget.admit("a", 5 * LARGE, soon())
-        tasks = [asyncio.ensure_future(budget.admit("b", LARGE, soon(9))) for _ in range(17)]
+        most = budget.waiting_limit // memory_budget.ARRIVED_BYTES
+        tasks = [asyncio.ensure_future(budget.admit("b", LARGE, soon(9))) for _ in range(most + 1)]
         await asyncio.sleep(0)
-        assert [task.done() for task in tasks] == [False] * 16 + [True]
+        assert [task.done() for task in tasks] == [False] * most + [True]
         assert isinstance(tasks[-1].exception(), result.RequestError)
         assert clock.now() == began and budget.counts["refused"] == 2
         for task in tasks[:-1]:
--- a/aspencroft/proxy/turn_cache.py
+++ b/aspencroft/proxy/turn_cache.py
@@ -16,14 +16,14 @@
         self.size = 0
 
     def add(self, turns: tuple[entry.Turn, ...]) -> None:
-        """Add turns; the least recently used ones are evicted."""
+        """Add turns; the least recently used ones are evicted, also of those just added if they are too many."""
         for turn in turns:
             if turn.attempt in self.turns:
                 self.turns.move_to_end(turn.attempt)
                 continue
             self.turns[turn.attempt] = turn
             self.size += len(turn.input) + len(turn.output)
-        while self.size > self.max_bytes and len(self.turns) > len(turns):
+        while self.size > self.max_bytes:
             _, evicted = self.turns.popitem(last=False)
             self.size -= len(evicted.input) + len(evicted.output)
 
@@ -37,20 +37,14 @@
             history.append(turn)
             attempt = turn.previous
         history.reverse()
+        for turn in history:
+            self.turns.move_to_end(turn.attempt)
         return history
 
-    def has_history(self, attempt: str) -> bool:
-        """Whether a turn and all its predecessors are cached."""
-        return self.history(attempt) is not None
 
-    def bytes_of(self, attempt: str) -> bytes | None:
-        """Return the inputs and outputs of a turn and its predecessors; none if one of them is not cached."""
-        history = self.history(attempt)
-        if history is None:
-            return None
-        for turn in history:
-            self.turns.move_to_end(turn.attempt)
-        return b"".join(parts_of(history))
+def size_of(history: list[entry.Turn]) -> int:
+    """Return the bytes of the inputs and outputs of turns."""
+    return sum(len(turn.input) + len(turn.output) for turn in history)
 
 
 def parts_of(history: list[entry.Turn]) -> list[bytes]:
--- a/aspencroft/replication/primary.py
+++ b/aspencroft/replication/primary.py
@@ -119,6 +119,9 @@
                 f"group {state.group_id}: the command did not finish in time",
                 group_state.CLIENT_RETRY_AFTER,
             ) from None
+        finally:
+            # A future holds its exception, whose traceback holds this frame: without this cycle all is freed at once.
+            del submission
 
     async def lead(self) -> None:
         """Have the replica set chosen by ballot, repair the backups, then serve until deposed.
--- a/aspencroft/sessions/call_sessions.py
+++ b/aspencroft/sessions/call_sessions.py
@@ -26,6 +26,8 @@
 """New chains may begin only below this share of the payload limit; existing chains may use all of it."""
 HOLDING_FACTOR = 2
 """How many times the bytes that are left a program may hold: who holds most is refused first, and never takes all."""
+LARGE_CHAIN_BYTES = 256 << 10
+"""A larger chain is not sent with the reply to the start of a turn: the edge reserves its size first."""
 MAX_PAYLOAD_BYTES = 24 << 20
 """Limit on the history and stored answers of a group; a machine with little memory sets a lower one."""
 OVERLOADED_RETRY_AFTER = clock.seconds(5)
@@ -98,7 +100,11 @@
     def begin_retained_turn(self, command: entry.BeginRetainedTurn, now: datetime.timedelta) -> entry.Decision:
         """Start a turn like ``begin_turn``, and reserve room for what it is expected to add to the history."""
         decided, reply = self.begin_turn(command.begin, now, max(0, command.expected_bytes))
-        return tuple(entry.RetainedTurnBegan(began, max(0, command.expected_bytes)) for began in decided), reply
+        events = tuple(entry.RetainedTurnBegan(began, max(0, command.expected_bytes)) for began in decided)
+        chain_bytes = sum(map(turn_history.turn_bytes, reply.chain))
+        if chain_bytes > LARGE_CHAIN_BYTES:
+            return events, entry.LargeChainBegun(chain_bytes, reply.worker)
+        return events, reply
 
     def begin_turn(
         self, command: entry.BeginTurn, now: datetime.timedelta, expected_bytes: int | None = None
--- a/aspencroft/sessions/entry.py
+++ b/aspencroft/sessions/entry.py
@@ -75,6 +75,18 @@
     complete: bool
 
 
+@codec.kind(198)
+@dataclasses.dataclass(frozen=True)
+class LargeChainBegun:
+    """Reply to the start of a retained turn whose chain is large: its size, and the worker as in ``TurnBegun``.
+
+    The edge fetches the chain by ``FindTurn`` once it has the memory for it.
+    """
+
+    chain_bytes: int
+    worker: str
+
+
 @codec.kind(143)
 @dataclasses.dataclass(frozen=True)
 class EndTurn:
@@ -429,6 +441,6 @@
     | Tick
 )
 Event = TurnBegan | RetainedTurnBegan | TurnEnded | KeyClaimed | KeyClosed | RequestsCounted | Forget | Tick
-Reply = TurnBegun | TurnFound | KeyHeld | RequestsReserved | messages.Closed
+Reply = TurnBegun | LargeChainBegun | TurnFound | KeyHeld | RequestsReserved | messages.Closed
 Decision = tuple[tuple[Event, ...], Reply]
 """The events of a command, which must be committed to the log before the reply is sent, and the reply."""
--- a/aspencroft/sessions/payload_room_test.py
+++ b/aspencroft/sessions/payload_room_test.py
@@ -112,3 +112,20 @@
         assert min(calls.history.program_bytes.values(), default=1) > 0
         assert held <= 200_000 + 1
         ended = [one for one in ended if one in calls.history.retained or not one]
+
+
+def test_a_large_chain_is_not_sent_with_the_reply_but_can_be_fetched():
+    """Guards against edges that receive a chain for which they have no memory."""
+    calls = limited(24 << 20)
+    size = call_sessions.LARGE_CHAIN_BYTES
+    execute(calls, begin_retained("a", size), START)
+    execute(calls, end("a", input=bytes(size), output=b""), START)
+    small = execute(calls, begin_retained("b", 1, "a"), START)
+    assert isinstance(small, entry.TurnBegun) and len(small.chain) == 1
+    execute(calls, end("b", input=b"1", output=b""), START)
+    for attempt in ("c", "c"):
+        assert execute(calls, begin_retained(attempt, 1, "b"), START) == entry.LargeChainBegun(size + 1, "i-1")
+    found = execute(calls, entry.FindTurn("b"), START)
+    assert found.found and [one.attempt for one in found.chain] == ["a", "b"]
+    held = execute(calls, begin_retained("d", 1, "b", held_turn="b"), START)
+    assert isinstance(held, entry.TurnBegun) and held.chain == ()
--- a/aspencroft/transport/connections.py
+++ b/aspencroft/transport/connections.py
@@ -31,6 +31,13 @@
         ...
 
 
+class QueuedFrame(typing.NamedTuple):
+    """A frame in the backlog of a connection to a peer."""
+
+    peer: peer_connection.PeerConnection
+    queued: peer_connection.EncodedFrame
+
+
 class Link:
     """A node's connections: it listens, answers what peers send, and keeps one outgoing connection to each peer."""
 
@@ -119,7 +126,7 @@
         """Drop an idle connection; the next message opens another."""
         self.peers.pop(address, None)
 
-    def queue(self, address: str, outgoing: frame.Frame) -> peer_connection.PeerConnection:
+    def queue(self, address: str, outgoing: frame.Frame) -> "QueuedFrame":
         """Put a frame into a peer's bounded backlog.
 
         Raises:
@@ -139,8 +146,9 @@
             self.counts["refused"] += 1
             raise result.RequestError(result.ResultCode.UNREACHABLE, detail=f"queue to {address} is full")
         self.counts["frames out"] += 1
-        peer.backlog.put_nowait(peer_connection.EncodedFrame(outgoing.frame_kind, data))
-        return peer
+        queued = peer_connection.EncodedFrame(outgoing.frame_kind, data)
+        peer.backlog.put_nowait(queued)
+        return QueuedFrame(peer, queued)
 
     def notify(self, address: str, message: object, epoch: int = 0) -> None:
         """Send without awaiting a response; it may be lost."""
@@ -160,7 +168,7 @@
             return await self.server.answer(message)
         request_number = next(self.request_numbers)
         response: asyncio.Future[frame.Frame] = asyncio.get_running_loop().create_future()
-        peer = self.queue(address, frame.Frame(frame.REQUEST, request_number, epoch, message))
+        peer, queued = self.queue(address, frame.Frame(frame.REQUEST, request_number, epoch, message))
         peer.in_flight[request_number] = response
         try:
             async with clock.limit(within):
@@ -171,6 +179,9 @@
             ) from None
         finally:
             peer.in_flight.pop(request_number, None)
+            queued.withdraw()
+            # A future holds its exception, whose traceback holds this frame: without this cycle all is freed at once.
+            del response
         if received.frame_kind == frame.FAULT:
             raise from_fault(typing.cast(frame.Fault, received.message))
         return received.message
--- a/aspencroft/transport/peer_connection.py
+++ b/aspencroft/transport/peer_connection.py
@@ -5,7 +5,6 @@
 import collections.abc
 import dataclasses
 import datetime
-import typing
 
 import logbook
 
@@ -28,11 +27,16 @@
     """A keepalive: asks for nothing but a response, which is the same message."""
 
 
-class EncodedFrame(typing.NamedTuple):
-    """A frame's kind and bytes."""
+@dataclasses.dataclass(eq=False)
+class EncodedFrame:
+    """A frame's kind and bytes; none once it was withdrawn, so that it takes no memory in a backlog."""
 
     frame_kind: int
-    data: bytes
+    data: bytes | None
+
+    def withdraw(self) -> None:
+        """Drop the bytes of a frame that is not to be sent any more. One that is being written is written whole."""
+        self.data = None
 
 
 class PeerConnection:
@@ -90,12 +94,17 @@
 
     async def send(self, channel: environment.Channel, first: EncodedFrame) -> None:
         """Write frames in the order of the backlog."""
-        frame_kind, data = first
+        outgoing = first
         while True:
-            await channel.write(data)
-            if frame_kind == frame.REQUEST and self.unanswered_since is None:
-                self.unanswered_since = clock.now()
-            frame_kind, data = await self.backlog.get()
+            data = outgoing.data
+            if data is not None:
+                await channel.write(data)
+                # Neither this task nor the frame keeps the bytes while it waits for the next frame.
+                del data
+                outgoing.withdraw()
+                if outgoing.frame_kind == frame.REQUEST and self.unanswered_since is None:
+                    self.unanswered_since = clock.now()
+            outgoing = await self.backlog.get()
 
     async def receive(self, channel: environment.Channel) -> None:
         """Match responses with the requests in flight."""
--- a/aspencroft/transport/peer_connection_test.py
+++ b/aspencroft/transport/peer_connection_test.py
@@ -76,3 +76,36 @@
     assert link.counts["silent connections"] == 1
     assert len(messages) == 1 and messages[0].startswith("peer b:1: connection closed for silence; unanswered for=")
     assert messages[0].endswith("in flight=1")
+
+
+class UnreachableNetwork(SilentNetwork):
+    """A network on which no connection comes about, and none is refused."""
+
+    async def connect(self, address: str) -> SilentChannel:
+        """Wait without an end."""
+        await asyncio.Event().wait()
+
+
+@pytest.mark.parametrize("gives_up", ["timeout", "cancellation"])
+def test_a_request_that_was_given_up_leaves_no_bytes_in_the_backlog(gives_up):
+    """Guards against large messages that are sent again while their earlier copies wait for a dead peer."""
+
+    async def scenario() -> None:
+        link = connections.Link(types.SimpleNamespace(network=UnreachableNetwork()), "a:1", None)
+        running = asyncio.create_task(link.run(asyncio.Event()))
+        await asyncio.sleep(0)
+        requests = [
+            asyncio.ensure_future(link.request("b:1", peer_connection.Ping(), clock.seconds(0.05))) for _ in range(5)
+        ]
+        await asyncio.sleep(0.01)
+        queued = list(link.peers["b:1"].backlog._queue)
+        assert len(queued) == 4 and all(one.data for one in queued)
+        if gives_up == "cancellation":
+            for one in requests:
+                one.cancel()
+        await asyncio.wait(requests)
+        assert not any(one.data for one in queued)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
+    asyncio.run(scenario())
--- a/aspencroft/workers/pool.py
+++ b/aspencroft/workers/pool.py
@@ -129,7 +129,7 @@
     return raw
 
 
-async def write_in_parts(channel: environment.Channel, head: bytes, body: bytes) -> None:
+async def write_in_parts(channel: environment.Channel, head: bytes, body: bytes | bytearray) -> None:
     """Write a request part by part, so that no second copy of a large body waits in the channel."""
     await channel.write(head)
     view = memoryview(body)
@@ -253,8 +253,8 @@
         async for _ in self.parts():
             pass
 
-    async def read(self, reserve: Reserve | None = None) -> bytes:
-        """Return the whole body, at most 64 MiB.
+    async def read(self, reserve: Reserve | None = None) -> bytes | bytearray:
+        """Return the whole body, at most 64 MiB; a large one as the buffer that it was read into.
 
         ``reserve`` is awaited with the number of bytes that are to be held next: all where the length is known.
 
@@ -277,7 +277,7 @@
             body += part
             if len(body) > MAX_BODY_BYTES:
                 raise self.broken("response body too large")
-        return bytes(body)
+        return body if len(body) > READ_BYTES else bytes(body)
 
     def broken(self, reason: str) -> result.RequestError:
         """Close the connection and return the error for an unusable response."""
@@ -351,7 +351,7 @@
         method: str,
         target: str,
         headers: call.Headers,
-        body: bytes,
+        body: bytes | bytearray,
         end: datetime.timedelta,
         max_connections: int,
         accepts: Accepts | None = None,
@@ -419,7 +419,7 @@
             raise result.RequestError(result.ResultCode.DEADLINE)
         return Connection(address, channel)
 
-    async def send(self, connection: Connection, head: bytes, body: bytes) -> None:
+    async def send(self, connection: Connection, head: bytes, body: bytes | bytearray) -> None:
         """Write a request; a large one while reading, as a worker may respond before it has read everything."""
         if len(head) + len(body) > MAX_INLINE_WRITE_BYTES:
             connection.write_task = asyncio.ensure_future(write_in_parts(connection.channel, head, body))
