--- a/aspencroft/proxy/memory_budget_test.py
+++ b/aspencroft/proxy/memory_budget_test.py
@@ -177,3 +177,21 @@
         assert budget.held == 0 and {one.name for one in budget.samples()} >= {"aspencroft_call_memory_bytes"}
 
     run(scenario)
+
+
+def test_bytes_granted_in_the_moment_in_which_the_wait_is_cancelled_go_to_the_next():
+    """Guards against memory that is lost when a client leaves just as its request gets its turn."""
+
+    async def scenario(budget):
+        first = await budget.admit("a", 5 * LARGE, soon())
+        leaving = asyncio.ensure_future(budget.admit("b", 5 * LARGE, soon()))
+        await asyncio.sleep(0)
+        waiting = asyncio.ensure_future(budget.admit("c", 5 * LARGE, soon()))
+        await asyncio.sleep(0)
+        first.release()
+        leaving.cancel()
+        await asyncio.wait([leaving])
+        assert leaving.cancelled()
+        check(budget, [await waiting])
+
+    run(scenario)
--- a/aspencroft/simulation/mutations.py
+++ b/aspencroft/simulation/mutations.py
@@ -16,6 +16,10 @@
 POWER_LOSS_TEST = (
     "storage/store_test.py::test_power_lost_at_any_sync_with_names_and_blocks_kept_singly_loses_nothing_acknowledged"
 )
+MEMORY_BUDGET_TEST = (
+    "proxy/memory_budget_test.py::"
+    "test_a_budget_is_never_exceeded_and_all_bytes_come_back_after_refusals_cancellations_and_timeouts"
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -1516,6 +1520,64 @@
         "",
         ("proxy/forwarder_test.py::test_a_key_taken_away_while_its_call_waits_for_a_worker_does_not_run",),
     ),
+    Mutation(
+        "memory: a grant to a call that was given up in that moment is not given back",
+        "proxy/memory_budget.py",
+        "            if waiter.is_granted:\n                self.give_back(reservation, share, purpose, size)\n",
+        "            if waiter.is_granted:\n                pass\n",
+        (
+            "proxy/memory_budget_test.py::"
+            "test_bytes_granted_in_the_moment_in_which_the_wait_is_cancelled_go_to_the_next",
+        ),
+    ),
+    Mutation(
+        "memory: a wait that was refused still counts as waiting",
+        "proxy/memory_budget.py",
+        "            self.waiting_bytes -= arrived\n",
+        "            pass\n",
+        (MEMORY_BUDGET_TEST,),
+    ),
+    Mutation(
+        "memory: bytes that a call gives back stay with its holder",
+        "proxy/memory_budget.py",
+        "        self.by_holder[reservation.holder] -= size\n        if not",
+        "        if not",
+        (MEMORY_BUDGET_TEST,),
+    ),
+    Mutation(
+        "memory: the share of large requests is not looked at",
+        "proxy/memory_budget.py",
+        "(share.held + size <= share.limit and self.held + size <= self.limit)",
+        "self.held + size <= self.limit",
+        (MEMORY_BUDGET_TEST,),
+    ),
+    Mutation(
+        "room: what a turn was expected to add stays reserved after its end",
+        "sessions/turn_history.py",
+        "            self.add_bytes(started.program, -self.expected.pop(attempt, 0))\n",
+        "            self.expected.pop(attempt, 0)\n",
+        (
+            "sessions/payload_room_test.py::test_a_turn_takes_its_room_when_it_begins_and_gives_back_what_it_did_not_use",
+        ),
+    ),
+    Mutation(
+        "room: a program may hold all that there is",
+        "sessions/call_sessions.py",
+        "        return max(math.ceil(used / share), used + left)\n",
+        "        return math.ceil(used / share)\n",
+        (
+            "sessions/payload_room_test.py::test_the_program_that_holds_most_is_refused_first_and_one_that_holds_little_goes_on",
+        ),
+    ),
+    Mutation(
+        "room: a machine grants what others were granted already",
+        "node/payload_ledger.py",
+        "max(plan.base_bytes, held.get(group, 0), grant.size if grant is not None else 0)",
+        "max(plan.base_bytes, held.get(group, 0))",
+        (
+            "node/payload_ledger_test.py::test_the_largest_groups_that_a_machine_may_hold_together_never_exceed_its_memory",
+        ),
+    ),
 )
 
 
