--- a/aspencroft/proxy/forwarder.py
+++ b/aspencroft/proxy/forwarder.py
@@ -18,6 +18,7 @@
 from aspencroft.proxy import (
     admission_report,
     call,
+    call_state,
     caller_access,
     completion_queue,
     event_buffer,
@@ -91,92 +92,6 @@
         """Return the response headers that are passed on to the caller."""
 
 
-@dataclasses.dataclass
-class Attempts:
-    """Counts of the requests sent to workers for one call; a hedge shares them with the attempts it competes with.
-
-    ``possibly_run`` counts requests that neither the pool nor a worker reported as not run. ``in_flight`` counts
-    attempts that have not failed, received a complete response or begun a stream so far.
-
-    Example: ``Attempts().sent == 0``
-    """
-
-    sent: int = 0
-    possibly_run: int = 0
-    in_flight: int = 0
-
-
-@dataclasses.dataclass
-class CallState:
-    """State of one call in progress: its route, deadline, reservations and attempts."""
-
-    call: call.Call
-    route: http_route.HttpRoute
-    deadline: datetime.timedelta
-    body: bytes
-    program: str = ""
-    turn_reserved: bool = False
-    key_reserved: bool = False
-    last_worker: str = ""
-    attempts: Attempts = dataclasses.field(default_factory=Attempts)
-    tried_workers: frozenset[str] = frozenset()
-    current_worker: str = ""
-    hedged: bool = False
-    quota_grant: quota_client.Grant | None = None
-    group_wait_end: datetime.timedelta | None = None
-    output_reserved: int = 0
-
-    def keeps_output(self) -> bool:
-        """Whether the output of the call becomes a part of a session's history."""
-        return self.turn_reserved and self.route.retained
-
-    def attempt_id(self) -> str:
-        """The caller's attempt id, qualified by its tenant as session groups store it."""
-        return self.call.qualify_name(self.call.attempt)
-
-    def session_id(self) -> str:
-        """The session of the call, qualified by its tenant as session groups store it."""
-        return self.call.qualify_name(self.call.session)
-
-    def previous_turn(self) -> str:
-        """The id of the previous turn, qualified by the tenant, so that no other tenant's turn can be named."""
-        return self.call.qualify_name(self.call.previous)
-
-    def is_turn(self) -> bool:
-        """Whether the call is a turn that a session group charges to a budget or stores."""
-        return self.route.kind == http_route.STREAM and bool(self.call.budget or self.route.retained)
-
-    def is_idempotent(self) -> bool:
-        """Whether the request is idempotent, so that it may run more than once."""
-        return self.route.kind == http_route.SAFE
-
-    def may_resume(self) -> bool:
-        """Whether a broken stream may be resumed at another worker."""
-        return self.route.kind == http_route.STREAM and self.route.resumable and self.route.attempts > 1
-
-    def exhausted(self) -> bool:
-        """Whether the call has used all attempts that its route allows."""
-        return self.attempts.sent >= max(1, self.route.attempts)
-
-
-@dataclasses.dataclass
-class StreamSource:
-    """The worker that currently sends a stream, and its response; the worker's slot is released once."""
-
-    worker: instance.Instance
-    response: pool.Response
-    chunks: collections.abc.AsyncIterator[bytes]
-    first: bytes
-    is_open: bool = True
-
-    async def read(self) -> collections.abc.AsyncIterator[bytes]:
-        """Yield the first chunk, which was read already, then the others as they arrive."""
-        if self.first:
-            yield self.first
-            async for chunk in self.chunks:
-                yield chunk
-
-
 class Forwarder:
     """Forwards the calls of one edge; the task of the caller's connection takes each call through all stages."""
 
@@ -220,7 +135,7 @@
         """Whether this edge should receive new connections."""
         return not self.node.stopping.is_set() and self.node.relay.current() and bool(self.instances.listed)
 
-    def admit(self, request: call.Call) -> CallState:
+    def admit(self, request: call.Call) -> call_state.CallState:
         """Find the call's route, tenant and deadline; raise a RequestError if the call cannot be admitted."""
         self.counts["asked"] += 1
         if self.closed:
@@ -243,7 +158,7 @@
         if deadline <= clock.now():
             raise result.RequestError(result.ResultCode.DEADLINE, retry=RETRY_SOON)
         program = request.qualify_name(request.program or request.session or request.attempt)
-        return CallState(request, route, deadline, request.body, program=program)
+        return call_state.CallState(request, route, deadline, request.body, program=program)
 
     async def wait_for_configuration(self, request: call.Call) -> None:
         """Delay a call for a part of its time limit while a newly started edge has no configuration or workers.
@@ -304,26 +219,26 @@
             if not is_streaming:
                 self.active -= 1
 
-    def add_trace(self, state: CallState, event: str, detail: str = "") -> None:
+    def add_trace(self, state: call_state.CallState, event: str, detail: str = "") -> None:
         """Add an event to the call's trace."""
         request = state.call
         self.traces.add(request.attempt, state.route.name, clock.now() - request.arrived_at, event, detail)
 
     # -- reservations ----------------------------------------------------------------------------
 
-    async def reserve_quota(self, state: CallState) -> None:
+    async def reserve_quota(self, state: call_state.CallState) -> None:
         """Count the call towards its tenant's quota; a call above the quota is rejected as not run."""
         holder = self.access.tenant_of(state.call)
         if holder is not None:
             state.quota_grant = await self.quotas.reserve(holder, self.group_wait_limit(state))
 
-    def return_quota(self, state: CallState) -> None:
+    def return_quota(self, state: call_state.CallState) -> None:
         """Drop the call's quota grant; if the call did not run, the grant is returned to the tenant's quota."""
         if state.quota_grant is not None and not state.attempts.possibly_run:
             self.quotas.return_grant(state.quota_grant)
         state.quota_grant = None
 
-    def group_wait_limit(self, state: CallState) -> datetime.timedelta:
+    def group_wait_limit(self, state: call_state.CallState) -> datetime.timedelta:
         """How long a call waits for a session group. A change of the group's primary takes about a second.
 
         A waiting call is retried continuously and proceeds as soon as the group serves. The limit is a share of the
@@ -336,7 +251,7 @@
             state.group_wait_end = now + max(state.route.aim, left * WAIT_SHARE_OF_TIME_LIMIT)
         return max(min(max(state.group_wait_end - now, MIN_GROUP_WAIT), left), clock.ZERO)
 
-    async def submit_to_group(self, state: CallState, group_key: str, command):
+    async def submit_to_group(self, state: call_state.CallState, group_key: str, command):
         """Submit a command to a session group; if the group is unavailable the call is rejected as not run."""
         began = clock.now()
         try:
@@ -352,7 +267,7 @@
         """The session group that holds a program or an operation key."""
         return session_groups.group_of(key, self.node.settings.talk_pairs)
 
-    async def begin_turn(self, state: CallState) -> None:
+    async def begin_turn(self, state: call_state.CallState) -> None:
         """Reserve the turn's output tokens and fetch its history, which the request body then begins with."""
         request, route = state.call, state.route
         previous = state.previous_turn() if route.retained else ""
@@ -398,7 +313,7 @@
         self.add_trace(state, "turn begun", f"previous turn: {request.previous or 'none'}")
 
     async def receive_chain(
-        self, state: CallState, previous: str, reply: entry.TurnBegun | entry.LargeChainBegun
+        self, state: call_state.CallState, previous: str, reply: entry.TurnBegun | entry.LargeChainBegun
     ) -> list[entry.Turn]:
         """Return the chain that a turn continues; a large one is fetched once the memory for it is reserved."""
         if isinstance(reply, entry.TurnBegun):
@@ -411,7 +326,7 @@
 
     @contextlib.asynccontextmanager
     async def transfer(
-        self, state: CallState, size: int, ran: result.Ran = result.Ran.NOT_RUN
+        self, state: call_state.CallState, size: int, ran: result.Ran = result.Ran.NOT_RUN
     ) -> collections.abc.AsyncIterator[None]:
         """Reserve the copies of a large message to or from a session group while it is under way."""
         memory = state.call.memory
@@ -423,7 +338,7 @@
         finally:
             memory.shrink(memory_budget.Purpose.TRANSFER, 0)
 
-    async def find_chain_in_other_groups(self, state: CallState, turn: str) -> tuple[entry.Turn, ...]:
+    async def find_chain_in_other_groups(self, state: call_state.CallState, turn: str) -> tuple[entry.Turn, ...]:
         """Find a turn's history in the groups of other programs; it is unknown only if every group says so."""
         own_group = self.group_of(state.program)
         found: list[entry.TurnFound] = []
@@ -449,7 +364,7 @@
             )
         raise result.RequestError(result.ResultCode.UNKNOWN_TURN, detail=turn)
 
-    async def reserve_key(self, state: CallState) -> call.Answer | None:
+    async def reserve_key(self, state: call_state.CallState) -> call.Answer | None:
         """Claim the operation key; return the recorded answer if another attempt has completed the operation."""
         request = state.call
         digest = hashlib.blake2b(
@@ -482,7 +397,7 @@
 
     # -- worker selection ------------------------------------------------------------------------
 
-    def choose(self, state: CallState) -> tuple[instance.Instance | None, str]:
+    def choose(self, state: call_state.CallState) -> tuple[instance.Instance | None, str]:
         """Choose a worker that the current configuration allows for the call; also return the reason in words.
 
         This checks the route and the caller's access again and replaces ``state.route`` by the current route.
@@ -517,12 +432,12 @@
             return 0, 0
         return facts.engine.kv_tokens, facts.engine.slots
 
-    def rank(self, state: CallState) -> int:
+    def rank(self, state: call_state.CallState) -> int:
         """The priority of a call, 0 the most urgent: that of its tenant if set, else that of its route."""
         holder = self.access.tenant_of(state.call)
         return state.route.rank if holder is None or holder.rank is None else holder.rank
 
-    async def wait_for_worker(self, state: CallState) -> instance.Instance:
+    async def wait_for_worker(self, state: call_state.CallState) -> instance.Instance:
         """Wait for a worker with a free slot for the call.
 
         The limit is a quarter of the route's latency target, or of its time-out if it has no target, and at most a
@@ -562,7 +477,7 @@
 
     # -- attempts --------------------------------------------------------------------------------
 
-    async def forward(self, state: CallState) -> call.Answer:
+    async def forward(self, state: call_state.CallState) -> call.Answer:
         """Send the call to workers until one answers, as often as the kind of the route and its attempts allow."""
         if not state.is_idempotent() or state.route.attempts < 2 or not state.route.aim:
             return await self.try_workers_in_turn(state)
@@ -577,7 +492,7 @@
             # A future holds its exception, whose traceback holds this frame: without this cycle all is freed at once.
             del first
 
-    async def hedge(self, state: CallState, first: asyncio.Task) -> call.Answer:
+    async def hedge(self, state: call_state.CallState, first: asyncio.Task) -> call.Answer:
         """Start a second attempt because the first has not answered within the latency target.
 
         The first answer wins. Only idempotent requests are hedged, and both attempts count towards the limit of the
@@ -596,7 +511,7 @@
             # A future holds its exception, whose traceback holds this frame: without this cycle all is freed at once.
             del first, second
 
-    async def try_workers_in_turn(self, state: CallState) -> call.Answer:
+    async def try_workers_in_turn(self, state: call_state.CallState) -> call.Answer:
         """Try one worker after another."""
         for _ in range(MAX_SELECTIONS):
             worker = await self.wait_for_worker(state)
@@ -613,7 +528,7 @@
                     raise
         raise result.RequestError(result.ResultCode.PUT_BACK, retry=RETRY_SOON)
 
-    async def attempt(self, state: CallState, worker: instance.Instance) -> call.Answer:
+    async def attempt(self, state: call_state.CallState, worker: instance.Instance) -> call.Answer:
         """Make one attempt at one worker; its outcome is recorded for the selection of workers for later calls."""
         request, began = state.call, clock.now()
         self.instances.begin_request(worker.name)
@@ -646,7 +561,7 @@
                 self.release(worker)
 
     async def send(
-        self, state: CallState, worker: instance.Instance, headers: call.Headers, max_connections: int
+        self, state: call_state.CallState, worker: instance.Instance, headers: call.Headers, max_connections: int
     ) -> pool.Response:
         """Send the call to a worker once and wait for the head of the response.
 
@@ -677,7 +592,7 @@
             self.instances.record_failure(worker.name, outlier_detection.outcome_of_error(error))
             raise
 
-    async def check_head(self, state: CallState, response: pool.Response, head: call.Head) -> None:
+    async def check_head(self, state: call_state.CallState, response: pool.Response, head: call.Head) -> None:
         """Raise if the worker rejected the call or if the response leaves it unclear whether the call ran."""
         declined = head.misdirected or head.not_run
         if declined and (head.attempt or not response.reused or state.is_idempotent()):
@@ -725,7 +640,7 @@
             self.instances.record_connection_close(worker.name)
 
     async def read_answer(
-        self, state: CallState, worker: instance.Instance, response: pool.Response, head: call.Head
+        self, state: call_state.CallState, worker: instance.Instance, response: pool.Response, head: call.Head
     ) -> call.Answer:
         """Read the whole body of a response that is not a stream; nothing is passed on before that."""
 
@@ -756,7 +671,7 @@
     # -- streams ---------------------------------------------------------------------------------
 
     async def begin_stream(
-        self, state: CallState, worker: instance.Instance, response: pool.Response, head: call.Head
+        self, state: call_state.CallState, worker: instance.Instance, response: pool.Response, head: call.Head
     ) -> call.Answer:
         """Wait for the first bytes of the stream, then pass on the rest as it arrives."""
         chunks = response.parts()
@@ -778,7 +693,7 @@
 
     async def stream(
         self,
-        state: CallState,
+        state: call_state.CallState,
         worker: instance.Instance,
         response: pool.Response,
         chunks: collections.abc.AsyncIterator[bytes],
@@ -790,7 +705,7 @@
         """
         reader, pace_timer = events.Reader(state.keeps_output()), stream_pace.PaceTimer()
         buffer = event_buffer.EventBuffer() if state.may_resume() else None
-        source, is_complete = StreamSource(worker, response, chunks, first), False
+        source, is_complete = call_state.StreamSource(worker, response, chunks, first), False
         try:
             while not is_complete:
                 try:
@@ -830,7 +745,7 @@
                 # The stream did not end normally, or its end was not confirmed by the session group.
                 self.finish_turn_later(state, messages.UNKNOWN)
 
-    async def reserve_output(self, state: CallState, reader: events.Reader) -> None:
+    async def reserve_output(self, state: call_state.CallState, reader: events.Reader) -> None:
         """Reserve the memory for the output of a retained turn so far, in steps.
 
         Raises:
@@ -847,7 +762,7 @@
         await state.call.memory.grow(memory_budget.Purpose.OUTPUT, step, state.deadline)
         state.output_reserved += step
 
-    async def close_complete(self, source: StreamSource, pace_timer: stream_pace.PaceTimer) -> None:
+    async def close_complete(self, source: call_state.StreamSource, pace_timer: stream_pace.PaceTimer) -> None:
         """Release the worker and the connection of a complete stream, and record its pace."""
         seconds_per_event = pace_timer.pace()
         if seconds_per_event:
@@ -856,7 +771,7 @@
         source.is_open = False
         self.release(source.worker)
 
-    async def close_broken(self, source: StreamSource, error: result.RequestError) -> None:
+    async def close_broken(self, source: call_state.StreamSource, error: result.RequestError) -> None:
         """Release the worker of a broken stream and record the failure."""
         self.instances.record_failure(source.worker.name, outlier_detection.outcome_of_error(error))
         source.is_open = False
@@ -865,11 +780,11 @@
 
     async def resume(
         self,
-        state: CallState,
-        broken: StreamSource,
+        state: call_state.CallState,
+        broken: call_state.StreamSource,
         buffer: event_buffer.EventBuffer | None,
         error: result.RequestError,
-    ) -> StreamSource:
+    ) -> call_state.StreamSource:
         """Resume a stream at another worker, after the last complete event that was passed on.
 
         The attempts that the route allows are counted over all workers of the call.
@@ -897,7 +812,9 @@
             return source
         raise error
 
-    async def resume_at(self, state: CallState, worker: instance.Instance, last_event: str) -> StreamSource:
+    async def resume_at(
+        self, state: call_state.CallState, worker: instance.Instance, last_event: str
+    ) -> call_state.StreamSource:
         """Ask one worker to resume a stream; the head of its response is checked here and not passed on.
 
         Raises:
@@ -921,7 +838,7 @@
             if not 200 <= head.status < 300:
                 raise result.RequestError(result.ResultCode.WORKER_BROKE, result.Ran.UNKNOWN, f"status {head.status}")
             chunks = response.parts()
-            return StreamSource(worker, response, chunks, await anext(chunks, b""))
+            return call_state.StreamSource(worker, response, chunks, await anext(chunks, b""))
         except BaseException as error:
             if response is not None:
                 await response.close(False)
@@ -930,7 +847,7 @@
             self.release(worker)
             raise
 
-    async def end_turn(self, state: CallState, worker: instance.Instance, reader: events.Reader) -> None:
+    async def end_turn(self, state: call_state.CallState, worker: instance.Instance, reader: events.Reader) -> None:
         """Have the session group store and charge the turn before the caller receives the end of the stream."""
         request, output = state.call, reader.output()
         service = self.node.relay.configuration.services.get(worker.service)
@@ -962,7 +879,7 @@
 
     # -- completion ------------------------------------------------------------------------------
 
-    def finish_turn_later(self, state: CallState, outcome: str) -> None:
+    def finish_turn_later(self, state: call_state.CallState, outcome: str) -> None:
         """Queue the end of a turn whose result the caller does not wait for."""
         state.turn_reserved = False
         self.completions.offer(
@@ -970,7 +887,7 @@
             entry.EndTurn(state.program, state.session_id(), state.attempt_id(), outcome, b"", b"", 0, ""),
         )
 
-    def finish_key_later(self, state: CallState, answer: call.Answer) -> None:
+    def finish_key_later(self, state: call_state.CallState, answer: call.Answer) -> None:
         """Queue the answer under an operation key; one that is too large to be stored is queued without its bytes."""
         state.key_reserved = False
         key = self.key_of(state.call)
@@ -982,7 +899,7 @@
             entry.CloseKey(key, state.attempt_id(), messages.DONE, answer.status, pairs, answer.body),
         )
 
-    def abandon(self, state: CallState) -> None:
+    def abandon(self, state: call_state.CallState) -> None:
         """Release or charge the reservations of a failed call."""
         outcome = messages.UNKNOWN if state.attempts.possibly_run else messages.NOT_RUN
         self.return_quota(state)
@@ -1045,7 +962,9 @@
         }
 
 
-def with_expected_bytes(state: CallState, command: entry.BeginTurn) -> entry.BeginTurn | entry.BeginRetainedTurn:
+def with_expected_bytes(
+    state: call_state.CallState, command: entry.BeginTurn
+) -> entry.BeginTurn | entry.BeginRetainedTurn:
     """Tell the session group what a retained turn is expected to add to the history."""
     if not command.retained:
         return command
--- a/aspencroft/transport/connections.py
+++ b/aspencroft/transport/connections.py
@@ -17,6 +17,9 @@
 MAX_CONCURRENT_REQUESTS = 512
 """For each accepted connection; further frames wait unread, so that a peer is slowed down."""
 
+MIN_WITHDRAWN_BYTES = 4096
+"""Requests from this size on are not sent once they were given up; smaller ones may still tell a peer something."""
+
 
 class Server(typing.Protocol):
     """Whoever answers the messages that reach a node."""
@@ -179,7 +182,8 @@
             ) from None
         finally:
             peer.in_flight.pop(request_number, None)
-            queued.withdraw()
+            if queued.data is not None and len(queued.data) >= MIN_WITHDRAWN_BYTES:
+                queued.withdraw()
             # A future holds its exception, whose traceback holds this frame: without this cycle all is freed at once.
             del response
         if received.frame_kind == frame.FAULT:
