--- a/aspencroft/node/edge_memory.py
+++ b/aspencroft/node/edge_memory.py
@@ -4,7 +4,7 @@
 
 PROCESS_BYTES = 85_000_000
 """An edge without calls: the interpreter, the membership table, a configuration of 11,000 routes (docs/CAPACITY.md)."""
-MEMORY_PER_BYTE_HELD = 1.25
+MEMORY_PER_BYTE_HELD = 1.5
 """Memory for each byte that is held for callers: the allocator's share, and copies that last for one step only."""
 TURN_CACHE_DIVISOR = 8
 WAITING_DIVISOR = 8
@@ -30,7 +30,7 @@
 def divide(memory_limit: int) -> EdgeMemory:
     """Divide the bytes that a process may take, 0 where that is not known.
 
-    Example: ``divide(260_000_000) == EdgeMemory(turn_cache=17_500_000, calls=108_888_888)``
+    Example: ``divide(260_000_000) == EdgeMemory(turn_cache=14_583_333, calls=90_740_740)``
     """
     if not memory_limit:
         return EdgeMemory(MAX_TURN_CACHE_BYTES, 0)
