--- a/aspencroft/cli/pages_test.py
+++ b/aspencroft/cli/pages_test.py
@@ -279,6 +279,10 @@
         '"main.py"',
     ),
     "python -m pytest": (".ci/run", "python -m pytest"),
+    ".venv/bin/python platform/memory_soak.py --first 1 --seeds 50 --seconds 15": (
+        "platform/memory_soak_test.py",
+        "memory_soak.run_seed(",
+    ),
 }
 """Commands that CI, the build or another test runs, with the file and the words that show it."""
 DRIVEN = {
