--- a/aspencroft/node/node.py
+++ b/aspencroft/node/node.py
@@ -202,11 +202,12 @@
     def payload_plan(self) -> payload_limit.PayloadPlan:
         """How this machine's memory for history and kept answers is divided among the session groups.
 
-        Until this node has heard of all members it can't know how many disks share the groups, and may have to hold
-        all of them.
+        Until this node has heard of all members it can't know how many disks share the groups. It then goes by the
+        replicas that are on its own disk.
         """
-        replicas = self.settings.talk_pairs
-        if self.drain_orders.members_known():
+        if not self.drain_orders.members_known():
+            replicas = max(1, sum(size > 0 for size in self.payload.held_bytes().values()))
+        else:
             disks = sum(replica_set.SESSION in member.holds for member in self.failure_detector.peers.values())
             replicas = payload_limit.replicas_on_a_disk(
                 self.settings.talk_pairs, self.settings.copies, disks, self.settings.losses
--- a/aspencroft/simulation/payload_test.py
+++ b/aspencroft/simulation/payload_test.py
@@ -129,3 +129,26 @@
         assert_within_memory(harness)
 
     groups.play(6, scenario, SIZE, MORE)
+
+
+def test_after_a_restart_of_all_machines_programs_go_on_before_all_members_are_known():
+    """Guards against refusals for want of room while restarted machines don't know yet how many share the groups."""
+
+    async def scenario(harness: groups.ClusterHarness) -> None:
+        cluster = harness.cluster
+        await asyncio.sleep(8)
+        programs = [Program(harness, 1 + n % GROUPS, f"p{n}", LARGE // 2) for n in range(10 * GROUPS)]
+        assert all(await asyncio.gather(*(one.turn() for one in programs)))
+        for name in cluster.storages:
+            cluster.kill(name)
+        for name in cluster.storages:
+            cluster.start(name)
+        await cluster.until(lambda: all(cluster.leader(group) for group in range(1, GROUPS + 1)), 10, "led")
+        assert not any(cluster.nodes[name].drain_orders.members_known() for name in cluster.storages)
+        small = [Program(harness, group, f"p{group - 1}", SMALL) for group in range(1, GROUPS + 1)]
+        for one in small:
+            one.last, one.turns = f"{one.name} 1", 1
+        assert all(await asyncio.gather(*(one.go_on() for one in small)))
+
+    size = simulated_cluster.Size(edges=1, storages=10, cores=3, apart=True)
+    groups.play(7, scenario, size, {**MORE, "memory_limit": 150_000_000, "losses": 2})
